--- /dev/null
+++ b/bin/sapphirefall.js
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+import {register} from 'tsx/esm/api';
+
+register();
+await import('../daemons/main');
--- /dev/null
+++ b/daemons/mod.ts
@@ -0,0 +1,2 @@
+/** The command line. */
+export * from './command-error.ts';
--- /dev/null
+++ b/daemons/run-check.ts
@@ -0,0 +1,7 @@
+import {readHostFile} from './read-host-file.ts';
+
+/** Runs `sapphirefall check`: checks a settings file and says that it is valid, or every fault in it. */
+export function runCheck(file: string): void {
+	const settings = readHostFile(file);
+	console.log(`The settings of host "${settings.host.id}" are valid`);
+}
--- /dev/null
+++ b/packages/callers/create-session-codec.ts
@@ -0,0 +1,35 @@
+import {Buffer} from 'node:buffer';
+import {createHmac, timingSafeEqual} from 'node:crypto';
+import {z} from 'zod';
+import type {SessionCodec} from './session-codec.ts';
+
+const schema = z.tuple([z.string(), z.string(), z.number(), z.string().regex(/^\d{1,20}$/v)]);
+
+/**
+ * Creates a codec for session tokens: a claim and its HMAC-SHA-256, both in base64url.
+ *
+ * The token travels with the caller, so hosts share no session state.
+ *
+ * @param secret The fleet's secret.
+ */
+export function createSessionCodec(secret: string): SessionCodec {
+	const sign = (body: string) => createHmac('sha256', secret).update(body).digest();
+	return {
+		write({workspace, database, point}) {
+			const fields = [workspace, database, point.term, point.position.toString()];
+			const body = Buffer.from(JSON.stringify(fields)).toString('base64url');
+			return `${body}.${sign(body).toString('base64url')}`;
+		},
+		read(token) {
+			const [body = '', signature = ''] = token.split('.');
+			const expected = sign(body);
+			const given = Buffer.from(signature, 'base64url');
+			if (given.length !== expected.length || !timingSafeEqual(given, expected)) {
+				return undefined;
+			}
+
+			const [workspace, database, term, position] = schema.parse(JSON.parse(Buffer.from(body, 'base64url').toString('utf8')));
+			return {workspace, database, point: {term, position: BigInt(position)}};
+		},
+	};
+}
--- /dev/null
+++ b/packages/callers/decode-request.ts
@@ -0,0 +1,35 @@
+import {createHash} from 'node:crypto';
+import type {Request} from '@sapphirefall/decisions';
+import {decodeStatement, type ExecuteRequest} from '@sapphirefall/wire';
+
+const bearer = /^Bearer (?<key>\S+)$/iv;
+
+/**
+ * Decodes a caller's request. The key is replaced by its digest here and goes no further.
+ *
+ * @param message The request as it came.
+ * @param options The Authorization header, and an identifier for a request that has none.
+ */
+export function decodeRequest(
+	message: ExecuteRequest,
+	options: {readonly authorization: string; readonly fallbackId: string},
+): Request {
+	const key = bearer.exec(options.authorization)?.groups?.['key'] ?? '';
+	return {
+		requestId: message.requestId === '' ? options.fallbackId : message.requestId,
+		keyDigest: key === '' ? '' : createHash('sha256').update(key).digest('hex'),
+		route: message.route,
+		database: message.database,
+		statements: message.statements.map(statement => decodeStatement(statement)),
+		kind: decodeKind(message.kind),
+		patience: message.deadlineMs,
+		session: message.session,
+	};
+}
+
+/** A request that names no kind is a read, which can do no harm. */
+function decodeKind(kind: ExecuteRequest['kind']): Request['kind'] {
+	return kind.case === 'write'
+		? {kind: 'write', idempotencyKey: kind.value.idempotencyKey, isRepeatable: kind.value.repeatable}
+		: {kind: 'read', freshness: kind.value?.freshness ?? '', readKind: kind.value?.kind ?? ''};
+}
--- /dev/null
+++ b/packages/decisions/add-item.ts
@@ -0,0 +1,15 @@
+import type {FairQueue} from './fair-queue.ts';
+
+/** Adds an item of a workspace to a fair queue; a workspace without waiting items gets the last turn. */
+export function addItem<Item>(
+	queue: FairQueue<Item>,
+	added: {readonly workspace: string; readonly item: Item},
+): FairQueue<Item> {
+	const {workspace, item} = added;
+	const items = queue.waiting.get(workspace);
+	return {
+		...queue,
+		waiting: new Map(queue.waiting).set(workspace, [...(items ?? []), item]),
+		turns: items === undefined ? [...queue.turns, workspace] : queue.turns,
+	};
+}
--- /dev/null
+++ b/packages/decisions/admit-request.test.ts
@@ -0,0 +1,121 @@
+import {expect} from 'chai';
+import {admitRequest} from './admit-request.ts';
+import {createConfiguration} from './create-configuration.ts';
+import {resultCodes} from './result-codes.ts';
+import type {Configuration} from './configuration.ts';
+import type {Request} from './request.ts';
+import type {SessionClaim} from './session-claim.ts';
+
+const configuration: Configuration = {
+	...createConfiguration(),
+	version: 3,
+	workspaces: {
+		upper: {rate: 10, burst: 20, databases: ['pondbook']},
+		lower: {rate: 10, burst: 20, databases: []},
+	},
+	keys: {
+		'upper-1': {workspace: 'upper', digest: 'digest of upper'},
+		'lower-1': {workspace: 'lower', digest: 'digest of lower'},
+	},
+	freshness: {report: {kind: 'within', age: 10_000}},
+	exceptions: [{
+		workspace: 'lower', kind: 'report', freshness: {kind: 'latest'}, reason: 'the auditors ask for it',
+	}],
+	routes: {
+		levels: {
+			workspace: 'upper', database: 'pondbook', sql: 'SELECT level FROM pond', freshness: {kind: 'within', age: 60_000},
+		},
+	},
+};
+
+const claims: Readonly<Record<string, SessionClaim>> = {
+	own: {workspace: 'upper', database: 'pondbook', point: {term: 2, position: 9n}},
+	foreign: {workspace: 'lower', database: 'pondbook', point: {term: 2, position: 9n}},
+};
+
+const read: Request = {
+	requestId: 'r1',
+	keyDigest: 'digest of upper',
+	route: '',
+	database: 'pondbook',
+	statements: [{sql: 'SELECT 1', parameters: []}],
+	kind: {kind: 'read', freshness: 'latest', readKind: ''},
+	patience: 0,
+	session: '',
+};
+
+const write: Request = {...read, kind: {kind: 'write', idempotencyKey: 'k', isRepeatable: false}};
+
+const context = {
+	configuration,
+	provenAt: 9000,
+	staleAfter: 4000,
+	databases: new Set(['pondbook', 'orders']),
+	isDraining: false,
+	defaultPatience: 5000,
+	longestPatience: 30_000,
+	readSession: (token: string) => claims[token],
+	now: 10_000,
+};
+
+const withSql = (sql: string): Request => ({...read, statements: [{sql, parameters: []}]});
+const withFreshness = (freshness: string, readKind: string): Request => ({...read, kind: {kind: 'read', freshness, readKind}});
+
+describe('admitRequest', () => {
+	const refused: ReadonlyArray<readonly [string, Request, Partial<typeof context>, number]> = [
+		['no key', {...read, keyDigest: ''}, {}, resultCodes.keyMissing],
+		['a withdrawn key', {...read, keyDigest: 'other'}, {}, resultCodes.keyUnknown],
+		['a configuration that is not proven', read, {provenAt: 5999}, resultCodes.configurationStale],
+		['a draining host', read, {isDraining: true}, resultCodes.draining],
+		['an unknown database', {...read, database: 'other'}, {}, resultCodes.unknownDatabase],
+		['a database of others', {...read, database: 'orders'}, {}, resultCodes.databaseNotAllowed],
+		['an unknown route', {...read, route: 'other'}, {}, resultCodes.unknownRoute],
+		['statements on a route', {...read, route: 'levels'}, {}, resultCodes.malformed],
+		['no statement', {...read, statements: []}, {}, resultCodes.malformed],
+		['an empty statement', withSql('  '), {}, resultCodes.malformed],
+		['a commit', withSql('COMMIT'), {}, resultCodes.malformed],
+		['a commit behind a comment', withSql('/* x */ -- y\n ;commit'), {}, resultCodes.malformed],
+		['a pragma', withSql('PRAGMA query_only = OFF'), {}, resultCodes.malformed],
+		['the proxy\'s table', withSql('DELETE FROM SapphireFall_idempotency'), {}, resultCodes.malformed],
+		['an unknown freshness', withFreshness('soon', ''), {}, resultCodes.unknownFreshness],
+		['an unknown kind of read', withFreshness('', 'other'), {}, resultCodes.unknownFreshness],
+		['a forged session token', {...read, session: 'forged'}, {}, resultCodes.sessionInvalid],
+		['a foreign session token', {...read, session: 'foreign'}, {}, resultCodes.sessionForeign],
+		['too long a deadline', {...read, patience: 30_001}, {}, resultCodes.deadlineExpired],
+		['a write without idempotency key', {...write, kind: {kind: 'write', idempotencyKey: '', isRepeatable: false}}, {}, resultCodes.idempotencyKeyMissing],
+		['a long identifier', {...read, requestId: 'r'.repeat(201)}, {}, resultCodes.tooLarge],
+	];
+	for (const [title, request, change, code] of refused) {
+		it(`refuses ${title} with code ${code}`, () => {
+			const admission = admitRequest(request, {...context, ...change});
+			expect(admission).to.have.property('kind', 'refused');
+			expect(admission).to.have.nested.property('answer.code', code);
+			expect(admission).to.have.nested.property('answer.kind', 'notRun');
+		});
+	}
+
+	const admitted: ReadonlyArray<readonly [string, Request, unknown, number]> = [
+		['a latest read', read, {kind: 'read', freshness: {kind: 'latest'}, point: undefined}, 4],
+		['a read of a kind', withFreshness('', 'report'), {kind: 'read', freshness: {kind: 'within', age: 10_000}, point: undefined}, 1],
+		['a session read', {...withFreshness('session', ''), session: 'own'}, {kind: 'read', freshness: {kind: 'session'}, point: {term: 2, position: 9n}}, 2],
+		['a write', write, {kind: 'write', idempotencyKey: 'k'}, 4],
+		['a repeatable write', {...write, kind: {kind: 'write', idempotencyKey: '', isRepeatable: true}}, {kind: 'write', idempotencyKey: ''}, 4],
+	];
+	for (const [title, request, work, cost] of admitted) {
+		it(`admits ${title}`, () => {
+			const admission = admitRequest(request, context);
+			expect(admission).to.have.nested.property('request.work').that.deep.equals(work);
+			expect(admission).to.have.nested.property('request.cost', cost);
+			expect(admission).to.have.nested.property('request.workspace', 'upper');
+			expect(JSON.stringify(admission, (_, value: unknown) => typeof value === 'bigint' ? Number(value) : value)).to.not.include('digest');
+		});
+	}
+
+	it('admits an open route without a key, also when the configuration is not proven', () => {
+		const admission = admitRequest({
+			...read, keyDigest: '', route: 'levels', database: '', statements: [],
+		}, {...context, provenAt: -Infinity});
+		expect(admission).to.have.nested.property('request.workspace', 'upper');
+		expect(admission).to.have.nested.property('request.statements').that.deep.equals([{sql: 'SELECT level FROM pond', parameters: []}]);
+	});
+});
--- /dev/null
+++ b/packages/decisions/adopt-primary.ts
@@ -0,0 +1,15 @@
+import type {GroupPrimary} from './group-primary.ts';
+import type {GroupView} from './group-view.ts';
+
+/** Adopts a primary of a higher term than the known one; what was proven in the old term is dropped. */
+export function adoptPrimary(view: GroupView, found: GroupPrimary): GroupView {
+	const isKnown = view.primary !== undefined && view.term >= found.term;
+	const isListed = view.group.instances.some(({id}) => id === found.instance);
+	if (found.term < view.term || isKnown || !isListed) {
+		return view;
+	}
+
+	return {
+		...view, term: found.term, primary: found.instance, proof: undefined, history: [], acknowledged: undefined,
+	};
+}
--- /dev/null
+++ b/packages/decisions/apply-change.ts
@@ -0,0 +1,175 @@
+import {resultCodes} from './result-codes.ts';
+import type {Change} from './change.ts';
+import type {ChangeOutcome} from './change-outcome.ts';
+import type {Configuration} from './configuration.ts';
+import type {ResultCode} from './result-code.ts';
+
+/** Characters a written reason must have at least. */
+const shortestReason = 10;
+
+const namePattern = /^[a-z0-9][a-z0-9\-]{0,62}$/v;
+const digestPattern = /^[0-9a-f]{64}$/v;
+
+/**
+ * Applies an operator's change to a configuration.
+ *
+ * @param configuration The version that the change is based on.
+ * @param options The change and its identifier.
+ * @returns The next version, or the code and reason why the change cannot be made.
+ */
+export function applyChange(
+	configuration: Configuration,
+	options: {readonly change: Change; readonly changeId: string},
+): ChangeOutcome {
+	const next = {...configuration, version: configuration.version + 1, changeId: options.changeId};
+	const {change} = options;
+	switch (change.kind) {
+		case 'setWorkspace': {
+			return setWorkspace(next, change);
+		}
+
+		case 'removeWorkspace': {
+			return removeWorkspace(next, change);
+		}
+
+		case 'addKey': {
+			return addKey(next, change);
+		}
+
+		case 'withdrawKey': {
+			return withdrawKey(next, change);
+		}
+
+		case 'setFreshness': {
+			return setFreshness(next, change);
+		}
+
+		case 'setException': {
+			return setException(next, change);
+		}
+
+		case 'setRoute': {
+			return setRoute(next, change);
+		}
+	}
+}
+
+type ChangeOf<Kind extends Change['kind']> = Extract<Change, {readonly kind: Kind}>;
+
+function createOutcome(configuration: Configuration): ChangeOutcome {
+	return {kind: 'changed', configuration};
+}
+
+function createRejection(code: ResultCode, reason: string): ChangeOutcome {
+	return {kind: 'refused', code, reason};
+}
+
+function setWorkspace(next: Configuration, change: ChangeOf<'setWorkspace'>): ChangeOutcome {
+	const {workspace, rate, burst, databases} = change;
+	if (!namePattern.test(workspace)) {
+		return createRejection(resultCodes.changeInvalid, `the workspace name "${workspace}" is not of a-z, 0-9 and -`);
+	}
+
+	if (!(rate > 0) || !(burst > 0) || !Number.isFinite(rate + burst)) {
+		return createRejection(resultCodes.changeInvalid, `rate ${rate} and burst ${burst} must be positive numbers`);
+	}
+
+	return createOutcome({...next, workspaces: {...next.workspaces, [workspace]: {rate, burst, databases}}});
+}
+
+function removeWorkspace(next: Configuration, change: ChangeOf<'removeWorkspace'>): ChangeOutcome {
+	const {[change.workspace]: removed, ...workspaces} = next.workspaces;
+	if (removed === undefined) {
+		return createMissing('workspace', change.workspace);
+	}
+
+	const keys = Object.fromEntries(Object.entries(next.keys).filter(([, key]) => key.workspace !== change.workspace));
+	const exceptions = next.exceptions.filter(exception => exception.workspace !== change.workspace);
+	const routes = Object.fromEntries(Object.entries(next.routes).filter(([, route]) => route.workspace !== change.workspace));
+	return createOutcome({
+		...next, workspaces, keys, exceptions, routes,
+	});
+}
+
+function addKey(next: Configuration, change: ChangeOf<'addKey'>): ChangeOutcome {
+	const {workspace, keyId, digest} = change;
+	if (next.workspaces[workspace] === undefined) {
+		return createMissing('workspace', workspace);
+	}
+
+	if (!namePattern.test(keyId) || !digestPattern.test(digest)) {
+		return createRejection(resultCodes.changeInvalid, `the key "${keyId}" needs a name of a-z, 0-9 and - and a SHA-256 digest`);
+	}
+
+	const isTaken = next.keys[keyId] !== undefined || Object.values(next.keys).some(key => key.digest === digest);
+	if (isTaken) {
+		return createRejection(resultCodes.changeInvalid, `the key "${keyId}" exists already`);
+	}
+
+	return createOutcome({...next, keys: {...next.keys, [keyId]: {workspace, digest}}});
+}
+
+function withdrawKey(next: Configuration, change: ChangeOf<'withdrawKey'>): ChangeOutcome {
+	const {[change.keyId]: withdrawn, ...keys} = next.keys;
+	return withdrawn === undefined ? createMissing('key', change.keyId) : createOutcome({...next, keys});
+}
+
+function setFreshness(next: Configuration, change: ChangeOf<'setFreshness'>): ChangeOutcome {
+	if (!namePattern.test(change.readKind)) {
+		return createRejection(resultCodes.changeInvalid, `the kind of read "${change.readKind}" is not of a-z, 0-9 and -`);
+	}
+
+	return createOutcome({...next, freshness: {...next.freshness, [change.readKind]: change.freshness}});
+}
+
+function setException(next: Configuration, change: ChangeOf<'setException'>): ChangeOutcome {
+	const {workspace, readKind, freshness, reason} = change;
+	if (reason.trim().length < shortestReason) {
+		return createRejection(
+			resultCodes.changeInvalid,
+			`the exception of "${workspace}" for "${readKind}" needs a written reason of ${shortestReason} characters or more`,
+		);
+	}
+
+	if (next.workspaces[workspace] === undefined) {
+		return createMissing('workspace', workspace);
+	}
+
+	if (next.freshness[readKind] === undefined) {
+		return createMissing('kind of read', readKind);
+	}
+
+	const others = next.exceptions.filter(exception => exception.workspace !== workspace || exception.kind !== readKind);
+	return createOutcome({
+		...next, exceptions: [...others, {
+			workspace, kind: readKind, freshness, reason,
+		}],
+	});
+}
+
+function setRoute(next: Configuration, change: ChangeOf<'setRoute'>): ChangeOutcome {
+	const {route, workspace, database, sql, freshness} = change;
+	if (!namePattern.test(route)) {
+		return createRejection(resultCodes.changeInvalid, `the route name "${route}" is not of a-z, 0-9 and -`);
+	}
+
+	if (next.workspaces[workspace] === undefined) {
+		return createMissing('workspace', workspace);
+	}
+
+	if (freshness.kind === 'session') {
+		return createRejection(resultCodes.changeInvalid, `the route "${route}" has no sessions; its freshness must be latest or within an age`);
+	}
+
+	return createOutcome({
+		...next, routes: {
+			...next.routes, [route]: {
+				workspace, database, sql, freshness,
+			},
+		},
+	});
+}
+
+function createMissing(what: string, name: string): ChangeOutcome {
+	return createRejection(resultCodes.nameUnknown, `the ${what} "${name}" does not exist`);
+}
--- /dev/null
+++ b/packages/decisions/assign-watch.ts
@@ -0,0 +1,39 @@
+import {rankHosts} from './rank-hosts.ts';
+import type {GroupControl} from './group-control.ts';
+import type {Group} from './group.ts';
+import type {Host} from './host.ts';
+
+/**
+ * Assigns this host's part in watching a group.
+ *
+ * One host a zone watches, in the zones that have an instance of the group.
+ *
+ * @param group The group.
+ * @param options This host, the live hosts, the present part, and monotonic milliseconds.
+ */
+export function assignWatch(
+	group: Group,
+	options: {
+		readonly self: string;
+		readonly live: readonly Host[];
+		readonly present: GroupControl['watch'];
+		readonly now: number;
+	},
+): GroupControl['watch'] {
+	const {self, live, present, now} = options;
+	const resource = `watch/${group.database}`;
+	const zones = [...new Set(group.instances.map(({zone}) => zone))];
+	const watchers = zones
+		.map(zone => rankHosts(resource, live.filter(host => host.zone === zone).map(({id}) => id))[0])
+		.filter(id => id !== undefined);
+	if (!watchers.includes(self)) {
+		return undefined;
+	}
+
+	const ranked = rankHosts(resource, watchers);
+	return {
+		rank: ranked.indexOf(self),
+		others: ranked.filter(id => id !== self),
+		since: present?.since ?? now,
+	};
+}
--- /dev/null
+++ b/packages/decisions/change.ts
@@ -0,0 +1,32 @@
+import type {Freshness} from './freshness.ts';
+
+/** What an operator can change in the configuration. */
+export type Change =
+	| {
+		readonly kind: 'setWorkspace';
+		readonly workspace: string;
+		/** Units a second over the whole fleet. */
+		readonly rate: number;
+		/** Units. */
+		readonly burst: number;
+		readonly databases: readonly string[];
+	}
+	| {readonly kind: 'removeWorkspace'; readonly workspace: string}
+	| {readonly kind: 'addKey'; readonly workspace: string; readonly keyId: string; readonly digest: string}
+	| {readonly kind: 'withdrawKey'; readonly keyId: string}
+	| {readonly kind: 'setFreshness'; readonly readKind: string; readonly freshness: Freshness}
+	| {
+		readonly kind: 'setException';
+		readonly workspace: string;
+		readonly readKind: string;
+		readonly freshness: Freshness;
+		readonly reason: string;
+	}
+	| {
+		readonly kind: 'setRoute';
+		readonly route: string;
+		readonly workspace: string;
+		readonly database: string;
+		readonly sql: string;
+		readonly freshness: Freshness;
+	};
--- /dev/null
+++ b/packages/decisions/create-fair-queue.ts
@@ -0,0 +1,6 @@
+import type {FairQueue} from './fair-queue.ts';
+
+/** Creates an empty fair queue. */
+export function createFairQueue<Item>(): FairQueue<Item> {
+	return {waiting: new Map(), turns: [], deficits: new Map()};
+}
--- /dev/null
+++ b/packages/decisions/create-group-view.ts
@@ -0,0 +1,15 @@
+import type {Group} from './group.ts';
+import type {GroupView} from './group-view.ts';
+
+/** Creates the view of a group of which nothing is known yet. */
+export function createGroupView(group: Group): GroupView {
+	return {
+		group,
+		term: 0,
+		primary: undefined,
+		instances: new Map(),
+		proof: undefined,
+		history: [],
+		acknowledged: undefined,
+	};
+}
--- /dev/null
+++ b/packages/decisions/create-host-state.ts
@@ -0,0 +1,27 @@
+import {createConfiguration} from './create-configuration.ts';
+import type {Host} from './host.ts';
+import type {HostState} from './host-state.ts';
+
+/**
+ * Creates the state of a host that has just started and knows only itself.
+ *
+ * @param host This host.
+ * @param incarnation A number that is higher than at any earlier start of the host, such as the wall clock.
+ */
+export function createHostState(host: Host, incarnation: number): HostState {
+	return {
+		zone: host.zone,
+		membership: {
+			self: host.id, incarnation, hosts: new Map([[host.id, host]]), members: new Map(),
+		},
+		groups: new Map(),
+		configuration: createConfiguration(),
+		provenAt: -Infinity,
+		versions: new Map(),
+		isDraining: false,
+		round: 0,
+		nextExchangeAt: 0,
+		nextVersionReadAt: 0,
+		nextFleetReadAt: 0,
+	};
+}
--- /dev/null
+++ b/packages/decisions/failover-state.ts
@@ -0,0 +1,23 @@
+import type {InstanceReport} from './instance-report.ts';
+
+/** How far a watcher is with replacing a group's primary. Times are monotonic milliseconds. */
+export type FailoverState =
+	| {readonly kind: 'watching'}
+	| {
+		readonly kind: 'agreeing';
+		readonly since: number;
+		readonly agreedAt: number | undefined;
+	}
+	| {
+		readonly kind: 'fencing';
+		readonly since: number;
+		readonly term: number;
+		readonly granted: ReadonlyMap<string, InstanceReport>;
+	}
+	| {
+		readonly kind: 'promoting';
+		readonly since: number;
+		readonly term: number;
+		readonly instance: string;
+	}
+	| {readonly kind: 'resting'; readonly until: number};
--- /dev/null
+++ b/packages/decisions/group-control.ts
@@ -0,0 +1,22 @@
+import type {FailoverState} from './failover-state.ts';
+import type {GroupView} from './group-view.ts';
+
+/** What a host's control loop keeps of one database group. */
+export type GroupControl = {
+	readonly view: GroupView;
+	readonly failover: FailoverState;
+	/** This host's part in watching the group; undefined when it has none. */
+	readonly watch: WatchRole | undefined;
+	/** Monotonic milliseconds of the last request that used the group here. */
+	readonly demandedAt: number;
+	readonly nextProbeAt: number;
+};
+
+type WatchRole = {
+	/** Watchers of other zones that act before this one. */
+	readonly rank: number;
+	/** Watchers of the other zones, by host id. */
+	readonly others: readonly string[];
+	/** Monotonic milliseconds since which this host watches. */
+	readonly since: number;
+};
--- /dev/null
+++ b/packages/decisions/host-effect.ts
@@ -0,0 +1,11 @@
+import type {FailoverEffect} from './failover-effect.ts';
+
+/** What a host's control loop does next. */
+export type HostEffect =
+	| {readonly kind: 'exchange'; readonly partner: string}
+	| {readonly kind: 'readVersion'}
+	| {readonly kind: 'readFleet'}
+	| {readonly kind: 'probe'; readonly database: string}
+	| {readonly kind: 'failover'; readonly database: string; readonly effect: FailoverEffect}
+	| {readonly kind: 'tellPrimary'; readonly database: string; readonly term: number; readonly instance: string}
+	| {readonly kind: 'tellConfiguration'; readonly version: number};
--- /dev/null
+++ b/packages/decisions/host-event.ts
@@ -0,0 +1,40 @@
+import type {Configuration} from './configuration.ts';
+import type {FailoverEvent} from './failover-event.ts';
+import type {Group} from './group.ts';
+import type {GroupPrimary} from './group-primary.ts';
+import type {Host} from './host.ts';
+import type {InstanceReport} from './instance-report.ts';
+import type {MemberNews} from './member-news.ts';
+
+/** What moves a host's control loop on. Times are monotonic milliseconds. */
+export type HostEvent =
+	| {readonly kind: 'tick'}
+	| {readonly kind: 'fleetRead'; readonly hosts: readonly Host[]; readonly groups: readonly Group[]}
+	| {
+		/** The newest configuration, read from the table no earlier than `provenAt`. */
+		readonly kind: 'configurationRead';
+		readonly configuration: Configuration;
+		readonly provenAt: number;
+	}
+	| {readonly kind: 'exchangeFailed'; readonly id: string}
+	| {
+		readonly kind: 'exchanged';
+		readonly id: string;
+		readonly incarnation: number;
+		readonly version: number;
+		/** Present when the other host knows a newer configuration. */
+		readonly configuration: Configuration | undefined;
+		/** When the other host's version was the newest at the earliest; -Infinity in a push. */
+		readonly provenAt: number;
+		readonly primaries: readonly GroupPrimary[];
+		readonly news: readonly MemberNews[];
+	}
+	| {readonly kind: 'demanded'; readonly database: string}
+	| {
+		readonly kind: 'reported';
+		readonly database: string;
+		readonly report: InstanceReport;
+		readonly sentAt: number;
+	}
+	| {readonly kind: 'failover'; readonly database: string; readonly event: FailoverEvent}
+	| {readonly kind: 'drained'};
--- /dev/null
+++ b/packages/decisions/is-suspected.ts
@@ -0,0 +1,32 @@
+import type {FailoverSettings} from './failover-settings.ts';
+import type {GroupView} from './group-view.ts';
+
+/**
+ * Tells whether a group seems to have no working primary.
+ *
+ * True when the primary has been silent for longer than the limit, when none is known, and when an instance
+ * has granted a higher term than the primary's and no primary of that term has appeared for twice as long.
+ *
+ * @param view The group as this host sees it.
+ * @param options When this host began to watch, the failover times, and monotonic milliseconds.
+ */
+export function isSuspected(
+	view: GroupView,
+	options: {readonly watchedSince: number; readonly settings: FailoverSettings; readonly now: number},
+): boolean {
+	const {watchedSince, settings, now} = options;
+	const limit = settings.suspectAfter;
+	if (now - watchedSince <= limit) {
+		return false;
+	}
+
+	const primary = view.primary === undefined ? undefined : view.instances.get(view.primary);
+	const lastHeard = primary?.report.term === view.term ? primary.heardAt : watchedSince;
+	return now - lastHeard > limit || isOvertaken(view, now - (2 * limit));
+}
+
+/** Tells whether an instance has been in a higher term than the group's since before the given time. */
+function isOvertaken(view: GroupView, before: number): boolean {
+	return [...view.instances.values()]
+		.some(({report, changedAt}) => report.term > view.term && changedAt < before);
+}
--- /dev/null
+++ b/packages/decisions/list-news.ts
@@ -0,0 +1,13 @@
+import type {MemberNews} from './member-news.ts';
+import type {Membership} from './membership.ts';
+
+/** Milliseconds for which a change of liveness is passed on; the ring is crossed in less. */
+const newsSpan = 10_000;
+
+/** Lists the recent changes of liveness, and this host itself. */
+export function listNews(membership: Membership, now: number): readonly MemberNews[] {
+	const recent = [...membership.members]
+		.filter(([, member]) => now - member.changedAt <= newsSpan)
+		.map(([id, member]) => ({id, incarnation: member.incarnation, isAlive: member.isAlive}));
+	return [...recent, {id: membership.self, incarnation: membership.incarnation, isAlive: true}];
+}
--- /dev/null
+++ b/packages/decisions/list-primaries.ts
@@ -0,0 +1,9 @@
+import type {GroupPrimary} from './group-primary.ts';
+import type {HostState} from './host-state.ts';
+
+/** Lists the primaries that a host knows. */
+export function listPrimaries(state: HostState): readonly GroupPrimary[] {
+	return [...state.groups.values()]
+		.filter(({view}) => view.primary !== undefined)
+		.map(({view}) => ({database: view.group.database, term: view.term, instance: view.primary ?? ''}));
+}
--- /dev/null
+++ b/packages/decisions/take-item.ts
@@ -0,0 +1,50 @@
+import type {FairQueue} from './fair-queue.ts';
+
+/** Cost that a workspace may spend in each of its turns. */
+const quantum = 4;
+
+/**
+ * Takes the next item of a fair queue.
+ *
+ * @param queue The queue.
+ * @param findCost The cost of an item, above 0.
+ * @returns The queue afterwards and the item, or `undefined` when the queue is empty.
+ */
+export function takeItem<Item>(
+	queue: FairQueue<Item>,
+	findCost: (item: Item) => number,
+): {readonly queue: FairQueue<Item>; readonly item: Item | undefined} {
+	const deficits = new Map(queue.deficits);
+	let {turns} = queue;
+	for (;;) {
+		const [workspace] = turns;
+		const items = workspace === undefined ? undefined : queue.waiting.get(workspace);
+		const item = items?.[0];
+		if (workspace === undefined || items === undefined || item === undefined) {
+			return {queue, item: undefined};
+		}
+
+		const deficit = deficits.get(workspace) ?? quantum;
+		if (deficit >= findCost(item)) {
+			deficits.set(workspace, deficit - findCost(item));
+			return {queue: removeFirst({...queue, turns, deficits}, workspace), item};
+		}
+
+		deficits.set(workspace, deficit + quantum);
+		turns = [...turns.slice(1), workspace];
+	}
+}
+
+function removeFirst<Item>(queue: FairQueue<Item>, workspace: string): FairQueue<Item> {
+	const waiting = new Map(queue.waiting);
+	const rest = waiting.get(workspace)?.slice(1) ?? [];
+	if (rest.length > 0) {
+		waiting.set(workspace, rest);
+		return {...queue, waiting};
+	}
+
+	waiting.delete(workspace);
+	const deficits = new Map(queue.deficits);
+	deficits.delete(workspace);
+	return {waiting, deficits, turns: queue.turns.filter(name => name !== workspace)};
+}
--- /dev/null
+++ b/packages/decisions/take-retry.ts
@@ -0,0 +1,7 @@
+import type {RetryBudget} from './retry-budget.ts';
+
+/** Takes one retry from a budget, if there is one. */
+export function takeRetry(budget: RetryBudget): {readonly budget: RetryBudget; readonly isTaken: boolean} {
+	const isTaken = budget.retries >= 1;
+	return {budget: isTaken ? {retries: budget.retries - 1} : budget, isTaken};
+}
--- /dev/null
+++ b/packages/endpoints/mod.ts
@@ -0,0 +1,11 @@
+/** Database endpoints as a peer: connections, pools, probes and failover commands. */
+export type * from './batch-outcome.ts';
+export type * from './batch.ts';
+export type * from './commander.ts';
+export type * from './connection.ts';
+export * from './create-commander.ts';
+export * from './create-pool.ts';
+export * from './open-connection.ts';
+export * from './open-prober.ts';
+export type * from './pool.ts';
+export type * from './prober.ts';
--- /dev/null
+++ b/packages/events/mod.ts
@@ -0,0 +1,11 @@
+/** Typed events with hybrid logical times, and their time line. */
+export * from './create-event-log.ts';
+export * from './create-hybrid-clock.ts';
+export type * from './event-filter.ts';
+export type * from './event-log.ts';
+export * from './format-event.ts';
+export * from './format-time-line.ts';
+export type * from './hybrid-clock.ts';
+export * from './merge-time-line.ts';
+export * from './parse-event.ts';
+export type * from './process-event.ts';
--- /dev/null
+++ b/packages/hosts/decode-exchange.ts
@@ -0,0 +1,17 @@
+import type {ExchangeMessage} from '@sapphirefall/wire';
+import type {ExchangeContent} from './exchange-content.ts';
+
+/** Decodes what another host tells. */
+export function decodeExchange(message: ExchangeMessage): ExchangeContent {
+	return {
+		id: message.host,
+		incarnation: Number(message.incarnation),
+		version: message.configVersion,
+		age: message.configAgeMs,
+		configuration: message.configBody,
+		digest: message.viewDigest,
+		primaries: message.views.map(({database, term, instance}) => ({database, term, instance})),
+		news: message.news.map(({host, incarnation, alive}) => ({id: host, incarnation: Number(incarnation), isAlive: alive})),
+		time: message.time,
+	};
+}
--- /dev/null
+++ b/packages/operators/decode-change.ts
@@ -0,0 +1,69 @@
+import {parseFreshness, type Change, type Freshness} from '@sapphirefall/decisions';
+import type {ChangeRequest} from '@sapphirefall/wire';
+
+/** A change as it came, or what is wrong with it. */
+type Decoded =
+	| {readonly kind: 'change'; readonly change: Change}
+	| {readonly kind: 'invalid'; readonly reason: string};
+
+/** Decodes an operator's change. */
+export function decodeChange(request: ChangeRequest): Decoded {
+	const {change} = request;
+	switch (change.case) {
+		case 'setWorkspace': {
+			const {workspace, rate, burst, databases} = change.value;
+			return createDecoded({
+				kind: 'setWorkspace', workspace, rate, burst, databases,
+			});
+		}
+
+		case 'removeWorkspace': {
+			return createDecoded({kind: 'removeWorkspace', workspace: change.value.workspace});
+		}
+
+		case 'addKey': {
+			const {workspace, keyId, digest} = change.value;
+			return createDecoded({
+				kind: 'addKey', workspace, keyId, digest,
+			});
+		}
+
+		case 'withdrawKey': {
+			return createDecoded({kind: 'withdrawKey', keyId: change.value.keyId});
+		}
+
+		case 'setFreshness': {
+			const {kind: readKind} = change.value;
+			return withFreshness(change.value.freshness, freshness => ({kind: 'setFreshness', readKind, freshness}));
+		}
+
+		case 'setException': {
+			const {workspace, kind: readKind, reason} = change.value;
+			return withFreshness(change.value.freshness, freshness => ({
+				kind: 'setException', workspace, readKind, freshness, reason,
+			}));
+		}
+
+		case 'setRoute': {
+			const {route, workspace, database, sql} = change.value;
+			return withFreshness(change.value.freshness, freshness => ({
+				kind: 'setRoute', route, workspace, database, sql, freshness,
+			}));
+		}
+
+		case undefined: {
+			return {kind: 'invalid', reason: 'the request names no change'};
+		}
+	}
+}
+
+function createDecoded(change: Change): Decoded {
+	return {kind: 'change', change};
+}
+
+function withFreshness(text: string, createChange: (freshness: Freshness) => Change): Decoded {
+	const freshness = parseFreshness(text);
+	return freshness === undefined
+		? {kind: 'invalid', reason: `the freshness "${text}" is unknown; allowed are latest, session and within <age>`}
+		: createDecoded(createChange(freshness));
+}
--- /dev/null
+++ b/packages/operators/metrics.ts
@@ -0,0 +1,15 @@
+import type {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+/** The metrics of a host. */
+export type Metrics = {
+	readonly registry: Registry;
+	readonly requests: Counter;
+	readonly seconds: Histogram;
+	readonly reads: Counter;
+	readonly retries: Counter;
+	readonly failovers: Counter;
+	readonly configurationVersion: Gauge;
+	readonly running: Gauge;
+};
--- /dev/null
+++ b/packages/operators/mod.ts
@@ -0,0 +1,6 @@
+/** Operators as a peer: changes, status, metrics and the command line. */
+export * from './create-metrics.ts';
+export * from './create-operator-handler.ts';
+export * from './decode-change.ts';
+export type * from './metrics.ts';
+export type * from './operator-backend.ts';
--- /dev/null
+++ b/packages/platform/commit-change.ts
@@ -0,0 +1,126 @@
+import {Buffer} from 'node:buffer';
+import {
+	applyChange, createConfiguration, resultCodes, type Change, type Configuration, type ResultCode,
+} from '@sapphirefall/decisions';
+import {configurationRow} from './configuration-row.ts';
+import {describeChange} from './describe-change.ts';
+import {parseConfiguration} from './parse-configuration.ts';
+import {parseHead} from './parse-head.ts';
+import type {CommitOutcome} from './commit-outcome.ts';
+import type {ConfigurationHead} from './configuration-head.ts';
+import type {PlatformClient} from './platform-client.ts';
+
+type Requested = {
+	readonly change: Change;
+	/** Names the change, so that a lost answer can be settled. */
+	readonly changeId: string;
+	/** Version that the change was based on; 0 for the newest. */
+	readonly basedOn: number;
+};
+
+type Current = {readonly version: number; readonly head: ConfigurationHead; readonly configuration: Configuration};
+
+/** Attempts at a change that names no version, while others commit theirs. */
+const attemptLimit = 8;
+
+/** Changes that the row tells of, for an operator whose change lost. */
+const changesKept = 50;
+
+/**
+ * Commits an operator's change with a compare-and-set on the configuration's version.
+ *
+ * When the answer to the write is lost, the row is read back: the change's identifier in it settles the matter.
+ *
+ * @param platform The platform.
+ * @param requested The change, its identifier, and the version it was based on.
+ */
+export async function commitChange(platform: PlatformClient, requested: Requested): Promise<CommitOutcome> {
+	let wasWritten = false;
+	for (let attempt = 0; attempt < attemptLimit; attempt++) {
+		let current: Current;
+		try {
+			current = await readCurrent(platform); // eslint-disable-line no-await-in-loop -- attempts follow each other
+		} catch {
+			return wasWritten
+				? createRefusal(resultCodes.storeAnswerLost, 'the store did not answer; the change may have been made', 0)
+				: createRefusal(resultCodes.storeUnavailable, 'the store does not answer; nothing was changed', 0);
+		}
+
+		const made = current.head.changes.find(({changeId}) => changeId === requested.changeId);
+		if (made !== undefined) {
+			return {kind: 'committed', configuration: current.configuration};
+		}
+
+		const refusal = checkBase(current, requested);
+		if (refusal !== undefined) {
+			return refusal;
+		}
+
+		const outcome = applyChange(current.configuration, requested);
+		if (outcome.kind === 'refused') {
+			return createRefusal(outcome.code, outcome.reason, current.version);
+		}
+
+		wasWritten = true;
+		// eslint-disable-next-line no-await-in-loop -- attempts follow each other
+		if (await writeNext(platform, {current, requested, configuration: outcome.configuration})) {
+			return {kind: 'committed', configuration: outcome.configuration};
+		}
+	}
+
+	return createRefusal(resultCodes.versionConflict, 'other changes went first each time', 0);
+}
+
+function createRefusal(code: ResultCode, reason: string, version: number): CommitOutcome {
+	return {
+		kind: 'refused', code, reason, version,
+	};
+}
+
+async function readCurrent(platform: PlatformClient): Promise<Current> {
+	const row = await platform.readRow(configurationRow);
+	if (row.version === 0) {
+		return {version: 0, head: {object: '', changes: []}, configuration: createConfiguration()};
+	}
+
+	const head = parseHead(row.value);
+	const body = await platform.readObject(head.object);
+	return {version: row.version, head, configuration: parseConfiguration(Buffer.from(body).toString('utf8'))};
+}
+
+/** Refuses a change that was based on an older version, and tells what changed since. */
+function checkBase(current: Current, requested: Requested): CommitOutcome | undefined {
+	if (requested.basedOn === 0 || requested.basedOn === current.version) {
+		return undefined;
+	}
+
+	const since = current.head.changes
+		.filter(({version}) => version > requested.basedOn)
+		.map(({version, summary}) => `${version}: ${summary}`);
+	return createRefusal(
+		resultCodes.versionConflict,
+		`version ${current.version} is in force, not ${requested.basedOn}; changed since: ${since.join('; ')}`,
+		current.version,
+	);
+}
+
+/** Writes the next version; false when another change went first or the answer was lost. */
+async function writeNext(
+	platform: PlatformClient,
+	next: {readonly current: Current; readonly requested: Requested; readonly configuration: Configuration},
+): Promise<boolean> {
+	const {current, requested, configuration} = next;
+	const object = `configuration/${configuration.version}-${requested.changeId}`;
+	const summary = describeChange(requested.change);
+	const entry = {version: configuration.version, changeId: requested.changeId, summary};
+	const head: ConfigurationHead = {object, changes: [...current.head.changes, entry].slice(-changesKept)};
+	try {
+		await platform.writeObject(object, Buffer.from(JSON.stringify(configuration)));
+		const written = await platform.writeRow(configurationRow, {
+			expectedVersion: current.version, value: JSON.stringify(head),
+		});
+		return written.isWritten;
+	} catch {
+		return false;
+	}
+}
--- /dev/null
+++ b/packages/platform/configuration-row.ts
@@ -0,0 +1,2 @@
+/** Name of the table row that names the configuration in force. */
+export const configurationRow = 'configuration';
--- /dev/null
+++ b/packages/platform/parse-configuration.ts
@@ -0,0 +1,36 @@
+import {z} from 'zod';
+import type {Configuration} from '@sapphirefall/decisions';
+
+const freshness = z.union([
+	z.strictObject({kind: z.literal('latest')}),
+	z.strictObject({kind: z.literal('session')}),
+	z.strictObject({kind: z.literal('within'), age: z.number()}),
+]);
+
+const schema = z.strictObject({
+	version: z.number(),
+	changeId: z.string(),
+	workspaces: z.record(z.string(), z.strictObject({
+		rate: z.number(), burst: z.number(), databases: z.array(z.string()),
+	})),
+	keys: z.record(z.string(), z.strictObject({workspace: z.string(), digest: z.string()})),
+	freshness: z.record(z.string(), freshness),
+	exceptions: z.array(z.strictObject({
+		workspace: z.string(), kind: z.string(), freshness, reason: z.string(),
+	})),
+	routes: z.record(z.string(), z.strictObject({
+		workspace: z.string(), database: z.string(), sql: z.string(), freshness,
+	})),
+	costs: z.strictObject({
+		write: z.number(), latest: z.number(), session: z.number(), within: z.number(),
+	}),
+});
+
+/**
+ * Parses a configuration from the JSON text in which it is kept and passed on.
+ *
+ * @throws {Error} When the text is not a configuration.
+ */
+export function parseConfiguration(text: string): Configuration {
+	return schema.parse(JSON.parse(text));
+}
--- /dev/null
+++ b/packages/platform/parse-head.ts
@@ -0,0 +1,16 @@
+import {z} from 'zod';
+import type {ConfigurationHead} from './configuration-head.ts';
+
+const schema = z.strictObject({
+	object: z.string(),
+	changes: z.array(z.strictObject({version: z.number(), changeId: z.string(), summary: z.string()})),
+});
+
+/**
+ * Parses the table row that names the configuration in force.
+ *
+ * @throws {Error} When the text is not such a row.
+ */
+export function parseHead(text: string): ConfigurationHead {
+	return schema.parse(JSON.parse(text));
+}
--- /dev/null
+++ b/packages/proxy/create-group-runtime.ts
@@ -0,0 +1,193 @@
+import type {GroupView, InstanceReport} from '@sapphirefall/decisions';
+import {
+	createCommander, createPool, openConnection, openProber, type Commander, type Pool, type Prober,
+} from '@sapphirefall/endpoints';
+import type {GroupRuntime} from './group-runtime.ts';
+
+type Options = {
+	readonly settings: {
+		readonly connections: number;
+		readonly heartbeatInterval: number;
+		readonly silenceLimit: number;
+		readonly reconnectDelay: number;
+		readonly commandTimeout: number;
+	};
+	readonly now: () => number;
+	readonly onReport: (report: InstanceReport, sentAt: number) => void;
+};
+
+type InstanceLinks = {
+	readonly address: string;
+	readonly prober: Prober;
+	readonly commander: Commander;
+	pool: Pool | undefined;
+};
+
+type Waiter = {
+	readonly isUrgent: boolean;
+	/** Ends the wait if the view holds what is looked for. */
+	readonly check: (view: GroupView) => void;
+};
+
+/** Least milliseconds between two probes while an urgent wait is open. */
+const urgentInterval = 2;
+
+/** Milliseconds after which an urgent probe without answer is repeated. */
+const urgentRepeat = 25;
+
+/**
+ * Creates the runtime of one database group.
+ *
+ * @param first The view at the start.
+ * @param options Settings of connections, the clock, and what to do with reports of instances.
+ */
+export function createGroupRuntime(first: GroupView, options: Options): GroupRuntime {
+	const links = new Map<string, InstanceLinks>();
+	const waiters = new Set<Waiter>();
+	const scopes = new Map<AbortController, number>();
+	let view = first;
+	let probedAt = -Infinity;
+	let urgentTimer: NodeJS.Timeout | undefined;
+
+	const probe = () => {
+		probedAt = options.now();
+		for (const {prober} of links.values()) {
+			prober.probe();
+		}
+	};
+
+	const probeUrgently = () => {
+		const hasUrgent = [...waiters].some(({isUrgent}) => isUrgent);
+		if (!hasUrgent) {
+			clearTimeout(urgentTimer);
+			urgentTimer = undefined;
+			return;
+		}
+
+		const elapsed = options.now() - probedAt;
+		if (elapsed >= urgentInterval) {
+			probe();
+		}
+
+		clearTimeout(urgentTimer);
+		urgentTimer = setTimeout(probeUrgently, elapsed >= urgentInterval ? urgentRepeat : urgentInterval);
+	};
+
+	const connectInstances = () => {
+		for (const {id, address} of view.group.instances) {
+			const known = links.get(id);
+			if (known?.address !== address) {
+				known?.prober.close();
+				known?.pool?.close();
+				links.set(id, {
+					address,
+					prober: openProber(address, {...options, silenceLimit: options.settings.silenceLimit}),
+					commander: createCommander(address, options.settings.commandTimeout),
+					pool: undefined,
+				});
+			}
+		}
+	};
+
+	const findPool = (instance: string): Pool | undefined => {
+		const link = links.get(instance);
+		if (link !== undefined) {
+			link.pool ??= createPool({
+				open: async onClosed => openConnection(link.address, {...options.settings, onClosed}),
+				size: options.settings.connections,
+				retryDelay: options.settings.reconnectDelay,
+				now: options.now,
+			});
+		}
+
+		return link?.pool;
+	};
+
+	connectInstances();
+	return {
+		database: view.group.database,
+		view: () => view,
+		update(next) {
+			const isTermNew = next.term > view.term;
+			const isGroupNew = next.group !== view.group;
+			view = next;
+			if (isGroupNew) {
+				connectInstances();
+			}
+
+			if (isTermNew) {
+				abortOlder(scopes, next.term);
+			}
+
+			for (const waiter of waiters) {
+				waiter.check(view);
+			}
+
+			if (waiters.size > 0) {
+				probeUrgently();
+			}
+		},
+		probe,
+		take: async (instance, demand) => findPool(instance)?.take(demand),
+		give(instance, connection) {
+			links.get(instance)?.pool?.give(connection);
+		},
+		async waitFor(find, {deadline, isUrgent}) {
+			const found = find(view);
+			if (found !== undefined) {
+				return found;
+			}
+
+			return new Promise(resolve => {
+				const timer = setTimeout(() => {
+					waiters.delete(waiter);
+					resolve(undefined);
+				}, Math.max(0, deadline - options.now()));
+				const waiter: Waiter = {
+					isUrgent,
+					check(next) {
+						const found = find(next);
+						if (found !== undefined) {
+							clearTimeout(timer);
+							waiters.delete(waiter);
+							resolve(found);
+						}
+					},
+				};
+				waiters.add(waiter);
+				probeUrgently();
+			});
+		},
+		openScope(term, deadline) {
+			const controller = new AbortController();
+			const timer = setTimeout(() => {
+				controller.abort();
+			}, Math.max(0, deadline - options.now()));
+			scopes.set(controller, term);
+			return {
+				signal: controller.signal,
+				close() {
+					clearTimeout(timer);
+					scopes.delete(controller);
+				},
+			};
+		},
+		findCommander: instance => links.get(instance)?.commander,
+		close() {
+			clearTimeout(urgentTimer);
+			for (const {prober, pool} of links.values()) {
+				prober.close();
+				pool?.close();
+			}
+		},
+	};
+}
+
+/** Aborts the attempts of terms that have ended. */
+function abortOlder(scopes: ReadonlyMap<AbortController, number>, term: number): void {
+	for (const [controller, scopeTerm] of scopes) {
+		if (scopeTerm < term) {
+			controller.abort();
+		}
+	}
+}
--- /dev/null
+++ b/packages/proxy/create-request-handler.ts
@@ -0,0 +1,201 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	addRequest, admitRequest, createRefusal, resultCodes, takeRetry, takeUnits,
+	type AdmittedRequest, type Answer, type HostState, type Request, type RetryBudget, type SessionClaim, type TokenBucket,
+} from '@sapphirefall/decisions';
+import type {EventLog} from '@sapphirefall/events';
+import type {Metrics} from '@sapphirefall/operators';
+import type {HostFile} from '@sapphirefall/settings';
+import {executeRequest} from './execute-request.ts';
+import type {GroupRuntime} from './group-runtime.ts';
+
+type Options = {
+	readonly settings: HostFile;
+	readonly state: () => HostState;
+	readonly findGroup: (database: string) => GroupRuntime | undefined;
+	readonly demand: (database: string) => void;
+	readonly sessions: {
+		readonly write: (claim: SessionClaim) => string;
+		readonly read: (token: string) => SessionClaim | undefined;
+	};
+	readonly events: EventLog;
+	readonly metrics: Metrics;
+	readonly now: () => number;
+	readonly wallNow: () => number;
+};
+
+type Handled = {readonly answer: Answer; readonly session: string};
+
+type RequestHandler = {
+	readonly handle: (request: Request) => Promise<Handled>;
+	/** Requests that run now. */
+	readonly countRunning: () => number;
+	/** Resolves when no request runs. */
+	readonly waitForIdle: () => Promise<void>;
+};
+
+/** Creates what takes a caller's request from the door to its answer. */
+export function createRequestHandler(options: Options): RequestHandler {
+	const {settings, events, metrics, now} = options;
+	const buckets = new Map<string, TokenBucket>();
+	const idleWaiters = new Set<() => void>();
+	let budget: RetryBudget = {retries: 10};
+	let running = 0;
+
+	const admit = (request: Request) => {
+		const {configuration, provenAt, groups, isDraining} = options.state();
+		return admitRequest(request, {
+			configuration,
+			provenAt,
+			databases: new Set(groups.keys()),
+			isDraining,
+			staleAfter: settings.keys.staleAfter,
+			defaultPatience: settings.requests.defaultDeadline,
+			longestPatience: settings.requests.longestDeadline,
+			readSession: options.sessions.read,
+			now: now(),
+		});
+	};
+
+	const tryRate = (request: AdmittedRequest) => {
+		const limit = options.state().configuration.workspaces[request.workspace];
+		const {shares} = settings.rate;
+		const taken = takeUnits(buckets.get(request.workspace), {
+			cost: request.cost,
+			rate: (limit?.rate ?? 0) / shares,
+			burst: (limit?.burst ?? 0) / shares,
+			now: now(),
+		});
+		buckets.set(request.workspace, taken.bucket);
+		return taken;
+	};
+
+	/** Takes the request's cost from the workspace's rate; waits for it when it will be there soon. */
+	const takeRate = async (request: AdmittedRequest): Promise<Answer | undefined> => {
+		const latest = Math.min(request.deadline, now() + settings.rate.longestWait);
+		for (;;) {
+			const taken = tryRate(request);
+			if (taken.isTaken) {
+				return undefined;
+			}
+
+			if (now() + taken.retryAfter > latest) {
+				return createRefusal(resultCodes.rateExceeded, {reason: 'the workspace is above its rate', retryAfter: taken.retryAfter});
+			}
+
+			await sleep(taken.retryAfter); // eslint-disable-line no-await-in-loop -- the units are not there before
+		}
+	};
+
+	const execute = async (request: AdmittedRequest): Promise<Answer> => {
+		const group = options.findGroup(request.database);
+		if (group === undefined) {
+			return createRefusal(resultCodes.unknownDatabase, {reason: `the database "${request.database}" does not exist`});
+		}
+
+		options.demand(request.database);
+		budget = addRequest(budget);
+		return executeRequest(request, {
+			group,
+			zone: settings.host.zone,
+			now,
+			wallNow: options.wallNow,
+			retention: settings.idempotency.retention,
+			takeRetry() {
+				const taken = takeRetry(budget);
+				budget = taken.budget;
+				if (taken.isTaken) {
+					metrics.retries.inc();
+				}
+
+				return taken.isTaken;
+			},
+			onAttemptFailed(reason) {
+				events.emit({
+					kind: 'attempt-failed', request: request.requestId, workspace: request.workspace, database: request.database, detail: reason,
+				});
+			},
+		});
+	};
+
+	const signSession = (request: AdmittedRequest, answer: Answer): string => {
+		if (answer.kind !== 'done') {
+			return '';
+		}
+
+		const known = request.work.kind === 'read' ? request.work.point : undefined;
+		const point = answer.point ?? known;
+		return point === undefined
+			? ''
+			: options.sessions.write({workspace: request.workspace, database: request.database, point});
+	};
+
+	const run = async (request: AdmittedRequest): Promise<Handled> => {
+		running++;
+		metrics.running.set(running);
+		const names = {request: request.requestId, workspace: request.workspace, database: request.database};
+		events.emit({kind: 'request-admitted', ...names, detail: describeWork(request)});
+		try {
+			const answer = await takeRate(request) ?? await execute(request);
+			const elapsed = now() - request.arrivedAt;
+			events.emit({kind: 'request-answered', ...names, detail: `${describeAnswer(answer)} in ${elapsed.toFixed(1)} ms`});
+			metrics.seconds.observe({class: describeWork(request)}, elapsed / 1000);
+			metrics.requests.inc({class: describeWork(request), code: findCode(answer)});
+			countRead(request, answer);
+			return {answer, session: signSession(request, answer)};
+		} finally {
+			running--;
+			metrics.running.set(running);
+			wakeIdle();
+		}
+	};
+
+	const countRead = (request: AdmittedRequest, answer: Answer) => {
+		if (request.work.kind === 'read' && answer.kind === 'done') {
+			const primary = options.findGroup(request.database)?.view().primary;
+			metrics.reads.inc({role: answer.instance === primary ? 'primary' : 'replica'});
+		}
+	};
+
+	const wakeIdle = () => {
+		if (running === 0) {
+			for (const wake of idleWaiters) {
+				wake();
+			}
+
+			idleWaiters.clear();
+		}
+	};
+
+	return {
+		async handle(request) {
+			const admission = admit(request);
+			if (admission.kind === 'refused') {
+				metrics.requests.inc({class: 'refused', code: findCode(admission.answer)});
+				events.emit({kind: 'request-answered', request: request.requestId, detail: describeAnswer(admission.answer)});
+				return {answer: admission.answer, session: ''};
+			}
+
+			return run(admission.request);
+		},
+		countRunning: () => running,
+		async waitForIdle() {
+			await new Promise<void>(resolve => {
+				idleWaiters.add(resolve);
+				wakeIdle();
+			});
+		},
+	};
+}
+
+function describeWork({work}: AdmittedRequest): string {
+	return work.kind === 'write' ? 'write' : work.freshness.kind;
+}
+
+function findCode(answer: Answer): number {
+	return answer.kind === 'done' ? resultCodes.done : answer.code;
+}
+
+function describeAnswer(answer: Answer): string {
+	return answer.kind === 'done' ? `done by ${answer.instance}` : `${answer.kind} ${answer.code}`;
+}
--- /dev/null
+++ b/packages/proxy/scope.ts
@@ -0,0 +1,6 @@
+/** Bounds one attempt of a request: its signal aborts when the term ends or the deadline passes. */
+export type Scope = {
+	readonly signal: AbortSignal;
+	/** Ends the scope without an abort. */
+	readonly close: () => void;
+};
--- /dev/null
+++ b/packages/settings/mod.ts
@@ -0,0 +1,7 @@
+/** Checked settings in YAML. */
+export type * from './host-file.ts';
+export * from './host-schema.ts';
+export * from './list-settings.ts';
+export * from './parse-settings.ts';
+export type * from './settings-issue.ts';
+export type * from './settings-outcome.ts';
--- /dev/null
+++ b/packages/wire/encode-statement.ts
@@ -0,0 +1,12 @@
+import {create} from '@bufbuild/protobuf';
+import type {SqlStatement} from '@sapphirefall/decisions';
+import {encodeValue} from './encode-value.ts';
+import {StatementSchema, type Statement} from './gen/values_pb.ts';
+
+/** Encodes a SQL statement as a message. */
+export function encodeStatement(statement: SqlStatement): Statement {
+	return create(StatementSchema, {
+		sql: statement.sql,
+		parameters: statement.parameters.map(value => encodeValue(value)),
+	});
+}
--- /dev/null
+++ b/packages/wire/format-results.ts
@@ -0,0 +1,9 @@
+import {create, toJsonString} from '@bufbuild/protobuf';
+import type {SqlResult} from '@sapphirefall/decisions';
+import {encodeResult} from './encode-result.ts';
+import {DoneSchema} from './gen/caller_pb.ts';
+
+/** Formats results as the text that an idempotency record keeps. */
+export function formatResults(results: readonly SqlResult[]): string {
+	return toJsonString(DoneSchema, create(DoneSchema, {results: results.map(result => encodeResult(result))}));
+}
--- /dev/null
+++ b/stand-ins/cluster/cluster.ts
@@ -0,0 +1,30 @@
+import process from 'node:process';
+import type {Client} from '@connectrpc/connect';
+import type {CallerService, OperatorService, PlatformFaultService} from '@sapphirefall/wire';
+import type {LinkFault} from '../links/link-fault.ts';
+import type {Child} from './child.ts';
+
+/** A platform, database groups and entry hosts, each a process of its own, with a relay on each link between zones. */
+export type Cluster = {
+	readonly hosts: readonly string[];
+	readonly instances: readonly string[];
+	/** Client of a host for callers who show a key; empty for none. */
+	readonly caller: (host: string, key: string) => Client<typeof CallerService>;
+	readonly operator: (host: string) => Client<typeof OperatorService>;
+	readonly platform: Client<typeof PlatformFaultService>;
+	/** URL at which callers reach a host. */
+	readonly callerUrl: (host: string) => string;
+	/** URL at which operators reach a host. */
+	readonly operatorUrl: (host: string) => string;
+	readonly operatorToken: string;
+	readonly child: (process: string) => Child;
+	/** Starts a process anew that has ended. */
+	readonly restart: (process: string) => void;
+	/** Sets the fault of the links from a zone to a process. */
+	readonly setFault: (from: string, process: string, fault: Partial<LinkFault>) => void;
+	/** Closes the connections from a zone to a process. */
+	readonly resetLink: (from: string, process: string) => void;
+	readonly zoneOf: (process: string) => string;
+	readonly stop: () => Promise<void>;
+};
+
--- /dev/null
+++ b/stand-ins/cluster/start-child.ts
@@ -0,0 +1,28 @@
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
+import {spawn} from 'node:child_process';
+import type {Child} from './child.ts';
+
+/**
+ * Starts a process of the cluster.
+ *
+ * @param script Program file.
+ * @param arguments_ Its arguments.
+ */
+export function startChild(script: string, arguments_: readonly string[]): Child {
+	const child = spawn(process.execPath, ['--import=tsx', script, ...arguments_], {stdio: ['ignore', 'pipe', 'pipe']});
+	const output: Buffer[] = [];
+	const errors: Buffer[] = [];
+	child.stdout.on('data', (chunk: Buffer) => output.push(chunk));
+	child.stderr.on('data', (chunk: Buffer) => errors.push(chunk));
+	return {
+		signal(name) {
+			child.kill(name);
+		},
+		ended: new Promise(resolve => {
+			child.on('exit', resolve);
+		}),
+		readOutput: () => Buffer.concat(output).toString('utf8'),
+		readErrors: () => Buffer.concat(errors).toString('utf8'),
+	};
+}
--- /dev/null
+++ b/stand-ins/demo/run-demo.ts
@@ -0,0 +1,264 @@
+import {createHash, randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {resultCodes} from '@sapphirefall/decisions';
+import type {ChangeRequest, ExecuteResponse} from '@sapphirefall/wire';
+import type {Cluster} from '../cluster/cluster.ts';
+import {createStatement} from '../cluster/create-statement.ts';
+import {findCode} from '../cluster/find-code.ts';
+import {listRows} from '../cluster/list-rows.ts';
+import {startCluster} from '../cluster/start-cluster.ts';
+
+type Call = Parameters<ReturnType<Cluster['caller']>['execute']>[0];
+
+const key = 'demo-key-of-the-upper-ponds';
+
+/** Milliseconds after which a withdrawn key must be refused on every host. */
+const withdrawalLimit = 5000;
+
+/** Milliseconds for which writes may pause while a killed primary is replaced. */
+const failoverLimit = 5000;
+
+/** Plays a short day of Pondbook against a cluster; resolves to the exit code. */
+export async function runDemo(): Promise<number> {
+	const startedAt = performance.now();
+	console.log('Starting a platform, three endpoint instances and three entry hosts');
+	const cluster = await startCluster({
+		zones: ['a', 'b', 'c'],
+		hostsPerZone: 1,
+		databases: ['pondbook'],
+		zoneDelay: 3,
+		zoneJitter: 0,
+		zoneLoss: 0,
+		host: {},
+		endpoint: {lag: 20},
+		seed: 1,
+	});
+	const day = createDay(cluster);
+	try {
+		await playDay(cluster, day);
+		const seconds = ((performance.now() - startedAt) / 1000).toFixed(1);
+		console.log(`demo: ${day.countSteps()} steps, all results right, ${seconds} s`);
+		return resultCodes.done;
+	} catch (error) {
+		console.log(`demo: wrong result in "${day.lastStep()}": ${(error as Error).message}`);
+		return 1;
+	} finally {
+		await cluster.stop();
+	}
+}
+
+/** The steps of a demo, each printed with its code and latency. */
+type Day = {
+	readonly call: (title: string, host: string, call: Call) => Promise<ExecuteResponse>;
+	readonly change: (title: string, change: ChangeRequest['change']) => Promise<number>;
+	readonly print: (title: string, code: number, milliseconds: number) => void;
+	readonly countSteps: () => number;
+	readonly lastStep: () => string;
+};
+
+function createDay(cluster: Cluster): Day {
+	let steps = 0;
+	let last = '';
+	const print = (title: string, code: number, milliseconds: number) => {
+		steps++;
+		console.log(`${milliseconds.toFixed(1).padStart(9)} ms  code ${String(code).padStart(2)}  ${title}`);
+	};
+
+	return {
+		async call(title, host, call) {
+			last = title;
+			const sentAt = performance.now();
+			const response = await cluster.caller(host, key).execute(call);
+			print(title, findCode(response), performance.now() - sentAt);
+			return response;
+		},
+		async change(title, change) {
+			last = title;
+			const sentAt = performance.now();
+			const {code} = await cluster.operator('host-a1').change({changeId: randomUUID(), change});
+			print(title, code, performance.now() - sentAt);
+			return code;
+		},
+		print,
+		countSteps: () => steps,
+		lastStep: () => last,
+	};
+}
+
+async function playDay(cluster: Cluster, day: Day): Promise<void> {
+	await configure(day);
+	await waitForVersion(cluster, 4);
+	const session = await bookCrew(day);
+	await transferCredits(day);
+	await readReports(day, session);
+	await replacePrimary(cluster, {day, session});
+	await withdrawKey(cluster, day);
+}
+
+async function configure(day: Day): Promise<void> {
+	expect(await day.change('Operator creates the workspace "upper"', {
+		case: 'setWorkspace',
+		value: {
+			$typeName: 'sapphirefall.v1.SetWorkspace', workspace: 'upper', rate: 3000, burst: 3000, databases: ['pondbook'],
+		},
+	})).to.equal(resultCodes.done);
+	expect(await day.change('Operator gives the workspace a key', {
+		case: 'addKey',
+		value: {
+			$typeName: 'sapphirefall.v1.AddKey', workspace: 'upper', keyId: 'upper-1', digest: createHash('sha256').update(key).digest('hex'),
+		},
+	})).to.equal(resultCodes.done);
+	expect(await day.change('Operator sets season reports to within 10 s', {
+		case: 'setFreshness',
+		value: {$typeName: 'sapphirefall.v1.SetFreshness', kind: 'season-report', freshness: 'within 10s'},
+	})).to.equal(resultCodes.done);
+	expect(await day.change('Operator gives an exception without a reason and is refused', {
+		case: 'setException',
+		value: {
+			$typeName: 'sapphirefall.v1.SetException', workspace: 'upper', kind: 'season-report', freshness: 'latest', reason: '',
+		},
+	})).to.equal(resultCodes.changeInvalid);
+	expect(await day.change('Operator gives one for an unknown kind of read and is refused', {
+		case: 'setException',
+		value: {
+			$typeName: 'sapphirefall.v1.SetException',
+			workspace: 'upper',
+			kind: 'audit',
+			freshness: 'latest',
+			reason: 'the auditors compare books with the bank',
+		},
+	})).to.equal(resultCodes.nameUnknown);
+	expect(await day.change('Operator names the kind of read first', {
+		case: 'setFreshness',
+		value: {$typeName: 'sapphirefall.v1.SetFreshness', kind: 'audit', freshness: 'within 1m'},
+	})).to.equal(resultCodes.done);
+}
+
+async function waitForVersion(cluster: Cluster, version: number): Promise<void> {
+	for (const host of cluster.hosts) {
+		let known = 0;
+		while (known < version) {
+			await sleep(20); // eslint-disable-line no-await-in-loop
+			({configVersion: known} = await cluster.operator(host).status({})); // eslint-disable-line no-await-in-loop
+		}
+	}
+}
+
+async function bookCrew(day: Day): Promise<string> {
+	const tables = await day.call('Tables are created in one transaction', 'host-a1', {
+		database: 'pondbook',
+		statements: [
+			createStatement('CREATE TABLE booking (id INTEGER PRIMARY KEY, pond TEXT, crew TEXT)'),
+			createStatement('CREATE TABLE household (name TEXT PRIMARY KEY, credits INTEGER NOT NULL)'),
+			createStatement('INSERT INTO household VALUES (?, ?), (?, ?)', ['Alder', 10, 'Birch', 0]),
+		],
+		kind: {case: 'write', value: {idempotencyKey: 'tables', repeatable: false}},
+	});
+	expect(findCode(tables)).to.equal(resultCodes.done);
+	const booked = await day.call('Inspector books a puddling crew', 'host-a1', {
+		database: 'pondbook',
+		statements: [createStatement('INSERT INTO booking (pond, crew) VALUES (?, ?)', ['North Hollow', 'Dawn crew'])],
+		kind: {case: 'write', value: {idempotencyKey: 'booking-1', repeatable: false}},
+	});
+	expect(findCode(booked)).to.equal(resultCodes.done);
+	const session = booked.answer.case === 'done' ? booked.answer.value.session : '';
+	const seen = await day.call('Inspector reads the booking in session through a host in another zone', 'host-b1', {
+		database: 'pondbook',
+		session,
+		statements: [createStatement('SELECT pond, crew FROM booking')],
+		kind: {case: 'read', value: {freshness: 'session'}},
+	});
+	expect(listRows(seen)).to.deep.equal([['North Hollow', 'Dawn crew']]);
+	return session;
+}
+
+async function transferCredits(day: Day): Promise<void> {
+	const transfer: Call = {
+		database: 'pondbook',
+		statements: [
+			createStatement('UPDATE household SET credits = credits - ? WHERE name = ?', [4, 'Alder']),
+			createStatement('UPDATE household SET credits = credits + ? WHERE name = ?', [4, 'Birch']),
+		],
+		kind: {case: 'write', value: {idempotencyKey: 'transfer-1', repeatable: false}},
+	};
+	expect(findCode(await day.call('Treasurer transfers credits with an idempotency key', 'host-a1', transfer))).to.equal(resultCodes.done);
+	const repeated = await day.call('Treasurer repeats the transfer through another host', 'host-c1', transfer);
+	expect(repeated.answer.case === 'done' && repeated.answer.value.replayed).to.equal(true);
+	const reused = await day.call('The same key with another amount is refused', 'host-b1', {
+		...transfer, statements: [createStatement('UPDATE household SET credits = credits + ?', [100])],
+	});
+	expect(findCode(reused)).to.equal(resultCodes.idempotencyKeyReused);
+	const balance = await day.call('Treasurer reads the latest balances', 'host-b1', {
+		database: 'pondbook',
+		statements: [createStatement('SELECT credits FROM household ORDER BY name')],
+		kind: {case: 'read', value: {freshness: 'latest'}},
+	});
+	expect(listRows(balance)).to.deep.equal([[6n], [4n]]);
+}
+
+async function readReports(day: Day, session: string): Promise<void> {
+	await sleep(300);
+	const report = await day.call('Member reads a season report within 10 s, from a replica', 'host-c1', {
+		database: 'pondbook',
+		statements: [createStatement('SELECT count(*) FROM booking')],
+		kind: {case: 'read', value: {kind: 'season-report'}},
+	});
+	expect(listRows(report)).to.deep.equal([[1n]]);
+	expect(report.answer.case === 'done' && report.answer.value.instance).to.equal('pondbook-c');
+	const forged = await day.call('A forged session token is refused', 'host-c1', {
+		database: 'pondbook',
+		session: `${session}x`,
+		statements: [createStatement('SELECT 1')],
+		kind: {case: 'read', value: {freshness: 'session'}},
+	});
+	expect(findCode(forged)).to.equal(resultCodes.sessionInvalid);
+}
+
+async function replacePrimary(
+	cluster: Cluster,
+	{day, session}: {readonly day: Day; readonly session: string},
+): Promise<void> {
+	cluster.child('pondbook-a').signal('SIGKILL');
+	const startedAt = performance.now();
+	const booked = await day.call('Inspector books while the primary is dead; it is replaced', 'host-b1', {
+		database: 'pondbook',
+		session,
+		statements: [createStatement('INSERT INTO booking (pond, crew) VALUES (?, ?)', ['South Hollow', 'Late crew'])],
+		kind: {case: 'write', value: {idempotencyKey: 'booking-2', repeatable: false}},
+		deadlineMs: failoverLimit,
+	});
+	expect(findCode(booked)).to.equal(resultCodes.done);
+	expect(performance.now() - startedAt).to.be.lessThan(failoverLimit);
+	const seen = await day.call('Nothing was lost, nothing doubled', 'host-c1', {
+		database: 'pondbook',
+		statements: [
+			createStatement('SELECT (SELECT count(*) FROM booking), (SELECT sum(credits) FROM household)'),
+		],
+		kind: {case: 'read', value: {freshness: 'latest'}},
+	});
+	expect(listRows(seen)).to.deep.equal([[2n, 10n]]);
+}
+
+async function withdrawKey(cluster: Cluster, day: Day): Promise<void> {
+	expect(await day.change('Operator withdraws the key', {
+		case: 'withdrawKey', value: {$typeName: 'sapphirefall.v1.WithdrawKey', keyId: 'upper-1'},
+	})).to.equal(resultCodes.done);
+	const withdrawnAt = performance.now();
+	for (const host of cluster.hosts) {
+		const call: Call = {
+			database: 'pondbook',
+			statements: [createStatement('SELECT 1')],
+			kind: {case: 'read', value: {freshness: 'latest'}},
+		};
+		let code: number;
+		do {
+			await sleep(10); // eslint-disable-line no-await-in-loop
+			code = findCode(await cluster.caller(host, key).execute(call)); // eslint-disable-line no-await-in-loop
+		} while (code !== resultCodes.keyUnknown && performance.now() - withdrawnAt < withdrawalLimit);
+
+		expect(code).to.equal(resultCodes.keyUnknown);
+	}
+
+	day.print('The key is refused on every host', resultCodes.keyUnknown, performance.now() - withdrawnAt);
+}
--- /dev/null
+++ b/stand-ins/endpoint/create-endpoint-service.ts
@@ -0,0 +1,99 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {create} from '@bufbuild/protobuf';
+import {
+	Code, ConnectError, type HandlerContext, type ServiceImpl,
+} from '@connectrpc/connect';
+import {
+	BatchResponseSchema, createQueue, decodePoint, type BatchRequest, type BatchResponse, type EndpointService,
+	type ProbeRequest,
+} from '@sapphirefall/wire';
+import type {createInstance} from './create-instance.ts';
+
+type Instance = ReturnType<typeof createInstance>;
+
+type Options = {
+	/** Connections accepted at a time. */
+	readonly connectionLimit: number;
+	/** Milliseconds until a new connection answers. */
+	readonly connectTime: number;
+	/** Milliseconds for which a pull waits for entries. */
+	readonly pullWait: number;
+	/** Addresses of other instances, where they differ from those that hosts use. */
+	readonly routes: Readonly<Record<string, string>>;
+};
+
+/** Creates the service through which hosts and replicas use an instance. */
+export function createEndpointService(instance: Instance, options: Options): ServiceImpl<typeof EndpointService> {
+	let connections = 0;
+
+	return {
+		async * connect(requests: AsyncIterable<BatchRequest>, context: HandlerContext) {
+			if (connections >= options.connectionLimit) {
+				throw new ConnectError('the instance has no connection left', Code.ResourceExhausted);
+			}
+
+			connections++;
+			try {
+				await sleep(options.connectTime);
+				yield * serveConnection(instance, requests, context);
+			} finally {
+				connections--;
+			}
+		},
+		async * probe(requests: AsyncIterable<ProbeRequest>) {
+			for await (const {id} of requests) {
+				yield instance.createReport(id);
+			}
+		},
+		fence: request => ({granted: instance.fence(request), report: instance.createReport()}),
+		promote: request => ({granted: instance.promote(request), report: instance.createReport()}),
+		follow(request) {
+			const primaryAddress = options.routes[request.primary] ?? request.primaryAddress;
+			const granted = instance.follow({term: request.term, primaryAddress});
+			return {granted, report: instance.createReport()};
+		},
+		async pull(request) {
+			const pulled = await instance.listEntries({
+				term: request.term, after: decodePoint(request.after), wait: options.pullWait,
+			});
+			return {accepted: pulled.isAccepted, diverged: pulled.isDiverged, entries: [...pulled.entries]};
+		},
+	};
+}
+
+/** Serves one connection: batches one after the other, pings at once. */
+async function * serveConnection(
+	instance: Instance,
+	requests: AsyncIterable<BatchRequest>,
+	context: HandlerContext,
+): AsyncGenerator<BatchResponse> {
+	const session = instance.createSession();
+	const responses = createQueue<BatchResponse>();
+	const close = () => {
+		instance.closeSession(session);
+		responses.end();
+	};
+
+	context.signal.addEventListener('abort', close);
+	const reading = (async () => {
+		let running: Promise<void> = Promise.resolve();
+		for await (const request of requests) {
+			if (request.ping) {
+				responses.push(create(BatchResponseSchema, {id: request.id}));
+			} else {
+				running = runAfter(running, async () => {
+					responses.push(await instance.runBatch(session, request));
+				});
+			}
+		}
+
+		await running;
+	})();
+	reading.catch(() => undefined).finally(close); // eslint-disable-line promise/prefer-await-to-then
+	yield * responses;
+}
+
+async function runAfter(running: Promise<void>, task: () => Promise<void>): Promise<void> {
+	await running;
+	await task();
+}
--- /dev/null
+++ b/stand-ins/endpoint/create-instance.ts
@@ -0,0 +1,297 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {create} from '@bufbuild/protobuf';
+import {type InstanceRole as Role, type SqlStatement} from '@sapphirefall/decisions';
+import {
+	BatchResponseSchema, decodeStatement, encodeResult, EndpointFault, InstanceReportSchema, InstanceRole,
+	type BatchRequest, type BatchResponse, type InstanceReport, type LogEntry, type Statement,
+} from '@sapphirefall/wire';
+import {createEngine} from './_engine.ts';
+import {openJournal} from './_journal.ts';
+import {openReplicaLog} from './_replica-log.ts';
+import {createSemaphore} from './_semaphore.ts';
+
+/** A database connection's side of a transaction. */
+type Session = {
+	/** Statements to log when the transaction commits; undefined outside one. */
+	transaction: Statement[] | undefined;
+	/** Set when the instance rolled the transaction back by itself. */
+	isAborted: boolean;
+};
+
+type Options = {
+	readonly id: string;
+	readonly journalFile: string | undefined;
+	readonly slots: number;
+	/** Milliseconds that a batch occupies its slot. */
+	readonly serviceTime: number;
+	/** Milliseconds to wait for a slot or for the write lock. */
+	readonly lockTimeout: number;
+};
+
+const roleMessages: Readonly<Record<Role, InstanceRole>> = {
+	primary: InstanceRole.PRIMARY, replica: InstanceRole.REPLICA, fenced: InstanceRole.FENCED,
+};
+
+/** Milliseconds for which an idle open transaction may hold the lock. */
+const idleTransactionLimit = 2000;
+
+/**
+ * Creates an instance of a database group: an engine, its log, its term and its role.
+ *
+ * Transactions are serial: one lock covers the engine from the first statement to the end.
+ */
+export function createInstance(options: Options) {
+	const engine = createEngine();
+	const journal = openJournal(options.journalFile);
+	const log = openReplicaLog(engine, journal);
+	const slots = createSemaphore(options.slots);
+	const lock = createSemaphore(1);
+	const waiters = new Set<() => void>();
+	let term = 0;
+	let owner = '';
+	let role: Role = 'fenced';
+	let primaryAddress = '';
+	let holder: Session | undefined;
+	let idleTimer: NodeJS.Timeout | undefined;
+
+	for (const record of journal.read()) {
+		if (record.kind === 'term') {
+			({term, owner} = record);
+			role = record.role as Role;
+			primaryAddress = record.primary;
+		}
+	}
+
+	const setRole = (next: {term: number; owner: string; role: Role; primary: string}) => {
+		({term, owner, role} = next);
+		primaryAddress = next.primary;
+		journal.write({kind: 'term', ...next});
+	};
+
+	const wakeWaiters = () => {
+		for (const wake of waiters) {
+			wake();
+		}
+
+		waiters.clear();
+	};
+
+	const createReport = (id = 0): InstanceReport => create(InstanceReportSchema, {
+		id, instance: options.id, term, role: roleMessages[role], at: log.end(),
+	});
+
+	const endTransaction = (session: Session, command: 'COMMIT' | 'ROLLBACK') => {
+		engine.run({sql: command, parameters: []});
+		session.transaction = undefined;
+		holder = undefined;
+		clearTimeout(idleTimer);
+		lock.leave();
+	};
+
+	const abortHolder = () => {
+		const session = holder;
+		if (session?.transaction !== undefined) {
+			session.isAborted = true;
+			endTransaction(session, 'ROLLBACK');
+		}
+	};
+
+	const begin = async (session: Session): Promise<boolean> => {
+		const isEntered = await lock.enter(options.lockTimeout);
+		if (!isEntered) {
+			return false;
+		}
+
+		engine.run({sql: 'BEGIN', parameters: []});
+		session.transaction = [];
+		holder = session;
+		clearTimeout(idleTimer);
+		idleTimer = setTimeout(abortHolder, idleTransactionLimit);
+		return true;
+	};
+
+	const createFault = (request: BatchRequest, fault: EndpointFault, message: string): BatchResponse =>
+		create(BatchResponseSchema, {
+			id: request.id, fault, message, at: log.end(),
+		});
+
+	const checkTerm = (request: BatchRequest): boolean =>
+		request.term === term && (request.readOnly ? role !== 'fenced' : role === 'primary');
+
+	const runStatements = (session: Session, request: BatchRequest): BatchResponse => {
+		engine.run({sql: `PRAGMA query_only = ${request.readOnly ? 'ON' : 'OFF'}`, parameters: []});
+		try {
+			const results = request.statements
+				.map((statement): SqlStatement => decodeStatement(statement))
+				.map(statement => encodeResult(engine.run(statement)));
+			session.transaction?.push(...request.statements);
+			return create(BatchResponseSchema, {id: request.id, results});
+		} finally {
+			engine.run({sql: 'PRAGMA query_only = OFF', parameters: []});
+		}
+	};
+
+	const commit = (session: Session, isReadOnly: boolean) => {
+		const statements = session.transaction ?? [];
+		endTransaction(session, 'COMMIT');
+		if (!isReadOnly && statements.length > 0) {
+			log.append(term, statements);
+			wakeWaiters();
+		}
+	};
+
+	const runInLock = (session: Session, request: BatchRequest, isWhole: boolean): BatchResponse => {
+		if (session.isAborted || session.transaction === undefined || !checkTerm(request)) {
+			if (session.transaction !== undefined) {
+				endTransaction(session, 'ROLLBACK');
+			}
+
+			session.isAborted = false;
+			return createFault(request, EndpointFault.TERM, `the instance is ${role} of term ${term}`);
+		}
+
+		try {
+			const response = runStatements(session, request);
+			if (request.rollback) {
+				endTransaction(session, 'ROLLBACK');
+			} else if (request.commit || isWhole) {
+				commit(session, request.readOnly);
+			}
+
+			const {term: endTerm, position} = log.end();
+			return {...response, at: {$typeName: 'sapphirefall.v1.LogPoint', term: endTerm, position}};
+		} catch (error) {
+			if (session.transaction !== undefined) {
+				endTransaction(session, 'ROLLBACK');
+			}
+
+			return createFault(request, EndpointFault.STATEMENT, (error as Error).message);
+		}
+	};
+
+	return {
+		createReport,
+		getRole: () => ({role, term, primaryAddress}),
+		createSession: (): Session => ({transaction: undefined, isAborted: false}),
+
+		/** Runs a batch of a connection. */
+		async runBatch(session: Session, request: BatchRequest): Promise<BatchResponse> {
+			if (!checkTerm(request)) {
+				return runInLock(session, request, false);
+			}
+
+			const isSlotFree = await slots.enter(options.lockTimeout);
+			if (!isSlotFree) {
+				return createFault(request, EndpointFault.BUSY, 'no slot came free');
+			}
+
+			try {
+				if (options.serviceTime > 0) {
+					await sleep(options.serviceTime);
+				}
+
+				const isWhole = !request.begin && session.transaction === undefined && !session.isAborted;
+				const isBegun = !(request.begin || isWhole) || await begin(session);
+				return isBegun
+					? runInLock(session, request, isWhole)
+					: createFault(request, EndpointFault.BUSY, 'the write lock did not come free');
+			} finally {
+				slots.leave();
+			}
+		},
+
+		/** Rolls back what a closed connection left open. */
+		closeSession(session: Session) {
+			if (session.transaction !== undefined) {
+				endTransaction(session, 'ROLLBACK');
+			}
+		},
+
+		/** Grants a term that is higher than all granted before, or the same one to its owner again. */
+		fence(request: {readonly term: number; readonly owner: string}): boolean {
+			if (request.term > term) {
+				abortHolder();
+				setRole({
+					term: request.term, owner: request.owner, role: 'fenced', primary: '',
+				});
+				wakeWaiters();
+			}
+
+			return request.term === term && request.owner === owner;
+		},
+
+		/** Makes this instance the primary of the term that it granted to the owner. */
+		promote(request: {readonly term: number; readonly owner: string}): boolean {
+			if (request.term !== term || request.owner !== owner || role === 'replica') {
+				return false;
+			}
+
+			if (role === 'fenced') {
+				setRole({
+					term, owner, role: 'primary', primary: '',
+				});
+				log.append(term, []);
+				wakeWaiters();
+			}
+
+			return true;
+		},
+
+		/** Makes this instance a replica in a term. */
+		follow(request: {readonly term: number; readonly primaryAddress: string}): boolean {
+			if (request.term < term || (request.term === term && role === 'primary')) {
+				return false;
+			}
+
+			abortHolder();
+			setRole({
+				term: request.term,
+				owner: request.term > term ? '' : owner,
+				role: 'replica',
+				primary: request.primaryAddress,
+			});
+			return true;
+		},
+
+		/** Lists entries after a point for a replica; waits for new ones. */
+		async listEntries(request: {readonly term: number; readonly after: {readonly term: number; readonly position: bigint}; readonly wait: number}) {
+			const isServing = () => role === 'primary' && term === request.term;
+			if (!isServing()) {
+				return {isAccepted: false, isDiverged: false, entries: []};
+			}
+
+			const {after} = request;
+			if (after.position > 0n && log.readEntry(after.position)?.at?.term !== after.term) {
+				return {isAccepted: true, isDiverged: true, entries: []};
+			}
+
+			if (log.end().position === after.position) {
+				await new Promise<void>(resolve => {
+					waiters.add(resolve);
+					setTimeout(resolve, request.wait);
+				});
+			}
+
+			return {isAccepted: isServing(), isDiverged: false, entries: isServing() ? log.listAfter(after.position) : []};
+		},
+
+		/** Applies a primary's entries after a point that both logs hold. */
+		async applyEntries(after: bigint, entries: readonly LogEntry[]) {
+			const isEntered = await lock.enter(options.lockTimeout);
+			if (!isEntered) {
+				return;
+			}
+
+			try {
+				if (role === 'replica') {
+					log.truncate(after);
+					log.apply(entries);
+				}
+			} finally {
+				lock.leave();
+			}
+		},
+		findTermAt: (position: bigint) => log.readEntry(position)?.at?.term ?? 0,
+		logEnd: () => log.end(),
+	};
+}
--- /dev/null
+++ b/stand-ins/endpoint/main.ts
@@ -0,0 +1,54 @@
+import process from 'node:process';
+import {createServer} from 'node:http2';
+import {readFileSync} from 'node:fs';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {parse} from 'yaml';
+import {z} from 'zod';
+import {EndpointService} from '@sapphirefall/wire';
+import {createEndpointService} from './create-endpoint-service.ts';
+import {createInstance} from './create-instance.ts';
+import {startReplication} from './start-replication.ts';
+
+const schema = z.strictObject({
+	id: z.string(),
+	port: z.number(),
+	journalFile: z.string().optional(),
+	/** Primary to follow when the journal is empty; without it the instance starts as the primary of term 1. */
+	primary: z.string().optional(),
+	/** Addresses at which this instance reaches the others, where they differ from those that hosts use. */
+	routes: z.record(z.string(), z.string()).default({}),
+	slots: z.number().default(5),
+	connectionLimit: z.number().default(35),
+	connectTime: z.number().default(12),
+	serviceTime: z.number().default(0),
+	lag: z.number().default(0),
+	lockTimeout: z.number().default(1000),
+	pullWait: z.number().default(200),
+});
+
+const settings = schema.parse(parse(readFileSync(process.argv[2] ?? '', 'utf8')));
+const instance = createInstance({
+	id: settings.id,
+	journalFile: settings.journalFile,
+	slots: settings.slots,
+	serviceTime: settings.serviceTime,
+	lockTimeout: settings.lockTimeout,
+});
+
+if (instance.getRole().term === 0) {
+	if (settings.primary === undefined) {
+		instance.fence({term: 1, owner: 'first'});
+		instance.promote({term: 1, owner: 'first'});
+	} else {
+		instance.follow({term: 1, primaryAddress: settings.primary});
+	}
+}
+
+startReplication({instance, lag: settings.lag});
+const service = createEndpointService(instance, settings);
+const handler = connectNodeAdapter({
+	routes(router) {
+		router.service(EndpointService, service);
+	},
+});
+createServer(handler).listen(settings.port, '127.0.0.1');
--- /dev/null
+++ b/stand-ins/endpoint/start-replication.ts
@@ -0,0 +1,75 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createClient} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {EndpointService, type LogEntry} from '@sapphirefall/wire';
+import type {createInstance} from './create-instance.ts';
+
+type Options = {
+	readonly instance: ReturnType<typeof createInstance>;
+	/** Milliseconds between receipt and application of an entry. */
+	readonly lag: number;
+};
+
+/** Milliseconds until the next attempt after a failed pull, and while there is no primary to follow. */
+const retryDelay = 50;
+
+/** Milliseconds after which a pull without answer is given up. */
+const pullTimeout = 1000;
+
+/** Starts the loop in which an instance, while it is a replica, pulls entries from its primary. */
+export function startReplication({instance, lag}: Options): void {
+	void pullForever(instance, lag);
+}
+
+async function pullForever(instance: Options['instance'], lag: number): Promise<never> {
+	let client: {readonly address: string; readonly pull: ReturnType<typeof createPull>} | undefined;
+	let cursor: bigint | undefined;
+	for (;;) {
+		const {role, term, primaryAddress} = instance.getRole();
+		if (role !== 'replica' || primaryAddress === '') {
+			await sleep(retryDelay); // eslint-disable-line no-await-in-loop
+			continue;
+		}
+
+		if (client?.address !== primaryAddress) {
+			client = {address: primaryAddress, pull: createPull(primaryAddress)};
+			cursor = undefined;
+		}
+
+		const position = cursor ?? instance.logEnd().position;
+		try {
+			// eslint-disable-next-line no-await-in-loop
+			const pulled = await client.pull({term, position, positionTerm: instance.findTermAt(position)});
+			if (pulled.diverged) {
+				cursor = position - 1n;
+			} else if (pulled.accepted) {
+				cursor = undefined;
+				await applyLater(instance, {after: position, entries: pulled.entries, lag}); // eslint-disable-line no-await-in-loop
+			} else {
+				await sleep(retryDelay); // eslint-disable-line no-await-in-loop
+			}
+		} catch {
+			client = undefined;
+			await sleep(retryDelay); // eslint-disable-line no-await-in-loop
+		}
+	}
+}
+
+async function applyLater(
+	instance: Options['instance'],
+	pulled: {readonly after: bigint; readonly entries: readonly LogEntry[]; readonly lag: number},
+): Promise<void> {
+	if (pulled.lag > 0 && pulled.entries.length > 0) {
+		await sleep(pulled.lag);
+	}
+
+	await instance.applyEntries(pulled.after, pulled.entries);
+}
+
+function createPull(address: string) {
+	const client = createClient(EndpointService, createConnectTransport({baseUrl: address, httpVersion: '2'}));
+	return async (from: {readonly term: number; readonly position: bigint; readonly positionTerm: number}) => client.pull(
+		{term: from.term, after: {term: from.positionTerm, position: from.position}},
+		{timeoutMs: pullTimeout},
+	);
+}
--- /dev/null
+++ b/stand-ins/platform/create-platform.ts
@@ -0,0 +1,111 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {create} from '@bufbuild/protobuf';
+import {Code, ConnectError, type ConnectRouter} from '@connectrpc/connect';
+import {
+	FleetService, ObjectService, PlatformFaultSchema, PlatformFaultService, TableService,
+	type ListFleetResponse, type PlatformFault,
+} from '@sapphirefall/wire';
+
+/** The platform: a table with compare-and-set, an object store, and a list of hosts and groups. */
+type Platform = {
+	/** Creates the routes of one availability zone, whose list has the addresses that lead from there. */
+	readonly createRoutes: (fleet: ListFleetResponse) => (router: ConnectRouter) => void;
+};
+
+/** Creates the platform. Its faults are set by command. */
+export function createPlatform(): Platform {
+	const rows = new Map<string, {version: number; value: string}>();
+	const objects = new Map<string, Uint8Array>();
+	let fault: PlatformFault = create(PlatformFaultSchema, {});
+	let reads = 0;
+	let writes = 0;
+
+	const suffer = async () => {
+		await sleep(fault.delayMs);
+		if (fault.down) {
+			throw new ConnectError('the platform is down', Code.Unavailable);
+		}
+	};
+
+	const loseAnswer = () => {
+		if (fault.lostAnswers > 0) {
+			fault = {...fault, lostAnswers: fault.lostAnswers - 1};
+			throw new ConnectError('the answer was lost', Code.Unavailable);
+		}
+	};
+
+	const addTable = (router: ConnectRouter) => {
+		router.service(TableService, {
+			async readRow({name}) {
+				reads++;
+				await suffer();
+				return rows.get(name) ?? {version: 0, value: ''};
+			},
+			async writeRow({name, expectedVersion, value}) {
+				writes++;
+				await suffer();
+				const row = rows.get(name) ?? {version: 0, value: ''};
+				if (row.version !== expectedVersion) {
+					return {written: false, row};
+				}
+
+				const written = {version: row.version + 1, value};
+				rows.set(name, written);
+				loseAnswer();
+				return {written: true, row: written};
+			},
+		});
+	};
+
+	const addObjects = (router: ConnectRouter) => {
+		router.service(ObjectService, {
+			async readObject({name}) {
+				reads++;
+				await suffer();
+				const body = objects.get(name);
+				if (body === undefined) {
+					throw new ConnectError(`the object "${name}" does not exist`, Code.NotFound);
+				}
+
+				return {name, body};
+			},
+			async writeObject({name, body}) {
+				writes++;
+				await suffer();
+				objects.set(name, body);
+				return {};
+			},
+		});
+	};
+
+	return {
+		createRoutes: fleet => router => {
+			addTable(router);
+			addObjects(router);
+			router.service(FleetService, {
+				async listFleet() {
+					reads++;
+					await suffer();
+					return markDeparting(fleet, new Set(fault.departing));
+				},
+			});
+			router.service(PlatformFaultService, {
+				setFault(next) {
+					fault = next;
+					return {reads, writes};
+				},
+			});
+		},
+	};
+}
+
+function markDeparting(fleet: ListFleetResponse, departing: ReadonlySet<string>): ListFleetResponse {
+	return {
+		...fleet,
+		hosts: fleet.hosts.map(host => ({...host, departing: departing.has(host.id)})),
+		groups: fleet.groups.map(group => ({
+			...group,
+			instances: group.instances.map(instance => ({...instance, departing: departing.has(instance.id)})),
+		})),
+	};
+}
--- /dev/null
+++ b/stand-ins/platform/main.ts
@@ -0,0 +1,18 @@
+import process from 'node:process';
+import {createServer} from 'node:http2';
+import {readFileSync} from 'node:fs';
+import {fromJson, type JsonValue} from '@bufbuild/protobuf';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {parse} from 'yaml';
+import {ListFleetResponseSchema} from '@sapphirefall/wire';
+import {createPlatform} from './create-platform.ts';
+
+/** What one availability zone sees of the platform: a port of its own, and the addresses that lead from the zone. */
+type ZoneView = {readonly port: number; readonly fleet: JsonValue};
+
+const {views} = parse(readFileSync(process.argv[2] ?? '', 'utf8')) as {readonly views: readonly ZoneView[]};
+const platform = createPlatform();
+for (const {port, fleet} of views) {
+	const routes = platform.createRoutes(fromJson(ListFleetResponseSchema, fleet));
+	createServer(connectNodeAdapter({routes})).listen(port, '127.0.0.1');
+}
