--- a/daemons/main.ts
+++ b/daemons/main.ts
@@ -1,25 +1,19 @@
 import process from 'node:process';
-import {cac} from 'cac';
 import {resultCodes} from '@sapphirefall/decisions';
 import {CommandError} from './command-error.ts';
-import {runCheck} from './run-check.ts';
-import {runServe} from './run-serve.ts';
-
-const cli = cac('sapphirefall');
-
-cli.command('serve <settings>', 'Run an entry host')
-	.example('sapphirefall serve host.yaml')
-	.action(runServe);
-
-cli.command('check <settings>', 'Check a settings file and report every fault in it')
-	.example('sapphirefall check host.yaml')
-	.action(runCheck);
-
-cli.help();
-cli.version('0.1.0');
+import {createCommandLine} from './create-command-line.ts';
 
+const cli = createCommandLine();
 try {
 	cli.parse(process.argv, {run: false});
+	const isAsked = cli.options['help'] === true || cli.options['version'] === true;
+	if (cli.matchedCommand === undefined && !isAsked) {
+		const [name] = cli.args;
+		throw new CommandError(resultCodes.usage, name === undefined
+			? 'A command must be given; --help lists them'
+			: `The command "${name}" does not exist; --help lists all`);
+	}
+
 	await cli.runMatchedCommand();
 } catch (error) {
 	process.exitCode = error instanceof CommandError ? error.code : resultCodes.usage;
--- a/packages/decisions/step-failover.ts
+++ b/packages/decisions/step-failover.ts
@@ -169,15 +169,21 @@
 	};
 }
 
-/** Chooses the highest log end; among equals one that is not the silent primary. */
+/** Chooses the highest log end; among equals one that stays and is not the silent primary. */
 function chooseSuccessor(reports: readonly InstanceReport[], view: GroupView): string {
 	const best = reports.toSorted((a, b) => {
 		const order = comparePoints(b.at, a.at);
-		return order === 0 ? Number(a.instance === view.primary) - Number(b.instance === view.primary) : order;
+		return order === 0 ? rankSuccessor(a.instance, view) - rankSuccessor(b.instance, view) : order;
 	});
 	return best[0]?.instance ?? '';
 }
 
+/** Ranks an instance among those with the same log end; lower goes first. */
+function rankSuccessor(instance: string, view: GroupView): number {
+	const isDeparting = view.group.instances.some(listed => listed.id === instance && listed.isDeparting);
+	return (isDeparting ? 2 : 0) + (instance === view.primary ? 1 : 0);
+}
+
 function stepPromoting(
 	state: Extract<FailoverState, {readonly kind: 'promoting'}>,
 	input: Input,
--- /dev/null
+++ b/scenarios/create-transcript.ts
@@ -0,0 +1,12 @@
+import type {Transcript} from './transcript.ts';
+
+/** Creates an empty record of a session. */
+export function createTranscript(): Transcript {
+	const lines: string[] = [];
+	return {
+		add(line) {
+			lines.push(line);
+		},
+		read: () => `${lines.join('\n')}\n`,
+	};
+}
--- a/stand-ins/cluster/cluster.ts
+++ b/stand-ins/cluster/cluster.ts
@@ -1,6 +1,8 @@
 import process from 'node:process';
 import type {Client} from '@connectrpc/connect';
-import type {CallerService, OperatorService, PlatformFaultService} from '@sapphirefall/wire';
+import type {
+	CallerService, EndpointFaultService, OperatorService, PlatformFaultService,
+} from '@sapphirefall/wire';
 import type {LinkFault} from '../links/link-fault.ts';
 import type {Child} from './child.ts';
 
@@ -11,6 +13,8 @@
 	/** Client of a host for callers who show a key; empty for none. */
 	readonly caller: (host: string, key: string) => Client<typeof CallerService>;
 	readonly operator: (host: string) => Client<typeof OperatorService>;
+	/** Sets what happens to the answers of an instance. */
+	readonly endpoint: (instance: string) => Client<typeof EndpointFaultService>;
 	readonly platform: Client<typeof PlatformFaultService>;
 	/** URL at which callers reach a host. */
 	readonly callerUrl: (host: string) => string;
@@ -24,6 +28,8 @@
 	readonly setFault: (from: string, process: string, fault: Partial<LinkFault>) => void;
 	/** Closes the connections from a zone to a process. */
 	readonly resetLink: (from: string, process: string) => void;
+	/** Silences the open connections from a zone to a process for good. */
+	readonly muteLink: (from: string, process: string) => void;
 	readonly zoneOf: (process: string) => string;
 	readonly stop: () => Promise<void>;
 };
--- a/stand-ins/cluster/start-cluster.ts
+++ b/stand-ins/cluster/start-cluster.ts
@@ -5,7 +5,9 @@
 import {createClient, type Interceptor, type Transport} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {stringify} from 'yaml';
-import {CallerService, OperatorService, PlatformFaultService} from '@sapphirefall/wire';
+import {
+	CallerService, EndpointFaultService, OperatorService, PlatformFaultService,
+} from '@sapphirefall/wire';
 import {createLink} from '../links/create-link.ts';
 import type {Link} from '../links/link.ts';
 import {createRandom} from './create-random.ts';
@@ -144,6 +146,9 @@
 		instances: nodes.filter(({kind}) => kind === 'instance').map(({id}) => id),
 		caller: (host, key) => createClient(CallerService, createTransport(callerUrl(host), key)),
 		operator: host => createClient(OperatorService, createTransport(operatorUrl(host), operatorToken)),
+		endpoint: instance => createClient(EndpointFaultService, createConnectTransport({
+			baseUrl: `http://127.0.0.1:${nodes.find(({id}) => id === instance)?.port}`, httpVersion: '2',
+		})),
 		platform: createClient(PlatformFaultService, createConnectTransport({
 			baseUrl: `http://127.0.0.1:${[...platformPorts.values()][0]}`, httpVersion: '2',
 		})),
@@ -161,6 +166,9 @@
 		resetLink(from, id) {
 			findLink(from, id).reset();
 		},
+		muteLink(from, id) {
+			findLink(from, id).mute();
+		},
 		zoneOf: id => nodes.find(node => node.id === id)?.zone ?? '',
 		async stop() {
 			await Promise.all([...children.values()].map(async ({child}) => endChild(child)));
--- a/stand-ins/endpoint/create-endpoint-service.ts
+++ b/stand-ins/endpoint/create-endpoint-service.ts
@@ -1,13 +1,15 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {create} from '@bufbuild/protobuf';
+import {create, toJsonString} from '@bufbuild/protobuf';
 import {
 	Code, ConnectError, type HandlerContext, type ServiceImpl,
 } from '@connectrpc/connect';
 import {
-	BatchResponseSchema, createQueue, decodePoint, type BatchRequest, type BatchResponse, type EndpointService,
+	BatchRequestSchema, BatchResponseSchema, createQueue, decodePoint, type BatchRequest, type BatchResponse, type EndpointService,
 	type ProbeRequest,
 } from '@sapphirefall/wire';
+import type {AnswerFault} from './answer-fault.ts';
 import type {createInstance} from './create-instance.ts';
+import {sendWithFault} from './send-with-fault.ts';
 
 type Instance = ReturnType<typeof createInstance>;
 
@@ -20,6 +22,12 @@
 	readonly pullWait: number;
 	/** Addresses of other instances, where they differ from those that hosts use. */
 	readonly routes: Readonly<Record<string, string>>;
+	/** Whether all batches are written to the output. */
+	readonly trace: boolean;
+	/** What happens to answers now. */
+	readonly readFault: () => AnswerFault;
+	/** Takes one of the answers that are to be dropped, if any is left. */
+	readonly takeDrop: () => boolean;
 };
 
 /** Creates the service through which hosts and replicas use an instance. */
@@ -35,7 +43,7 @@
 			connections++;
 			try {
 				await sleep(options.connectTime);
-				yield * serveConnection(instance, requests, context);
+				yield * serveConnection(instance, {...options, requests, context});
 			} finally {
 				connections--;
 			}
@@ -64,9 +72,9 @@
 /** Serves one connection: batches one after the other, pings at once. */
 async function * serveConnection(
 	instance: Instance,
-	requests: AsyncIterable<BatchRequest>,
-	context: HandlerContext,
+	options: Options & {readonly requests: AsyncIterable<BatchRequest>; readonly context: HandlerContext},
 ): AsyncGenerator<BatchResponse> {
+	const {requests, context} = options;
 	const session = instance.createSession();
 	const responses = createQueue<BatchResponse>();
 	const close = () => {
@@ -78,11 +86,15 @@
 	const reading = (async () => {
 		let running: Promise<void> = Promise.resolve();
 		for await (const request of requests) {
+			if (options.trace) {
+				console.log(toJsonString(BatchRequestSchema, request));
+			}
+
 			if (request.ping) {
 				responses.push(create(BatchResponseSchema, {id: request.id}));
 			} else {
 				running = runAfter(running, async () => {
-					responses.push(await instance.runBatch(session, request));
+					await sendWithFault(await instance.runBatch(session, request), {...options, send: responses.push});
 				});
 			}
 		}
--- a/stand-ins/endpoint/main.ts
+++ b/stand-ins/endpoint/main.ts
@@ -4,7 +4,8 @@
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {parse} from 'yaml';
 import {z} from 'zod';
-import {EndpointService} from '@sapphirefall/wire';
+import {EndpointFaultService, EndpointService} from '@sapphirefall/wire';
+import type {AnswerFault} from './answer-fault.ts';
 import {createEndpointService} from './create-endpoint-service.ts';
 import {createInstance} from './create-instance.ts';
 import {startReplication} from './start-replication.ts';
@@ -24,6 +25,8 @@
 	lag: z.number().default(0),
 	lockTimeout: z.number().default(1000),
 	pullWait: z.number().default(200),
+	/** Whether all that the instance receives is written to its output. */
+	trace: z.boolean().default(false),
 });
 
 const settings = schema.parse(parse(readFileSync(process.argv[2] ?? '', 'utf8')));
@@ -45,10 +48,33 @@
 }
 
 startReplication({instance, lag: settings.lag});
-const service = createEndpointService(instance, settings);
+let fault: AnswerFault = {
+	delay: 0, dropped: 0, skipped: 0, hasStrays: false,
+};
+const service = createEndpointService(instance, {
+	...settings,
+	readFault: () => fault,
+	takeDrop() {
+		const isTaken = fault.skipped === 0 && fault.dropped > 0;
+		fault = fault.skipped > 0
+			? {...fault, skipped: fault.skipped - 1}
+			: {...fault, dropped: Math.max(0, fault.dropped - 1)};
+		return isTaken;
+	},
+});
 const handler = connectNodeAdapter({
 	routes(router) {
 		router.service(EndpointService, service);
+		router.service(EndpointFaultService, {
+			setFault({
+				delayMs, dropped, skipped, strays,
+			}) {
+				fault = {
+					delay: delayMs, dropped, skipped, hasStrays: strays,
+				};
+				return {};
+			},
+		});
 	},
 });
 createServer(handler).listen(settings.port, '127.0.0.1');
--- /dev/null
+++ b/stand-ins/endpoint/send-with-fault.ts
@@ -0,0 +1,34 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {BatchResponse} from '@sapphirefall/wire';
+import type {AnswerFault} from './answer-fault.ts';
+
+type Options = {
+	readonly readFault: () => AnswerFault;
+	readonly takeDrop: () => boolean;
+	readonly send: (response: BatchResponse) => void;
+};
+
+/** Distance from a batch's number to one that no batch has. */
+const strayDistance = 1_000_000;
+
+/** Sends an answer as the fault of the moment has it: late, not at all, or between strays. */
+export async function sendWithFault(response: BatchResponse, options: Options): Promise<void> {
+	const fault = options.readFault();
+	if (fault.delay > 0) {
+		await sleep(fault.delay);
+	}
+
+	if (options.takeDrop()) {
+		return;
+	}
+
+	if (fault.hasStrays) {
+		options.send({...response, id: response.id + strayDistance, results: []});
+		options.send({...response, id: Math.max(0, response.id - 1), results: []});
+	}
+
+	options.send(response);
+	if (fault.hasStrays) {
+		options.send({...response, results: []});
+	}
+}
--- a/stand-ins/links/create-link.ts
+++ b/stand-ins/links/create-link.ts
@@ -22,6 +22,7 @@
 	options: {readonly fault: LinkFault; readonly random: () => number},
 ): Promise<Link> {
 	const sockets = new Set<Socket>();
+	const muted = new WeakSet<Socket>();
 	let {fault} = options;
 
 	const findDelay = () => {
@@ -38,6 +39,10 @@
 				await wait(healInterval); // eslint-disable-line no-await-in-loop -- the bytes wait until the link heals
 			}
 
+			if (muted.has(from)) {
+				return;
+			}
+
 			if (chunk === undefined) {
 				to.end();
 			} else if (!to.destroyed) {
@@ -92,6 +97,11 @@
 				socket.destroy();
 			}
 		},
+		mute() {
+			for (const socket of sockets) {
+				muted.add(socket);
+			}
+		},
 		close() {
 			server.close();
 			for (const socket of sockets) {
--- a/stand-ins/links/link.ts
+++ b/stand-ins/links/link.ts
@@ -7,5 +7,7 @@
 	readonly setFault: (fault: Partial<LinkFault>) => void;
 	/** Closes the connections that are open; new ones work. */
 	readonly reset: () => void;
+	/** Silences the connections that are open for good; new ones work. */
+	readonly mute: () => void;
 	readonly close: () => void;
 };
