--- /dev/null
+++ b/bench/failover-kind.ts
@@ -0,0 +1,2 @@
+/** How a primary is lost. */
+export type FailoverKind = 'kill' | 'cut' | 'freeze';
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,166 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import process from 'node:process';
+import {formatSummary, type LoadSummary} from '@sapphirefall/load';
+import type {Cluster} from '../stand-ins/cluster/cluster.ts';
+import {deployments} from './deployments.ts';
+import {measureOverhead} from './measure-overhead.ts';
+import {runPhase} from './run-phase.ts';
+import {startDeployment} from './start-deployment.ts';
+import type {Deployment} from './deployment.ts';
+
+type Phase = Parameters<typeof runPhase>[1]['phase'];
+
+const noFault = () => undefined;
+const zoneOfFault = 'c';
+
+/** Tenant that offers five times its rate, and the factor over its average load that gives that. */
+const floodName = 'w5';
+const floodFactor = 8;
+
+function setZoneCut(cluster: Cluster, isCut: boolean): void {
+	for (const process of [...cluster.hosts, ...cluster.instances]) {
+		const isInside = cluster.zoneOf(process) === zoneOfFault;
+		for (const from of ['a', 'b', 'c']) {
+			if ((from === zoneOfFault) !== isInside) {
+				cluster.setFault(from, process, {isCut});
+			}
+		}
+	}
+}
+
+function createPhases(deployment: Deployment): Readonly<Record<string, Omit<Phase, 'seed'>>> {
+	const [database = ''] = deployment.databases;
+	const outside = ['host-a1', 'host-a2', 'host-a3', 'host-b1', 'host-b2', 'host-b3'];
+	return {
+		health: {duration: 12_000, fail: noFault, repair: noFault},
+		primaryReadsOnly: {
+			duration: 6000,
+			fail: noFault,
+			repair: noFault,
+			change: workspaces => workspaces.map(workspace => ({
+				...workspace,
+				latest: workspace.latest + workspace.session + workspace.within,
+				session: 0,
+				within: 0,
+				rate: workspace.rate * 4,
+				burst: workspace.burst * 4,
+				offered: workspace.offered / 4,
+			})),
+		},
+		flood: {
+			duration: 10_000,
+			fail: noFault,
+			repair: noFault,
+			change: workspaces => workspaces.map(workspace => workspace.name === floodName
+				? {...workspace, offered: workspace.offered * floodFactor}
+				: workspace),
+		},
+		storeDown: {
+			duration: 12_000,
+			async fail(cluster) {
+				await cluster.platform.setFault({down: true});
+			},
+			async repair(cluster) {
+				await cluster.platform.setFault({});
+			},
+		},
+		hostKilled: {
+			duration: 12_000,
+			targets: outside,
+			fail(cluster) {
+				cluster.child('host-c2').signal('SIGKILL');
+			},
+			repair(cluster) {
+				cluster.restart('host-c2');
+			},
+		},
+		zoneCut: {
+			duration: 12_000,
+			targets: outside,
+			fail(cluster) {
+				setZoneCut(cluster, true);
+			},
+			repair(cluster) {
+				setZoneCut(cluster, false);
+			},
+		},
+		primaryKilled: {
+			duration: 10_000,
+			fail(cluster) {
+				cluster.child(`${database}-a`).signal('SIGKILL');
+			},
+			repair(cluster) {
+				cluster.restart(`${database}-a`);
+			},
+		},
+	};
+}
+
+async function benchDeployment(deployment: Deployment) {
+	const cluster = await startDeployment(deployment, {hostsPerZone: 3, host: {}, serviceTime: 2});
+	try {
+		await sleep(2000);
+		const overhead = await measureOverhead(cluster, deployment);
+		console.log(`\n${deployment.name}: overhead ${JSON.stringify(overhead)}`);
+		const summaries: Record<string, LoadSummary> = {};
+		for (const [index, [name, phase]] of Object.entries(createPhases(deployment)).entries()) {
+			const summary = await runPhase(cluster, {deployment, phase: {...phase, seed: 100 + index}}); // eslint-disable-line no-await-in-loop
+			summaries[name] = summary;
+			console.log(`\n${deployment.name}: ${name}\n${formatSummary(summary)}`);
+			await sleep(1500); // eslint-disable-line no-await-in-loop
+		}
+
+		return {overhead, summaries};
+	} finally {
+		await cluster.stop();
+	}
+}
+
+/** Measures health with each workspace's rate split evenly over the hosts, the baseline of the loans. */
+async function benchStaticSplit(deployment: Deployment): Promise<LoadSummary> {
+	const cluster = await startDeployment(deployment, {
+		hostsPerZone: 3, host: {rate: {reserve: 1, reserveSpan: 1000}}, serviceTime: 2,
+	});
+	try {
+		await sleep(2000);
+		return await runPhase(cluster, {
+			deployment, phase: {
+				duration: 10_000, fail: noFault, repair: noFault, seed: 100,
+			},
+		});
+	} finally {
+		await cluster.stop();
+	}
+}
+
+function pickMeasures(summary: LoadSummary | undefined) {
+	return summary === undefined
+		? undefined
+		: {
+			replicaShare: summary.replicaShare,
+			writeGapMs: summary.writeGapMs,
+			worstWorkspace: summary.worstWorkspace,
+			wrongfulRefusals: summary.wrongfulRefusals,
+			wrongAnswers: summary.violations.length,
+		};
+}
+
+const results: Record<string, unknown> = {};
+let wrongAnswers = 0;
+for (const deployment of deployments) {
+	// eslint-disable-next-line no-await-in-loop -- two deployments at once would share the machine
+	const {overhead, summaries} = await benchDeployment(deployment);
+	const split = await benchStaticSplit(deployment); // eslint-disable-line no-await-in-loop
+	console.log(`\n${deployment.name}: static split\n${formatSummary(split)}`);
+	const all = {...summaries, staticSplit: split};
+	wrongAnswers += Object.values(all).reduce((sum, {violations}) => sum + violations.length, 0);
+	results[deployment.name] = {
+		...pickMeasures(summaries['health']),
+		writeGapMs: summaries['primaryKilled']?.writeGapMs,
+		overhead,
+		phases: Object.fromEntries(Object.entries(all).map(([name, summary]) => [name, pickMeasures(summary)])),
+	};
+}
+
+console.log(JSON.stringify(results));
+process.exitCode = wrongAnswers === 0 ? 0 : 1;
--- /dev/null
+++ b/bench/measure-decisions.ts
@@ -0,0 +1,169 @@
+import process from 'node:process';
+import {toBinary} from '@bufbuild/protobuf';
+import {
+	applyReport, assignWatch, createConfiguration, createGroupView, createHostState, findHome, hashPrimaries, listPrimaries,
+	stepHost, type Configuration, type Group, type Host, type HostSettings, type HostState,
+} from '@sapphirefall/decisions';
+import {encodeExchange} from '@sapphirefall/hosts';
+import {ExchangeMessageSchema} from '@sapphirefall/wire';
+import {fitLine} from './fit-line.ts';
+
+const settings: HostSettings = {
+	failover: {suspectAfter: 500, stepTimeout: 500, stagger: 200},
+	probeInterval: 100,
+	demandSpan: 5000,
+	exchangeInterval: 200,
+	versionInterval: 250,
+	versionFallback: 1500,
+	fleetInterval: 2000,
+};
+const zones = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+
+function createHosts(count: number): readonly Host[] {
+	return Array.from({length: count}, (_, index) => ({
+		id: `host-${index}`, zone: zones[index % zones.length] ?? '', address: `http://10.0.0.1:${index}`, isDeparting: false,
+	}));
+}
+
+function createGroups(count: number): readonly Group[] {
+	return Array.from({length: count}, (_, index) => ({
+		database: `database-${index}`,
+		instances: ['a', 'b', 'c'].map(zone => ({
+			id: `database-${index}-${zone}`, zone, address: 'http://10.0.1.1:1', isDeparting: false,
+		})),
+	}));
+}
+
+function createState(hostCount: number, groupCount: number): HostState {
+	const hosts = createHosts(hostCount);
+	const [self] = hosts;
+	return self === undefined
+		? createState(1, groupCount)
+		: stepHost(createHostState(self, 1), {
+			event: {kind: 'fleetRead', hosts, groups: createGroups(groupCount)}, settings, now: 0,
+		}).state;
+}
+
+/** Milliseconds for which a task is repeated to take its time. */
+const span = 300;
+
+/** Returns the microseconds that one run of a task takes. */
+function timeTask(task: (round: number) => void): number {
+	const startedAt = performance.now();
+	let rounds = 0;
+	do {
+		task(rounds);
+		rounds++;
+	} while (performance.now() - startedAt < span);
+
+	return (performance.now() - startedAt) * 1000 / rounds;
+}
+
+function countBytes(state: HostState): number {
+	return toBinary(ExchangeMessageSchema, encodeExchange({
+		id: state.membership.self,
+		incarnation: state.membership.incarnation,
+		version: 1,
+		head: 1,
+		age: 100,
+		fleet: '',
+		statements: zones.map(zone => ({id: `host-${zone}`, age: 100})),
+		digest: hashPrimaries(listPrimaries(state)),
+		primaries: [],
+		news: [{id: state.membership.self, incarnation: 1, isAlive: true}],
+		time: 1_000_000_000_000_000_000n,
+	})).length;
+}
+
+function createLargeConfiguration(workspaces: number): Configuration {
+	const names = Array.from({length: workspaces}, (_, index) => `workspace-${index}`);
+	return {
+		...createConfiguration(),
+		workspaces: Object.fromEntries(names.map(name => [name, {rate: 100, burst: 200, databases: ['database-1']}])),
+		keys: Object.fromEntries(names.map(name => [`${name}-1`, {workspace: name, digest: 'f'.repeat(64)}])),
+	};
+}
+
+type Slope = ReturnType<typeof fitLine> & {readonly what: string; readonly unit: string};
+
+function measureSlope(what: string, options: {readonly unit: string; readonly sizes: readonly number[]; readonly measure: (size: number) => number}): Slope {
+	const points = options.sizes.map(size => [size, options.measure(size)] as const);
+	return {what, unit: options.unit, ...fitLine(points)};
+}
+
+/** Measures how the cost of the decisions grows with hosts, databases and workspaces. */
+export function measureDecisions(): readonly Slope[] {
+	return [
+		measureSlope('one step of the loop, by watched and unwatched databases', {
+			unit: 'µs a database', sizes: [100, 400, 1000], measure(size) {
+				const state = createState(9, size);
+				return timeTask(round => stepHost(state, {event: {kind: 'tick'}, settings, now: 1e6 + (round * 20)}));
+			},
+		}),
+		measureSlope('assigning watches anew, by hosts, for 1,000 databases', {
+			unit: 'µs a host', sizes: [100, 400, 940], measure(size) {
+				const hosts = createHosts(size);
+				const groups = createGroups(1000);
+				return timeTask(() => {
+					for (const group of groups) {
+						assignWatch(group, {
+							self: 'host-0', live: hosts, present: undefined, now: 0,
+						});
+					}
+				});
+			},
+		}),
+		measureSlope('finding the home of a workspace, by hosts', {
+			unit: 'µs a host', sizes: [9, 100, 940], measure(size) {
+				const ids = createHosts(size).map(({id}) => id);
+				return timeTask(round => findHome(`workspace-${round}`, ids));
+			},
+		}),
+		measureSlope('taking in a report of an instance, by databases', {
+			unit: 'µs a database', sizes: [10, 100, 1000], measure(size) {
+				let state = createState(9, size);
+				return timeTask(round => {
+					const database = `database-${round % size}`;
+					({state} = stepHost(state, {
+						event: {
+							kind: 'reported', database, sentAt: round, report: {
+								instance: `${database}-a`, term: 1, role: 'primary', at: {term: 1, position: BigInt(round)},
+							},
+						}, settings, now: round + 1,
+					}));
+				});
+			},
+		}),
+		measureSlope('bytes of an exchange message, by databases', {
+			unit: 'bytes a database', sizes: [10, 100, 1000], measure: size => countBytes(createState(9, size)),
+		}),
+		measureSlope('bytes of the configuration, by workspaces', {
+			unit: 'bytes a workspace', sizes: [10, 1000, 10_000], measure: size => JSON.stringify(createLargeConfiguration(size)).length,
+		}),
+		measureSlope('memory of the views of databases', {
+			unit: 'bytes a database', sizes: [100, 1000, 4000], measure: size => measureViews(size),
+		}),
+	];
+}
+
+/** Measures the heap that the views of databases take after some reports. */
+function measureViews(count: number): number {
+	globalThis.gc?.();
+	const before = process.memoryUsage().heapUsed;
+	const views = createGroups(count).map(group => {
+		let view = createGroupView(group);
+		for (let now = 0; now < 50; now++) {
+			for (const {id} of group.instances) {
+				view = applyReport(view, {
+					report: {
+						instance: id, term: 1, role: id.endsWith('a') ? 'primary' : 'replica', at: {term: 1, position: BigInt(now)},
+					}, sentAt: now * 100, now: (now * 100) + 5,
+				});
+			}
+		}
+
+		return view;
+	});
+	globalThis.gc?.();
+	return Math.max(0, process.memoryUsage().heapUsed - before) + (views.length * 0);
+}
--- a/daemons/create-command-line.ts
+++ b/daemons/create-command-line.ts
@@ -4,6 +4,7 @@
 import {runFreshness} from './run-freshness.ts';
 import {runKey} from './run-key.ts';
 import {runLimit} from './run-limit.ts';
+import {runLoadPlan} from './run-load-plan.ts';
 import {runRoute} from './run-route.ts';
 import {runServe} from './run-serve.ts';
 import {runStatus} from './run-status.ts';
@@ -73,6 +74,11 @@
 	addConnection(cli.command('drain', 'Let a host finish its requests and exit'))
 		.example('sapphirefall drain --address http://10.0.0.1:7201')
 		.action(runDrain);
+	cli.command('load <plan>', 'Send a load, check the answers, and report')
+		.option('--report <file>', 'Write a page with plots')
+		.option('--json', 'Write the measures as JSON')
+		.example('sapphirefall load plan.yaml --report report.html')
+		.action(runLoadPlan);
 	cli.command('timeline <...sources>', 'Merge the events of all processes into one time line')
 		.option('--request <id>', 'Show only a request')
 		.option('--workspace <name>', 'Show only a workspace')
--- a/daemons/run-freshness.ts
+++ b/daemons/run-freshness.ts
@@ -1,5 +1,5 @@
 import {create} from '@bufbuild/protobuf';
-import type {Freshness} from '@sapphirefall/decisions';
+import {formatFreshness} from '@sapphirefall/decisions';
 import {SetExceptionSchema, SetFreshnessSchema} from '@sapphirefall/wire';
 import {chooseAction} from './choose-action.ts';
 import {printTable} from './print-table.ts';
@@ -46,7 +46,3 @@
 	}));
 	printTable([...defaults, ...others], options.json === true);
 }
-
-function formatFreshness(freshness: Freshness): string {
-	return freshness.kind === 'within' ? `within ${freshness.age}ms` : freshness.kind;
-}
--- /dev/null
+++ b/daemons/run-load-plan.ts
@@ -0,0 +1,54 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {resultCodes} from '@sapphirefall/decisions';
+import {
+	createReport, formatSummary, loadPlanSchema, runLoad, summarizeLoad, type LoadPlan,
+} from '@sapphirefall/load';
+import {parseSettings} from '@sapphirefall/settings';
+import {CommandError} from './command-error.ts';
+
+type Options = {readonly report?: string; readonly json?: boolean};
+
+/**
+ * Runs `sapphirefall load`: sends the load of a plan, checks the answers, and reports.
+ *
+ * @throws {CommandError} When the plan has faults or an answer was wrong.
+ */
+export async function runLoadPlan(file: string, options: Options): Promise<void> {
+	const plan = readPlan(file);
+	const history = await runLoad(plan, {
+		now: () => performance.now(),
+		onProgress(sent, answered) {
+			process.stderr.write(`${sent} sent, ${answered} answered\n`);
+		},
+	});
+	const summary = summarizeLoad(plan, history);
+	console.log(options.json === true ? JSON.stringify(summary) : formatSummary(summary));
+	if (options.report !== undefined) {
+		writeFileSync(options.report, await createReport({
+			title: file, history, summary, lanes: [],
+		}));
+	}
+
+	const [wrong] = summary.violations;
+	if (wrong !== undefined) {
+		throw new CommandError(resultCodes.checkFailed, `Request ${wrong.request} got a wrong answer: ${wrong.kind}, ${wrong.detail}`);
+	}
+}
+
+function readPlan(file: string): LoadPlan {
+	let text: string;
+	try {
+		text = readFileSync(file, 'utf8');
+	} catch {
+		throw new CommandError(resultCodes.usage, `The plan "${file}" cannot be read`);
+	}
+
+	const outcome = parseSettings(text, loadPlanSchema);
+	if (outcome.kind === 'valid') {
+		return outcome.settings;
+	}
+
+	const lines = outcome.issues.map(({line, path, message}) => `${file}:${line}: ${path} ${message}`);
+	throw new CommandError(resultCodes.settingsInvalid, lines.join('\n'));
+}
--- a/daemons/run-serve.ts
+++ b/daemons/run-serve.ts
@@ -18,8 +18,8 @@
 /** Milliseconds between the end of draining and the closing of connections; answers are written out meanwhile. */
 const closingDelay = 100;
 
-/** Milliseconds for which a host that no longer takes requests keeps its listeners, so that refusals are heard. */
-const listenerDelay = 300;
+/** Milliseconds for which a host that drains still serves what others forward, until they have heard of it. */
+const handoverDelay = 1500;
 
 /**
  * Runs `sapphirefall serve`: one entry host, until a signal or an operator ends it.
@@ -128,8 +128,7 @@
 	settings: HostFile,
 	running: {readonly host: RunningHost; readonly listeners: readonly Listener[]},
 ): Promise<void> {
-	await Promise.race([running.host.drain(), wait(settings.drain.timeout)]);
-	await wait(listenerDelay);
+	await Promise.race([drainTwice(running.host), wait(settings.drain.timeout)]);
 	for (const {server} of running.listeners) {
 		server.close();
 	}
@@ -146,6 +145,13 @@
 	});
 }
 
+/** Drains, waits until other hosts have heard of it, and lets what they sent meanwhile finish. */
+async function drainTwice(host: RunningHost): Promise<void> {
+	await host.drain();
+	await wait(handoverDelay);
+	await host.drain();
+}
+
 async function wait(milliseconds: number): Promise<void> {
 	await new Promise<void>(resolve => {
 		setTimeout(resolve, milliseconds);
--- a/packages/decisions/create-host-state.ts
+++ b/packages/decisions/create-host-state.ts
@@ -16,12 +16,20 @@
 		},
 		groups: new Map(),
 		configuration: createConfiguration(),
+		roster: {
+			head: 0, hosts: [], homes: [], acceptors: [],
+		},
+		homesKnownAt: 0,
+		rosterHistory: [],
 		provenAt: -Infinity,
+		statements: new Map(),
+		isCommitting: false,
 		versions: new Map(),
 		isDraining: false,
 		round: 0,
 		nextExchangeAt: 0,
 		nextVersionReadAt: 0,
 		nextFleetReadAt: 0,
+		nextRosterCheckAt: 0,
 	};
 }
--- a/packages/decisions/find-workspace.ts
+++ b/packages/decisions/find-workspace.ts
@@ -1,5 +1,7 @@
 import type {Configuration} from './configuration.ts';
 
+const indexes = new WeakMap<Configuration, ReadonlyMap<string, string>>();
+
 /**
  * Finds the workspace to which a key belongs.
  *
@@ -8,5 +10,12 @@
  * @returns The workspace's name, or `undefined` when the key was withdrawn or never given.
  */
 export function findWorkspace(configuration: Configuration, digest: string): string | undefined {
-	return Object.values(configuration.keys).find(key => key.digest === digest)?.workspace;
+	const known = indexes.get(configuration);
+	if (known !== undefined) {
+		return known.get(digest);
+	}
+
+	const index = new Map(Object.values(configuration.keys).map(key => [key.digest, key.workspace]));
+	indexes.set(configuration, index);
+	return index.get(digest);
 }
--- a/packages/decisions/host-effect.ts
+++ b/packages/decisions/host-effect.ts
@@ -1,3 +1,4 @@
+import type {Roster} from './roster.ts';
 import type {FailoverEffect} from './failover-effect.ts';
 
 /** What a host's control loop does next. */
@@ -5,6 +6,7 @@
 	| {readonly kind: 'exchange'; readonly partner: string}
 	| {readonly kind: 'readVersion'}
 	| {readonly kind: 'readFleet'}
+	| {readonly kind: 'changeRoster'; readonly roster: Omit<Roster, 'head'>}
 	| {readonly kind: 'probe'; readonly database: string}
 	| {readonly kind: 'failover'; readonly database: string; readonly effect: FailoverEffect}
 	| {readonly kind: 'tellPrimary'; readonly database: string; readonly term: number; readonly instance: string}
--- a/packages/decisions/host-event.ts
+++ b/packages/decisions/host-event.ts
@@ -1,4 +1,5 @@
-import type {Configuration} from './configuration.ts';
+import type {AcceptorStatement} from './acceptor-statement.ts';
+import type {FleetConfiguration} from './fleet-configuration.ts';
 import type {FailoverEvent} from './failover-event.ts';
 import type {Group} from './group.ts';
 import type {GroupPrimary} from './group-primary.ts';
@@ -13,7 +14,7 @@
 	| {
 		/** The newest configuration, read from the table no earlier than `provenAt`. */
 		readonly kind: 'configurationRead';
-		readonly configuration: Configuration;
+		readonly fleet: FleetConfiguration;
 		readonly provenAt: number;
 	}
 	| {readonly kind: 'exchangeFailed'; readonly id: string}
@@ -22,8 +23,11 @@
 		readonly id: string;
 		readonly incarnation: number;
 		readonly version: number;
-		/** Present when the other host knows a newer configuration. */
-		readonly configuration: Configuration | undefined;
+		/** Version of the table row that the other host knows. */
+		readonly head: number;
+		/** Present when the other host knows a newer head. */
+		readonly fleet: FleetConfiguration | undefined;
+		readonly statements: readonly AcceptorStatement[];
 		/** When the other host's version was the newest at the earliest; -Infinity in a push. */
 		readonly provenAt: number;
 		readonly primaries: readonly GroupPrimary[];
@@ -37,4 +41,5 @@
 		readonly sentAt: number;
 	}
 	| {readonly kind: 'failover'; readonly database: string; readonly event: FailoverEvent}
+	| {readonly kind: 'commitChanged'; readonly isCommitting: boolean}
 	| {readonly kind: 'drained'};
--- a/packages/decisions/host-state.ts
+++ b/packages/decisions/host-state.ts
@@ -1,6 +1,7 @@
 import type {Configuration} from './configuration.ts';
 import type {GroupControl} from './group-control.ts';
 import type {Membership} from './membership.ts';
+import type {Roster} from './roster.ts';
 
 /** The state of a host's control loop. Times are monotonic milliseconds. */
 export type HostState = {
@@ -8,8 +9,17 @@
 	readonly membership: Membership;
 	readonly groups: ReadonlyMap<string, GroupControl>;
 	readonly configuration: Configuration;
-	/** When the configuration was last proven to be the newest. */
+	readonly roster: Roster;
+	/** When the present list of homes in the roster became known here. */
+	readonly homesKnownAt: number;
+	/** Lists of the roster's hosts and when each became known here, oldest first. */
+	readonly rosterHistory: ReadonlyArray<{readonly hosts: readonly string[]; readonly at: number}>;
+	/** When a read of the table, here or at another host, last proved configuration and roster to be the newest. */
 	readonly provenAt: number;
+	/** When each acceptor last gave its word that it had committed nothing newer. */
+	readonly statements: ReadonlyMap<string, number>;
+	/** Whether a commit of this host is unsettled. */
+	readonly isCommitting: boolean;
 	/** Configuration versions of the other hosts, as last heard. */
 	readonly versions: ReadonlyMap<string, number>;
 	readonly isDraining: boolean;
@@ -17,4 +27,5 @@
 	readonly nextExchangeAt: number;
 	readonly nextVersionReadAt: number;
 	readonly nextFleetReadAt: number;
+	readonly nextRosterCheckAt: number;
 };
--- /dev/null
+++ b/packages/decisions/lend-units.test.ts
@@ -0,0 +1,144 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {addLoan} from './add-loan.ts';
+import {createPurse} from './create-purse.ts';
+import {lendUnits} from './lend-units.ts';
+import {reportUsed} from './report-used.ts';
+import {spendUnits} from './spend-units.ts';
+import type {HomeBucket} from './home-bucket.ts';
+import type {Purse} from './purse.ts';
+
+const rate = 50;
+const burst = 40;
+const span = 500;
+const driftMargin = 1.1;
+const runs = 400;
+
+/** What happens next in a random schedule: time passes, a host asks, a message arrives or is lost, a request comes, a host restarts. */
+type Happening =
+	| {readonly kind: 'wait'; readonly milliseconds: number}
+	| {readonly kind: 'ask'; readonly host: number; readonly wanted: number}
+	| {readonly kind: 'deliver'; readonly pick: number}
+	| {readonly kind: 'lose'; readonly pick: number}
+	| {readonly kind: 'request'; readonly host: number; readonly cost: number}
+	| {readonly kind: 'restart'; readonly host: number};
+
+const happening: fc.Arbitrary<Happening> = fc.oneof(
+	{weight: 3, arbitrary: fc.record({kind: fc.constant('wait' as const), milliseconds: fc.integer({min: 1, max: 300})})},
+	{weight: 3, arbitrary: fc.record({kind: fc.constant('ask' as const), host: fc.integer({min: 0, max: 3}), wanted: fc.integer({min: 1, max: 30})})},
+	{weight: 4, arbitrary: fc.record({kind: fc.constant('deliver' as const), pick: fc.nat(20)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('lose' as const), pick: fc.nat(20)})},
+	{weight: 6, arbitrary: fc.record({kind: fc.constant('request' as const), host: fc.integer({min: 0, max: 3}), cost: fc.integer({min: 1, max: 6})})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('restart' as const), host: fc.integer({min: 0, max: 3})})},
+);
+
+type Message = {readonly arrive: () => void};
+
+/** Plays a schedule and returns the admitted costs with their times. */
+function play(schedule: readonly Happening[]): ReadonlyArray<{readonly at: number; readonly cost: number}> {
+	let now = 0;
+	let home: HomeBucket = {level: 0, refilledAt: 0, loans: []};
+	let incarnation = 0;
+	const names = ['a', 'b', 'c', 'd'];
+	const purses = new Map<number, Purse>();
+	const messages: Message[] = [];
+	const admitted: Array<{at: number; cost: number}> = [];
+
+	const ask = (host: number, wanted: number) => {
+		const name = names[host] ?? '';
+		const {purse, used, id} = reportUsed(purses.get(host) ?? createPurse(now));
+		const askedAt = now;
+		purses.set(host, purse);
+		messages.push({
+			arrive() {
+				const lent = lendUnits(home, {
+					host: name, id, wanted, used, rate, burst, span: span * driftMargin, now,
+				});
+				home = lent.bucket;
+				messages.push({
+					arrive() {
+						if (names[host] === name) {
+							purses.set(host, addLoan(purses.get(host) ?? createPurse(now), {id, units: lent.units, expiresAt: askedAt + span}));
+						}
+					},
+				});
+			},
+		});
+	};
+
+	for (const next of schedule) {
+		switch (next.kind) {
+			case 'wait': {
+				now += next.milliseconds;
+				break;
+			}
+
+			case 'ask': {
+				ask(next.host, next.wanted);
+				break;
+			}
+
+			case 'deliver': {
+				messages.splice(next.pick % Math.max(1, messages.length), 1)[0]?.arrive();
+				break;
+			}
+
+			case 'lose': {
+				messages.splice(next.pick % Math.max(1, messages.length), 1);
+				break;
+			}
+
+			case 'request': {
+				const spent = spendUnits(purses.get(next.host) ?? createPurse(now), {cost: next.cost, isFirst: true, now});
+				purses.set(next.host, spent.purse);
+				if (spent.isSpent) {
+					admitted.push({at: now, cost: next.cost});
+				}
+
+				break;
+			}
+
+			case 'restart': {
+				incarnation++;
+				purses.delete(next.host);
+				names[next.host] = `${next.host}/${incarnation}`;
+				break;
+			}
+		}
+	}
+
+	return admitted;
+}
+
+describe('lendUnits', () => {
+	it('admits no more than burst plus rate times the interval, whatever is lost, late or restarted', () => {
+		fc.assert(fc.property(fc.array(happening, {minLength: 50, maxLength: 300}), schedule => {
+			const admitted = play(schedule);
+			for (const [first, {at: from}] of admitted.entries()) {
+				let sum = 0;
+				for (const {at, cost} of admitted.slice(first)) {
+					sum += cost;
+					expect(sum).to.be.at.most(burst + (rate * (at - from) / 1000) + 1e-6);
+				}
+			}
+		}), {numRuns: runs});
+	});
+
+	it('lends the whole rate to one host that asks all the time', () => {
+		let home: HomeBucket = {level: 0, refilledAt: 0, loans: []};
+		let purse = createPurse(0);
+		let used = 0;
+		for (let now = 0; now <= 10_000; now += 10) {
+			const report = reportUsed(purse);
+			const lent = lendUnits(home, {
+				host: 'a', id: report.id, wanted: 5, used: report.used, rate, burst, span, now,
+			});
+			home = lent.bucket;
+			const spent = spendUnits(addLoan(report.purse, {id: report.id, units: lent.units, expiresAt: now + span}), {cost: 1, isFirst: true, now});
+			({purse} = spent);
+			used += spent.isSpent ? 1 : 0;
+		}
+
+		expect(used).to.be.within(rate * 9.5, (rate * 10) + burst);
+	});
+});
--- a/packages/decisions/step-host.ts
+++ b/packages/decisions/step-host.ts
@@ -3,13 +3,15 @@
 import {applyFleet} from './apply-fleet.ts';
 import {applyNews} from './apply-news.ts';
 import {applyReport} from './apply-report.ts';
+import {applyStatements} from './apply-statements.ts';
 import {assignWatch} from './assign-watch.ts';
 import {choosePartners} from './choose-partners.ts';
+import {chooseRoster} from './choose-roster.ts';
 import {createGroupView} from './create-group-view.ts';
 import {listLiveHosts} from './list-live-hosts.ts';
 import {rankHosts} from './rank-hosts.ts';
 import {stepFailover} from './step-failover.ts';
-import type {Configuration} from './configuration.ts';
+import type {FleetConfiguration} from './fleet-configuration.ts';
 import type {FailoverEvent} from './failover-event.ts';
 import type {GroupControl} from './group-control.ts';
 import type {Group} from './group.ts';
@@ -52,7 +54,7 @@
 		}
 
 		case 'configurationRead': {
-			return adoptConfiguration(state, event);
+			return adoptFleet(state, {...event, now: input.now});
 		}
 
 		case 'exchangeFailed': {
@@ -76,6 +78,10 @@
 			return stepGroupFailover(state, {...input, database: event.database, event: event.event});
 		}
 
+		case 'commitChanged': {
+			return {state: {...state, isCommitting: event.isCommitting}, effects: []};
+		}
+
 		case 'drained': {
 			return {state: {...state, isDraining: true}, effects: []};
 		}
@@ -131,34 +137,65 @@
 	return {...state, membership: options.membership, groups};
 }
 
-/** Adopts a configuration that is not older than the known one. */
-function adoptConfiguration(
+/** Adopts a configuration and a roster that are not older than the known ones. */
+function adoptFleet(
 	state: HostState,
-	read: {readonly configuration: Configuration; readonly provenAt: number},
+	read: {readonly fleet: FleetConfiguration; readonly provenAt: number; readonly now: number},
 ): Step {
-	if (read.configuration.version < state.configuration.version) {
+	const {configuration, roster} = read.fleet;
+	if (roster.head < state.roster.head) {
 		return {state, effects: []};
 	}
 
 	const provenAt = Math.max(state.provenAt, read.provenAt);
-	const isNew = read.configuration.version > state.configuration.version;
+	if (roster.head === state.roster.head) {
+		return {state: {...state, provenAt}, effects: []};
+	}
+
+	const hasNewHomes = roster.homes.join(' ') !== state.roster.homes.join(' ');
+	const isNew = configuration.version > state.configuration.version;
 	return {
-		state: {...state, configuration: isNew ? read.configuration : state.configuration, provenAt},
-		effects: isNew ? [{kind: 'tellConfiguration', version: read.configuration.version}] : [],
+		state: {
+			...state,
+			configuration,
+			roster,
+			homesKnownAt: hasNewHomes ? read.now : state.homesKnownAt,
+			rosterHistory: extendRosterHistory(state.rosterHistory, {hosts: roster.hosts, at: read.now}),
+			provenAt,
+			statements: new Map(),
+		},
+		effects: isNew ? [{kind: 'tellConfiguration', version: configuration.version}] : [],
 	};
 }
 
+/** Rosters that are remembered; more than change within the span of a reserve. */
+const rostersKept = 1000;
+
+function extendRosterHistory(
+	history: HostState['rosterHistory'],
+	next: HostState['rosterHistory'][number],
+): HostState['rosterHistory'] {
+	return history.at(-1)?.hosts.join(' ') === next.hosts.join(' ')
+		? history
+		: [...history, next].slice(-rostersKept);
+}
+
 function stepExchanged(
 	state: HostState,
 	{event, now}: {readonly event: EventOf<'exchanged'>; readonly now: number},
 ): Step {
 	const heard = applyExchange(state.membership, {id: event.id, incarnation: event.incarnation, now});
 	const membership = applyNews(heard, {news: event.news, now});
-	const adopted = adoptConfiguration(state, {
-		configuration: event.configuration ?? state.configuration,
-		provenAt: event.version >= state.configuration.version ? event.provenAt : -Infinity,
+	const adopted = adoptFleet(state, {
+		fleet: event.fleet ?? state,
+		provenAt: event.head >= state.roster.head ? event.provenAt : -Infinity,
+		now,
 	});
-	const told = adoptPrimaries(adopted.state, event);
+	const hasSameHead = event.head === adopted.state.roster.head;
+	const statements = hasSameHead
+		? applyStatements(adopted.state.statements, event.statements)
+		: adopted.state.statements;
+	const told = adoptPrimaries({...adopted.state, statements}, event);
 	const versions = new Map(state.versions).set(event.id, event.version);
 	const isChanged = listLiveHosts(membership).length !== listLiveHosts(state.membership).length;
 	const next = {...told.state, membership, versions};
@@ -236,8 +273,9 @@
 function stepTick(state: HostState, input: Input): Step {
 	const exchanged = scheduleExchange(state, input);
 	const read = scheduleReads(exchanged.state, input);
-	const steps: Step[] = [exchanged, read];
-	let next = read.state;
+	const roster = scheduleRoster(read.state, input);
+	const steps: Step[] = [exchanged, read, roster];
+	let next = roster.state;
 	for (const [database, group] of state.groups) {
 		const isWatched = group.watch !== undefined;
 		const isUsed = input.now - group.demandedAt <= input.settings.demandSpan;
@@ -288,6 +326,21 @@
 	return {state: next, effects};
 }
 
+/** Milliseconds between two looks at whether the roster still names the live hosts. */
+const rosterInterval = 200;
+
+function scheduleRoster(state: HostState, {now}: Input): Step {
+	if (now < state.nextRosterCheckAt) {
+		return {state, effects: []};
+	}
+
+	const roster = chooseRoster(state, now);
+	return {
+		state: {...state, nextRosterCheckAt: now + rosterInterval},
+		effects: roster === undefined ? [] : [{kind: 'changeRoster', roster}],
+	};
+}
+
 /** Tells whether this host reads the configuration's version for its zone. */
 function isReader(state: HostState): boolean {
 	const zoneHosts = listLiveHosts(state.membership).filter(({zone}) => zone === state.zone).map(({id}) => id);
--- a/packages/endpoints/create-pool.ts
+++ b/packages/endpoints/create-pool.ts
@@ -111,7 +111,9 @@
 			});
 		},
 		give(connection) {
-			if (!connection.isClosed()) {
+			if (isClosed) {
+				connection.close();
+			} else if (!connection.isClosed()) {
 				offer(connection);
 			}
 		},
--- a/packages/hosts/create-peer.ts
+++ b/packages/hosts/create-peer.ts
@@ -1,24 +1,40 @@
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import {HostService} from '@sapphirefall/wire';
+import {createForwarder} from './create-forwarder.ts';
 import {decodeExchange} from './decode-exchange.ts';
 import {encodeExchange} from './encode-exchange.ts';
 import type {Peer} from './peer.ts';
 
+type Options = {
+	/** Milliseconds to wait for an answer to an exchange. */
+	readonly timeout: number;
+	/** Milliseconds between two heartbeats on the channel for requests. */
+	readonly heartbeatInterval: number;
+	/** Milliseconds without any answer after which that channel is replaced. */
+	readonly silenceLimit: number;
+	/** Present monotonic milliseconds. */
+	readonly now: () => number;
+};
+
+/** Milliseconds for an acceptor to commit a change. */
+const changeTimeout = 4000;
+
 /**
  * Creates the client of another entry host.
  *
  * A call without an answer closes the connection, so that the next call does not use one that has gone silent.
  *
  * @param address URL of the host.
- * @param timeout Milliseconds to wait for an answer.
+ * @param options How long to wait for an answer, heartbeat times, and the clock.
  */
-export function createPeer(address: string, timeout: number): Peer {
+export function createPeer(address: string, options: Options): Peer {
+	const forwarder = createForwarder(address, options);
 	const sessions = new Http2SessionManager(address);
 	const client = createClient(HostService, createConnectTransport({
 		baseUrl: address, httpVersion: '2', sessionManager: sessions,
 	}));
-	const options = {timeoutMs: timeout};
+	const callOptions = {timeoutMs: options.timeout};
 
 	const guard = async <T>(call: Promise<T>): Promise<T> => {
 		try {
@@ -30,9 +46,20 @@
 	};
 
 	return {
-		exchange: async content => decodeExchange(await guard(client.exchange(encodeExchange(content), options))),
+		exchange: async content => decodeExchange(await guard(client.exchange(encodeExchange(content), callOptions))),
+		async borrow(asked) {
+			const {home, units, spanMs, retryAfterMs} = await guard(client.borrow({...asked, used: [...asked.used]}, callOptions));
+			return home ? {units, span: spanMs, retryAfter: retryAfterMs} : undefined;
+		},
+		async handOver(bucket) {
+			const loans = bucket.loans.map(({left, ...loan}) => ({...loan, leftMs: Math.ceil(left)}));
+			const {taken} = await guard(client.handOver({...bucket, loans}, callOptions));
+			return taken;
+		},
+		forward: forwarder.forward,
+		passChange: async change => guard(client.passChange(change, {timeoutMs: changeTimeout})),
 		async confirm(database, term) {
-			const {suspected} = await guard(client.confirm({database, term}, options));
+			const {suspected} = await guard(client.confirm({database, term}, callOptions));
 			return suspected;
 		},
 	};
--- /dev/null
+++ b/packages/hosts/encode-forward.ts
@@ -0,0 +1,38 @@
+import {create} from '@bufbuild/protobuf';
+import {formatFreshness, type AdmittedRequest} from '@sapphirefall/decisions';
+import {
+	encodeStatement, ForwardedReadSchema, ForwardedWriteSchema, ForwardRequestSchema, type ForwardRequest,
+} from '@sapphirefall/wire';
+
+/**
+ * Encodes an admitted request for its gateway.
+ *
+ * @param request The request.
+ * @param options Its number on the channel, and monotonic milliseconds.
+ */
+export function encodeForward(
+	request: AdmittedRequest,
+	options: {readonly id: number; readonly now: number},
+): ForwardRequest {
+	const {
+		requestId, workspace, database, cost, work, statements,
+	} = request;
+	return create(ForwardRequestSchema, {
+		id: options.id,
+		requestId,
+		workspace,
+		database,
+		cost,
+		statements: statements.map(statement => encodeStatement(statement)),
+		patienceMs: Math.max(1, Math.floor(request.deadline - options.now)),
+		work: work.kind === 'read'
+			? {
+				case: 'read',
+				value: create(ForwardedReadSchema, {
+					freshness: formatFreshness(work.freshness),
+					...(work.point === undefined ? {} : {point: work.point}),
+				}),
+			}
+			: {case: 'write', value: create(ForwardedWriteSchema, {idempotencyKey: work.idempotencyKey})},
+	});
+}
--- a/packages/hosts/exchange-content.ts
+++ b/packages/hosts/exchange-content.ts
@@ -5,10 +5,14 @@
 	readonly id: string;
 	readonly incarnation: number;
 	readonly version: number;
-	/** Age in milliseconds of the proof that the version was the newest. */
+	/** Version of the table row that holds the configuration's name and the roster. */
+	readonly head: number;
+	/** Age in milliseconds of the proof that the head was the newest. */
 	readonly age: number;
-	/** JSON of the configuration; empty when the other side is not known to be behind. */
-	readonly configuration: string;
+	/** Text of configuration and roster; empty when the other side is not known to be behind. */
+	readonly fleet: string;
+	/** The acceptors' word on the head, by age in milliseconds. */
+	readonly statements: ReadonlyArray<{readonly id: string; readonly age: number}>;
 	/** Digest over all primaries that are known. */
 	readonly digest: string;
 	/** Empty when the other side's digest is not known to differ. */
--- a/packages/hosts/mod.ts
+++ b/packages/hosts/mod.ts
@@ -1,7 +1,17 @@
 /** Other entry hosts as a peer: exchange, confirmation and forwarding. */
+export type * from './borrow-asked.ts';
+export type * from './borrow-granted.ts';
+export * from './create-forwarder.ts';
 export * from './create-host-service.ts';
 export * from './create-peer.ts';
 export * from './decode-exchange.ts';
+export * from './decode-forward-answer.ts';
+export * from './decode-forward.ts';
 export * from './encode-exchange.ts';
+export * from './encode-forward-answer.ts';
+export * from './encode-forward.ts';
 export type * from './exchange-content.ts';
+export type * from './forwarder.ts';
+export type * from './handed-bucket.ts';
 export type * from './peer.ts';
+export * from './serve-forwards.ts';
--- a/packages/hosts/peer.ts
+++ b/packages/hosts/peer.ts
@@ -1,8 +1,21 @@
+import type {AdmittedRequest, Answer} from '@sapphirefall/decisions';
+import type {ChangeRequest, ChangeResponse} from '@sapphirefall/wire';
+import type {BorrowAsked} from './borrow-asked.ts';
+import type {BorrowGranted} from './borrow-granted.ts';
+import type {HandedBucket} from './handed-bucket.ts';
 import type {ExchangeContent} from './exchange-content.ts';
 
 /** Another entry host. A call that gets no answer rejects. */
 export type Peer = {
 	readonly exchange: (content: ExchangeContent) => Promise<ExchangeContent>;
+	/** Borrows units of a workspace; undefined when the other host is not its home. */
+	readonly borrow: (asked: BorrowAsked) => Promise<BorrowGranted | undefined>;
+	/** Hands a bucket over; false when the other host does not know yet that it is the home. */
+	readonly handOver: (bucket: HandedBucket) => Promise<boolean>;
+	/** Passes an operator's change on to an acceptor. */
+	readonly passChange: (change: ChangeRequest) => Promise<ChangeResponse>;
+	/** Sends an admitted request to be carried out; undefined when the answer was lost. */
+	readonly forward: (request: AdmittedRequest, signal: AbortSignal) => Promise<Answer | undefined>;
 	/** Asks whether the other host also misses the primary of a term. */
 	readonly confirm: (database: string, term: number) => Promise<boolean>;
 };
--- /dev/null
+++ b/packages/hosts/serve-forwards.ts
@@ -0,0 +1,49 @@
+import {create} from '@bufbuild/protobuf';
+import {
+	createRefusal, resultCodes, type AdmittedRequest, type Answer,
+} from '@sapphirefall/decisions';
+import {
+	createQueue, ForwardResponseSchema, type ForwardRequest, type ForwardResponse,
+} from '@sapphirefall/wire';
+import {decodeForward} from './decode-forward.ts';
+import {encodeForwardAnswer} from './encode-forward-answer.ts';
+
+type Options = {
+	readonly execute: (request: AdmittedRequest) => Promise<Answer>;
+	/** Present monotonic milliseconds. */
+	readonly now: () => number;
+};
+
+/**
+ * Serves the requests that another host forwards; each answer goes out when it is ready.
+ *
+ * @param messages What the other host sends.
+ * @param options What executes a request, and the clock.
+ */
+export async function * serveForwards(
+	messages: AsyncIterable<ForwardRequest>,
+	options: Options,
+): AsyncGenerator<ForwardResponse> {
+	const responses = createQueue<ForwardResponse>();
+
+	const run = async (message: ForwardRequest) => {
+		const request = decodeForward(message, options.now());
+		const answer = request === undefined
+			? createRefusal(resultCodes.malformed, {reason: 'the forwarded request names no work'})
+			: await options.execute(request);
+		responses.push(encodeForwardAnswer(answer, message.id));
+	};
+
+	const read = async () => {
+		for await (const message of messages) {
+			if (message.ping) {
+				responses.push(create(ForwardResponseSchema, {id: message.id}));
+			} else {
+				void run(message);
+			}
+		}
+	};
+
+	read().catch(() => undefined).finally(responses.end); // eslint-disable-line promise/prefer-await-to-then
+	yield * responses;
+}
--- /dev/null
+++ b/packages/load/check-history.ts
@@ -0,0 +1,87 @@
+import type {LoadHistory} from './load-history.ts';
+import type {LoadPlan} from './load-plan.ts';
+import type {Outcome} from './outcome.ts';
+import type {Violation} from './violation.ts';
+
+/**
+ * Checks what came back against what the databases hold and what each request was promised.
+ *
+ * Finds lost and doubled writes, "not run" writes that ran, foreign answers, reads older than they accept, and
+ * sessions that missed their own writes.
+ */
+export function checkHistory(plan: LoadPlan, history: LoadHistory): readonly Violation[] {
+	const writes = history.outcomes.filter(({request}) => request.class === 'write');
+	const reads = history.outcomes.filter(outcome => outcome.seen !== undefined);
+	return [
+		...writes.flatMap(outcome => checkWrite(outcome, history.rows.get(outcome.request.id) ?? 0)),
+		...plan.workspaces.flatMap(workspace => checkReads(
+			reads.filter(({request}) => request.workspace === workspace.name),
+			{
+				acknowledged: writes
+					.filter(({request, kind}) => request.workspace === workspace.name && kind === 'done')
+					.map(({answeredAt}) => answeredAt)
+					.toSorted((a, b) => a - b),
+				age: workspace.age,
+			},
+		)),
+	];
+}
+
+function checkWrite({request, kind}: Outcome, rows: number): readonly Violation[] {
+	if (rows > 1) {
+		return [{kind: 'doubled', request: request.id, detail: `${rows} rows`}];
+	}
+
+	if (kind === 'done' && rows === 0) {
+		return [{kind: 'lost', request: request.id, detail: 'acknowledged, and not in the database'}];
+	}
+
+	return kind === 'notRun' && rows > 0
+		? [{kind: 'notRunRan', request: request.id, detail: 'refused as not run, and in the database'}]
+		: [];
+}
+
+function checkReads(
+	reads: readonly Outcome[],
+	options: {readonly acknowledged: readonly number[]; readonly age: number},
+): readonly Violation[] {
+	return reads.flatMap(({
+		request, sentAt, seen, knownWrite,
+	}): readonly Violation[] => {
+		if (seen === undefined) {
+			return [];
+		}
+
+		if (seen.id !== request.id) {
+			return [{kind: 'foreign', request: request.id, detail: `the answer is that of ${seen.id}`}];
+		}
+
+		if (request.class === 'session') {
+			return seen.write < knownWrite
+				? [{kind: 'unreadWrite', request: request.id, detail: `write ${knownWrite} of the session is missing`}]
+				: [];
+		}
+
+		const since = request.class === 'latest' ? sentAt : sentAt - options.age;
+		const least = countBefore(options.acknowledged, since);
+		return seen.rows < least
+			? [{kind: 'stale', request: request.id, detail: `${seen.rows} rows, and ${least} were acknowledged in time`}]
+			: [];
+	});
+}
+
+/** Counts the times in an ascending list that are before a time. */
+function countBefore(times: readonly number[], before: number): number {
+	let low = 0;
+	let high = times.length;
+	while (low < high) {
+		const middle = Math.floor((low + high) / 2);
+		if ((times[middle] ?? Infinity) < before) {
+			low = middle + 1;
+		} else {
+			high = middle;
+		}
+	}
+
+	return low;
+}
--- /dev/null
+++ b/packages/load/create-schedule.ts
@@ -0,0 +1,55 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {LoadClass} from './load-class.ts';
+import type {LoadPlan} from './load-plan.ts';
+import type {ScheduledRequest} from './scheduled-request.ts';
+
+const classes: readonly LoadClass[] = ['write', 'latest', 'session', 'within'];
+const millisecondsPerSecond = 1000;
+
+/**
+ * Creates the schedule of a plan: Poisson arrivals for each workspace, fixed by the seed before the first request.
+ *
+ * A slow answer delays no later request, so it cannot hide the wait of those behind it.
+ */
+export function createSchedule(plan: LoadPlan): readonly ScheduledRequest[] {
+	const generator = xoroshiro128plus(plan.seed);
+	const random = () => uniformFloat64(generator);
+	return plan.workspaces
+		.flatMap(workspace => createArrivals(plan, {workspace, random}))
+		.toSorted((a, b) => a.at - b.at)
+		.map((request, index) => ({...request, id: `${plan.seed}-${index}`}));
+}
+
+function createArrivals(
+	plan: LoadPlan,
+	options: {readonly workspace: LoadPlan['workspaces'][number]; readonly random: () => number},
+): ReadonlyArray<Omit<ScheduledRequest, 'id'>> {
+	const {workspace, random} = options;
+	const arrivals: Array<Omit<ScheduledRequest, 'id'>> = [];
+	const step = () => -Math.log(1 - random()) * millisecondsPerSecond / workspace.offered;
+	for (let at = step(); at < plan.duration; at += step()) {
+		arrivals.push({
+			at,
+			workspace: workspace.name,
+			session: Math.floor(random() * workspace.sessions),
+			class: chooseClass(workspace, random()),
+			target: Math.floor(random() * plan.targets.length),
+		});
+	}
+
+	return arrivals;
+}
+
+function chooseClass(workspace: LoadPlan['workspaces'][number], point: number): LoadClass {
+	const total = classes.reduce((sum, name) => sum + workspace[name], 0);
+	let left = point * total;
+	for (const name of classes) {
+		left -= workspace[name];
+		if (left < 0) {
+			return name;
+		}
+	}
+
+	return 'within';
+}
--- /dev/null
+++ b/packages/load/format-summary.ts
@@ -0,0 +1,24 @@
+import type {LoadClass} from './load-class.ts';
+import type {LoadSummary} from './load-summary.ts';
+
+const classes: readonly LoadClass[] = ['write', 'latest', 'session', 'within'];
+const percent = 100;
+
+/** Formats the measures of a load as text. */
+export function formatSummary(summary: LoadSummary): string {
+	const share = (value: number) => `${(value * percent).toFixed(2)} %`;
+	return [
+		`requests            ${summary.requests}, done ${summary.done}`,
+		`reads by replicas   ${share(summary.replicaShare)}`,
+		`longest write gap   ${summary.writeGapMs.toFixed(0)} ms`,
+		`worst workspace     ${summary.worstWorkspaceName}, ${share(summary.worstWorkspace)} of its due`,
+		`wrongful refusals   ${share(summary.wrongfulRefusals)}`,
+		...classes.map(name => {
+			const {p50, p99, max} = summary.latency[name];
+			return `latency ${name.padEnd(11)} p50 ${p50.toFixed(1)}, p99 ${p99.toFixed(1)}, max ${max.toFixed(1)} ms`;
+		}),
+		`result codes        ${Object.entries(summary.codes).map(([code, count]) => `${code}: ${count}`).join(', ')}`,
+		`wrong answers       ${summary.violations.length}`,
+		...summary.violations.slice(0, 10).map(({kind, request, detail}) => `  ${kind} ${request}: ${detail}`),
+	].join('\n');
+}
--- /dev/null
+++ b/packages/load/load-history.ts
@@ -0,0 +1,8 @@
+import type {Outcome} from './outcome.ts';
+
+/** A load that has ended: what came back, and what the databases hold afterwards. */
+export type LoadHistory = {
+	readonly outcomes: readonly Outcome[];
+	/** How often each request's row is in its database. */
+	readonly rows: ReadonlyMap<string, number>;
+};
--- /dev/null
+++ b/packages/load/run-load.ts
@@ -0,0 +1,250 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {
+	CallerService, decodeResult, encodeStatement, type ExecuteResponse,
+} from '@sapphirefall/wire';
+import type {SqlStatement} from '@sapphirefall/decisions';
+import {createSchedule} from './create-schedule.ts';
+import type {LoadHistory} from './load-history.ts';
+import type {LoadPlan} from './load-plan.ts';
+import type {Outcome} from './outcome.ts';
+import type {ScheduledRequest} from './scheduled-request.ts';
+
+type Options = {
+	/** Present monotonic milliseconds. */
+	readonly now: () => number;
+	/** Told now and then how many requests have been sent and answered. */
+	readonly onProgress: (sent: number, answered: number) => void;
+};
+
+/** One session: its token, and how many of its writes it has sent and seen acknowledged. */
+type Session = {
+	token: string;
+	sentWrites: number;
+	knownWrite: number;
+};
+
+/** Milliseconds between two reports of progress. */
+const progressInterval = 1000;
+
+/** Milliseconds for which preparing and verifying a database may be tried again. */
+const settleTimeout = 15_000;
+
+const createTable: SqlStatement = {
+	sql: 'CREATE TABLE IF NOT EXISTS load_row (id TEXT NOT NULL, workspace TEXT NOT NULL, session INTEGER NOT NULL, write INTEGER NOT NULL)',
+	parameters: [],
+};
+
+/**
+ * Runs a load: sends each request at its time and notes what comes back, then reads what the databases hold.
+ *
+ * @param plan The plan.
+ * @param options The clock, and what to do with progress.
+ * @throws {Error} When the databases cannot be prepared or read afterwards.
+ */
+export async function runLoad(plan: LoadPlan, options: Options): Promise<LoadHistory> {
+	const clients = new Map(plan.workspaces.map(({name, key}) => [name, plan.targets.map(target => createCaller(target, key))]));
+	const sessions = new Map<string, Session>();
+	await prepareDatabases(plan, clients);
+
+	const startedAt = options.now();
+	const elapsed = () => options.now() - startedAt;
+	const outcomes: Outcome[] = [];
+	const running: Array<Promise<void>> = [];
+	let reportedAt = 0;
+
+	const run = async (request: ScheduledRequest) => {
+		const client = clients.get(request.workspace)?.[request.target];
+		const name = `${request.workspace}/${request.session}`;
+		const session = sessions.get(name) ?? {token: '', sentWrites: 0, knownWrite: 0};
+		sessions.set(name, session);
+		if (client !== undefined) {
+			outcomes.push(await sendRequest(plan, {
+				request, session, client, elapsed,
+			}));
+		}
+	};
+
+	for (const request of createSchedule(plan)) {
+		const pause = request.at - elapsed();
+		if (pause > 0) {
+			await sleep(pause); // eslint-disable-line no-await-in-loop -- the schedule sets the times
+		}
+
+		running.push(run(request));
+		if (elapsed() - reportedAt >= progressInterval) {
+			reportedAt = elapsed();
+			options.onProgress(running.length, outcomes.length);
+		}
+	}
+
+	await Promise.all(running);
+	options.onProgress(running.length, outcomes.length);
+	return {outcomes, rows: await readRows(plan, {clients, seed: plan.seed})};
+}
+
+type Caller = Client<typeof CallerService>;
+
+function createCaller(baseUrl: string, key: string): Caller {
+	const addKey: Interceptor = next => async request => {
+		request.header.set('authorization', `Bearer ${key}`);
+		return next(request);
+	};
+
+	return createClient(CallerService, createConnectTransport({baseUrl, httpVersion: '1.1', interceptors: [addKey]}));
+}
+
+async function sendRequest(
+	plan: LoadPlan,
+	options: {readonly request: ScheduledRequest; readonly session: Session; readonly client: Caller; readonly elapsed: () => number},
+): Promise<Outcome> {
+	const {request, session, client, elapsed} = options;
+	const isWrite = request.class === 'write';
+	const sentAt = elapsed();
+	const {knownWrite} = session;
+	if (isWrite) {
+		session.sentWrites++;
+	}
+
+	const write = isWrite ? session.sentWrites : 0;
+	const base = {
+		request, sentAt, knownWrite, write,
+	};
+	try {
+		const response = await client.execute({
+			requestId: request.id,
+			database: plan.workspaces.find(({name}) => name === request.workspace)?.database ?? '',
+			statements: [encodeStatement(isWrite ? createInsert(request, write) : createSelect(plan, request))],
+			kind: createKind(plan, request),
+			session: session.token,
+			deadlineMs: plan.deadline,
+		});
+		noteAnswer(response, {session, write});
+		return {...base, answeredAt: elapsed(), ...decodeOutcome(response, request)};
+	} catch {
+		return {
+			...base, answeredAt: elapsed(), kind: 'failed', code: -1, instance: '', seen: undefined,
+		};
+	}
+}
+
+function noteAnswer(response: ExecuteResponse, {session, write}: {readonly session: Session; readonly write: number}): void {
+	if (response.answer.case !== 'done' || write === 0) {
+		return;
+	}
+
+	if (write > session.knownWrite) {
+		session.knownWrite = write;
+		session.token = response.answer.value.session;
+	}
+}
+
+function createInsert(request: ScheduledRequest, write: number): SqlStatement {
+	return {
+		sql: 'INSERT INTO load_row (id, workspace, session, write) VALUES (?, ?, ?, ?)',
+		parameters: [request.id, request.workspace, request.session, write],
+	};
+}
+
+function createSelect(plan: LoadPlan, request: ScheduledRequest): SqlStatement {
+	const own = `${plan.seed}-%`;
+	return {
+		sql: 'SELECT ?, (SELECT coalesce(max(write), 0) FROM load_row WHERE id LIKE ? AND workspace = ? AND session = ?), '
+			+ '(SELECT count(*) FROM load_row WHERE id LIKE ? AND workspace = ?)',
+		parameters: [request.id, own, request.workspace, request.session, own, request.workspace],
+	};
+}
+
+function createKind(plan: LoadPlan, request: ScheduledRequest) {
+	if (request.class === 'write') {
+		return {case: 'write' as const, value: {idempotencyKey: `load-${request.id}`, repeatable: false}};
+	}
+
+	const age = plan.workspaces.find(({name}) => name === request.workspace)?.age ?? 0;
+	const freshness = request.class === 'within' ? `within ${age}ms` : request.class;
+	return {case: 'read' as const, value: {freshness, kind: ''}};
+}
+
+function decodeOutcome(
+	{answer}: ExecuteResponse,
+	request: ScheduledRequest,
+): Pick<Outcome, 'kind' | 'code' | 'instance' | 'seen'> {
+	if (answer.case !== 'done') {
+		return {
+			kind: answer.case ?? 'failed', code: answer.value?.code ?? -1, instance: '', seen: undefined,
+		};
+	}
+
+	const [result] = answer.value.results;
+	const [id, write, rows] = result === undefined ? [] : decodeResult(result).rows[0] ?? [];
+	return {
+		kind: 'done',
+		code: answer.value.code,
+		instance: answer.value.instance,
+		seen: request.class === 'write' ? undefined : {id: String(id), write: Number(write), rows: Number(rows)},
+	};
+}
+
+type Clients = ReadonlyMap<string, readonly Caller[]>;
+
+/** Lists one workspace for each database, to prepare and read it through. */
+function listOwners(plan: LoadPlan): ReadonlyArray<LoadPlan['workspaces'][number]> {
+	return [...new Map(plan.workspaces.map(workspace => [workspace.database, workspace])).values()];
+}
+
+async function prepareDatabases(plan: LoadPlan, clients: Clients): Promise<void> {
+	for (const {name, database} of listOwners(plan)) {
+		// eslint-disable-next-line no-await-in-loop -- one database after the other
+		await executeUntilDone(clients.get(name) ?? [], {
+			database,
+			statements: [encodeStatement(createTable)],
+			kind: {case: 'write', value: {idempotencyKey: '', repeatable: true}},
+		});
+	}
+}
+
+async function readRows(
+	plan: LoadPlan,
+	{clients, seed}: {readonly clients: Clients; readonly seed: number},
+): Promise<ReadonlyMap<string, number>> {
+	const rows = new Map<string, number>();
+	for (const {name, database} of listOwners(plan)) {
+		// eslint-disable-next-line no-await-in-loop -- one database after the other
+		const response = await executeUntilDone(clients.get(name) ?? [], {
+			database,
+			statements: [encodeStatement({
+				sql: 'SELECT id, count(*) FROM load_row WHERE id LIKE ? GROUP BY id', parameters: [`${seed}-%`],
+			})],
+			kind: {case: 'read', value: {freshness: 'latest', kind: ''}},
+		});
+		const [result] = response.answer.case === 'done' ? response.answer.value.results : [];
+		for (const [id, count] of result === undefined ? [] : decodeResult(result).rows) {
+			rows.set(String(id), Number(count));
+		}
+	}
+
+	return rows;
+}
+
+/** Executes a request at one target after the other until one has done it. */
+async function executeUntilDone(
+	callers: readonly Caller[],
+	request: Parameters<Caller['execute']>[0],
+): Promise<ExecuteResponse> {
+	const deadline = performance.now() + settleTimeout;
+	for (let count = 0; performance.now() < deadline; count++) {
+		try {
+			const response = await callers[count % callers.length]?.execute(request); // eslint-disable-line no-await-in-loop
+			if (response?.answer.case === 'done') {
+				return response;
+			}
+		} catch {
+			// The next target may be reachable.
+		}
+
+		await sleep(50); // eslint-disable-line no-await-in-loop
+	}
+
+	throw new Error('No target prepared or read the database of the load in time');
+}
--- /dev/null
+++ b/packages/load/summarize-load.ts
@@ -0,0 +1,106 @@
+import {build} from 'hdr-histogram-js';
+import {checkHistory} from './check-history.ts';
+import {findWrongfulRefusals} from './find-wrongful-refusals.ts';
+import type {LoadClass} from './load-class.ts';
+import type {LoadHistory} from './load-history.ts';
+import type {LoadPlan} from './load-plan.ts';
+import type {LoadSummary} from './load-summary.ts';
+import type {Outcome} from './outcome.ts';
+
+/** Histograms count in tenths of a millisecond. */
+const unitsPerMillisecond = 10;
+
+const middle = 50;
+const high = 99;
+
+/** Summarizes a load: the users' measures, latencies, codes, and every wrong answer. */
+export function summarizeLoad(plan: LoadPlan, history: LoadHistory): LoadSummary {
+	const {outcomes} = history;
+	const wrongful = findWrongfulRefusals(plan, outcomes);
+	const worst = findWorst(plan, outcomes);
+	return {
+		requests: outcomes.length,
+		done: outcomes.filter(({kind}) => kind === 'done').length,
+		replicaShare: findReplicaShare(plan, outcomes),
+		writeGapMs: findWriteGap(plan, outcomes),
+		worstWorkspace: worst.share,
+		worstWorkspaceName: worst.name,
+		wrongfulRefusals: outcomes.length === 0 ? 0 : wrongful.length / outcomes.length,
+		latency: {
+			write: summarizeLatency('write', outcomes),
+			latest: summarizeLatency('latest', outcomes),
+			session: summarizeLatency('session', outcomes),
+			within: summarizeLatency('within', outcomes),
+		},
+		codes: countCodes(outcomes),
+		violations: checkHistory(plan, history),
+	};
+}
+
+function findReplicaShare(plan: LoadPlan, outcomes: readonly Outcome[]): number {
+	const primaries = new Map<string, string>();
+	const databases = new Map(plan.workspaces.map(({name, database}) => [name, database]));
+	let reads = 0;
+	let fromReplicas = 0;
+	for (const {request, kind, instance} of outcomes.filter(outcome => outcome.kind === 'done').toSorted((a, b) => a.answeredAt - b.answeredAt)) {
+		const database = databases.get(request.workspace) ?? '';
+		if (request.class === 'write') {
+			primaries.set(database, instance);
+		} else if (kind === 'done' && primaries.has(database)) {
+			reads++;
+			fromReplicas += primaries.get(database) === instance ? 0 : 1;
+		}
+	}
+
+	return reads === 0 ? 0 : fromReplicas / reads;
+}
+
+function findWriteGap(plan: LoadPlan, outcomes: readonly Outcome[]): number {
+	const databases = new Set(plan.workspaces.map(({database}) => database));
+	const gaps = [...databases].map(database => {
+		const names = new Set(plan.workspaces.filter(workspace => workspace.database === database).map(({name}) => name));
+		const times = outcomes
+			.filter(({request, kind}) => names.has(request.workspace) && request.class === 'write' && kind === 'done')
+			.map(({answeredAt}) => answeredAt)
+			.toSorted((a, b) => a - b);
+		return Math.max(0, ...times.map((time, index) => time - (times[index - 1] ?? time)));
+	});
+	return Math.max(0, ...gaps);
+}
+
+/** Finds the workspace with the least share done of what it offered, or of its rate where it offered more. */
+function findWorst(plan: LoadPlan, outcomes: readonly Outcome[]): {readonly name: string; readonly share: number} {
+	const shares = plan.workspaces.map(({name, rate, burst}) => {
+		const own = outcomes.filter(({request}) => request.workspace === name);
+		const offered = own.reduce((sum, {request}) => sum + plan.costs[request.class], 0);
+		const served = own.filter(({kind}) => kind === 'done').reduce((sum, {request}) => sum + plan.costs[request.class], 0);
+		const entitled = Math.min(offered, burst + (rate * plan.duration / 1000));
+		return {name, share: entitled === 0 ? 1 : Math.min(1, served / entitled)};
+	});
+	const [worst] = shares.toSorted((a, b) => a.share - b.share);
+	return worst ?? {name: '', share: 1};
+}
+
+function summarizeLatency(name: LoadClass, outcomes: readonly Outcome[]) {
+	const histogram = build();
+	for (const {request, kind, answeredAt} of outcomes) {
+		if (request.class === name && kind === 'done') {
+			histogram.recordValue(Math.max(0, Math.round((answeredAt - request.at) * unitsPerMillisecond)));
+		}
+	}
+
+	return {
+		p50: histogram.getValueAtPercentile(middle) / unitsPerMillisecond,
+		p99: histogram.getValueAtPercentile(high) / unitsPerMillisecond,
+		max: histogram.maxValue / unitsPerMillisecond,
+	};
+}
+
+function countCodes(outcomes: readonly Outcome[]): Readonly<Record<string, number>> {
+	const codes: Record<string, number> = {};
+	for (const {code} of outcomes) {
+		codes[code] = (codes[code] ?? 0) + 1;
+	}
+
+	return codes;
+}
--- a/packages/operators/create-metrics.ts
+++ b/packages/operators/create-metrics.ts
@@ -24,6 +24,9 @@
 		retries: new Counter({
 			name: 'sapphirefall_retries_total', help: 'Attempts repeated on an endpoint.', registers,
 		}),
+		borrows: new Counter({
+			name: 'sapphirefall_borrows_total', help: 'Requests for units to the home of a workspace, by place.', labelNames: ['place'], registers,
+		}),
 		failovers: new Counter({
 			name: 'sapphirefall_failover_steps_total', help: 'Steps of failover taken by this host as a watcher.', labelNames: ['step'], registers,
 		}),
--- a/packages/operators/create-operator-handler.ts
+++ b/packages/operators/create-operator-handler.ts
@@ -103,7 +103,7 @@
 					code: resultCodes.changeInvalid,
 					reason: decoded.kind === 'invalid' ? decoded.reason : 'the change has no identifier',
 				}
-				: backend.change(decoded.change, {changeId: request.changeId, basedOn: request.basedOn});
+				: backend.change(request, decoded.change);
 		},
 		status(_request, context) {
 			check(context);
--- a/packages/operators/metrics.ts
+++ b/packages/operators/metrics.ts
@@ -9,6 +9,7 @@
 	readonly seconds: Histogram;
 	readonly reads: Counter;
 	readonly retries: Counter;
+	readonly borrows: Counter;
 	readonly failovers: Counter;
 	readonly configurationVersion: Gauge;
 	readonly running: Gauge;
--- a/packages/operators/operator-backend.ts
+++ b/packages/operators/operator-backend.ts
@@ -1,11 +1,10 @@
 import type {Change} from '@sapphirefall/decisions';
 import type {MessageInitShape} from '@bufbuild/protobuf';
-import type {ChangeResponseSchema, StatusResponseSchema} from '@sapphirefall/wire';
+import type {ChangeRequest, ChangeResponseSchema, StatusResponseSchema} from '@sapphirefall/wire';
 
 /** What an operator's request is carried out by. */
 export type OperatorBackend = {
-	readonly change: (change: Change, options: {readonly changeId: string; readonly basedOn: number}) =>
-	Promise<MessageInitShape<typeof ChangeResponseSchema>>;
+	readonly change: (request: ChangeRequest, change: Change) => Promise<MessageInitShape<typeof ChangeResponseSchema>>;
 	readonly readStatus: () => MessageInitShape<typeof StatusResponseSchema>;
 	readonly drain: () => void;
 	readonly formatEvents: () => string;
--- a/packages/platform/commit-change.ts
+++ b/packages/platform/commit-change.ts
@@ -1,11 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {
-	applyChange, createConfiguration, resultCodes, type Change, type Configuration, type ResultCode,
+	applyChange, resultCodes, type Change, type Configuration, type FleetConfiguration, type ResultCode,
 } from '@sapphirefall/decisions';
 import {configurationRow} from './configuration-row.ts';
 import {describeChange} from './describe-change.ts';
-import {parseConfiguration} from './parse-configuration.ts';
-import {parseHead} from './parse-head.ts';
+import {parseRow} from './parse-row.ts';
+import {readBody} from './read-body.ts';
 import type {CommitOutcome} from './commit-outcome.ts';
 import type {ConfigurationHead} from './configuration-head.ts';
 import type {PlatformClient} from './platform-client.ts';
@@ -16,9 +16,16 @@
 	readonly changeId: string;
 	/** Version that the change was based on; 0 for the newest. */
 	readonly basedOn: number;
+	/** This host. */
+	readonly host: string;
 };
 
-type Current = {readonly version: number; readonly head: ConfigurationHead; readonly configuration: Configuration};
+/** The table row as it is now, and the configuration that it names. */
+type Current = {
+	readonly rowVersion: number;
+	readonly head: ConfigurationHead;
+	readonly configuration: Configuration;
+};
 
 /** Attempts at a change that names no version, while others commit theirs. */
 const attemptLimit = 8;
@@ -48,23 +55,23 @@
 
 		const made = current.head.changes.find(({changeId}) => changeId === requested.changeId);
 		if (made !== undefined) {
-			return {kind: 'committed', configuration: current.configuration};
+			return {kind: 'committed', fleet: createFleet(current, current.rowVersion)};
 		}
 
-		const refusal = checkBase(current, requested);
+		const refusal = checkAcceptor(current, requested) ?? checkBase(current, requested);
 		if (refusal !== undefined) {
 			return refusal;
 		}
 
 		const outcome = applyChange(current.configuration, requested);
 		if (outcome.kind === 'refused') {
-			return createRefusal(outcome.code, outcome.reason, current.version);
+			return createRefusal(outcome.code, outcome.reason, current.configuration.version);
 		}
 
 		wasWritten = true;
 		// eslint-disable-next-line no-await-in-loop -- attempts follow each other
 		if (await writeNext(platform, {current, requested, configuration: outcome.configuration})) {
-			return {kind: 'committed', configuration: outcome.configuration};
+			return {kind: 'committed', fleet: createFleet({...current, configuration: outcome.configuration}, current.rowVersion + 1)};
 		}
 	}
 
@@ -77,20 +84,28 @@
 	};
 }
 
+/** Joins what the row names with the row's version. */
+function createFleet(current: Current, rowVersion: number): FleetConfiguration {
+	return {configuration: current.configuration, roster: {...current.head.roster, head: rowVersion}};
+}
+
+/** Refuses a change at a host that is no acceptor, since other hosts do not wait for its word. */
+function checkAcceptor(current: Current, requested: Requested): CommitOutcome | undefined {
+	const {acceptors} = current.head.roster;
+	return acceptors.length === 0 || acceptors.includes(requested.host)
+		? undefined
+		: createRefusal(resultCodes.acceptorElsewhere, `changes enter through ${acceptors.join(', ')}`, current.configuration.version);
+}
+
 async function readCurrent(platform: PlatformClient): Promise<Current> {
 	const row = await platform.readRow(configurationRow);
-	if (row.version === 0) {
-		return {version: 0, head: {object: '', changes: []}, configuration: createConfiguration()};
-	}
-
-	const head = parseHead(row.value);
-	const body = await platform.readObject(head.object);
-	return {version: row.version, head, configuration: parseConfiguration(Buffer.from(body).toString('utf8'))};
+	const head = parseRow(row);
+	return {rowVersion: row.version, head, configuration: await readBody(platform, head.object)};
 }
 
 /** Refuses a change that was based on an older version, and tells what changed since. */
 function checkBase(current: Current, requested: Requested): CommitOutcome | undefined {
-	if (requested.basedOn === 0 || requested.basedOn === current.version) {
+	if (requested.basedOn === 0 || requested.basedOn === current.configuration.version) {
 		return undefined;
 	}
 
@@ -99,8 +114,8 @@
 		.map(({version, summary}) => `${version}: ${summary}`);
 	return createRefusal(
 		resultCodes.versionConflict,
-		`version ${current.version} is in force, not ${requested.basedOn}; changed since: ${since.join('; ')}`,
-		current.version,
+		`version ${current.configuration.version} is in force, not ${requested.basedOn}; changed since: ${since.join('; ')}`,
+		current.configuration.version,
 	);
 }
 
@@ -113,11 +128,11 @@
 	const object = `configuration/${configuration.version}-${requested.changeId}`;
 	const summary = describeChange(requested.change);
 	const entry = {version: configuration.version, changeId: requested.changeId, summary};
-	const head: ConfigurationHead = {object, changes: [...current.head.changes, entry].slice(-changesKept)};
+	const head: ConfigurationHead = {...current.head, object, changes: [...current.head.changes, entry].slice(-changesKept)};
 	try {
 		await platform.writeObject(object, Buffer.from(JSON.stringify(configuration)));
 		const written = await platform.writeRow(configurationRow, {
-			expectedVersion: current.version, value: JSON.stringify(head),
+			expectedVersion: current.rowVersion, value: JSON.stringify(head),
 		});
 		return written.isWritten;
 	} catch {
--- /dev/null
+++ b/packages/platform/commit-roster.ts
@@ -0,0 +1,28 @@
+import type {FleetConfiguration, Roster} from '@sapphirefall/decisions';
+import {configurationRow} from './configuration-row.ts';
+import {parseRow} from './parse-row.ts';
+import {readBody} from './read-body.ts';
+import type {ConfigurationHead} from './configuration-head.ts';
+import type {PlatformClient} from './platform-client.ts';
+
+/**
+ * Commits a roster, if the table row is still the one that the roster was chosen for.
+ *
+ * @param platform The platform.
+ * @param next The version of the row that is known, the hosts and the acceptors.
+ * @returns What is in force afterwards, or `undefined` when another change went first.
+ * @throws {Error} When the platform does not answer; the roster may have been committed.
+ */
+export async function commitRoster(platform: PlatformClient, next: Roster): Promise<FleetConfiguration | undefined> {
+	const row = await platform.readRow(configurationRow);
+	if (row.version !== next.head) {
+		return undefined;
+	}
+
+	const {head: _, ...roster} = next;
+	const head: ConfigurationHead = {...parseRow(row), roster};
+	const written = await platform.writeRow(configurationRow, {expectedVersion: next.head, value: JSON.stringify(head)});
+	return written.isWritten
+		? {configuration: await readBody(platform, head.object), roster: {...next, head: written.row.version}}
+		: undefined;
+}
--- a/packages/platform/configuration-head.ts
+++ b/packages/platform/configuration-head.ts
@@ -1,6 +1,9 @@
-/** The table row that names the configuration in force. The row's version is the configuration's. */
+import type {Roster} from '@sapphirefall/decisions';
+
+/** The table row that names the configuration in force and holds the roster. */
 export type ConfigurationHead = {
-	/** Name of the object that holds the body. */
+	readonly roster: Omit<Roster, 'head'>;
+	/** Name of the object that holds the body; empty before the first change. */
 	readonly object: string;
 	/** The latest changes, oldest first. */
 	readonly changes: ReadonlyArray<{
--- a/packages/platform/parse-head.ts
+++ b/packages/platform/parse-head.ts
@@ -1,7 +1,9 @@
 import {z} from 'zod';
+import {rosterSchema} from './roster-schema.ts';
 import type {ConfigurationHead} from './configuration-head.ts';
 
 const schema = z.strictObject({
+	roster: rosterSchema,
 	object: z.string(),
 	changes: z.array(z.strictObject({version: z.number(), changeId: z.string(), summary: z.string()})),
 });
--- a/packages/platform/read-configuration.ts
+++ b/packages/platform/read-configuration.ts
@@ -1,27 +1,28 @@
-import {Buffer} from 'node:buffer';
-import {createConfiguration, type Configuration} from '@sapphirefall/decisions';
+import type {FleetConfiguration} from '@sapphirefall/decisions';
 import {configurationRow} from './configuration-row.ts';
-import {parseConfiguration} from './parse-configuration.ts';
-import {parseHead} from './parse-head.ts';
+import {readBody} from './read-body.ts';
+import {parseRow} from './parse-row.ts';
 import type {PlatformClient} from './platform-client.ts';
 
 /**
- * Reads the configuration in force.
+ * Reads the configuration in force and the roster.
  *
- * The body is fetched only when the version differs from that of the known configuration.
+ * The body is fetched only when the table row differs from the known one.
  *
  * @throws {Error} When the platform does not answer.
  */
-export async function readConfiguration(platform: PlatformClient, known: Configuration): Promise<Configuration> {
+export async function readConfiguration(
+	platform: PlatformClient,
+	known: FleetConfiguration,
+): Promise<FleetConfiguration> {
 	const row = await platform.readRow(configurationRow);
-	if (row.version === known.version) {
+	if (row.version === known.roster.head) {
 		return known;
 	}
 
-	if (row.version === 0) {
-		return createConfiguration();
-	}
-
-	const body = await platform.readObject(parseHead(row.value).object);
-	return parseConfiguration(Buffer.from(body).toString('utf8'));
+	const {object, roster} = parseRow(row);
+	return {
+		configuration: await readBody(platform, object),
+		roster: {...roster, head: row.version},
+	};
 }
--- /dev/null
+++ b/packages/proxy/create-change-backend.ts
@@ -0,0 +1,136 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	resultCodes, type Change, type HostEvent, type HostState,
+} from '@sapphirefall/decisions';
+import type {EventLog} from '@sapphirefall/events';
+import {decodeChange} from '@sapphirefall/operators';
+import {
+	commitChange, commitRoster, readConfiguration, type CommitOutcome, type PlatformClient,
+} from '@sapphirefall/platform';
+import type {ChangeRequest} from '@sapphirefall/wire';
+import type {ChangeBackend} from './change-backend.ts';
+import type {FindPeer} from './find-peer.ts';
+import type {HostLog} from './host-log.ts';
+
+type Options = {
+	readonly self: string;
+	readonly platform: PlatformClient;
+	readonly readState: () => HostState;
+	readonly dispatch: (event: HostEvent) => void;
+	readonly findPeer: FindPeer;
+	readonly events: EventLog;
+	readonly log: HostLog;
+	readonly now: () => number;
+};
+
+/** Milliseconds after which a write to the table that got no answer can no longer take effect. */
+const settleSpan = 5000;
+
+/** Creates what commits changes of the configuration and the roster. */
+export function createChangeBackend(options: Options): ChangeBackend {
+	const {platform, dispatch, log, now} = options;
+	let commits = 0;
+
+	const countCommits = (step: number) => {
+		commits += step;
+		dispatch({kind: 'commitChanged', isCommitting: commits > 0});
+	};
+
+	const readVersion = async () => {
+		const provenAt = now();
+		try {
+			const fleet = await readConfiguration(platform, options.readState());
+			dispatch({kind: 'configurationRead', fleet, provenAt});
+			return true;
+		} catch {
+			log.debug('platform: The configuration could not be read.');
+			return false;
+		}
+	};
+
+	/** Ends a commit whose outcome is not known once the table shows what became of it. */
+	const settleLater = async () => {
+		do {
+			await sleep(settleSpan); // eslint-disable-line no-await-in-loop -- each read follows a pause
+		} while (!await readVersion()); // eslint-disable-line no-await-in-loop
+
+		countCommits(-1);
+	};
+
+	const commit = async (request: ChangeRequest, change: Change): Promise<CommitOutcome> => {
+		const {changeId, basedOn} = request;
+		const provenAt = now();
+		countCommits(1);
+		const outcome = await commitChange(platform, {
+			change, changeId, basedOn, host: options.self,
+		});
+		if (outcome.kind === 'committed') {
+			dispatch({kind: 'configurationRead', fleet: outcome.fleet, provenAt});
+			options.events.emit({kind: 'change-committed', detail: `version ${outcome.fleet.configuration.version}`});
+		} else {
+			options.events.emit({kind: 'change-refused', detail: `code ${outcome.code}`});
+		}
+
+		if (outcome.kind === 'refused' && outcome.code === resultCodes.storeAnswerLost) {
+			void settleLater();
+		} else {
+			countCommits(-1);
+		}
+
+		return outcome;
+	};
+
+	const passOn = async (request: ChangeRequest) => {
+		for (const id of options.readState().roster.acceptors) {
+			try {
+				const answer = await options.findPeer(id)?.passChange(request); // eslint-disable-line no-await-in-loop -- one after the other
+				if (answer !== undefined) {
+					return answer;
+				}
+			} catch {
+				log.debug(`hosts: Acceptor ${id} did not answer.`);
+			}
+		}
+
+		return {code: resultCodes.storeUnavailable, reason: 'no host through which changes enter can be reached'};
+	};
+
+	const change = async (request: ChangeRequest, wanted: Change) => {
+		const {acceptors} = options.readState().roster;
+		if (acceptors.length > 0 && !acceptors.includes(options.self)) {
+			return passOn(request);
+		}
+
+		const outcome = await commit(request, wanted);
+		return outcome.kind === 'refused'
+			? {code: outcome.code, reason: outcome.reason, version: outcome.version}
+			: {code: resultCodes.done, version: outcome.fleet.configuration.version};
+	};
+
+	return {
+		change,
+		readVersion,
+		async takeChange(request) {
+			const decoded = decodeChange(request);
+			return decoded.kind === 'invalid'
+				? {code: resultCodes.changeInvalid, reason: decoded.reason}
+				: change(request, decoded.change);
+		},
+		async changeRoster(roster) {
+			const {head} = options.readState().roster;
+			const provenAt = now();
+			countCommits(1);
+			try {
+				const fleet = await commitRoster(platform, {...roster, head});
+				countCommits(-1);
+				if (fleet !== undefined) {
+					dispatch({kind: 'configurationRead', fleet, provenAt});
+					log.info(`platform: The roster has ${roster.homes.length} live hosts.`);
+				}
+			} catch {
+				log.debug('platform: The roster could not be changed.');
+				void settleLater();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/proxy/create-failover-runner.ts
@@ -0,0 +1,111 @@
+import type {FailoverEffect, HostEvent, HostState} from '@sapphirefall/decisions';
+import type {EventLog} from '@sapphirefall/events';
+import type {Metrics} from '@sapphirefall/operators';
+import type {FindPeer} from './find-peer.ts';
+import type {GroupRuntime} from './group-runtime.ts';
+import type {HostLog} from './host-log.ts';
+
+type Options = {
+	/** Names this process; an instance grants a term to one owner only. */
+	readonly owner: string;
+	readonly readState: () => HostState;
+	readonly dispatch: (event: HostEvent) => void;
+	readonly findGroup: (database: string) => GroupRuntime | undefined;
+	readonly findPeer: FindPeer;
+	readonly events: EventLog;
+	readonly metrics: Metrics;
+	readonly log: HostLog;
+	readonly now: () => number;
+};
+
+/** Creates what carries out the steps of failover that the decisions order. */
+export function createFailoverRunner(options: Options): (database: string, effect: FailoverEffect) => void {
+	const {dispatch, findGroup, log, now} = options;
+
+	const tell = (database: string, step: string) => {
+		options.metrics.failovers.inc({step});
+		options.events.emit({kind: 'failover-step', database, detail: step});
+		log.info(`failover: Database ${database}: ${step}.`);
+	};
+
+	const askConfirmation = (database: string, term: number) => {
+		const {groups, membership} = options.readState();
+		for (const id of groups.get(database)?.watch?.others ?? []) {
+			const zone = membership.hosts.get(id)?.zone ?? '';
+			void confirm({
+				id, zone, database, term,
+			});
+		}
+	};
+
+	const confirm = async (asked: {readonly id: string; readonly zone: string; readonly database: string; readonly term: number}) => {
+		try {
+			if (await options.findPeer(asked.id)?.confirm(asked.database, asked.term)) {
+				dispatch({kind: 'failover', database: asked.database, event: {kind: 'confirmed', zone: asked.zone}});
+			}
+		} catch {
+			log.debug(`hosts: Host ${asked.id} did not confirm.`);
+		}
+	};
+
+	const fence = async (database: string, {instance, term}: Extract<FailoverEffect, {readonly kind: 'fence'}>) => {
+		const answer = await findGroup(database)?.findCommander(instance)?.fence(term, options.owner);
+		if (answer !== undefined) {
+			dispatch({kind: 'failover', database, event: {kind: 'fenceAnswered', term, ...answer}});
+		}
+	};
+
+	const promote = async (database: string, {instance, term}: Extract<FailoverEffect, {readonly kind: 'promote'}>) => {
+		const sentAt = now();
+		const answer = await findGroup(database)?.findCommander(instance)?.promote(term, options.owner);
+		if (answer !== undefined) {
+			dispatch({
+				kind: 'reported', database, report: answer.report, sentAt,
+			});
+			dispatch({kind: 'failover', database, event: {kind: 'promoteAnswered', term, isGranted: answer.isGranted}});
+		}
+	};
+
+	const follow = async (database: string, effect: Extract<FailoverEffect, {readonly kind: 'follow'}>) => {
+		const group = findGroup(database);
+		const primary = group?.view().group.instances.find(({id}) => id === effect.primary);
+		if (primary !== undefined) {
+			await group?.findCommander(effect.instance)?.follow(effect.term, primary);
+		}
+	};
+
+	const run = async (database: string, effect: FailoverEffect) => {
+		switch (effect.kind) {
+			case 'tell': {
+				tell(database, effect.step);
+				break;
+			}
+
+			case 'askConfirmation': {
+				askConfirmation(database, effect.term);
+				break;
+			}
+
+			case 'fence': {
+				await fence(database, effect);
+				break;
+			}
+
+			case 'promote': {
+				await promote(database, effect);
+				break;
+			}
+
+			case 'follow': {
+				await follow(database, effect);
+				break;
+			}
+		}
+	};
+
+	return (database, effect) => {
+		run(database, effect).catch(() => { // eslint-disable-line promise/prefer-await-to-then -- the loop does not wait
+			log.debug(`failover: Database ${database}: the command to ${effect.kind} got no answer.`);
+		});
+	};
+}
--- a/packages/proxy/create-group-runtime.ts
+++ b/packages/proxy/create-group-runtime.ts
@@ -1,12 +1,14 @@
 import type {GroupView, InstanceReport} from '@sapphirefall/decisions';
 import {
-	createCommander, createPool, openConnection, openProber, type Commander, type Pool, type Prober,
+	createCommander, createPool, openConnection, openProber, type Commander, type Connection, type Pool, type Prober,
 } from '@sapphirefall/endpoints';
 import type {GroupRuntime} from './group-runtime.ts';
 
 type Options = {
 	readonly settings: {
 		readonly connections: number;
+		readonly directConnections: number;
+		readonly idleSpan: number;
 		readonly heartbeatInterval: number;
 		readonly silenceLimit: number;
 		readonly reconnectDelay: number;
@@ -16,11 +18,15 @@
 	readonly onReport: (report: InstanceReport, sentAt: number) => void;
 };
 
+/** A pool and the monotonic milliseconds of its last use. */
+type UsedPool = {readonly pool: Pool; usedAt: number};
+
 type InstanceLinks = {
 	readonly address: string;
 	readonly prober: Prober;
 	readonly commander: Commander;
-	pool: Pool | undefined;
+	/** Pools by use; absent while they are not used. */
+	readonly pools: Map<'gateway' | 'direct', UsedPool>;
 };
 
 type Waiter = {
@@ -43,6 +49,7 @@
  */
 export function createGroupRuntime(first: GroupView, options: Options): GroupRuntime {
 	const links = new Map<string, InstanceLinks>();
+	const owners = new WeakMap<Connection, Pool>();
 	const waiters = new Set<Waiter>();
 	const scopes = new Map<AbortController, number>();
 	let view = first;
@@ -78,31 +85,53 @@
 			const known = links.get(id);
 			if (known?.address !== address) {
 				known?.prober.close();
-				known?.pool?.close();
+				closePools(known);
 				links.set(id, {
 					address,
 					prober: openProber(address, {...options, silenceLimit: options.settings.silenceLimit}),
 					commander: createCommander(address, options.settings.commandTimeout),
-					pool: undefined,
+					pools: new Map(),
 				});
 			}
 		}
 	};
 
-	const findPool = (instance: string): Pool | undefined => {
+	const findPool = (instance: string, use: 'gateway' | 'direct'): Pool | undefined => {
 		const link = links.get(instance);
-		if (link !== undefined) {
-			link.pool ??= createPool({
-				open: async onClosed => openConnection(link.address, {...options.settings, onClosed}),
-				size: options.settings.connections,
-				retryDelay: options.settings.reconnectDelay,
-				now: options.now,
-			});
+		if (link === undefined) {
+			return undefined;
+		}
+
+		const known = link.pools.get(use);
+		if (known !== undefined) {
+			known.usedAt = options.now();
+			return known.pool;
 		}
 
-		return link?.pool;
+		const pool = createPool({
+			open: async onClosed => openConnection(link.address, {...options.settings, now: options.now, onClosed}),
+			size: use === 'gateway' ? options.settings.connections : options.settings.directConnections,
+			retryDelay: options.settings.reconnectDelay,
+			now: options.now,
+		});
+		link.pools.set(use, {pool, usedAt: options.now()});
+		return pool;
+	};
+
+	/** Closes the pools that have not been used for a while, so that scarce connections go to those who need them. */
+	const closeIdlePools = () => {
+		for (const {pools} of links.values()) {
+			for (const [use, {pool, usedAt}] of pools) {
+				if (options.now() - usedAt > options.settings.idleSpan) {
+					pool.close();
+					pools.delete(use);
+				}
+			}
+		}
 	};
 
+	const idleTimer = setInterval(closeIdlePools, options.settings.idleSpan);
+
 	connectInstances();
 	return {
 		database: view.group.database,
@@ -128,9 +157,17 @@
 			}
 		},
 		probe,
-		take: async (instance, demand) => findPool(instance)?.take(demand),
-		give(instance, connection) {
-			links.get(instance)?.pool?.give(connection);
+		async take(instance, demand) {
+			const pool = findPool(instance, demand.isGateway ? 'gateway' : 'direct');
+			const connection = await pool?.take(demand);
+			if (connection !== undefined && pool !== undefined) {
+				owners.set(connection, pool);
+			}
+
+			return connection;
+		},
+		give(connection) {
+			owners.get(connection)?.give(connection);
 		},
 		async waitFor(find, {deadline, isUrgent}) {
 			const found = find(view);
@@ -175,14 +212,21 @@
 		findCommander: instance => links.get(instance)?.commander,
 		close() {
 			clearTimeout(urgentTimer);
-			for (const {prober, pool} of links.values()) {
-				prober.close();
-				pool?.close();
+			clearInterval(idleTimer);
+			for (const link of links.values()) {
+				link.prober.close();
+				closePools(link);
 			}
 		},
 	};
 }
 
+function closePools(link: InstanceLinks | undefined): void {
+	for (const {pool} of link?.pools.values() ?? []) {
+		pool.close();
+	}
+}
+
 /** Aborts the attempts of terms that have ended. */
 function abortOlder(scopes: ReadonlyMap<AbortController, number>, term: number): void {
 	for (const [controller, scopeTerm] of scopes) {
--- /dev/null
+++ b/packages/proxy/create-operator-backend.ts
@@ -0,0 +1,64 @@
+import {findProvenAt, listLiveHosts, type HostState} from '@sapphirefall/decisions';
+import {formatEvent, type EventLog} from '@sapphirefall/events';
+import type {Metrics, OperatorBackend} from '@sapphirefall/operators';
+import type {ChangeBackend} from './change-backend.ts';
+import {describeConfiguration} from './describe-configuration.ts';
+
+type Options = {
+	readonly self: string;
+	readonly zone: string;
+	readonly readState: () => HostState;
+	readonly changes: ChangeBackend;
+	readonly events: EventLog;
+	readonly metrics: Metrics;
+	readonly countRunning: () => number;
+	/** Whether homes that changed have outwaited those before them. */
+	readonly areRatesReady: () => boolean;
+	/** Milliseconds for which a proof of the configuration allows keyed requests. */
+	readonly staleAfter: number;
+	readonly drain: () => void;
+	readonly now: () => number;
+};
+
+const longestAge = 0xFF_FF_FF_FF;
+
+/** Creates what carries out operators' requests on this host. */
+export function createOperatorBackend(options: Options): OperatorBackend {
+	const findAge = () => options.now() - findProvenAt(options.readState());
+	return {
+		change: options.changes.change,
+		readStatus() {
+			const state = options.readState();
+			const live = new Set(listLiveHosts(state.membership).map(({id}) => id));
+			return {
+				host: options.self,
+				zone: options.zone,
+				configVersion: state.configuration.version,
+				configAgeMs: Math.min(Math.ceil(findAge()), longestAge),
+				groups: [...state.groups.values()].map(({view}) => ({
+					database: view.group.database,
+					term: view.term,
+					primary: view.primary ?? '',
+					instances: [...view.instances.values()]
+						.map(({report}) => `${report.instance} ${report.role} ${report.at.term}/${report.at.position}`),
+				})),
+				hosts: [...state.membership.hosts.values()].map(host => ({
+					id: host.id,
+					zone: host.zone,
+					alive: live.has(host.id),
+					configVersion: host.id === options.self ? state.configuration.version : state.versions.get(host.id) ?? 0,
+				})),
+				roster: [...state.roster.homes],
+				acceptors: [...state.roster.acceptors],
+				ratesReady: options.areRatesReady(),
+				draining: state.isDraining,
+				running: options.countRunning(),
+				configuration: describeConfiguration(state.configuration),
+			};
+		},
+		drain: options.drain,
+		formatEvents: () => options.events.list().map(event => `${formatEvent(event)}\n`).join(''),
+		isReady: () => !options.readState().isDraining && findAge() <= options.staleAfter,
+		readMetrics: async () => options.metrics.registry.metrics(),
+	};
+}
--- a/packages/proxy/create-request-handler.ts
+++ b/packages/proxy/create-request-handler.ts
@@ -1,17 +1,20 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addRequest, admitRequest, createRefusal, resultCodes, takeRetry, takeUnits,
-	type AdmittedRequest, type Answer, type HostState, type Request, type RetryBudget, type SessionClaim, type TokenBucket,
+	addRequest, admitRequest, chooseGateway, createRefusal, findProvenAt, resultCodes, takeRetry,
+	type AdmittedRequest, type Answer, type HostState, type Request, type RetryBudget, type SessionClaim,
 } from '@sapphirefall/decisions';
 import type {EventLog} from '@sapphirefall/events';
 import type {Metrics} from '@sapphirefall/operators';
 import type {HostFile} from '@sapphirefall/settings';
 import {executeRequest} from './execute-request.ts';
+import type {FindPeer} from './find-peer.ts';
 import type {GroupRuntime} from './group-runtime.ts';
+import type {RateGate} from './rate-gate.ts';
 
 type Options = {
 	readonly settings: HostFile;
-	readonly state: () => HostState;
+	readonly readState: () => HostState;
+	readonly rates: RateGate;
+	readonly findPeer: FindPeer;
 	readonly findGroup: (database: string) => GroupRuntime | undefined;
 	readonly demand: (database: string) => void;
 	readonly sessions: {
@@ -28,6 +31,8 @@
 
 type RequestHandler = {
 	readonly handle: (request: Request) => Promise<Handled>;
+	/** Executes a request that another host has admitted, as its gateway. */
+	readonly executeForwarded: (request: AdmittedRequest) => Promise<Answer>;
 	/** Requests that run now. */
 	readonly countRunning: () => number;
 	/** Resolves when no request runs. */
@@ -37,16 +42,16 @@
 /** Creates what takes a caller's request from the door to its answer. */
 export function createRequestHandler(options: Options): RequestHandler {
 	const {settings, events, metrics, now} = options;
-	const buckets = new Map<string, TokenBucket>();
 	const idleWaiters = new Set<() => void>();
 	let budget: RetryBudget = {retries: 10};
 	let running = 0;
 
 	const admit = (request: Request) => {
-		const {configuration, provenAt, groups, isDraining} = options.state();
+		const state = options.readState();
+		const {configuration, groups, isDraining} = state;
 		return admitRequest(request, {
 			configuration,
-			provenAt,
+			provenAt: findProvenAt(state),
 			databases: new Set(groups.keys()),
 			isDraining,
 			staleAfter: settings.keys.staleAfter,
@@ -57,37 +62,7 @@
 		});
 	};
 
-	const tryRate = (request: AdmittedRequest) => {
-		const limit = options.state().configuration.workspaces[request.workspace];
-		const {shares} = settings.rate;
-		const taken = takeUnits(buckets.get(request.workspace), {
-			cost: request.cost,
-			rate: (limit?.rate ?? 0) / shares,
-			burst: (limit?.burst ?? 0) / shares,
-			now: now(),
-		});
-		buckets.set(request.workspace, taken.bucket);
-		return taken;
-	};
-
-	/** Takes the request's cost from the workspace's rate; waits for it when it will be there soon. */
-	const takeRate = async (request: AdmittedRequest): Promise<Answer | undefined> => {
-		const latest = Math.min(request.deadline, now() + settings.rate.longestWait);
-		for (;;) {
-			const taken = tryRate(request);
-			if (taken.isTaken) {
-				return undefined;
-			}
-
-			if (now() + taken.retryAfter > latest) {
-				return createRefusal(resultCodes.rateExceeded, {reason: 'the workspace is above its rate', retryAfter: taken.retryAfter});
-			}
-
-			await sleep(taken.retryAfter); // eslint-disable-line no-await-in-loop -- the units are not there before
-		}
-	};
-
-	const execute = async (request: AdmittedRequest): Promise<Answer> => {
+	const executeHere = async (request: AdmittedRequest, isGateway: boolean): Promise<Answer> => {
 		const group = options.findGroup(request.database);
 		if (group === undefined) {
 			return createRefusal(resultCodes.unknownDatabase, {reason: `the database "${request.database}" does not exist`});
@@ -97,6 +72,7 @@
 		budget = addRequest(budget);
 		return executeRequest(request, {
 			group,
+			isGateway,
 			zone: settings.host.zone,
 			now,
 			wallNow: options.wallNow,
@@ -118,6 +94,28 @@
 		});
 	};
 
+	/** Executes a request at its gateway, or here when the gateway's answer is lost. */
+	const execute = async (request: AdmittedRequest): Promise<Answer> => {
+		const gateway = chooseGateway(options.readState(), request);
+		const peer = gateway === settings.host.id ? undefined : options.findPeer(gateway);
+		if (peer === undefined) {
+			return executeHere(request, gateway === settings.host.id);
+		}
+
+		const signal = AbortSignal.timeout(Math.max(1, Math.ceil(request.deadline - now())));
+		const answer = await peer.forward(request, signal);
+		if (answer !== undefined) {
+			return answer;
+		}
+
+		events.emit({
+			kind: 'attempt-failed', request: request.requestId, workspace: request.workspace, database: request.database, detail: `the gateway ${gateway} did not answer`,
+		});
+		return withholdNotRun(request, now() < request.deadline
+			? await executeHere(request, false)
+			: {kind: 'unknown', code: resultCodes.deadlinePassed, reason: 'the gateway did not answer before the deadline'});
+	};
+
 	const signSession = (request: AdmittedRequest, answer: Answer): string => {
 		if (answer.kind !== 'done') {
 			return '';
@@ -136,7 +134,7 @@
 		const names = {request: request.requestId, workspace: request.workspace, database: request.database};
 		events.emit({kind: 'request-admitted', ...names, detail: describeWork(request)});
 		try {
-			const answer = await takeRate(request) ?? await execute(request);
+			const answer = await options.rates.take(request) ?? await execute(request);
 			const elapsed = now() - request.arrivedAt;
 			events.emit({kind: 'request-answered', ...names, detail: `${describeAnswer(answer)} in ${elapsed.toFixed(1)} ms`});
 			metrics.seconds.observe({class: describeWork(request)}, elapsed / 1000);
@@ -178,6 +176,15 @@
 
 			return run(admission.request);
 		},
+		async executeForwarded(request) {
+			running++;
+			try {
+				return await executeHere(request, true);
+			} finally {
+				running--;
+				wakeIdle();
+			}
+		},
 		countRunning: () => running,
 		async waitForIdle() {
 			await new Promise<void>(resolve => {
@@ -188,6 +195,13 @@
 	};
 }
 
+/** Turns "not run" into "unknown" for a write that the gateway may still run. */
+function withholdNotRun(request: AdmittedRequest, answer: Answer): Answer {
+	return answer.kind === 'notRun' && request.work.kind === 'write'
+		? {kind: 'unknown', code: resultCodes.answerLost, reason: `the gateway did not answer, and ${answer.reason}`}
+		: answer;
+}
+
 function describeWork({work}: AdmittedRequest): string {
 	return work.kind === 'write' ? 'write' : work.freshness.kind;
 }
--- a/packages/proxy/execute-read.ts
+++ b/packages/proxy/execute-read.ts
@@ -89,7 +89,9 @@
 	const deadline = kind === 'replica' ? now + patience : request.deadline;
 	const scope = context.group.openScope(term, deadline);
 	try {
-		const connection = await context.group.take(instance, {...request, deadline, signal: scope.signal});
+		const connection = await context.group.take(instance, {
+			...request, deadline, isGateway: context.isGateway, signal: scope.signal,
+		});
 		if (connection === undefined) {
 			return {kind: 'failed', mayHaveRun: false, reason: 'no connection came free'};
 		}
@@ -97,7 +99,7 @@
 		const outcome = await connection.run({
 			term, isReadOnly: true, step: 'whole', statements: request.statements,
 		}, scope.signal);
-		context.group.give(instance, connection);
+		context.group.give(connection);
 		switch (outcome.kind) {
 			case 'ran': {
 				return {
--- a/packages/proxy/execute-write.ts
+++ b/packages/proxy/execute-write.ts
@@ -61,7 +61,7 @@
 	const {instance, term} = primary;
 	const scope = group.openScope(term, deadline);
 	try {
-		const connection = await group.take(instance, {...request, signal: scope.signal});
+		const connection = await group.take(instance, {...request, isGateway: context.isGateway, signal: scope.signal});
 		if (connection === undefined) {
 			return createBusy(context, request);
 		}
@@ -69,7 +69,7 @@
 		const outcome = await runTransaction({
 			request, context, connection, term, signal: scope.signal,
 		});
-		group.give(instance, connection);
+		group.give(connection);
 		return outcome.kind === 'committed'
 			? await acknowledge(outcome, {
 				request, context, term, instance,
--- a/packages/proxy/execution-context.ts
+++ b/packages/proxy/execution-context.ts
@@ -3,6 +3,8 @@
 /** What the execution of a request needs besides the request. */
 export type ExecutionContext = {
 	readonly group: GroupRuntime;
+	/** Whether this host is the gateway, which has more connections than others. */
+	readonly isGateway: boolean;
 	readonly zone: string;
 	/** Present monotonic milliseconds. */
 	readonly now: () => number;
--- a/packages/proxy/group-runtime.ts
+++ b/packages/proxy/group-runtime.ts
@@ -13,10 +13,12 @@
 	readonly take: (instance: string, demand: {
 		readonly workspace: string;
 		readonly cost: number;
+		/** Whether to use the gateway's connections or the few that any host may open. */
+		readonly isGateway: boolean;
 		readonly deadline: number;
 		readonly signal: AbortSignal;
 	}) => Promise<Connection | undefined>;
-	readonly give: (instance: string, connection: Connection) => void;
+	readonly give: (connection: Connection) => void;
 	/**
 	 * Waits until the view holds what is looked for; undefined after the deadline.
 	 *
--- a/packages/proxy/mod.ts
+++ b/packages/proxy/mod.ts
@@ -1,14 +1,23 @@
 /** The proxy itself: requests, database groups, and the control loop that ties the peers to the decisions. */
+export type * from './change-backend.ts';
+export * from './create-change-backend.ts';
+export * from './create-exchanger.ts';
+export * from './create-failover-runner.ts';
 export * from './create-group-runtime.ts';
 export * from './create-loop.ts';
+export * from './create-operator-backend.ts';
+export * from './create-peers.ts';
+export * from './create-rate-gate.ts';
 export * from './create-request-handler.ts';
 export * from './describe-configuration.ts';
 export * from './execute-read.ts';
 export * from './execute-request.ts';
 export * from './execute-write.ts';
 export type * from './execution-context.ts';
+export type * from './find-peer.ts';
 export type * from './group-runtime.ts';
 export type * from './host-log.ts';
+export type * from './rate-gate.ts';
 export type * from './running-host.ts';
 export type * from './scope.ts';
 export * from './start-host.ts';
--- a/packages/proxy/running-host.ts
+++ b/packages/proxy/running-host.ts
@@ -1,6 +1,9 @@
-import type {Answer, HostState, Request} from '@sapphirefall/decisions';
-import type {ExchangeContent} from '@sapphirefall/hosts';
+import type {AdmittedRequest, Answer, Request} from '@sapphirefall/decisions';
+import type {
+	BorrowAsked, BorrowGranted, ExchangeContent, HandedBucket,
+} from '@sapphirefall/hosts';
 import type {OperatorBackend} from '@sapphirefall/operators';
+import type {ChangeBackend} from './change-backend.ts';
 
 /** A host that runs, without its listeners. */
 export type RunningHost = {
@@ -8,7 +11,16 @@
 	readonly exchange: (content: ExchangeContent) => ExchangeContent;
 	readonly confirm: (database: string, term: number) => boolean;
 	readonly operators: OperatorBackend;
-	readonly state: () => HostState;
+	/** Executes a request that another host has admitted. */
+	readonly execute: (request: AdmittedRequest) => Promise<Answer>;
+	/** Present monotonic milliseconds. */
+	readonly now: () => number;
+	/** Lends units of a workspace; undefined when this host is not its home. */
+	readonly lend: (asked: BorrowAsked) => BorrowGranted | undefined;
+	/** Takes the bucket of a workspace over; false when this host does not know that it is its home. */
+	readonly takeOver: (bucket: HandedBucket) => boolean;
+	/** Commits a change that another host passed on. */
+	readonly takeChange: ChangeBackend['takeChange'];
 	/** Stops taking requests, and resolves when those that run have ended. */
 	readonly drain: () => Promise<void>;
 	readonly stop: () => void;
--- a/packages/settings/host-schema.ts
+++ b/packages/settings/host-schema.ts
@@ -38,17 +38,24 @@
 	}).prefault({}),
 	keys: z.strictObject({
 		staleAfter: milliseconds(4000, 'Age of the configuration\'s proof after which keyed requests are refused.'),
+		wordSpan: milliseconds(900_000, 'Time without the platform\'s table after which the word of an acceptor no longer counts as proof.'),
 	}).prefault({}),
 	rate: z.strictObject({
-		shares: z.number().int().min(1).max(10_000).default(9).describe('Number. Hosts among which each rate and burst is split; no fewer than ever run at a time.'),
-		longestWait: milliseconds(250, 'Longest time that a request waits for its units before it is refused.'),
+		reserve: z.number().min(0).max(1).default(0.2).describe('Share of each rate and burst that is split evenly over the hosts; the rest lies with the workspace\'s home.'),
+		reserveSpan: milliseconds(600_000, 'Time after its last proof of the roster for which a host uses its share of the reserves, and until a new host may.'),
+		loanSpan: milliseconds(400, 'Time for which units on loan may be used.'),
+		prefetch: z.number().int().min(0).max(10_000).default(250).describe('Milliseconds of recent demand that a loan covers ahead.'),
+		proofLimit: milliseconds(1000, 'Age of the roster\'s proof at which a host stops lending and using units.'),
+		longestWait: milliseconds(500, 'Longest time that a request waits for units that its rate does not give yet, before it is refused.'),
 	}).prefault({}),
 	idempotency: z.strictObject({
 		retention: z.number().int().min(60_000).max(31_536_000_000).default(86_400_000)
 			.describe('Milliseconds. Time for which the result of a write is kept under its idempotency key.'),
 	}).prefault({}),
 	endpoints: z.strictObject({
-		connections: z.number().int().min(1).max(1000).default(3).describe('Number. Connections that this host keeps open to each instance it uses.'),
+		connections: z.number().int().min(1).max(1000).default(6).describe('Number. Connections that a gateway keeps open to each instance it uses.'),
+		directConnections: z.number().int().min(1).max(1000).default(1).describe('Number. Connections that a host opens to an instance whose gateway it cannot reach.'),
+		idleSpan: milliseconds(10_000, 'Time without use after which the connections to an instance are closed.'),
 		heartbeatInterval: milliseconds(400, 'Between two heartbeats on a connection.'),
 		silenceLimit: milliseconds(1200, 'Time without any answer after which a connection is closed and replaced.'),
 		reconnectDelay: milliseconds(200, 'Until the next attempt after a connection could not be opened.'),
--- a/packages/wire/mod.ts
+++ b/packages/wire/mod.ts
@@ -1,4 +1,5 @@
 /** Messages between processes: generated from the .proto files, and their conversion to the types of decisions. */
+export type * from './channel.ts';
 export * from './create-queue.ts';
 export * from './decode-point.ts';
 export * from './decode-report.ts';
@@ -9,6 +10,7 @@
 export * from './encode-statement.ts';
 export * from './encode-value.ts';
 export * from './format-results.ts';
+export * from './open-channel.ts';
 export * from './parse-results.ts';
 export * from './gen/caller_pb.ts';
 export * from './gen/endpoint_pb.ts';
--- /dev/null
+++ b/packages/wire/open-channel.ts
@@ -0,0 +1,107 @@
+import {createQueue} from './create-queue.ts';
+import type {Channel} from './channel.ts';
+
+type Options<Request, Response> = {
+	/** Opens the stream. */
+	readonly open: (requests: AsyncIterable<Request>, signal: AbortSignal) => AsyncIterable<Response>;
+	readonly createPing: (id: number) => Request;
+	/** Milliseconds between two heartbeats. */
+	readonly heartbeatInterval: number;
+	/** Milliseconds without any answer after which the channel counts as silent and is closed. */
+	readonly silenceLimit: number;
+	/** Present monotonic milliseconds. */
+	readonly now: () => number;
+	/** Called once when the channel is closed, by either side. */
+	readonly onClosed: () => void;
+};
+
+/**
+ * Opens a channel. An answer that nobody awaits any more is dropped, and a channel that goes silent is closed.
+ *
+ * @param options How to open the stream, heartbeat times, the clock, and what to do at the end.
+ */
+export function openChannel<Request, Response extends {readonly id: number}>(options: Options<Request, Response>): Channel<Request, Response> {
+	const requests = createQueue<Request>();
+	const pending = new Map<number, (response: Response | undefined) => void>();
+	const abort = new AbortController();
+	let lastId = 0;
+	let heardAt = options.now();
+	let isClosed = false;
+
+	const close = () => {
+		if (isClosed) {
+			return;
+		}
+
+		isClosed = true;
+		clearInterval(heartbeat);
+		requests.end();
+		abort.abort();
+		for (const resolve of pending.values()) {
+			resolve(undefined);
+		}
+
+		pending.clear();
+		options.onClosed();
+	};
+
+	const beat = () => {
+		if (options.now() - heardAt > options.silenceLimit) {
+			close();
+		} else {
+			lastId++;
+			requests.push(options.createPing(lastId));
+		}
+	};
+
+	const heartbeat = setInterval(beat, options.heartbeatInterval);
+
+	const receive = async () => {
+		try {
+			for await (const response of options.open(requests, abort.signal)) {
+				heardAt = options.now();
+				pending.get(response.id)?.(response);
+				pending.delete(response.id);
+			}
+		} catch {
+			// The channel is closed below, which tells all who wait.
+		} finally {
+			close();
+		}
+	};
+
+	void receive();
+	return {
+		async send(create, {signal, closesOnAbort}) {
+			if (signal?.aborted === true && closesOnAbort) {
+				close();
+			}
+
+			if (isClosed || signal?.aborted === true) {
+				return undefined;
+			}
+
+			lastId++;
+			const id = lastId;
+			return new Promise(resolve => {
+				const cancel = () => {
+					if (closesOnAbort) {
+						close();
+					} else {
+						pending.get(id)?.(undefined);
+						pending.delete(id);
+					}
+				};
+
+				pending.set(id, response => {
+					signal?.removeEventListener('abort', cancel);
+					resolve(response);
+				});
+				signal?.addEventListener('abort', cancel, {once: true});
+				requests.push(create(id));
+			});
+		},
+		close,
+		isClosed: () => isClosed,
+	};
+}
--- a/scenarios/format-answer.ts
+++ b/scenarios/format-answer.ts
@@ -1,6 +1,6 @@
 import {decodeResult, type ExecuteResponse} from '@sapphirefall/wire';
 
-/** Formats an answer for a golden file; the session token and the time are left out. */
+/** Formats an answer for a golden file; the session token, the time and the instance, which depends on it, are left out. */
 export function formatAnswer({answer}: ExecuteResponse): string {
 	switch (answer.case) {
 		case 'done': {
@@ -8,7 +8,7 @@
 				const {rows, changes} = decodeResult(result);
 				return rows.length > 0 ? `rows ${JSON.stringify(rows.map(row => row.map(String)))}` : `changes ${changes}`;
 			});
-			return `done ${answer.value.replayed ? 'replayed ' : ''}by ${answer.value.instance}: ${results.join('; ')}`;
+			return `done${answer.value.replayed ? ', replayed' : ''}: ${results.join('; ')}`;
 		}
 
 		case 'notRun': {
--- a/scenarios/run-scenario.ts
+++ b/scenarios/run-scenario.ts
@@ -77,7 +77,21 @@
 	}
 }
 
-async function runCallStep(stage: Stage, {call, change, join}: Step): Promise<void> {
+async function runBurst(stage: Stage, burst: NonNullable<Step['burst']>): Promise<void> {
+	const {hosts} = stage.cluster;
+	const sending = Array.from({length: burst.count}, async (_, index) => sendCall(stage, {
+		host: hosts[index % hosts.length] ?? '', key: burst.key, read: burst.read, statements: burst.statements, times: 1,
+	}));
+	const answered = await Promise.all(sending);
+	const done = answered.filter(({response}) => response.answer.case === 'done').length;
+	expect(done).to.be.within(burst.done.least, burst.done.most);
+}
+
+async function runCallStep(stage: Stage, {call, change, join, burst}: Step): Promise<void> {
+	if (burst !== undefined) {
+		await runBurst(stage, burst);
+	}
+
 	if (call !== undefined) {
 		await runCall(stage, call);
 	}
@@ -241,11 +255,6 @@
 		}
 	}
 
-	if (step.restart !== undefined) {
-		stage.transcript.add(`restart ${step.restart}`);
-		cluster.restart(step.restart);
-	}
-
 	if (step.cut !== undefined) {
 		for (const from of step.cut.from) {
 			for (const to of step.cut.to) {
@@ -290,7 +299,13 @@
 	}
 }
 
-async function runRemoteFaultStep({cluster}: Stage, {platform, answers}: Step): Promise<void> {
+async function runRemoteFaultStep({cluster, transcript}: Stage, {platform, answers, restart}: Step): Promise<void> {
+	if (restart !== undefined) {
+		transcript.add(`restart ${restart}`);
+		await cluster.child(restart).ended;
+		cluster.restart(restart);
+	}
+
 	if (platform !== undefined) {
 		const {down, delay, lostAnswers, departing} = platform;
 		await cluster.platform.setFault({
@@ -325,21 +340,34 @@
 	const database = wanted.database ?? scenario.cluster.databases[0];
 	for (const host of wanted.hosts ?? cluster.hosts) {
 		for (;;) {
-			const status = await cluster.operator(host).status({}); // eslint-disable-line no-await-in-loop
-			const primary = status.groups.find(group => group.database === database)?.primary;
-			const isKnown = (wanted.primary === undefined || primary === wanted.primary)
-				&& (wanted.notPrimary === undefined || primary !== wanted.notPrimary)
-				&& (wanted.version === undefined || status.configVersion >= wanted.version);
+			const known = await readKnown(cluster, {host, database: database ?? ''}); // eslint-disable-line no-await-in-loop
+			const isKnown = (wanted.primary === undefined || known.primary === wanted.primary)
+				&& (wanted.notPrimary === undefined || known.primary !== wanted.notPrimary)
+				&& (wanted.version === undefined || known.version >= wanted.version);
 			if (isKnown) {
 				break;
 			}
 
-			expect(performance.now(), `${host} knows primary ${primary} and version ${status.configVersion}`).to.be.below(deadline);
+			expect(performance.now(), `${host} knows primary ${known.primary} and version ${known.version}`).to.be.below(deadline);
 			await sleep(repeatDelay); // eslint-disable-line no-await-in-loop
 		}
 	}
 }
 
+/** Reads what a host knows; a host that does not answer yet knows nothing. */
+async function readKnown(
+	cluster: Cluster,
+	{host, database}: {readonly host: string; readonly database: string},
+): Promise<{readonly primary: string; readonly version: number}> {
+	try {
+		const status = await cluster.operator(host).status({});
+		const primary = status.groups.find(group => group.database === database)?.primary ?? '';
+		return {primary, version: status.configVersion};
+	} catch {
+		return {primary: '', version: -1};
+	}
+}
+
 function checkOutputs({cluster, keys}: Stage): void {
 	for (const process of ['platform', ...cluster.hosts, ...cluster.instances]) {
 		const child = cluster.child(process);
--- a/scenarios/scenario-schema.ts
+++ b/scenarios/scenario-schema.ts
@@ -64,6 +64,14 @@
 
 const step = z.strictObject({
 	call: call.optional(),
+	/** Sends calls to all hosts in turn at once, and counts those that are done. */
+	burst: z.strictObject({
+		key: z.string(),
+		read: z.string(),
+		statements: z.array(z.string()),
+		count: z.number(),
+		done: z.strictObject({least: z.number(), most: z.number()}),
+	}).optional(),
 	change: change.optional(),
 	join: z.strictObject({name: z.string(), expect: expectation.optional(), code: z.number().optional()}).optional(),
 	kill: z.string().optional(),
--- a/stand-ins/cluster/cluster.ts
+++ b/stand-ins/cluster/cluster.ts
@@ -20,6 +20,8 @@
 	readonly callerUrl: (host: string) => string;
 	/** URL at which operators reach a host. */
 	readonly operatorUrl: (host: string) => string;
+	/** URL at which an instance is reached without a relay. */
+	readonly instanceUrl: (instance: string) => string;
 	readonly operatorToken: string;
 	readonly child: (process: string) => Child;
 	/** Starts a process anew that has ended. */
--- a/stand-ins/cluster/start-cluster.ts
+++ b/stand-ins/cluster/start-cluster.ts
@@ -116,7 +116,6 @@
 			},
 			platform: {address: findAddress(node.zone, 'platform')},
 			secrets: {session: sessionSecret, operatorDigest: createHash('sha256').update(operatorToken).digest('hex')},
-			rate: {shares: nodes.filter(({kind}) => kind === 'host').length},
 			...plan.host,
 		})]);
 	}
@@ -141,19 +140,21 @@
 
 	const callerUrl = (host: string) => `http://127.0.0.1:${callerPorts.get(host)}`;
 	const operatorUrl = (host: string) => `http://127.0.0.1:${operatorPorts.get(host)}`;
+	const instanceUrl = (instance: string) => `http://127.0.0.1:${nodes.find(({id}) => id === instance)?.port}`;
 	const cluster: Cluster = {
 		hosts: nodes.filter(({kind}) => kind === 'host').map(({id}) => id),
 		instances: nodes.filter(({kind}) => kind === 'instance').map(({id}) => id),
 		caller: (host, key) => createClient(CallerService, createTransport(callerUrl(host), key)),
 		operator: host => createClient(OperatorService, createTransport(operatorUrl(host), operatorToken)),
 		endpoint: instance => createClient(EndpointFaultService, createConnectTransport({
-			baseUrl: `http://127.0.0.1:${nodes.find(({id}) => id === instance)?.port}`, httpVersion: '2',
+			baseUrl: instanceUrl(instance), httpVersion: '2',
 		})),
 		platform: createClient(PlatformFaultService, createConnectTransport({
 			baseUrl: `http://127.0.0.1:${[...platformPorts.values()][0]}`, httpVersion: '2',
 		})),
 		callerUrl,
 		operatorUrl,
+		instanceUrl,
 		operatorToken,
 		child: id => findChild(id).child,
 		restart(id) {
@@ -227,7 +228,7 @@
 			try {
 				const status = await cluster.operator(host).status({}); // eslint-disable-line no-await-in-loop
 				const isServing = status.configAgeMs < startTimeout && status.groups.length > 0
-					&& status.groups.every(({primary}) => primary !== '') && status.hosts.length === cluster.hosts.length;
+					&& status.groups.every(({primary}) => primary !== '') && status.hosts.length === cluster.hosts.length && status.roster.length === cluster.hosts.length && status.ratesReady;
 				if (isServing) {
 					waiting.delete(host);
 				}
--- a/stand-ins/endpoint/_replica-log.ts
+++ b/stand-ins/endpoint/_replica-log.ts
@@ -1,10 +1,5 @@
-import {create, fromJsonString, toJsonString} from '@bufbuild/protobuf';
 import type {LogPoint} from '@sapphirefall/decisions';
-import {
-	decodePoint, decodeStatement, LogEntrySchema, type LogEntry, type Statement,
-} from '@sapphirefall/wire';
-import type {Engine} from './_engine.ts';
-import type {Journal} from './_journal.ts';
+import type {LogEntry, Statement} from '@sapphirefall/wire';
 
 /** The log of an instance and the database that it makes. */
 export type ReplicaLog = {
@@ -19,61 +14,3 @@
 	/** Drops all entries after a position and makes the database anew. */
 	readonly truncate: (position: bigint) => void;
 };
-
-/** Entries handed out at once. */
-const batchLength = 500;
-
-/** Opens a log from its journal and brings the database to its end. */
-export function openReplicaLog(engine: Engine, journal: Journal): ReplicaLog {
-	let entries: LogEntry[] = [];
-
-	const runEntry = (entry: LogEntry) => {
-		for (const statement of entry.statements) {
-			engine.run(decodeStatement(statement));
-		}
-	};
-
-	const cut = (length: number) => {
-		entries = entries.slice(0, length);
-		engine.clear();
-		for (const entry of entries) {
-			runEntry(entry);
-		}
-	};
-
-	const push = (entry: LogEntry) => {
-		entries.push(entry);
-		journal.write({kind: 'entry', entry: toJsonString(LogEntrySchema, entry)});
-	};
-
-	for (const record of journal.read()) {
-		if (record.kind === 'entry') {
-			const entry = fromJsonString(LogEntrySchema, record.entry);
-			entries.push(entry);
-			runEntry(entry);
-		} else if (record.kind === 'truncate') {
-			cut(record.length);
-		}
-	}
-
-	return {
-		end: () => decodePoint(entries.at(-1)?.at),
-		append(term, statements) {
-			push(create(LogEntrySchema, {at: {term, position: BigInt(entries.length + 1)}, statements: [...statements]}));
-		},
-		apply(added) {
-			for (const entry of added) {
-				runEntry(entry);
-				push(entry);
-			}
-		},
-		readEntry: position => entries[Number(position) - 1],
-		listAfter: position => entries.slice(Number(position), Number(position) + batchLength),
-		truncate(position) {
-			if (entries.length > Number(position)) {
-				journal.write({kind: 'truncate', length: Number(position)});
-				cut(Number(position));
-			}
-		},
-	};
-}
--- a/stand-ins/endpoint/create-instance.ts
+++ b/stand-ins/endpoint/create-instance.ts
@@ -5,10 +5,10 @@
 	BatchResponseSchema, decodeStatement, encodeResult, EndpointFault, InstanceReportSchema, InstanceRole,
 	type BatchRequest, type BatchResponse, type InstanceReport, type LogEntry, type Statement,
 } from '@sapphirefall/wire';
-import {createEngine} from './_engine.ts';
-import {openJournal} from './_journal.ts';
-import {openReplicaLog} from './_replica-log.ts';
-import {createSemaphore} from './_semaphore.ts';
+import {createEngine} from './_create-engine.ts';
+import {createSemaphore} from './_create-semaphore.ts';
+import {openJournal} from './_open-journal.ts';
+import {openReplicaLog} from './_open-replica-log.ts';
 
 /** A database connection's side of a transaction. */
 type Session = {
