Give settled loans back, keep slots through transactions, and stop rosters from flapping in a cut

Loans too small for one request expired unused.

Cause, cut zones: hosts on both sides of a cut that still reached the store rewrote the roster in turn, so no home was ever ready. Only a host that sees more than half of the listed hosts alive changes the roster.

Cause, timeouts on three slots: in the endpoint stand-in a transaction gave its slot back between batches, so its commit could wait behind those that waited for its lock. A transaction now keeps its slot.

--- a/bench/start-deployment.ts
+++ b/bench/start-deployment.ts
@@ -3,6 +3,7 @@
 import {AddKeySchema, SetWorkspaceSchema, type ChangeRequest} from '@sapphirefall/wire';
 import {startCluster} from '../stand-ins/cluster/start-cluster.ts';
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
+import {probeKey} from './probe-key.ts';
 import type {Deployment} from './deployment.ts';
 
 type Options = {
@@ -13,6 +14,9 @@
 	readonly serviceTime: number;
 };
 
+/** Units a second that the workspace of the overhead measurement may use. */
+const probeRate = 1_000_000;
+
 /** Starts a deployment's processes and configures its workspaces and keys. */
 export async function startDeployment(deployment: Deployment, options: Options): Promise<Cluster> {
 	const cluster = await startCluster({
@@ -33,9 +37,12 @@
 		await cluster.operator(host).change({changeId: randomUUID(), change});
 	};
 
+	const probe = {
+		name: 'probe', key: probeKey, rate: probeRate, burst: probeRate, database: deployment.databases[0] ?? '',
+	};
 	for (const {
 		name, key, rate, burst, database,
-	} of deployment.workspaces) {
+	} of [probe, ...deployment.workspaces]) {
 		// eslint-disable-next-line no-await-in-loop -- one change after the other
 		await send({
 			case: 'setWorkspace', value: create(SetWorkspaceSchema, {
--- /dev/null
+++ b/packages/callers/create-caller-handler.test.ts
@@ -0,0 +1,62 @@
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {createRefusal, resultCodes, type Request} from '@sapphirefall/decisions';
+import {createCallerHandler} from './create-caller-handler.ts';
+
+const path = '/sapphirefall.v1.CallerService/Execute';
+const largest = 2000;
+
+describe('createCallerHandler', () => {
+	let server: Server;
+	const seen: {url: string; handled: Request[]} = {url: '', handled: []};
+
+	before(async () => {
+		server = createServer(createCallerHandler({
+			async handle(request) {
+				seen.handled.push(request);
+				return {answer: createRefusal(resultCodes.keyUnknown, {reason: 'the key was withdrawn or never given'}), session: ''};
+			},
+			largest,
+			createId: () => 'made-up',
+		}));
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		seen.url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+	});
+
+	after(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+
+	beforeEach(() => {
+		seen.handled = [];
+	});
+
+	const cases: ReadonlyArray<readonly [string, string, number, number]> = [
+		['text that is no JSON', '{"database":', resultCodes.malformed, 0],
+		['an unknown field', '{"colour":"red"}', resultCodes.malformed, 0],
+		['a field of the wrong type', '{"statements":"SELECT 1"}', resultCodes.malformed, 0],
+		['a number that is out of range', '{"deadlineMs":-1}', resultCodes.malformed, 0],
+		['a request that is too large', JSON.stringify({database: 'x'.repeat(largest)}), resultCodes.tooLarge, 0],
+		['a request that is well formed', '{"database":"pondbook","read":{"freshness":"latest"}}', resultCodes.keyUnknown, 1],
+	];
+	for (const [title, body, code, count] of cases) {
+		it(`answers ${title} as not run with code ${code}`, async () => {
+			const response = await fetch(`${seen.url}${path}`, {
+				method: 'POST', body, headers: {'content-type': 'application/json', authorization: 'Bearer Secret-Key'},
+			});
+			const answer = await response.json() as {readonly notRun?: {readonly code: number}};
+			expect(answer.notRun?.code).to.equal(code);
+			expect(seen.handled).to.have.length(count);
+		});
+	}
+
+	it('passes on a digest in place of the key', async () => {
+		await fetch(`${seen.url}${path}`, {method: 'POST', body: '{}', headers: {'content-type': 'application/json', authorization: 'Bearer Secret-Key'}});
+		expect(JSON.stringify(seen.handled)).to.not.include('Secret-Key');
+		expect(seen.handled[0]?.keyDigest).to.match(/^[0-9a-f]{64}$/v);
+	});
+});
--- a/packages/callers/create-caller-handler.ts
+++ b/packages/callers/create-caller-handler.ts
@@ -48,7 +48,7 @@
 		return encodeAnswer(answer, {requestId: request.requestId, session});
 	};
 
-	const router = createConnectRouter({readMaxBytes: options.largest});
+	const router = createConnectRouter({readMaxBytes: options.largest, jsonOptions: {ignoreUnknownFields: false}});
 	router.service(CallerService, {
 		execute: answerOne,
 		async * converse(messages, context) {
--- /dev/null
+++ b/packages/decisions/adopt-fleet.ts
@@ -0,0 +1,55 @@
+import type {FleetConfiguration} from './fleet-configuration.ts';
+import type {HostState} from './host-state.ts';
+import type {HostStep} from './host-step.ts';
+
+/** Milliseconds after which a write to the table that got no answer can no longer take effect. */
+const settleSpan = 5000;
+
+/**
+ * Adopts a configuration and a roster that are not older than the known ones.
+ *
+ * @param state The state of the host.
+ * @param read What was read, when it was the newest at the earliest, and monotonic milliseconds.
+ */
+export function adoptFleet(
+	state: HostState,
+	read: {readonly fleet: FleetConfiguration; readonly provenAt: number; readonly now: number},
+): HostStep {
+	const {configuration, roster} = read.fleet;
+	if (roster.head < state.roster.head) {
+		return {state, effects: []};
+	}
+
+	const provenAt = Math.max(state.provenAt, read.provenAt);
+	if (roster.head === state.roster.head) {
+		return {state: {...state, provenAt}, effects: []};
+	}
+
+	const hasNewHomes = roster.homes.join(' ') !== state.roster.homes.join(' ');
+	const isNew = configuration.version > state.configuration.version;
+	return {
+		state: {
+			...state,
+			configuration,
+			roster,
+			homesKnownAt: hasNewHomes ? read.now : state.homesKnownAt,
+			rosterHistory: extendRosterHistory(state.rosterHistory, {hosts: roster.hosts, at: read.now}),
+			provenAt,
+			speaksFrom: Math.min(state.speaksFrom, read.now + settleSpan),
+			statements: new Map(),
+		},
+		effects: isNew ? [{kind: 'tellConfiguration', version: configuration.version}] : [],
+	};
+}
+
+/** Rosters that are remembered; more than change within the span of a reserve. */
+const rostersKept = 1000;
+
+function extendRosterHistory(
+	history: HostState['rosterHistory'],
+	next: HostState['rosterHistory'][number],
+): HostState['rosterHistory'] {
+	return history.at(-1)?.hosts.join(' ') === next.hosts.join(' ')
+		? history
+		: [...history, next].slice(-rostersKept);
+}
--- /dev/null
+++ b/packages/decisions/choose-instance.test.ts
@@ -0,0 +1,80 @@
+import {expect} from 'chai';
+import {applyReport} from './apply-report.ts';
+import {chooseInstance} from './choose-instance.ts';
+import {createGroupView} from './create-group-view.ts';
+import type {Freshness} from './freshness.ts';
+import type {GroupView} from './group-view.ts';
+import type {InstanceReport} from './instance-report.ts';
+import type {LogPoint} from './log-point.ts';
+
+const names = ['a', 'b', 'c'];
+
+type Heard = {readonly report: InstanceReport; readonly sentAt: number};
+
+function createView(heard: readonly Heard[], departing: readonly string[] = []): GroupView {
+	let view = createGroupView({
+		database: 'pondbook',
+		instances: names.map(id => ({
+			id, zone: id, address: '', isDeparting: departing.includes(id),
+		})),
+	});
+	for (const {report, sentAt} of heard) {
+		view = applyReport(view, {report, sentAt, now: sentAt + 6});
+	}
+
+	return view;
+}
+
+const primary = (position: bigint, term = 1): InstanceReport => ({
+	instance: 'a', term, role: 'primary', at: {term, position},
+});
+const replica = (instance: string, position: bigint): InstanceReport => ({
+	instance, term: 1, role: 'replica', at: {term: 1, position},
+});
+
+const level = [
+	{report: primary(10n), sentAt: 1000},
+	{report: replica('b', 10n), sentAt: 1000},
+	{report: replica('c', 4n), sentAt: 1000},
+];
+const latest: Freshness = {kind: 'latest'};
+const session: Freshness = {kind: 'session'};
+const within = (age: number): Freshness => ({kind: 'within', age});
+
+describe('chooseInstance', () => {
+	const cases: ReadonlyArray<readonly [string, GroupView, {
+		readonly freshness: Freshness; readonly point?: LogPoint; readonly zone: string; readonly now: number;
+	}, string]> = [
+		['the primary for a latest read', createView(level), {freshness: latest, zone: 'b', now: 1010}, 'a'],
+		['the near replica that is level', createView(level), {freshness: within(100), zone: 'b', now: 1010}, 'b'],
+		['a far replica rather than the primary', createView(level), {freshness: within(100), zone: 'c', now: 1010}, 'b'],
+		['the primary when the proof is too old', createView(level), {freshness: within(100), zone: 'b', now: 1101}, 'a'],
+		['no replica that has been silent', createView(level), {freshness: within(10_000), zone: 'b', now: 2100}, 'a'],
+		['the primary for a session without a point', createView(level), {freshness: session, zone: 'b', now: 1010}, 'a'],
+		['a replica at the session\'s point', createView(level), {
+			freshness: session, point: {term: 1, position: 10n}, zone: 'c', now: 1010,
+		}, 'b'],
+		['the near replica past the session\'s point', createView(level), {
+			freshness: session, point: {term: 1, position: 3n}, zone: 'c', now: 1010,
+		}, 'c'],
+		['the primary when no replica has reached the point', createView(level), {
+			freshness: session, point: {term: 1, position: 11n}, zone: 'b', now: 1010,
+		}, 'a'],
+		['no replica of a later term\'s session', createView(level), {
+			freshness: session, point: {term: 2, position: 2n}, zone: 'b', now: 1010,
+		}, 'a'],
+		['no replica that departs', createView(level, ['b']), {freshness: within(100), zone: 'b', now: 1010}, 'a'],
+		['no replica before any proof', createView(level.slice(1)), {freshness: within(10_000), zone: 'b', now: 1010}, 'none'],
+		['no replica of a term that has ended', createView([...level, {report: primary(11n, 2), sentAt: 1001}]), {
+			freshness: within(10_000), zone: 'b', now: 1010,
+		}, 'a'],
+	];
+	for (const [title, view, {freshness, point, zone, now}, expected] of cases) {
+		it(`chooses ${title}`, () => {
+			const plan = chooseInstance(view, {
+				freshness, point, zone, now,
+			});
+			expect(plan.kind === 'none' ? 'none' : plan.instance).to.equal(expected);
+		});
+	}
+});
--- a/packages/decisions/choose-roster.ts
+++ b/packages/decisions/choose-roster.ts
@@ -11,6 +11,7 @@
 /**
  * Chooses the next roster, if the present one differs from the live hosts and this host is the one to change it.
  *
+ * A host that sees no more than half of the listed hosts alive changes nothing: it may be the one that is cut off.
  * Only an acceptor changes a roster that has acceptors, so that hosts which rely on the acceptors' word hear
  * of the change. A zone keeps one acceptor; a live one keeps its part.
  *
@@ -28,7 +29,8 @@
 	const changers = roster.acceptors.length === 0
 		? homes
 		: roster.acceptors.filter(id => homes.includes(id));
-	if (isSame || !isSettled || rankHosts('roster', changers)[0] !== self) {
+	const hasMajority = homes.length * 2 > hosts.length;
+	if (isSame || !isSettled || !hasMajority || rankHosts('roster', changers)[0] !== self) {
 		return undefined;
 	}
 
--- a/packages/decisions/create-host-state.ts
+++ b/packages/decisions/create-host-state.ts
@@ -23,6 +23,7 @@
 		rosterHistory: [],
 		provenAt: -Infinity,
 		statements: new Map(),
+		speaksFrom: Infinity,
 		isCommitting: false,
 		versions: new Map(),
 		isDraining: false,
--- a/packages/decisions/host-state.ts
+++ b/packages/decisions/host-state.ts
@@ -18,6 +18,8 @@
 	readonly provenAt: number;
 	/** When each acceptor last gave its word that it had committed nothing newer. */
 	readonly statements: ReadonlyMap<string, number>;
+	/** From when this host, as an acceptor, gives its word; an earlier process of its name has no write under way then. */
+	readonly speaksFrom: number;
 	/** Whether a commit of this host is unsettled. */
 	readonly isCommitting: boolean;
 	/** Configuration versions of the other hosts, as last heard. */
--- a/packages/decisions/lend-units.ts
+++ b/packages/decisions/lend-units.ts
@@ -5,10 +5,12 @@
 	readonly host: string;
 	/** Number that the borrower gives the loan, a new one each time. */
 	readonly id: number;
+	/** Units that the host cannot do without; less is not lent. */
+	readonly needed: number;
 	/** Units that the host would like. */
 	readonly wanted: number;
-	/** Units of earlier loans that the host has used since it last asked, by the loan's number. */
-	readonly used: ReadonlyArray<{readonly id: number; readonly units: number}>;
+	/** What the host has used of earlier loans since it last asked, and gives back of them, by the loan's number. */
+	readonly settled: ReadonlyArray<{readonly id: number; readonly used: number; readonly returned: number}>;
 	/** Units a second. */
 	readonly rate: number;
 	/** Units. */
@@ -21,12 +23,15 @@
 type Lent = {
 	readonly bucket: HomeBucket;
 	readonly units: number;
-	/** Milliseconds until the wanted units would be there; 0 when they were lent. */
+	/** Milliseconds until the needed units would be there; 0 when they were lent. */
 	readonly retryAfter: number;
 };
 
 const millisecondsPerSecond = 1000;
 
+/** Share of what the need leaves that may be lent ahead of demand. */
+const aheadShare = 0.25;
+
 /**
  * Lends units of a workspace's bucket to a host.
  *
@@ -39,11 +44,12 @@
  */
 export function lendUnits(bucket: HomeBucket, asked: Asked): Lent {
 	const {now, rate, burst} = asked;
-	const loans = settleUsed(bucket.loans.filter(({expiresAt}) => expiresAt > now), asked);
+	const open = bucket.loans.filter(({expiresAt}) => expiresAt > now);
+	const loans = settleLoans(open, asked);
 	const elapsed = Math.max(0, now - bucket.refilledAt);
-	const refilled = bucket.level + (elapsed * rate / millisecondsPerSecond);
+	const refilled = bucket.level + sumReturned(open, asked) + (elapsed * rate / millisecondsPerSecond);
 	const level = Math.max(0, Math.min(burst - sumUnits(loans), refilled));
-	const units = Math.min(asked.wanted, level);
+	const units = chooseUnits(level, asked);
 	const lent = units > 0
 		? [...loans, {
 			host: asked.host, id: asked.id, units, expiresAt: now + asked.span,
@@ -52,18 +58,38 @@
 	return {
 		bucket: {level: level - units, refilledAt: now, loans: lent},
 		units,
-		retryAfter: Math.ceil((asked.wanted - units) * millisecondsPerSecond / rate),
+		retryAfter: units > 0 ? 0 : Math.ceil((asked.needed - level) * millisecondsPerSecond / rate),
 	};
 }
 
+/**
+ * Chooses how much to lend: nothing that would not cover the need, and beyond it only a part of what is left.
+ *
+ * Units that lie unused at one host are missing at the others, the more so the fewer there are.
+ */
+function chooseUnits(level: number, {needed, wanted}: Asked): number {
+	return level < needed ? 0 : Math.min(wanted, needed + ((level - needed) * aheadShare));
+}
+
 function sumUnits(loans: HomeBucket['loans']): number {
 	return loans.reduce((sum, {units}) => sum + units, 0);
 }
 
-/** Takes off the loans of a host what it has used of each; a loan that is gone has been settled already. */
-function settleUsed(loans: HomeBucket['loans'], {host, used}: Asked): HomeBucket['loans'] {
-	const settled = new Map(used.map(({id, units}) => [id, units]));
+/** Takes off the loans of a host what it has used and gives back; a loan that is gone has been settled already. */
+function settleLoans(loans: HomeBucket['loans'], {host, settled}: Asked): HomeBucket['loans'] {
+	const taken = new Map(settled.map(({id, used, returned}) => [id, used + returned]));
 	return loans
-		.map(loan => loan.host === host ? {...loan, units: loan.units - (settled.get(loan.id) ?? 0)} : loan)
+		.map(loan => loan.host === host ? {...loan, units: loan.units - (taken.get(loan.id) ?? 0)} : loan)
 		.filter(({units}) => units > 0);
 }
+
+/** Sums what a host gives back of loans that are still open. */
+function sumReturned(loans: HomeBucket['loans'], {host, settled}: Asked): number {
+	const openIds = new Set(loans.filter(loan => loan.host === host).map(({id}) => id));
+	let sum = 0;
+	for (const {id, returned} of settled) {
+		sum += openIds.has(id) ? returned : 0;
+	}
+
+	return sum;
+}
--- a/packages/decisions/list-statements.ts
+++ b/packages/decisions/list-statements.ts
@@ -15,7 +15,7 @@
 	options: {readonly span: number; readonly now: number},
 ): readonly AcceptorStatement[] {
 	const {self} = state.membership;
-	const isSpeaking = !state.isCommitting && options.now - state.provenAt <= options.span;
+	const isSpeaking = !state.isCommitting && options.now >= state.speaksFrom && options.now - state.provenAt <= options.span;
 	return state.roster.acceptors
 		.map(id => ({id, at: id === self ? (isSpeaking ? options.now : -Infinity) : state.statements.get(id) ?? -Infinity}))
 		.filter(({at}) => at !== -Infinity);
--- a/packages/decisions/purse.ts
+++ b/packages/decisions/purse.ts
@@ -13,7 +13,7 @@
 	readonly id: number;
 	/** Units left. */
 	readonly units: number;
-	/** Units used since the host last told the home. */
+	/** Units used; the home hears of them when the purse is settled. */
 	readonly used: number;
 	readonly expiresAt: number;
 };
--- a/packages/decisions/step-host.ts
+++ b/packages/decisions/step-host.ts
@@ -1,3 +1,5 @@
+import {updateGroup} from './_update-group.ts';
+import {adoptFleet} from './adopt-fleet.ts';
 import {adoptPrimary} from './adopt-primary.ts';
 import {applyExchange} from './apply-exchange.ts';
 import {applyFleet} from './apply-fleet.ts';
@@ -5,24 +7,19 @@
 import {applyReport} from './apply-report.ts';
 import {applyStatements} from './apply-statements.ts';
 import {assignWatch} from './assign-watch.ts';
-import {choosePartners} from './choose-partners.ts';
-import {chooseRoster} from './choose-roster.ts';
 import {createGroupView} from './create-group-view.ts';
 import {listLiveHosts} from './list-live-hosts.ts';
-import {rankHosts} from './rank-hosts.ts';
-import {stepFailover} from './step-failover.ts';
-import type {FleetConfiguration} from './fleet-configuration.ts';
-import type {FailoverEvent} from './failover-event.ts';
+import {stepGroupFailover} from './step-group-failover.ts';
+import {stepTick} from './step-tick.ts';
 import type {GroupControl} from './group-control.ts';
 import type {Group} from './group.ts';
 import type {HostEffect} from './host-effect.ts';
 import type {HostEvent} from './host-event.ts';
 import type {HostSettings} from './host-settings.ts';
 import type {HostState} from './host-state.ts';
+import type {HostStep} from './host-step.ts';
 import type {Membership} from './membership.ts';
 
-type Step = {readonly state: HostState; readonly effects: readonly HostEffect[]};
-
 type Input = {
 	readonly event: HostEvent;
 	readonly settings: HostSettings;
@@ -30,9 +27,6 @@
 	readonly now: number;
 };
 
-/** Hosts of a zone that read the configuration's version for it. */
-const readersPerZone = 2;
-
 /**
  * Moves a host's control loop by one event.
  *
@@ -40,7 +34,7 @@
  * @param input The event, the settings, and monotonic milliseconds.
  * @returns The state afterwards and what to do.
  */
-export function stepHost(state: HostState, input: Input): Step {
+export function stepHost(state: HostState, input: Input): HostStep {
 	const {event} = input;
 	switch (event.kind) {
 		case 'tick': {
@@ -90,15 +84,6 @@
 
 type EventOf<Kind extends HostEvent['kind']> = Extract<HostEvent, {readonly kind: Kind}>;
 
-function updateGroup(
-	state: HostState,
-	database: string,
-	update: (group: GroupControl) => GroupControl,
-): HostState {
-	const group = state.groups.get(database);
-	return group === undefined ? state : {...state, groups: new Map(state.groups).set(database, update(group))};
-}
-
 /** Joins the platform's groups with what is known of them; instances may come and go, groups that are not listed stay. */
 function mergeGroups(
 	known: ReadonlyMap<string, GroupControl>,
@@ -137,53 +122,10 @@
 	return {...state, membership: options.membership, groups};
 }
 
-/** Adopts a configuration and a roster that are not older than the known ones. */
-function adoptFleet(
-	state: HostState,
-	read: {readonly fleet: FleetConfiguration; readonly provenAt: number; readonly now: number},
-): Step {
-	const {configuration, roster} = read.fleet;
-	if (roster.head < state.roster.head) {
-		return {state, effects: []};
-	}
-
-	const provenAt = Math.max(state.provenAt, read.provenAt);
-	if (roster.head === state.roster.head) {
-		return {state: {...state, provenAt}, effects: []};
-	}
-
-	const hasNewHomes = roster.homes.join(' ') !== state.roster.homes.join(' ');
-	const isNew = configuration.version > state.configuration.version;
-	return {
-		state: {
-			...state,
-			configuration,
-			roster,
-			homesKnownAt: hasNewHomes ? read.now : state.homesKnownAt,
-			rosterHistory: extendRosterHistory(state.rosterHistory, {hosts: roster.hosts, at: read.now}),
-			provenAt,
-			statements: new Map(),
-		},
-		effects: isNew ? [{kind: 'tellConfiguration', version: configuration.version}] : [],
-	};
-}
-
-/** Rosters that are remembered; more than change within the span of a reserve. */
-const rostersKept = 1000;
-
-function extendRosterHistory(
-	history: HostState['rosterHistory'],
-	next: HostState['rosterHistory'][number],
-): HostState['rosterHistory'] {
-	return history.at(-1)?.hosts.join(' ') === next.hosts.join(' ')
-		? history
-		: [...history, next].slice(-rostersKept);
-}
-
 function stepExchanged(
 	state: HostState,
 	{event, now}: {readonly event: EventOf<'exchanged'>; readonly now: number},
-): Step {
+): HostStep {
 	const heard = applyExchange(state.membership, {id: event.id, incarnation: event.incarnation, now});
 	const membership = applyNews(heard, {news: event.news, now});
 	const adopted = adoptFleet(state, {
@@ -205,7 +147,7 @@
 	};
 }
 
-function adoptPrimaries(state: HostState, event: EventOf<'exchanged'>): Step {
+function adoptPrimaries(state: HostState, event: EventOf<'exchanged'>): HostStep {
 	let next = state;
 	const effects: HostEffect[] = [];
 	for (const primary of event.primaries) {
@@ -222,7 +164,7 @@
 function stepReported(
 	state: HostState,
 	{event, now}: {readonly event: EventOf<'reported'>; readonly now: number},
-): Step {
+): HostStep {
 	const old = state.groups.get(event.database);
 	if (old === undefined) {
 		return {state, effects: []};
@@ -240,111 +182,3 @@
 			: [],
 	};
 }
-
-function stepGroupFailover(
-	state: HostState,
-	input: {
-		readonly database: string;
-		readonly event: FailoverEvent;
-		readonly settings: HostSettings;
-		readonly now: number;
-	},
-): Step {
-	const group = state.groups.get(input.database);
-	if (group?.watch === undefined) {
-		return {state, effects: []};
-	}
-
-	const {state: failover, effects} = stepFailover(group.failover, {
-		event: input.event,
-		view: group.view,
-		settings: input.settings.failover,
-		watchedSince: group.watch.since,
-		rank: group.watch.rank,
-		needsAgreement: group.watch.others.length > 0,
-		now: input.now,
-	});
-	return {
-		state: failover === group.failover ? state : updateGroup(state, input.database, old => ({...old, failover})),
-		effects: effects.map(effect => ({kind: 'failover', database: input.database, effect})),
-	};
-}
-
-function stepTick(state: HostState, input: Input): Step {
-	const exchanged = scheduleExchange(state, input);
-	const read = scheduleReads(exchanged.state, input);
-	const roster = scheduleRoster(read.state, input);
-	const steps: Step[] = [exchanged, read, roster];
-	let next = roster.state;
-	for (const [database, group] of state.groups) {
-		const isWatched = group.watch !== undefined;
-		const isUsed = input.now - group.demandedAt <= input.settings.demandSpan;
-		if ((isWatched || isUsed) && input.now >= group.nextProbeAt) {
-			const nextProbeAt = input.now + input.settings.probeInterval;
-			next = updateGroup(next, database, old => ({...old, nextProbeAt}));
-			steps.push({state: next, effects: [{kind: 'probe', database}]});
-		}
-
-		if (isWatched) {
-			const step = stepGroupFailover(next, {
-				database, event: {kind: 'tick'}, settings: input.settings, now: input.now,
-			});
-			next = step.state;
-			steps.push(step);
-		}
-	}
-
-	return {state: next, effects: steps.flatMap(({effects}) => effects)};
-}
-
-function scheduleExchange(state: HostState, {settings, now}: Input): Step {
-	if (now < state.nextExchangeAt) {
-		return {state, effects: []};
-	}
-
-	const partners = choosePartners(state.membership, state.round);
-	return {
-		state: {...state, round: state.round + 1, nextExchangeAt: now + settings.exchangeInterval},
-		effects: partners.map(({id}) => ({kind: 'exchange', partner: id})),
-	};
-}
-
-function scheduleReads(state: HostState, {settings, now}: Input): Step {
-	const effects: HostEffect[] = [];
-	let next = state;
-	if (now >= state.nextFleetReadAt) {
-		effects.push({kind: 'readFleet'});
-		next = {...next, nextFleetReadAt: now + settings.fleetInterval};
-	}
-
-	if (now >= state.nextVersionReadAt) {
-		const isDue = now - state.provenAt >= settings.versionFallback || isReader(state);
-		effects.push(...(isDue ? [{kind: 'readVersion'} as const] : []));
-		next = {...next, nextVersionReadAt: now + settings.versionInterval};
-	}
-
-	return {state: next, effects};
-}
-
-/** Milliseconds between two looks at whether the roster still names the live hosts. */
-const rosterInterval = 200;
-
-function scheduleRoster(state: HostState, {now}: Input): Step {
-	if (now < state.nextRosterCheckAt) {
-		return {state, effects: []};
-	}
-
-	const roster = chooseRoster(state, now);
-	return {
-		state: {...state, nextRosterCheckAt: now + rosterInterval},
-		effects: roster === undefined ? [] : [{kind: 'changeRoster', roster}],
-	};
-}
-
-/** Tells whether this host reads the configuration's version for its zone. */
-function isReader(state: HostState): boolean {
-	const zoneHosts = listLiveHosts(state.membership).filter(({zone}) => zone === state.zone).map(({id}) => id);
-	return rankHosts(`configuration/${state.zone}`, zoneHosts)
-		.slice(0, readersPerZone)
-		.includes(state.membership.self);
-}
--- /dev/null
+++ b/packages/decisions/step-tick.ts
@@ -0,0 +1,99 @@
+import {choosePartners} from './choose-partners.ts';
+import {chooseRoster} from './choose-roster.ts';
+import {listLiveHosts} from './list-live-hosts.ts';
+import {rankHosts} from './rank-hosts.ts';
+import {stepGroupFailover} from './step-group-failover.ts';
+import {updateGroup} from './_update-group.ts';
+import type {HostEffect} from './host-effect.ts';
+import type {HostSettings} from './host-settings.ts';
+import type {HostState} from './host-state.ts';
+import type {HostStep} from './host-step.ts';
+
+type Input = {
+	readonly settings: HostSettings;
+	/** Monotonic milliseconds. */
+	readonly now: number;
+};
+
+/** Hosts of a zone that read the configuration's version for it. */
+const readersPerZone = 2;
+
+/** Moves a host's control loop by the passing of time: exchanges, reads, probes and failovers that are due. */
+export function stepTick(state: HostState, input: Input): HostStep {
+	const exchanged = scheduleExchange(state, input);
+	const read = scheduleReads(exchanged.state, input);
+	const roster = scheduleRoster(read.state, input);
+	const steps: HostStep[] = [exchanged, read, roster];
+	let next = roster.state;
+	for (const [database, group] of state.groups) {
+		const isWatched = group.watch !== undefined;
+		const isUsed = input.now - group.demandedAt <= input.settings.demandSpan;
+		if ((isWatched || isUsed) && input.now >= group.nextProbeAt) {
+			const nextProbeAt = input.now + input.settings.probeInterval;
+			next = updateGroup(next, database, old => ({...old, nextProbeAt}));
+			steps.push({state: next, effects: [{kind: 'probe', database}]});
+		}
+
+		if (isWatched) {
+			const step = stepGroupFailover(next, {
+				database, event: {kind: 'tick'}, settings: input.settings, now: input.now,
+			});
+			next = step.state;
+			steps.push(step);
+		}
+	}
+
+	return {state: next, effects: steps.flatMap(({effects}) => effects)};
+}
+
+function scheduleExchange(state: HostState, {settings, now}: Input): HostStep {
+	if (now < state.nextExchangeAt) {
+		return {state, effects: []};
+	}
+
+	const partners = choosePartners(state.membership, state.round);
+	return {
+		state: {...state, round: state.round + 1, nextExchangeAt: now + settings.exchangeInterval},
+		effects: partners.map(({id}) => ({kind: 'exchange', partner: id})),
+	};
+}
+
+function scheduleReads(state: HostState, {settings, now}: Input): HostStep {
+	const effects: HostEffect[] = [];
+	let next = state;
+	if (now >= state.nextFleetReadAt) {
+		effects.push({kind: 'readFleet'});
+		next = {...next, nextFleetReadAt: now + settings.fleetInterval};
+	}
+
+	if (now >= state.nextVersionReadAt) {
+		const isDue = now - state.provenAt >= settings.versionFallback || isReader(state);
+		effects.push(...(isDue ? [{kind: 'readVersion'} as const] : []));
+		next = {...next, nextVersionReadAt: now + settings.versionInterval};
+	}
+
+	return {state: next, effects};
+}
+
+/** Milliseconds between two looks at whether the roster still names the live hosts. */
+const rosterInterval = 200;
+
+function scheduleRoster(state: HostState, {now}: Input): HostStep {
+	if (now < state.nextRosterCheckAt) {
+		return {state, effects: []};
+	}
+
+	const roster = chooseRoster(state, now);
+	return {
+		state: {...state, nextRosterCheckAt: now + rosterInterval},
+		effects: roster === undefined ? [] : [{kind: 'changeRoster', roster}],
+	};
+}
+
+/** Tells whether this host reads the configuration's version for its zone. */
+function isReader(state: HostState): boolean {
+	const zoneHosts = listLiveHosts(state.membership).filter(({zone}) => zone === state.zone).map(({id}) => id);
+	return rankHosts(`configuration/${state.zone}`, zoneHosts)
+		.slice(0, readersPerZone)
+		.includes(state.membership.self);
+}
--- a/packages/hosts/borrow-asked.ts
+++ b/packages/hosts/borrow-asked.ts
@@ -5,8 +5,10 @@
 	/** Number that the borrower gives the loan. */
 	readonly id: number;
 	readonly workspace: string;
+	/** Units that the host cannot do without. */
+	readonly needed: number;
 	/** Units that the host would like. */
 	readonly wanted: number;
-	/** Units of earlier loans used since the host last asked, by the loan's number. */
-	readonly used: ReadonlyArray<{readonly id: number; readonly units: number}>;
+	/** What was used of earlier loans, and what is given back, by the loan's number. */
+	readonly settled: ReadonlyArray<{readonly id: number; readonly used: number; readonly returned: number}>;
 };
--- a/packages/hosts/borrow-granted.ts
+++ b/packages/hosts/borrow-granted.ts
@@ -3,6 +3,6 @@
 	readonly units: number;
 	/** Milliseconds, counted from when the borrower asked, for which the units may be used. */
 	readonly span: number;
-	/** Milliseconds until the rest would be there; 0 when all was lent. */
+	/** Milliseconds until the needed units would be there; 0 when all was lent. */
 	readonly retryAfter: number;
 };
--- a/packages/hosts/create-peer.ts
+++ b/packages/hosts/create-peer.ts
@@ -48,7 +48,7 @@
 	return {
 		exchange: async content => decodeExchange(await guard(client.exchange(encodeExchange(content), callOptions))),
 		async borrow(asked) {
-			const {home, units, spanMs, retryAfterMs} = await guard(client.borrow({...asked, used: [...asked.used]}, callOptions));
+			const {home, units, spanMs, retryAfterMs} = await guard(client.borrow({...asked, settled: [...asked.settled]}, callOptions));
 			return home ? {units, span: spanMs, retryAfter: retryAfterMs} : undefined;
 		},
 		async handOver(bucket) {
--- a/packages/load/summarize-load.ts
+++ b/packages/load/summarize-load.ts
@@ -10,6 +10,7 @@
 /** Histograms count in tenths of a millisecond. */
 const unitsPerMillisecond = 10;
 
+const millisecondsPerSecond = 1000;
 const middle = 50;
 const high = 99;
 
@@ -17,14 +18,16 @@
 export function summarizeLoad(plan: LoadPlan, history: LoadHistory): LoadSummary {
 	const {outcomes} = history;
 	const wrongful = findWrongfulRefusals(plan, outcomes);
-	const worst = findWorst(plan, outcomes);
+	const shares = findShares(plan, outcomes);
+	const [worst] = shares.toSorted((a, b) => a.share - b.share);
 	return {
 		requests: outcomes.length,
 		done: outcomes.filter(({kind}) => kind === 'done').length,
 		replicaShare: findReplicaShare(plan, outcomes),
 		writeGapMs: findWriteGap(plan, outcomes),
-		worstWorkspace: worst.share,
-		worstWorkspaceName: worst.name,
+		worstWorkspace: worst?.share ?? 1,
+		worstWorkspaceName: worst?.name ?? '',
+		workspaces: Object.fromEntries(shares.map(({name, share}) => [name, share])),
 		wrongfulRefusals: outcomes.length === 0 ? 0 : wrongful.length / outcomes.length,
 		latency: {
 			write: summarizeLatency('write', outcomes),
@@ -55,30 +58,44 @@
 	return reads === 0 ? 0 : fromReplicas / reads;
 }
 
+/** Finds the longest time for which a write waited and none was acknowledged, over all databases. */
 function findWriteGap(plan: LoadPlan, outcomes: readonly Outcome[]): number {
 	const databases = new Set(plan.workspaces.map(({database}) => database));
 	const gaps = [...databases].map(database => {
 		const names = new Set(plan.workspaces.filter(workspace => workspace.database === database).map(({name}) => name));
-		const times = outcomes
-			.filter(({request, kind}) => names.has(request.workspace) && request.class === 'write' && kind === 'done')
-			.map(({answeredAt}) => answeredAt)
-			.toSorted((a, b) => a - b);
-		return Math.max(0, ...times.map((time, index) => time - (times[index - 1] ?? time)));
+		return findLongestWait(outcomes.filter(({request}) => names.has(request.workspace) && request.class === 'write'));
 	});
 	return Math.max(0, ...gaps);
 }
 
-/** Finds the workspace with the least share done of what it offered, or of its rate where it offered more. */
-function findWorst(plan: LoadPlan, outcomes: readonly Outcome[]): {readonly name: string; readonly share: number} {
-	const shares = plan.workspaces.map(({name, rate, burst}) => {
+function findLongestWait(writes: readonly Outcome[]): number {
+	const acknowledged = writes.filter(({kind}) => kind === 'done').map(({answeredAt}) => answeredAt).toSorted((a, b) => a - b);
+	const waits = acknowledged.map((time, index) => {
+		const last = acknowledged[index - 1] ?? 0;
+		const arrivals = writes.filter(({answeredAt}) => answeredAt > last).map(({request}) => request.at);
+		return time - Math.max(last, Math.min(...arrivals));
+	});
+	return Math.max(0, ...waits);
+}
+
+/** Finds the share done of what each workspace offered, or of its rate where it offered more. */
+function findShares(plan: LoadPlan, outcomes: readonly Outcome[]) {
+	return plan.workspaces.map(({name, rate, burst}) => {
 		const own = outcomes.filter(({request}) => request.workspace === name);
-		const offered = own.reduce((sum, {request}) => sum + plan.costs[request.class], 0);
-		const served = own.filter(({kind}) => kind === 'done').reduce((sum, {request}) => sum + plan.costs[request.class], 0);
-		const entitled = Math.min(offered, burst + (rate * plan.duration / 1000));
+		const offered = sumCost(plan, own);
+		const served = sumCost(plan, own.filter(({kind}) => kind === 'done'));
+		const entitled = Math.min(offered, burst + (rate * plan.duration / millisecondsPerSecond));
 		return {name, share: entitled === 0 ? 1 : Math.min(1, served / entitled)};
 	});
-	const [worst] = shares.toSorted((a, b) => a.share - b.share);
-	return worst ?? {name: '', share: 1};
+}
+
+function sumCost(plan: LoadPlan, outcomes: readonly Outcome[]): number {
+	let sum = 0;
+	for (const {request} of outcomes) {
+		sum += plan.costs[request.class];
+	}
+
+	return sum;
 }
 
 function summarizeLatency(name: LoadClass, outcomes: readonly Outcome[]) {
--- a/packages/proxy/create-rate-gate.ts
+++ b/packages/proxy/create-rate-gate.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addLoan, chooseReserveShare, createPurse, createRefusal, findHome, findProvenAt, lendUnits, reportUsed, resultCodes, spendUnits, takeUnits,
+	addLoan, chooseReserveShare, createPurse, createRefusal, findHome, findProvenAt, lendUnits, resultCodes, settlePurse, spendUnits, takeUnits,
 	type AdmittedRequest, type HomeBucket, type HostState, type Purse, type TokenBucket,
 } from '@sapphirefall/decisions';
 import type {BorrowAsked, BorrowGranted} from '@sapphirefall/hosts';
@@ -117,10 +117,10 @@
 	const borrow = async (request: AdmittedRequest): Promise<Borrowed> => {
 		const {workspace, cost} = request;
 		const askedAt = now();
-		const {purse, used, id} = reportUsed(purses.get(workspace) ?? createPurse(askedAt));
+		const {purse, settled, id} = settlePurse(purses.get(workspace) ?? createPurse(askedAt));
 		const wanted = cost + (purse.demand * settings.prefetch / 1000);
 		const asked = {
-			host: options.owner, id, workspace, wanted, used,
+			host: options.owner, id, workspace, needed: cost, wanted, settled,
 		};
 		purses.set(workspace, purse);
 		const home = findHome(workspace, options.readState().roster.homes);
@@ -133,7 +133,7 @@
 
 			const loan = {id, units: granted.units, expiresAt: askedAt + granted.span};
 			purses.set(workspace, addLoan(purses.get(workspace) ?? createPurse(askedAt), loan));
-			return {isReached: true, retryAfter: granted.units >= cost ? 0 : granted.retryAfter};
+			return {isReached: true, retryAfter: granted.retryAfter};
 		} catch {
 			return unreached;
 		}
--- a/packages/settings/host-schema.ts
+++ b/packages/settings/host-schema.ts
@@ -45,7 +45,7 @@
 		reserveSpan: milliseconds(600_000, 'Time after its last proof of the roster for which a host uses its share of the reserves, and until a new host may.'),
 		loanSpan: milliseconds(400, 'Time for which units on loan may be used.'),
 		prefetch: z.number().int().min(0).max(10_000).default(250).describe('Milliseconds of recent demand that a loan covers ahead.'),
-		proofLimit: milliseconds(1000, 'Age of the roster\'s proof at which a host stops lending and using units.'),
+		proofLimit: milliseconds(1200, 'Age of the roster\'s proof at which a host stops lending and using units.'),
 		longestWait: milliseconds(500, 'Longest time that a request waits for units that its rate does not give yet, before it is refused.'),
 	}).prefault({}),
 	idempotency: z.strictObject({
@@ -65,8 +65,8 @@
 		tickInterval: milliseconds(20, 'Between two steps of the control loop.'),
 		probeInterval: milliseconds(100, 'Between two probes of a group that is watched or in use.'),
 		demandSpan: milliseconds(5000, 'Time after its last request for which a group counts as in use.'),
-		exchangeInterval: milliseconds(200, 'Between two exchanges with other hosts.'),
-		exchangeTimeout: milliseconds(500, 'Time for an answer of another host.'),
+		exchangeInterval: milliseconds(100, 'Between two exchanges with other hosts.'),
+		exchangeTimeout: milliseconds(300, 'Time for an answer of another host.'),
 	}).prefault({}),
 	failover: z.strictObject({
 		suspectAfter: milliseconds(500, 'Silence of a primary after which it is suspected.'),
--- /dev/null
+++ b/scenarios/apply-fault.ts
@@ -0,0 +1,89 @@
+import type {Stage} from './stage.ts';
+import type {Step} from './step.ts';
+
+/** Applies the faults of a step: signals to processes, cuts and repairs of links, faults of the stand-ins. */
+export async function applyFault(stage: Stage, step: Step): Promise<void> {
+	sendSignals(stage, step);
+	changeLinks(stage, step);
+	await commandStandIns(stage, step);
+}
+
+function sendSignals(stage: Stage, step: Step): void {
+	const {cluster} = stage;
+	const signals = {
+		kill: 'SIGKILL', freeze: 'SIGSTOP', thaw: 'SIGCONT', terminate: 'SIGTERM',
+	} as const;
+	for (const name of ['kill', 'freeze', 'thaw', 'terminate'] as const) {
+		const process = step[name];
+		if (process !== undefined) {
+			stage.transcript.add(`${name} ${process}`);
+			cluster.child(process).signal(signals[name]);
+		}
+	}
+}
+
+function changeLinks(stage: Stage, step: Step): void {
+	const {cluster} = stage;
+	if (step.cut !== undefined) {
+		for (const from of step.cut.from) {
+			for (const to of step.cut.to) {
+				cluster.setFault(from, to, {isCut: true});
+			}
+		}
+	}
+
+	if (step.partition !== undefined) {
+		partition(stage, step.partition);
+	}
+
+	if (step.heal === true) {
+		for (const from of stage.scenario.cluster.zones) {
+			for (const process of [...cluster.hosts, ...cluster.instances, 'platform']) {
+				cluster.setFault(from, process, {isCut: false});
+			}
+		}
+	}
+
+	if (step.mute !== undefined) {
+		cluster.muteLink(step.mute.from, step.mute.to);
+	}
+
+	if (step.reset !== undefined) {
+		cluster.resetLink(step.reset.from, step.reset.to);
+	}
+}
+
+function partition({cluster, scenario}: Stage, {zone, platform}: {readonly zone: string; readonly platform: boolean}): void {
+	for (const process of [...cluster.hosts, ...cluster.instances]) {
+		const isInside = cluster.zoneOf(process) === zone;
+		for (const from of scenario.cluster.zones) {
+			if ((from === zone) !== isInside) {
+				cluster.setFault(from, process, {isCut: true});
+			}
+		}
+	}
+
+	if (platform) {
+		cluster.setFault(zone, 'platform', {isCut: true});
+	}
+}
+
+async function commandStandIns({cluster, transcript}: Stage, {platform, answers, restart}: Step): Promise<void> {
+	if (restart !== undefined) {
+		transcript.add(`restart ${restart}`);
+		await cluster.child(restart).ended;
+		cluster.restart(restart);
+	}
+
+	if (platform !== undefined) {
+		const {down, delay, lostAnswers, departing} = platform;
+		await cluster.platform.setFault({
+			down, delayMs: delay, lostAnswers, departing,
+		});
+	}
+
+	if (answers !== undefined) {
+		const {instance, delay, ...others} = answers;
+		await cluster.endpoint(instance).setFault({delayMs: delay, ...others});
+	}
+}
--- /dev/null
+++ b/scenarios/stage.ts
@@ -0,0 +1,16 @@
+import type {ChangeResponse} from '@sapphirefall/wire';
+import type {Cluster} from '../stand-ins/cluster/cluster.ts';
+import type {Answered} from './answered.ts';
+import type {Scenario} from './scenario.ts';
+import type {Transcript} from './transcript.ts';
+
+/** What the steps of a scenario share. */
+export type Stage = {
+	readonly cluster: Cluster;
+	readonly transcript: Transcript;
+	readonly sessions: Map<string, string>;
+	readonly calls: Map<string, Promise<Answered>>;
+	readonly changes: Map<string, Promise<ChangeResponse>>;
+	readonly keys: Set<string>;
+	readonly scenario: Scenario;
+};
--- /dev/null
+++ b/scenarios/step.ts
@@ -0,0 +1,4 @@
+import type {Scenario} from './scenario.ts';
+
+/** One step of a scenario. */
+export type Step = Scenario['steps'][number];
--- a/stand-ins/endpoint/create-instance.ts
+++ b/stand-ins/endpoint/create-instance.ts
@@ -16,6 +16,9 @@
 	transaction: Statement[] | undefined;
 	/** Set when the instance rolled the transaction back by itself. */
 	isAborted: boolean;
+	/** A transaction keeps its slot from beginning to end, so that its commit never waits behind those that wait for its lock. */
+	hasSlot: boolean;
+	isRunning: boolean;
 };
 
 type Options = {
@@ -88,11 +91,20 @@
 		lock.leave();
 	};
 
+	/** Gives the slot back when neither a transaction nor a batch needs it. */
+	const leaveSlot = (session: Session) => {
+		if (session.hasSlot && !session.isRunning && session.transaction === undefined) {
+			session.hasSlot = false;
+			slots.leave();
+		}
+	};
+
 	const abortHolder = () => {
 		const session = holder;
 		if (session?.transaction !== undefined) {
 			session.isAborted = true;
 			endTransaction(session, 'ROLLBACK');
+			leaveSlot(session);
 		}
 	};
 
@@ -172,7 +184,9 @@
 	return {
 		createReport,
 		getRole: () => ({role, term, primaryAddress}),
-		createSession: (): Session => ({transaction: undefined, isAborted: false}),
+		createSession: (): Session => ({
+			transaction: undefined, isAborted: false, hasSlot: false, isRunning: false,
+		}),
 
 		/** Runs a batch of a connection. */
 		async runBatch(session: Session, request: BatchRequest): Promise<BatchResponse> {
@@ -180,8 +194,10 @@
 				return runInLock(session, request, false);
 			}
 
-			const isSlotFree = await slots.enter(options.lockTimeout);
-			if (!isSlotFree) {
+			session.isRunning = true;
+			session.hasSlot ||= await slots.enter(options.lockTimeout);
+			if (!session.hasSlot) {
+				session.isRunning = false;
 				return createFault(request, EndpointFault.BUSY, 'no slot came free');
 			}
 
@@ -196,7 +212,8 @@
 					? runInLock(session, request, isWhole)
 					: createFault(request, EndpointFault.BUSY, 'the write lock did not come free');
 			} finally {
-				slots.leave();
+				session.isRunning = false;
+				leaveSlot(session);
 			}
 		},
 
@@ -205,6 +222,8 @@
 			if (session.transaction !== undefined) {
 				endTransaction(session, 'ROLLBACK');
 			}
+
+			leaveSlot(session);
 		},
 
 		/** Grants a term that is higher than all granted before, or the same one to its owner again. */
