Never lend a bucket twice when homes move, and measure capacity

Cause, found by reading: a hand-over whose answer was lost was sent again, and the new home took the old level a second time; and a host that missed a roster, and was the home again in the next one, went on with its old bucket while another had lent. Rosters now carry an epoch, buckets are forgotten when one was missed, and a home that lends already takes no hand-over.

Buckets at home and purses at borrowers are two files now.

--- a/bench/measure-decisions.ts
+++ b/bench/measure-decisions.ts
@@ -94,9 +94,9 @@
 /** Measures how the cost of the decisions grows with hosts, databases and workspaces. */
 export function measureDecisions(): readonly Slope[] {
 	return [
-		measureSlope('one step of the loop, by watched and unwatched databases', {
+		measureSlope('one step of the loop among 940 hosts, by databases', {
 			unit: 'µs a database', sizes: [100, 400, 1000], measure(size) {
-				const state = createState(9, size);
+				const state = createState(940, size);
 				return timeTask(round => stepHost(state, {event: {kind: 'tick'}, settings, now: 1e6 + (round * 20)}));
 			},
 		}),
--- a/packages/decisions/adopt-fleet.ts
+++ b/packages/decisions/adopt-fleet.ts
@@ -25,7 +25,9 @@
 		return {state: {...state, provenAt}, effects: []};
 	}
 
-	const hasNewHomes = roster.homes.join(' ') !== state.roster.homes.join(' ');
+	// A roster that was missed may have made another host the home meanwhile.
+	const hasMissed = roster.epoch > state.roster.epoch + 1;
+	const hasNewHomes = hasMissed || roster.homes.join(' ') !== state.roster.homes.join(' ');
 	const isNew = configuration.version > state.configuration.version;
 	return {
 		state: {
--- a/packages/decisions/choose-roster.ts
+++ b/packages/decisions/choose-roster.ts
@@ -3,7 +3,7 @@
 import type {HostState} from './host-state.ts';
 import type {Roster} from './roster.ts';
 
-type Proposed = Omit<Roster, 'head'>;
+type Proposed = Omit<Roster, 'head' | 'epoch'>;
 
 /** Milliseconds for which a change of the live hosts must have stood before the roster follows it. */
 const settleTime = 400;
--- a/packages/decisions/create-host-state.ts
+++ b/packages/decisions/create-host-state.ts
@@ -17,7 +17,7 @@
 		groups: new Map(),
 		configuration: createConfiguration(),
 		roster: {
-			head: 0, hosts: [], homes: [], acceptors: [],
+			head: 0, epoch: 0, hosts: [], homes: [], acceptors: [],
 		},
 		homesKnownAt: 0,
 		rosterHistory: [],
--- a/packages/decisions/host-effect.ts
+++ b/packages/decisions/host-effect.ts
@@ -6,7 +6,7 @@
 	| {readonly kind: 'exchange'; readonly partner: string}
 	| {readonly kind: 'readVersion'}
 	| {readonly kind: 'readFleet'}
-	| {readonly kind: 'changeRoster'; readonly roster: Omit<Roster, 'head'>}
+	| {readonly kind: 'changeRoster'; readonly roster: Omit<Roster, 'head' | 'epoch'>}
 	| {readonly kind: 'probe'; readonly database: string}
 	| {readonly kind: 'failover'; readonly database: string; readonly effect: FailoverEffect}
 	| {readonly kind: 'tellPrimary'; readonly database: string; readonly term: number; readonly instance: string}
--- a/packages/decisions/roster.ts
+++ b/packages/decisions/roster.ts
@@ -6,6 +6,8 @@
 export type Roster = {
 	/** Version of the table row. */
 	readonly head: number;
+	/** Rises by one with each roster; a host that sees it rise by more has missed one. */
+	readonly epoch: number;
 	/** Hosts that the platform lists; each may use its even share of the reserves. */
 	readonly hosts: readonly string[];
 	/** Live hosts, among which the homes of workspaces are chosen. */
--- a/packages/decisions/step-group-failover.ts
+++ b/packages/decisions/step-group-failover.ts
@@ -1,30 +1,27 @@
 import {stepFailover} from './step-failover.ts';
-import {updateGroup} from './_update-group.ts';
 import type {FailoverEvent} from './failover-event.ts';
+import type {GroupControl} from './group-control.ts';
+import type {HostEffect} from './host-effect.ts';
 import type {HostSettings} from './host-settings.ts';
-import type {HostState} from './host-state.ts';
-import type {HostStep} from './host-step.ts';
+
+/** What a host keeps of a group after an event, and what to do. */
+type GroupStep = {readonly group: GroupControl; readonly effects: readonly HostEffect[]};
 
 /**
  * Moves the failover of one group by one event, if this host watches the group.
  *
- * @param state The state of the host.
- * @param input The group's database, the event, the settings, and monotonic milliseconds.
+ * @param group What the host keeps of the group.
+ * @param input The event, the settings, and monotonic milliseconds.
  */
 export function stepGroupFailover(
-	state: HostState,
-	input: {
-		readonly database: string;
-		readonly event: FailoverEvent;
-		readonly settings: HostSettings;
-		readonly now: number;
-	},
-): HostStep {
-	const group = state.groups.get(input.database);
-	if (group?.watch === undefined) {
-		return {state, effects: []};
+	group: GroupControl,
+	input: {readonly event: FailoverEvent; readonly settings: HostSettings; readonly now: number},
+): GroupStep {
+	if (group.watch === undefined) {
+		return {group, effects: []};
 	}
 
+	const {database} = group.view.group;
 	const {state: failover, effects} = stepFailover(group.failover, {
 		event: input.event,
 		view: group.view,
@@ -35,7 +32,7 @@
 		now: input.now,
 	});
 	return {
-		state: failover === group.failover ? state : updateGroup(state, input.database, old => ({...old, failover})),
-		effects: effects.map(effect => ({kind: 'failover', database: input.database, effect})),
+		group: failover === group.failover ? group : {...group, failover},
+		effects: effects.map(effect => ({kind: 'failover', database, effect})),
 	};
 }
--- a/packages/decisions/step-host.ts
+++ b/packages/decisions/step-host.ts
@@ -69,7 +69,7 @@
 		}
 
 		case 'failover': {
-			return stepGroupFailover(state, {...input, database: event.database, event: event.event});
+			return stepFailoverEvent(state, {...input, event});
 		}
 
 		case 'commitChanged': {
@@ -122,6 +122,19 @@
 	return {...state, membership: options.membership, groups};
 }
 
+function stepFailoverEvent(
+	state: HostState,
+	{event, settings, now}: {readonly event: EventOf<'failover'>; readonly settings: HostSettings; readonly now: number},
+): HostStep {
+	const known = state.groups.get(event.database);
+	if (known === undefined) {
+		return {state, effects: []};
+	}
+
+	const {group, effects} = stepGroupFailover(known, {event: event.event, settings, now});
+	return {state: group === known ? state : updateGroup(state, event.database, () => group), effects};
+}
+
 function stepExchanged(
 	state: HostState,
 	{event, now}: {readonly event: EventOf<'exchanged'>; readonly now: number},
--- a/packages/decisions/step-tick.ts
+++ b/packages/decisions/step-tick.ts
@@ -3,7 +3,7 @@
 import {listLiveHosts} from './list-live-hosts.ts';
 import {rankHosts} from './rank-hosts.ts';
 import {stepGroupFailover} from './step-group-failover.ts';
-import {updateGroup} from './_update-group.ts';
+import type {GroupControl} from './group-control.ts';
 import type {HostEffect} from './host-effect.ts';
 import type {HostSettings} from './host-settings.ts';
 import type {HostState} from './host-state.ts';
@@ -24,26 +24,31 @@
 	const read = scheduleReads(exchanged.state, input);
 	const roster = scheduleRoster(read.state, input);
 	const steps: HostStep[] = [exchanged, read, roster];
-	let next = roster.state;
-	for (const [database, group] of state.groups) {
-		const isWatched = group.watch !== undefined;
-		const isUsed = input.now - group.demandedAt <= input.settings.demandSpan;
-		if ((isWatched || isUsed) && input.now >= group.nextProbeAt) {
-			const nextProbeAt = input.now + input.settings.probeInterval;
-			next = updateGroup(next, database, old => ({...old, nextProbeAt}));
-			steps.push({state: next, effects: [{kind: 'probe', database}]});
-		}
-
-		if (isWatched) {
-			const step = stepGroupFailover(next, {
-				database, event: {kind: 'tick'}, settings: input.settings, now: input.now,
-			});
-			next = step.state;
-			steps.push(step);
+	const groups = new Map(roster.state.groups);
+	let isChanged = false;
+	for (const [database, group] of groups) {
+		const ticked = tickGroup(group, input);
+		steps.push({state: roster.state, effects: ticked.effects});
+		if (ticked.group !== group) {
+			isChanged = true;
+			groups.set(database, ticked.group);
 		}
 	}
 
-	return {state: next, effects: steps.flatMap(({effects}) => effects)};
+	return {
+		state: isChanged ? {...roster.state, groups} : roster.state,
+		effects: steps.flatMap(({effects}) => effects),
+	};
+}
+
+/** Probes a group that is watched or in use when it is due, and moves its failover on. */
+function tickGroup(group: GroupControl, {settings, now}: Input) {
+	const isUsed = now - group.demandedAt <= settings.demandSpan;
+	const isDue = (group.watch !== undefined || isUsed) && now >= group.nextProbeAt;
+	const probed = isDue ? {...group, nextProbeAt: now + settings.probeInterval} : group;
+	const probe: readonly HostEffect[] = isDue ? [{kind: 'probe', database: group.view.group.database}] : [];
+	const step = stepGroupFailover(probed, {event: {kind: 'tick'}, settings, now});
+	return {group: step.group, effects: [...probe, ...step.effects]};
 }
 
 function scheduleExchange(state: HostState, {settings, now}: Input): HostStep {
--- a/packages/platform/commit-roster.ts
+++ b/packages/platform/commit-roster.ts
@@ -13,16 +13,21 @@
  * @returns What is in force afterwards, or `undefined` when another change went first.
  * @throws {Error} When the platform does not answer; the roster may have been committed.
  */
-export async function commitRoster(platform: PlatformClient, next: Roster): Promise<FleetConfiguration | undefined> {
+export async function commitRoster(
+	platform: PlatformClient,
+	next: Omit<Roster, 'epoch'>,
+): Promise<FleetConfiguration | undefined> {
+	const {head: expectedVersion, ...chosen} = next;
 	const row = await platform.readRow(configurationRow);
-	if (row.version !== next.head) {
+	if (row.version !== expectedVersion) {
 		return undefined;
 	}
 
-	const {head: _, ...roster} = next;
-	const head: ConfigurationHead = {...parseRow(row), roster};
-	const written = await platform.writeRow(configurationRow, {expectedVersion: next.head, value: JSON.stringify(head)});
+	const old = parseRow(row);
+	const roster = {...chosen, epoch: old.roster.epoch + 1};
+	const head: ConfigurationHead = {...old, roster};
+	const written = await platform.writeRow(configurationRow, {expectedVersion, value: JSON.stringify(head)});
 	return written.isWritten
-		? {configuration: await readBody(platform, head.object), roster: {...next, head: written.row.version}}
+		? {configuration: await readBody(platform, head.object), roster: {...roster, head: written.row.version}}
 		: undefined;
 }
--- a/packages/platform/parse-row.ts
+++ b/packages/platform/parse-row.ts
@@ -3,7 +3,9 @@
 
 /** What the row of a new fleet would hold. */
 const emptyHead: ConfigurationHead = {
-	object: '', changes: [], roster: {hosts: [], homes: [], acceptors: []},
+	object: '', changes: [], roster: {
+		epoch: 0, hosts: [], homes: [], acceptors: [],
+	},
 };
 
 /**
--- a/packages/proxy/change-backend.ts
+++ b/packages/proxy/change-backend.ts
@@ -10,7 +10,7 @@
 	readonly change: (request: ChangeRequest, change: Change) => Promise<Outcome>;
 	/** Commits a change that another host passed on. */
 	readonly takeChange: (request: ChangeRequest) => Promise<Outcome>;
-	readonly changeRoster: (roster: Omit<FleetConfiguration['roster'], 'head'>) => Promise<void>;
+	readonly changeRoster: (roster: Omit<FleetConfiguration['roster'], 'head' | 'epoch'>) => Promise<void>;
 	/** Reads the table and takes in what it holds. */
 	readonly readVersion: () => Promise<boolean>;
 };
--- /dev/null
+++ b/packages/proxy/create-bucket-homes.ts
@@ -0,0 +1,136 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	findHome, findProvenAt, lendUnits, type HomeBucket, type HostState,
+} from '@sapphirefall/decisions';
+import type {BorrowAsked, BorrowGranted} from '@sapphirefall/hosts';
+import type {HostFile} from '@sapphirefall/settings';
+import type {BucketHomes} from './bucket-homes.ts';
+import type {FindPeer} from './find-peer.ts';
+
+type Options = {
+	readonly self: string;
+	readonly settings: HostFile['rate'];
+	readonly readState: () => HostState;
+	readonly findPeer: FindPeer;
+	readonly now: () => number;
+};
+
+type Home = {
+	/** Since when this host has been the home without a break, in monotonic milliseconds. */
+	readonly since: number;
+	bucket: HomeBucket;
+};
+
+/** Share by which a home outwaits a loan, so that a borrower with a slower clock has stopped before. */
+const driftMargin = 1.1;
+
+/** Milliseconds between two attempts to hand a bucket over. */
+const handOverDelay = 100;
+
+/**
+ * Creates the keeper of the buckets whose home this host is.
+ *
+ * A host that becomes a home waits until the one before it has stopped, unless that one hands its bucket over.
+ */
+export function createBucketHomes(options: Options): BucketHomes {
+	const {self, settings, now} = options;
+	const homes = new Map<string, Home>();
+
+	const isProven = () => now() - findProvenAt(options.readState()) <= settings.proofLimit;
+
+	/** Finds when a host that the newest roster made a home may begin to lend. */
+	const findStart = () => options.readState().homesKnownAt + settings.proofLimit + (settings.loanSpan * driftMargin);
+
+	const findLimit = (workspace: string) =>
+		options.readState().configuration.workspaces[workspace] ?? {rate: 0, burst: 0};
+
+	/** Finds the bucket of a workspace that this host may lend from now. */
+	const findOwnHome = (workspace: string): Home | undefined => {
+		const {roster} = options.readState();
+		if (findHome(workspace, roster.homes) !== self) {
+			return undefined;
+		}
+
+		const startsAt = findStart();
+		const home = homes.get(workspace) ?? {since: startsAt, bucket: {level: 0, refilledAt: startsAt, loans: []}};
+		homes.set(workspace, home);
+		return isProven() && now() >= home.since ? home : undefined;
+	};
+
+	const lend = (asked: BorrowAsked): BorrowGranted | undefined => {
+		const home = findOwnHome(asked.workspace);
+		if (home === undefined) {
+			return undefined;
+		}
+
+		const limit = findLimit(asked.workspace);
+		const share = 1 - settings.reserve;
+		const lent = lendUnits(home.bucket, {
+			...asked,
+			rate: limit.rate * share,
+			burst: limit.burst * share,
+			span: settings.loanSpan * driftMargin,
+			now: now(),
+		});
+		home.bucket = lent.bucket;
+		return {units: lent.units, span: settings.loanSpan, retryAfter: lent.retryAfter};
+	};
+
+	/** Hands a bucket over to its new home; gives up after a while, and the new home waits the loans out. */
+	const handOver = async (workspace: string, bucket: HomeBucket) => {
+		const givenUpAt = now() + settings.proofLimit;
+		while (now() < givenUpAt) {
+			const {roster} = options.readState();
+			const loans = bucket.loans.map(({expiresAt, ...loan}) => ({...loan, left: Math.max(0, expiresAt - now())}));
+			try {
+				const peer = options.findPeer(findHome(workspace, roster.homes) ?? '');
+				// eslint-disable-next-line no-await-in-loop -- attempts follow each other
+				if (await peer?.handOver({
+					workspace, head: roster.head, level: bucket.level, loans,
+				})) {
+					return;
+				}
+			} catch {
+				// The new home may answer later.
+			}
+
+			await sleep(handOverDelay); // eslint-disable-line no-await-in-loop -- attempts follow each other
+		}
+	};
+
+	return {
+		lend,
+		isReady: () => isProven() && now() >= findStart(),
+		followRoster(before, after) {
+			if (after.epoch > before.epoch + 1) {
+				homes.clear();
+			}
+
+			for (const [workspace, home] of homes) {
+				if (findHome(workspace, after.homes) !== self) {
+					homes.delete(workspace);
+					if (now() >= home.since) {
+						void handOver(workspace, home.bucket);
+					}
+				}
+			}
+		},
+		takeOver({workspace, head, level, loans}) {
+			const {roster} = options.readState();
+			const at = now();
+			if (head !== roster.head || findHome(workspace, roster.homes) !== self) {
+				return false;
+			}
+
+			const known = homes.get(workspace);
+			if (known !== undefined && at >= known.since) {
+				// The answer to the first hand-over was lost, or came after the wait: what was lent since counts.
+				return true;
+			}
+
+			const taken = loans.map(({left, ...loan}) => ({...loan, expiresAt: at + left}));
+			homes.set(workspace, {since: at, bucket: {level, refilledAt: at, loans: taken}});
+			return true;
+		},
+	};
+}
--- a/packages/proxy/create-rate-gate.ts
+++ b/packages/proxy/create-rate-gate.ts
@@ -1,11 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addLoan, chooseReserveShare, createPurse, createRefusal, findHome, findProvenAt, lendUnits, resultCodes, settlePurse, spendUnits, takeUnits,
-	type AdmittedRequest, type HomeBucket, type HostState, type Purse, type TokenBucket,
+	addLoan, chooseReserveShare, createPurse, createRefusal, findHome, findProvenAt, resultCodes, settlePurse, spendUnits,
+	takeUnits, type AdmittedRequest, type HostState, type Purse, type TokenBucket,
 } from '@sapphirefall/decisions';
-import type {BorrowAsked, BorrowGranted} from '@sapphirefall/hosts';
 import type {Metrics} from '@sapphirefall/operators';
 import type {HostFile} from '@sapphirefall/settings';
+import type {BucketHomes} from './bucket-homes.ts';
 import type {FindPeer} from './find-peer.ts';
 import type {RateGate} from './rate-gate.ts';
 
@@ -16,19 +16,12 @@
 	readonly settings: HostFile['rate'];
 	readonly readState: () => HostState;
 	readonly findPeer: FindPeer;
+	/** Lends units when this host is the home itself. */
+	readonly lend: BucketHomes['lend'];
 	readonly metrics: Metrics;
 	readonly now: () => number;
 };
 
-type Home = {
-	/** Since when this host has been the home without a break, in monotonic milliseconds. */
-	readonly since: number;
-	bucket: HomeBucket;
-};
-
-/** Share by which a home outwaits a loan, so that a borrower with a slower clock has stopped before. */
-const driftMargin = 1.1;
-
 /** Milliseconds before the next request to a home that did not answer. */
 const homeRetry = 100;
 
@@ -46,73 +39,15 @@
  */
 export function createRateGate(options: Options): RateGate {
 	const {self, settings, now} = options;
-	const homes = new Map<string, Home>();
 	const purses = new Map<string, Purse>();
 	const reserves = new Map<string, TokenBucket>();
 	const borrowing = new Map<string, Promise<Borrowed>>();
 
 	const isProven = () => now() - findProvenAt(options.readState()) <= settings.proofLimit;
 
-	/** Finds when a host that the newest roster made a home may begin to lend. */
-	const findStart = () => options.readState().homesKnownAt + settings.proofLimit + (settings.loanSpan * driftMargin);
-
 	const findLimit = (workspace: string) =>
 		options.readState().configuration.workspaces[workspace] ?? {rate: 0, burst: 0};
 
-	/** Finds the bucket of a workspace that this host may lend from now. */
-	const findOwnHome = (workspace: string): Home | undefined => {
-		const {roster} = options.readState();
-		if (findHome(workspace, roster.homes) !== self) {
-			return undefined;
-		}
-
-		const startsAt = findStart();
-		const home = homes.get(workspace) ?? {since: startsAt, bucket: {level: 0, refilledAt: startsAt, loans: []}};
-		homes.set(workspace, home);
-		return isProven() && now() >= home.since ? home : undefined;
-	};
-
-	const lend = (asked: BorrowAsked): BorrowGranted | undefined => {
-		const home = findOwnHome(asked.workspace);
-		if (home === undefined) {
-			return undefined;
-		}
-
-		const limit = findLimit(asked.workspace);
-		const share = 1 - settings.reserve;
-		const lent = lendUnits(home.bucket, {
-			...asked,
-			rate: limit.rate * share,
-			burst: limit.burst * share,
-			span: settings.loanSpan * driftMargin,
-			now: now(),
-		});
-		home.bucket = lent.bucket;
-		return {units: lent.units, span: settings.loanSpan, retryAfter: lent.retryAfter};
-	};
-
-	/** Hands a bucket over to its new home; gives up after a while, and the new home waits the loans out. */
-	const handOver = async (workspace: string, bucket: HomeBucket) => {
-		const givenUpAt = now() + settings.proofLimit;
-		while (now() < givenUpAt) {
-			const {roster} = options.readState();
-			const loans = bucket.loans.map(({expiresAt, ...loan}) => ({...loan, left: Math.max(0, expiresAt - now())}));
-			try {
-				const peer = options.findPeer(findHome(workspace, roster.homes) ?? '');
-				// eslint-disable-next-line no-await-in-loop -- attempts follow each other
-				if (await peer?.handOver({
-					workspace, head: roster.head, level: bucket.level, loans,
-				})) {
-					return;
-				}
-			} catch {
-				// The new home may answer later.
-			}
-
-			await sleep(homeRetry); // eslint-disable-line no-await-in-loop -- attempts follow each other
-		}
-	};
-
 	/** Asks the home for units. */
 	const borrow = async (request: AdmittedRequest): Promise<Borrowed> => {
 		const {workspace, cost} = request;
@@ -126,7 +61,7 @@
 		const home = findHome(workspace, options.readState().roster.homes);
 		options.metrics.borrows.inc({place: home === self ? 'own' : 'other'});
 		try {
-			const granted = home === self ? lend(asked) : await options.findPeer(home ?? '')?.borrow(asked);
+			const granted = home === self ? options.lend(asked) : await options.findPeer(home ?? '')?.borrow(asked);
 			if (granted === undefined) {
 				return unreached;
 			}
@@ -184,30 +119,6 @@
 	};
 
 	return {
-		lend,
-		isReady: () => isProven() && now() >= findStart(),
-		followRoster() {
-			const {roster} = options.readState();
-			for (const [workspace, home] of homes) {
-				if (findHome(workspace, roster.homes) !== self) {
-					homes.delete(workspace);
-					if (now() >= home.since) {
-						void handOver(workspace, home.bucket);
-					}
-				}
-			}
-		},
-		takeOver({workspace, head, level, loans}) {
-			const {roster} = options.readState();
-			const at = now();
-			if (head !== roster.head || findHome(workspace, roster.homes) !== self) {
-				return false;
-			}
-
-			const taken = loans.map(({left, ...loan}) => ({...loan, expiresAt: at + left}));
-			homes.set(workspace, {since: at, bucket: {level, refilledAt: at, loans: taken}});
-			return true;
-		},
 		async take(request) {
 			let latest = Math.min(request.deadline, now() + settings.longestWait);
 			let isFirst = true;
--- a/packages/proxy/start-host.ts
+++ b/packages/proxy/start-host.ts
@@ -6,6 +6,7 @@
 import {createMetrics} from '@sapphirefall/operators';
 import {createPlatformClient} from '@sapphirefall/platform';
 import type {HostFile} from '@sapphirefall/settings';
+import {createBucketHomes} from './create-bucket-homes.ts';
 import {createChangeBackend} from './create-change-backend.ts';
 import {createExchanger} from './create-exchanger.ts';
 import {createFailoverRunner} from './create-failover-runner.ts';
@@ -61,7 +62,7 @@
 
 	const followState = (before: HostState, after: HostState) => {
 		if (before.roster !== after.roster) {
-			rates.followRoster();
+			homes.followRoster(before.roster, after.roster);
 		}
 
 		if (before.groups === after.groups) {
@@ -153,8 +154,11 @@
 	const runFailover = createFailoverRunner({
 		owner, readState, dispatch, findGroup, findPeer, events, metrics, log, now,
 	});
+	const homes = createBucketHomes({
+		self, settings: settings.rate, readState, findPeer, now,
+	});
 	const rates = createRateGate({
-		self, owner, settings: settings.rate, readState, findPeer, metrics, now,
+		self, owner, settings: settings.rate, readState, findPeer, lend: homes.lend, metrics, now,
 	});
 	const requests = createRequestHandler({
 		settings,
@@ -183,7 +187,7 @@
 		events,
 		metrics,
 		countRunning: requests.countRunning,
-		areRatesReady: rates.isReady,
+		areRatesReady: homes.isReady,
 		staleAfter: settings.keys.staleAfter,
 		drain: options.onDrainAsked,
 		now,
@@ -199,8 +203,8 @@
 		exchange: exchanger.answer,
 		execute: requests.executeForwarded,
 		now,
-		lend: rates.lend,
-		takeOver: rates.takeOver,
+		lend: homes.lend,
+		takeOver: homes.takeOver,
 		takeChange: changes.takeChange,
 		confirm(database, term) {
 			const group = readState().groups.get(database);
