Let a cut-off zone keep its own instance, and return to a replica that failed once

The watcher of the cut zone took the hosts of the other zones for dead after about a second, so no second zone was left to agree, and it fenced the one instance it could reach: reads from it ended, and the higher term forced a failover when the zone healed. Ruled out: starved pools, a stalled probe stream, the reserves.

Also: a read waits a bounded time for a connection to any one instance, is no longer given up while it runs on a replica, and comes back to a replica that failed once.

--- a/bench/measure-decisions.ts
+++ b/bench/measure-decisions.ts
@@ -107,7 +107,7 @@
 				return timeTask(() => {
 					for (const group of groups) {
 						assignWatch(group, {
-							self: 'host-0', live: hosts, present: undefined, now: 0,
+							self: 'host-0', live: hosts, listed: hosts, present: undefined, now: 0,
 						});
 					}
 				});
--- a/packages/decisions/assign-watch.ts
+++ b/packages/decisions/assign-watch.ts
@@ -9,18 +9,22 @@
  * One host a zone watches, in the zones that have an instance of the group.
  *
  * @param group The group.
- * @param options This host, the live hosts, the present part, and monotonic milliseconds.
+ * @param options This host, the live and the listed hosts, the present part, and monotonic milliseconds.
  */
 export function assignWatch(
 	group: Group,
 	options: {
 		readonly self: string;
 		readonly live: readonly Host[];
+		/** All hosts that the platform lists. */
+		readonly listed: readonly Host[];
 		readonly present: GroupControl['watch'];
 		readonly now: number;
 	},
 ): GroupControl['watch'] {
-	const {self, live, present, now} = options;
+	const {
+		self, live, listed, present, now,
+	} = options;
 	const resource = `watch/${group.database}`;
 	const zones = [...new Set(group.instances.map(({zone}) => zone))];
 	const watchers = zones
@@ -33,6 +37,7 @@
 	const ranked = rankHosts(resource, watchers);
 	return {
 		rank: ranked.indexOf(self),
+		needsAgreement: new Set(listed.map(({zone}) => zone)).size > 1,
 		others: ranked.filter(id => id !== self),
 		since: present?.since ?? now,
 	};
--- a/packages/decisions/group-control.ts
+++ b/packages/decisions/group-control.ts
@@ -15,6 +15,12 @@
 type WatchRole = {
 	/** Watchers of other zones that act before this one. */
 	readonly rank: number;
+	/**
+	 * Whether a second zone must agree before anything is fenced.
+	 *
+	 * False only when the platform lists hosts in one zone alone: a zone whose hosts are merely silent may be well.
+	 */
+	readonly needsAgreement: boolean;
 	/** Watchers of the other zones, by host id. */
 	readonly others: readonly string[];
 	/** Monotonic milliseconds since which this host watches. */
--- a/packages/decisions/step-group-failover.ts
+++ b/packages/decisions/step-group-failover.ts
@@ -28,7 +28,7 @@
 		settings: input.settings.failover,
 		watchedSince: group.watch.since,
 		rank: group.watch.rank,
-		needsAgreement: group.watch.others.length > 0,
+		needsAgreement: group.watch.needsAgreement,
 		now: input.now,
 	});
 	return {
--- a/packages/decisions/step-host.ts
+++ b/packages/decisions/step-host.ts
@@ -112,11 +112,12 @@
 	options: {readonly membership: Membership; readonly now: number},
 ): HostState {
 	const live = listLiveHosts(options.membership);
+	const listed = [...options.membership.hosts.values()];
 	const {self} = options.membership;
 	const groups = new Map([...state.groups].map(([database, group]) => [database, {
 		...group,
 		watch: assignWatch(group.view.group, {
-			self, live, present: group.watch, now: options.now,
+			self, live, listed, present: group.watch, now: options.now,
 		}),
 	}]));
 	return {...state, membership: options.membership, groups};
--- a/packages/proxy/execute-read.ts
+++ b/packages/proxy/execute-read.ts
@@ -24,11 +24,11 @@
 	readonly term: number;
 };
 
-/** Share of the time left that a read waits for a replica before it turns to the primary. */
-const replicaShare = 0.3;
+/** Share of the time left that a read waits for a connection to one instance before it tries another. */
+const waitShare = 0.3;
 
-/** Milliseconds that a read leaves the endpoint unanswered at most before another instance is tried. */
-const replicaTimeout = 1000;
+/** Milliseconds that a read waits for a connection to one instance at most. */
+const longestWait = 1000;
 
 /**
  * Executes a read: on a replica whose data is proven fresh enough, else on the primary.
@@ -58,6 +58,8 @@
 
 	const result = await runRead(request, {context, plan});
 	if (plan.kind === 'primary') {
+		// A replica that failed once may be all that is left.
+		failed.clear();
 		return result.kind === 'read' ? proveRead(request, {context, result}) : result;
 	}
 
@@ -83,11 +85,10 @@
 	options: {readonly context: ExecutionContext; readonly plan: Plan},
 ): Promise<Result | Attempt> {
 	const {context} = options;
-	const {kind, instance, term} = options.plan;
+	const {instance, term} = options.plan;
 	const now = context.now();
-	const patience = Math.min(replicaTimeout, (request.deadline - now) * replicaShare);
-	const deadline = kind === 'replica' ? now + patience : request.deadline;
-	const scope = context.group.openScope(term, deadline);
+	const deadline = now + Math.min(longestWait, (request.deadline - now) * waitShare);
+	const scope = context.group.openScope(term, request.deadline);
 	try {
 		const connection = await context.group.take(instance, {
 			...request, deadline, isGateway: context.isGateway, signal: scope.signal,
