Lint the same files in every checkout

Cause: in a fresh clone XO could not place bin/sapphirefall.js and xo.config.js in a TypeScript project and failed; in the working tree it did. Both are left out now.

--- a/xo.config.js
+++ b/xo.config.js
@@ -1,10 +1,11 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
-		ignores: ['packages/wire/gen/**', 'out/**'],
+		// Generated code, and two short files that no TypeScript project holds.
+		ignores: ['packages/wire/gen/**', 'out/**', 'bin/**', 'xo.config.js'],
 	},
 	{
-		files: ['**/*.{ts,js}'],
+		files: ['**/*.ts'],
 		rules: {
 			// The house style wins over XO: null is a SQL value, and modules end in .ts as Node resolves them.
 			'@typescript-eslint/no-restricted-types': 'off',
