Keep the time after which a lost write is settled in one place

It stood in adopt-fleet and in create-change-backend, and the two must agree: an acceptor that starts may give its word only when no write of an earlier process can still land. Types, lint and the unit tests pass; the scenarios were not run again.

--- a/packages/decisions/adopt-fleet.ts
+++ b/packages/decisions/adopt-fleet.ts
@@ -1,10 +1,8 @@
+import {settleSpan} from './settle-span.ts';
 import type {FleetConfiguration} from './fleet-configuration.ts';
 import type {HostState} from './host-state.ts';
 import type {HostStep} from './host-step.ts';
 
-/** Milliseconds after which a write to the table that got no answer can no longer take effect. */
-const settleSpan = 5000;
-
 /**
  * Adopts a configuration and a roster that are not older than the known ones.
  *
--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -86,6 +86,7 @@
 export type * from './roster.ts';
 export type * from './session-claim.ts';
 export * from './settle-purse.ts';
+export * from './settle-span.ts';
 export * from './spend-units.ts';
 export type * from './sql-result.ts';
 export type * from './sql-statement.ts';
--- /dev/null
+++ b/packages/decisions/settle-span.ts
@@ -0,0 +1,2 @@
+/** Milliseconds after which a write to the table that got no answer can no longer take effect. */
+export const settleSpan = 5000;
--- a/packages/proxy/create-change-backend.ts
+++ b/packages/proxy/create-change-backend.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	resultCodes, type Change, type HostEvent, type HostState,
+	resultCodes, settleSpan, type Change, type HostEvent, type HostState,
 } from '@sapphirefall/decisions';
 import type {EventLog} from '@sapphirefall/events';
 import {decodeChange} from '@sapphirefall/operators';
@@ -23,9 +23,6 @@
 	readonly now: () => number;
 };
 
-/** Milliseconds after which a write to the table that got no answer can no longer take effect. */
-const settleSpan = 5000;
-
 /** Creates what commits changes of the configuration and the roster. */
 export function createChangeBackend(options: Options): ChangeBackend {
 	const {platform, dispatch, log, now} = options;
