Count every answer under faults against what ran, and end dead sessions in the stand-in

New steps of the test language: "writes" begins keyed writes through all hosts, "tally" counts the rows that each left against its answer, settles the unknown ones by their keys, and counts again.

Cause: a connection of the killed host that waited for the instance's write lock got it after it had closed, and held it for the 2 s limit of idle transactions. Ruled out: the retry budget, the relay (it passes the close on).

Also: a replica's pull from a silent primary went on for up to a second after the replica had been told to follow another; it now ends at once.

--- a/scenarios/run-scenario.ts
+++ b/scenarios/run-scenario.ts
@@ -7,9 +7,11 @@
 import {applyFault} from './apply-fault.ts';
 import {checkAnswer} from './check-answer.ts';
 import {checkOutputs} from './check-outputs.ts';
+import {checkTally} from './check-tally.ts';
 import {createChange} from './create-change.ts';
 import {formatAnswer} from './format-answer.ts';
 import {sendCall} from './send-call.ts';
+import {sendWrites} from './send-writes.ts';
 import {waitFor} from './wait-for.ts';
 import type {Answered} from './answered.ts';
 import type {Scenario} from './scenario.ts';
@@ -33,7 +35,7 @@
 export async function runScenario(scenario: Scenario, transcript: Transcript): Promise<void> {
 	const cluster = await startCluster(scenario.cluster);
 	const stage: Stage = {
-		cluster, transcript, scenario, sessions: new Map(), calls: new Map(), changes: new Map(), keys: new Set(),
+		cluster, transcript, scenario, sessions: new Map(), calls: new Map(), changes: new Map(), writes: new Map(), keys: new Set(),
 	};
 	try {
 		for (const [index, step] of scenario.steps.entries()) {
@@ -69,11 +71,22 @@
 	expect(done).to.be.within(burst.done.least, burst.done.most);
 }
 
-async function runCallStep(stage: Stage, {call, change, join, burst}: Step): Promise<void> {
+async function runCallStep(stage: Stage, step: Step): Promise<void> {
+	const {
+		call, change, join, burst, writes, tally,
+	} = step;
 	if (burst !== undefined) {
 		await runBurst(stage, burst);
 	}
 
+	if (writes !== undefined) {
+		startWrites(stage, writes);
+	}
+
+	if (tally !== undefined) {
+		await checkTally(stage, tally);
+	}
+
 	if (call !== undefined) {
 		await runCall(stage, call);
 	}
@@ -83,22 +96,32 @@
 	}
 
 	if (join !== undefined) {
-		const call = stage.calls.get(join.name);
-		if (call !== undefined) {
-			const answered = await call;
-			stage.transcript.add(`join ${join.name}: ${formatAnswer(answered.response)}`);
-			checkAnswer(answered.response, {expected: join.expect ?? {}, elapsed: answered.elapsed});
-		}
+		await runJoin(stage, join);
+	}
+}
 
-		const changed = stage.changes.get(join.name);
-		if (changed !== undefined) {
-			const {code} = await changed;
-			stage.transcript.add(`join ${join.name}: code ${code}`);
-			expect(code).to.equal(join.code ?? 0);
-		}
+function startWrites(stage: Stage, writes: NonNullable<Step['writes']>): void {
+	const run = async () => ({key: writes.key, writes: await sendWrites(stage, writes)});
+	stage.writes.set(writes.name, run());
+	stage.transcript.add(`start ${writes.count} writes ${writes.name}`);
+}
+
+async function runJoin(stage: Stage, join: NonNullable<Step['join']>): Promise<void> {
+	const call = stage.calls.get(join.name);
+	if (call !== undefined) {
+		const answered = await call;
+		stage.transcript.add(`join ${join.name}: ${formatAnswer(answered.response)}`);
+		checkAnswer(answered.response, {expected: join.expect ?? {}, elapsed: answered.elapsed});
+	}
 
-		expect(call ?? changed, `nothing named ${join.name} runs`).to.not.equal(undefined);
+	const changed = stage.changes.get(join.name);
+	if (changed !== undefined) {
+		const {code} = await changed;
+		stage.transcript.add(`join ${join.name}: code ${code}`);
+		expect(code).to.equal(join.code ?? 0);
 	}
+
+	expect(call ?? changed, `nothing named ${join.name} runs`).to.not.equal(undefined);
 }
 
 async function runCall(stage: Stage, call: Call): Promise<void> {
--- a/scenarios/scenario-schema.ts
+++ b/scenarios/scenario-schema.ts
@@ -72,6 +72,25 @@
 		count: z.number(),
 		done: z.strictObject({least: z.number(), most: z.number()}),
 	}).optional(),
+	/** Begins writes with keys of their own through hosts in turn, one each `every` ms, and goes on at once. */
+	writes: z.strictObject({
+		name: z.string(),
+		key: z.string(),
+		hosts: z.array(z.string()).optional(),
+		count: z.number(),
+		every: z.number(),
+		deadline: z.number(),
+	}).optional(),
+	/** Waits for the writes, counts what each left in the database, repeats the unknown ones and counts again. */
+	tally: z.strictObject({
+		name: z.string(),
+		/** Host that counts and repeats. */
+		host: z.string(),
+		/** Least writes that are done. */
+		done: z.number(),
+		/** Least writes that the fault kept from being done. */
+		failed: z.number().default(0),
+	}).optional(),
 	change: change.optional(),
 	join: z.strictObject({name: z.string(), expect: expectation.optional(), code: z.number().optional()}).optional(),
 	kill: z.string().optional(),
--- /dev/null
+++ b/scenarios/send-write.ts
@@ -0,0 +1,39 @@
+import {createStatement} from '../stand-ins/cluster/create-statement.ts';
+import type {Stage} from './stage.ts';
+import type {TalliedWrite} from './tallied-write.ts';
+
+type Options = {
+	/** The row that the write inserts, and its idempotency key. */
+	readonly id: string;
+	readonly host: string;
+	readonly key: string;
+	/** Milliseconds that the request may take. */
+	readonly deadline: number;
+};
+
+/** Milliseconds above a request's deadline after which its caller gives up. */
+const patience = 1500;
+
+/** Sends a write that inserts one row of the table `entry`; a call that is cut or silent counts as unknown. */
+export async function sendWrite(
+	{cluster, scenario}: Stage,
+	{
+		id, host, key, deadline,
+	}: Options,
+): Promise<TalliedWrite> {
+	const sentAt = performance.now();
+	const describe = (reason: string) => `${host} ${Math.round(performance.now() - sentAt)} ms ${reason}`;
+	try {
+		const response = await cluster.caller(host, key).execute({
+			requestId: id,
+			database: scenario.cluster.databases[0] ?? '',
+			statements: [createStatement('INSERT INTO entry VALUES (?)', [id])],
+			kind: {case: 'write', value: {idempotencyKey: id, repeatable: false}},
+			deadlineMs: deadline,
+		}, {timeoutMs: deadline + patience});
+		const reason = response.answer.case === 'done' ? '' : response.answer.value?.reason ?? '';
+		return {id, answer: response.answer.case ?? 'unknown', detail: describe(reason)};
+	} catch (error) {
+		return {id, answer: 'unknown', detail: describe((error as Error).message)};
+	}
+}
--- a/scenarios/stage.ts
+++ b/scenarios/stage.ts
@@ -2,6 +2,7 @@
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
 import type {Answered} from './answered.ts';
 import type {Scenario} from './scenario.ts';
+import type {TalliedWrite} from './tallied-write.ts';
 import type {Transcript} from './transcript.ts';
 
 /** What the steps of a scenario share. */
@@ -11,6 +12,8 @@
 	readonly sessions: Map<string, string>;
 	readonly calls: Map<string, Promise<Answered>>;
 	readonly changes: Map<string, Promise<ChangeResponse>>;
+	/** Writes that run or ran, by the step's name, and the key that they show. */
+	readonly writes: Map<string, Promise<{readonly key: string; readonly writes: readonly TalliedWrite[]}>>;
 	readonly keys: Set<string>;
 	readonly scenario: Scenario;
 };
--- a/stand-ins/endpoint/create-instance.ts
+++ b/stand-ins/endpoint/create-instance.ts
@@ -19,6 +19,8 @@
 	/** A transaction keeps its slot from beginning to end, so that its commit never waits behind those that wait for its lock. */
 	hasSlot: boolean;
 	isRunning: boolean;
+	/** Set when the connection has closed; what still waited for the lock then ends at once. */
+	isClosed: boolean;
 };
 
 type Options = {
@@ -56,6 +58,7 @@
 	let primaryAddress = '';
 	let holder: Session | undefined;
 	let idleTimer: NodeJS.Timeout | undefined;
+	let tenure = new AbortController();
 
 	for (const record of journal.read()) {
 		if (record.kind === 'term') {
@@ -69,6 +72,8 @@
 		({term, owner, role} = next);
 		primaryAddress = next.primary;
 		journal.write({kind: 'term', ...next});
+		tenure.abort();
+		tenure = new AbortController();
 	};
 
 	const wakeWaiters = () => {
@@ -91,6 +96,12 @@
 		lock.leave();
 	};
 
+	const rollBack = (session: Session) => {
+		if (session.transaction !== undefined) {
+			endTransaction(session, 'ROLLBACK');
+		}
+	};
+
 	/** Gives the slot back when neither a transaction nor a batch needs it. */
 	const leaveSlot = (session: Session) => {
 		if (session.hasSlot && !session.isRunning && session.transaction === undefined) {
@@ -154,10 +165,7 @@
 
 	const runInLock = (session: Session, request: BatchRequest, isWhole: boolean): BatchResponse => {
 		if (session.isAborted || session.transaction === undefined || !checkTerm(request)) {
-			if (session.transaction !== undefined) {
-				endTransaction(session, 'ROLLBACK');
-			}
-
+			rollBack(session);
 			session.isAborted = false;
 			return createFault(request, EndpointFault.TERM, `the instance is ${role} of term ${term}`);
 		}
@@ -173,19 +181,19 @@
 			const {term: endTerm, position} = log.end();
 			return {...response, at: {$typeName: 'sapphirefall.v1.LogPoint', term: endTerm, position}};
 		} catch (error) {
-			if (session.transaction !== undefined) {
-				endTransaction(session, 'ROLLBACK');
-			}
-
+			rollBack(session);
 			return createFault(request, EndpointFault.STATEMENT, (error as Error).message);
 		}
 	};
 
 	return {
 		createReport,
-		getRole: () => ({role, term, primaryAddress}),
+		/** The role, and a signal that is aborted when it changes. */
+		getRole: () => ({
+			role, term, primaryAddress, signal: tenure.signal,
+		}),
 		createSession: (): Session => ({
-			transaction: undefined, isAborted: false, hasSlot: false, isRunning: false,
+			transaction: undefined, isAborted: false, hasSlot: false, isRunning: false, isClosed: false,
 		}),
 
 		/** Runs a batch of a connection. */
@@ -213,16 +221,18 @@
 					: createFault(request, EndpointFault.BUSY, 'the write lock did not come free');
 			} finally {
 				session.isRunning = false;
+				if (session.isClosed) {
+					rollBack(session);
+				}
+
 				leaveSlot(session);
 			}
 		},
 
 		/** Rolls back what a closed connection left open. */
 		closeSession(session: Session) {
-			if (session.transaction !== undefined) {
-				endTransaction(session, 'ROLLBACK');
-			}
-
+			session.isClosed = true;
+			rollBack(session);
 			leaveSlot(session);
 		},
 
--- a/stand-ins/endpoint/start-replication.ts
+++ b/stand-ins/endpoint/start-replication.ts
@@ -25,7 +25,9 @@
 	let client: {readonly address: string; readonly pull: ReturnType<typeof createPull>} | undefined;
 	let cursor: bigint | undefined;
 	for (;;) {
-		const {role, term, primaryAddress} = instance.getRole();
+		const {
+			role, term, primaryAddress, signal,
+		} = instance.getRole();
 		if (role !== 'replica' || primaryAddress === '') {
 			await sleep(retryDelay); // eslint-disable-line no-await-in-loop
 			continue;
@@ -39,7 +41,7 @@
 		const position = cursor ?? instance.logEnd().position;
 		try {
 			// eslint-disable-next-line no-await-in-loop
-			const pulled = await client.pull({term, position, positionTerm: instance.findTermAt(position)});
+			const pulled = await client.pull({term, position, positionTerm: instance.findTermAt(position)}, signal);
 			if (pulled.diverged) {
 				cursor = position - 1n;
 			} else if (pulled.accepted) {
@@ -68,8 +70,9 @@
 
 function createPull(address: string) {
 	const client = createClient(EndpointService, createConnectTransport({baseUrl: address, httpVersion: '2'}));
-	return async (from: {readonly term: number; readonly position: bigint; readonly positionTerm: number}) => client.pull(
+	// A pull from a former primary ends at once when the instance is told to follow another.
+	return async (from: {readonly term: number; readonly position: bigint; readonly positionTerm: number}, signal: AbortSignal) => client.pull(
 		{term: from.term, after: {term: from.positionTerm, position: from.position}},
-		{timeoutMs: pullTimeout},
+		{timeoutMs: pullTimeout, signal},
 	);
 }
