Apply a declaration of the configuration in one change, and show what differs before

The users want to run the fleet by declarations kept in version control; until now each workspace, key, freshness, exception and route was a change of its own.

Weighed: many small changes sent in turn (half of them may fail, and others see the states between), a whole configuration that replaces the old one (loses what others changed meanwhile), and whole sections in one change based on the version that was compared. The last is what is built: a change that comes between refuses it with what changed, each part meets the checks of a change of its own, and all faults are told at once.

The same step reads every YAML file of the command line by one function; the load plan had its own copy.

--- a/daemons/create-command-line.ts
+++ b/daemons/create-command-line.ts
@@ -1,4 +1,5 @@
 import {cac, type CAC, type Command} from 'cac';
+import {runApply} from './run-apply.ts';
 import {runCheck} from './run-check.ts';
 import {runDrain} from './run-drain.ts';
 import {runFreshness} from './run-freshness.ts';
@@ -34,6 +35,11 @@
 }
 
 function addConfigurationCommands(cli: CAC): void {
+	addChangeOptions(cli.command('apply <declaration>', 'Make the declared sections of the configuration so, in one change'))
+		.option('--dry-run', 'Only show what differs')
+		.example('sapphirefall apply fleet.yaml --dry-run')
+		.example('sapphirefall apply fleet.yaml')
+		.action(runApply);
 	addChangeOptions(cli.command('workspace <action> [name]', 'Set, remove or list workspaces'))
 		.option('--rate <units>', 'Units a second over the whole fleet')
 		.option('--burst <units>', 'Units that may be used at once')
--- a/daemons/read-host-file.ts
+++ b/daemons/read-checked-file.ts
@@ -1,16 +1,18 @@
 import {readFileSync} from 'node:fs';
 import {resultCodes} from '@sapphirefall/decisions';
-import {hostSchema, parseSettings, type HostFile} from '@sapphirefall/settings';
+import {parseSettings} from '@sapphirefall/settings';
+import type {z} from 'zod';
 import {CommandError} from './command-error.ts';
 
 /**
- * Reads and checks the settings of an entry host.
+ * Reads a YAML file and checks it against a schema.
  *
- * @param file Path of the YAML file.
+ * @param file Path of the file.
+ * @param schema What the file may hold.
  * @throws {CommandError} When the file cannot be read or has faults; the message lists all of them.
  */
-export function readHostFile(file: string): HostFile {
-	const outcome = parseSettings(readText(file), hostSchema);
+export function readCheckedFile<Schema extends z.ZodType>(file: string, schema: Schema): z.infer<Schema> {
+	const outcome = parseSettings(readText(file), schema);
 	if (outcome.kind === 'valid') {
 		return outcome.settings;
 	}
@@ -23,6 +25,6 @@
 	try {
 		return readFileSync(file, 'utf8');
 	} catch {
-		throw new CommandError(resultCodes.settingsInvalid, `The settings file "${file}" cannot be read`);
+		throw new CommandError(resultCodes.settingsInvalid, `The file "${file}" cannot be read`);
 	}
 }
--- /dev/null
+++ b/daemons/run-apply.ts
@@ -0,0 +1,91 @@
+import {create} from '@bufbuild/protobuf';
+import {
+	formatFreshness, listDifferences, type Declaration, type Difference,
+} from '@sapphirefall/decisions';
+import {declarationSchema} from '@sapphirefall/settings';
+import {DeclareSchema, type Declare} from '@sapphirefall/wire';
+import {createDeclaration} from './create-declaration.ts';
+import {describeParts} from './describe-parts.ts';
+import {readCheckedFile} from './read-checked-file.ts';
+import {readKnownConfiguration} from './read-known-configuration.ts';
+import {sendChange} from './send-change.ts';
+import type {OperatorOptions} from './operator-options.ts';
+
+type Options = OperatorOptions & {readonly dryRun?: boolean};
+
+const marks: Readonly<Record<Difference['kind'], string>> = {added: '+', removed: '-', changed: '~'};
+
+/**
+ * Runs `sapphirefall apply`: shows what differs between a declaration and the configuration in force, and makes
+ * the declared sections so in one change.
+ *
+ * The change is based on the version that was compared; it is refused when another came in between.
+ *
+ * @throws {CommandError} When the file has faults or the change was refused.
+ */
+export async function runApply(file: string, options: Options): Promise<void> {
+	const declared = createDeclaration(readCheckedFile(file, declarationSchema));
+	const known = await readKnownConfiguration(options);
+	const differences = listDifferences(
+		describeParts(selectSections(known, declared)),
+		describeParts({...declared, keys: listWorkspaces(declared.keys ?? {})}),
+	);
+	printDifferences(differences, options.json === true);
+	if (options.dryRun !== true && differences.length > 0) {
+		await sendChange({case: 'declare', value: encodeDeclaration(declared)}, {...options, basedOn: options.basedOn ?? known.version});
+	}
+}
+
+/** Selects the known sections that the declaration holds too. */
+function selectSections(
+	{
+		workspaces, keys, freshness, exceptions, routes,
+	}: Awaited<ReturnType<typeof readKnownConfiguration>>,
+	declared: Declaration,
+): Parameters<typeof describeParts>[0] {
+	return {
+		...(declared.workspaces && {workspaces}),
+		...(declared.keys && {keys}),
+		...(declared.freshness && {freshness}),
+		...(declared.exceptions && {exceptions}),
+		...(declared.routes && {routes}),
+	};
+}
+
+function listWorkspaces(keys: NonNullable<Declaration['keys']>): Readonly<Record<string, string>> {
+	return Object.fromEntries(Object.entries(keys).map(([keyId, {workspace}]) => [keyId, workspace]));
+}
+
+function printDifferences(differences: readonly Difference[], isJson: boolean): void {
+	if (isJson) {
+		console.log(JSON.stringify(differences));
+		return;
+	}
+
+	for (const {
+		kind, name, before, after,
+	} of differences) {
+		const content = [before, after].filter(text => text !== '').join(' -> ');
+		console.log(`${marks[kind]} ${name}: ${content}`);
+	}
+
+	if (differences.length === 0) {
+		console.log('Nothing differs');
+	}
+}
+
+function encodeDeclaration(declared: Declaration): Declare {
+	const {
+		workspaces = {}, keys = {}, freshness = {}, exceptions = [], routes = {},
+	} = declared;
+	return create(DeclareSchema, {
+		sections: Object.keys(declared),
+		workspaces: Object.entries(workspaces).map(([workspace, {rate, burst, databases}]) => ({
+			workspace, rate, burst, databases: [...databases],
+		})),
+		keys: Object.entries(keys).map(([keyId, {workspace, digest}]) => ({keyId, workspace, digest})),
+		freshness: Object.entries(freshness).map(([kind, value]) => ({kind, freshness: formatFreshness(value)})),
+		exceptions: exceptions.map(exception => ({...exception, freshness: formatFreshness(exception.freshness)})),
+		routes: Object.entries(routes).map(([route, content]) => ({...content, route, freshness: formatFreshness(content.freshness)})),
+	});
+}
--- a/daemons/run-check.ts
+++ b/daemons/run-check.ts
@@ -1,7 +1,8 @@
-import {readHostFile} from './read-host-file.ts';
+import {hostSchema} from '@sapphirefall/settings';
+import {readCheckedFile} from './read-checked-file.ts';
 
 /** Runs `sapphirefall check`: checks a settings file and says that it is valid, or every fault in it. */
 export function runCheck(file: string): void {
-	const settings = readHostFile(file);
+	const settings = readCheckedFile(file, hostSchema);
 	console.log(`The settings of host "${settings.host.id}" are valid`);
 }
--- a/daemons/run-load-plan.ts
+++ b/daemons/run-load-plan.ts
@@ -1,11 +1,11 @@
-import {readFileSync, writeFileSync} from 'node:fs';
+import {writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {resultCodes} from '@sapphirefall/decisions';
 import {
-	createReport, formatSummary, loadPlanSchema, runLoad, summarizeLoad, type LoadPlan,
+	createReport, formatSummary, loadPlanSchema, runLoad, summarizeLoad,
 } from '@sapphirefall/load';
-import {parseSettings} from '@sapphirefall/settings';
 import {CommandError} from './command-error.ts';
+import {readCheckedFile} from './read-checked-file.ts';
 
 type Options = {readonly report?: string; readonly json?: boolean};
 
@@ -15,7 +15,7 @@
  * @throws {CommandError} When the plan has faults or an answer was wrong.
  */
 export async function runLoadPlan(file: string, options: Options): Promise<void> {
-	const plan = readPlan(file);
+	const plan = readCheckedFile(file, loadPlanSchema);
 	const history = await runLoad(plan, {
 		now: () => performance.now(),
 		onProgress(sent, answered) {
@@ -35,20 +35,3 @@
 		throw new CommandError(resultCodes.checkFailed, `Request ${wrong.request} got a wrong answer: ${wrong.kind}, ${wrong.detail}`);
 	}
 }
-
-function readPlan(file: string): LoadPlan {
-	let text: string;
-	try {
-		text = readFileSync(file, 'utf8');
-	} catch {
-		throw new CommandError(resultCodes.usage, `The plan "${file}" cannot be read`);
-	}
-
-	const outcome = parseSettings(text, loadPlanSchema);
-	if (outcome.kind === 'valid') {
-		return outcome.settings;
-	}
-
-	const lines = outcome.issues.map(({line, path, message}) => `${file}:${line}: ${path} ${message}`);
-	throw new CommandError(resultCodes.settingsInvalid, lines.join('\n'));
-}
--- a/daemons/run-serve.ts
+++ b/daemons/run-serve.ts
@@ -10,10 +10,10 @@
 import {createHostService} from '@sapphirefall/hosts';
 import {createOperatorHandler} from '@sapphirefall/operators';
 import {startHost, type RunningHost} from '@sapphirefall/proxy';
-import type {HostFile} from '@sapphirefall/settings';
+import {hostSchema, type HostFile} from '@sapphirefall/settings';
 import {HostService} from '@sapphirefall/wire';
 import {CommandError} from './command-error.ts';
-import {readHostFile} from './read-host-file.ts';
+import {readCheckedFile} from './read-checked-file.ts';
 
 /** Milliseconds between the end of draining and the closing of connections; answers are written out meanwhile. */
 const closingDelay = 100;
@@ -27,7 +27,7 @@
  * @param file Path of the settings file.
  */
 export async function runServe(file: string): Promise<void> {
-	const settings = readHostFile(file);
+	const settings = readCheckedFile(file, hostSchema);
 	const log = bunyan.createLogger({
 		name: 'sapphirefall', level: settings.log.level, host: settings.host.id, stream: process.stderr,
 	});
--- a/packages/decisions/apply-change.ts
+++ b/packages/decisions/apply-change.ts
@@ -1,3 +1,4 @@
+import {applyDeclaration} from './apply-declaration.ts';
 import {resultCodes} from './result-codes.ts';
 import type {Change} from './change.ts';
 import type {ChangeOutcome} from './change-outcome.ts';
@@ -21,8 +22,10 @@
 	configuration: Configuration,
 	options: {readonly change: Change; readonly changeId: string},
 ): ChangeOutcome {
-	const next = {...configuration, version: configuration.version + 1, changeId: options.changeId};
-	const {change} = options;
+	return makeChange({...configuration, version: configuration.version + 1, changeId: options.changeId}, options.change);
+}
+
+function makeChange(next: Configuration, change: Change): ChangeOutcome {
 	switch (change.kind) {
 		case 'setWorkspace': {
 			return setWorkspace(next, change);
@@ -51,6 +54,10 @@
 		case 'setRoute': {
 			return setRoute(next, change);
 		}
+
+		case 'declare': {
+			return applyDeclaration(next, {declaration: change.declaration, makeChange});
+		}
 	}
 }
 
--- /dev/null
+++ b/packages/decisions/apply-declaration.test.ts
@@ -0,0 +1,119 @@
+import {expect} from 'chai';
+import {applyChange} from './apply-change.ts';
+import {createConfiguration} from './create-configuration.ts';
+import {listDifferences} from './list-differences.ts';
+import type {Configuration} from './configuration.ts';
+import type {Declaration} from './declaration.ts';
+
+const digest = 'a'.repeat(64);
+const otherDigest = 'b'.repeat(64);
+const upper = {rate: 10, burst: 20, databases: ['pondbook']};
+const lower = {rate: 5, burst: 10, databases: []};
+const report = {kind: 'within', age: 10_000} as const;
+const route = {
+	workspace: 'lower', database: 'pondbook', sql: 'SELECT 1', freshness: report,
+} as const;
+const exception = {
+	workspace: 'lower', kind: 'report', freshness: {kind: 'latest'}, reason: 'the auditors ask for it',
+} as const;
+
+const base: Configuration = {
+	...createConfiguration(),
+	version: 3,
+	workspaces: {upper, lower},
+	keys: {'upper-1': {workspace: 'upper', digest}, 'lower-1': {workspace: 'lower', digest: otherDigest}},
+	freshness: {report},
+	exceptions: [exception],
+	routes: {levels: route},
+};
+
+type Case = {
+	readonly title: string;
+	readonly declaration: Declaration;
+	/** Parts of the next version that differ from the base; undefined when the change is refused. */
+	readonly expected: Partial<Configuration> | undefined;
+	/** Text that the refusal holds. */
+	readonly reasons?: readonly string[];
+};
+
+const cases: readonly Case[] = [
+	{title: 'nothing declared changes nothing', declaration: {}, expected: {}},
+	{
+		title: 'a declared section replaces the one in force',
+		declaration: {workspaces: {upper: {...upper, rate: 12}, lower, third: upper}},
+		expected: {workspaces: {upper: {...upper, rate: 12}, lower, third: upper}},
+	},
+	{
+		title: 'a workspace that is left out takes its keys, exceptions and routes with it',
+		declaration: {workspaces: {upper}},
+		expected: {
+			workspaces: {upper}, keys: {'upper-1': {workspace: 'upper', digest}}, exceptions: [], routes: {},
+		},
+	},
+	{title: 'an empty section is emptied', declaration: {routes: {}}, expected: {routes: {}}},
+	{
+		title: 'a key that is left out is withdrawn',
+		declaration: {keys: {'lower-1': {workspace: 'lower', digest: otherDigest}}},
+		expected: {keys: {'lower-1': {workspace: 'lower', digest: otherDigest}}},
+	},
+	{
+		title: 'a key keeps its digest',
+		declaration: {keys: {'upper-1': {workspace: 'upper', digest: 'c'.repeat(64)}}},
+		expected: undefined,
+		reasons: ['the key "upper-1" exists with another digest'],
+	},
+	{
+		title: 'all faults are told at once',
+		declaration: {
+			workspaces: {'Not A Name': upper, upper: {...upper, rate: 0}},
+			keys: {k: {workspace: 'nobody', digest}},
+			exceptions: [{...exception, workspace: 'upper', reason: 'short'}],
+		},
+		expected: undefined,
+		reasons: ['"Not A Name"', 'rate 0', 'workspace "nobody" does not exist', 'written reason'],
+	},
+	{
+		title: 'an exception cannot outlive its kind of read',
+		declaration: {freshness: {}, exceptions: [exception]},
+		expected: undefined,
+		reasons: ['kind of read "report" does not exist'],
+	},
+];
+
+describe('applyChange with a declaration', () => {
+	for (const {
+		title, declaration, expected, reasons = [],
+	} of cases) {
+		it(title, () => {
+			const outcome = applyChange(base, {change: {kind: 'declare', declaration}, changeId: 'c1'});
+			if (expected === undefined) {
+				expect(outcome.kind).to.equal('refused');
+				for (const reason of reasons) {
+					expect(outcome.kind === 'refused' && outcome.reason).to.include(reason);
+				}
+			} else {
+				expect(outcome).to.deep.equal({
+					kind: 'changed', configuration: {
+						...base, version: 4, changeId: 'c1', ...expected,
+					},
+				});
+			}
+		});
+	}
+});
+
+describe('listDifferences', () => {
+	it('names what is added, removed and changed, in order', () => {
+		expect(listDifferences({a: '1', b: '2', c: '3'}, {b: '2', c: '4', d: '5'})).to.deep.equal([
+			{
+				kind: 'removed', name: 'a', before: '1', after: '',
+			},
+			{
+				kind: 'changed', name: 'c', before: '3', after: '4',
+			},
+			{
+				kind: 'added', name: 'd', before: '', after: '5',
+			},
+		]);
+	});
+});
--- a/packages/decisions/change.ts
+++ b/packages/decisions/change.ts
@@ -1,3 +1,4 @@
+import type {Declaration} from './declaration.ts';
 import type {Freshness} from './freshness.ts';
 
 /** What an operator can change in the configuration. */
@@ -29,4 +30,5 @@
 		readonly database: string;
 		readonly sql: string;
 		readonly freshness: Freshness;
-	};
+	}
+	| {readonly kind: 'declare'; readonly declaration: Declaration};
--- /dev/null
+++ b/packages/decisions/list-declared-changes.ts
@@ -0,0 +1,16 @@
+import type {Change} from './change.ts';
+import type {Declaration} from './declaration.ts';
+
+/** Lists the changes that put all that a declaration holds into an empty configuration, in an order that works. */
+export function listDeclaredChanges(declaration: Declaration): readonly Change[] {
+	const {
+		workspaces = {}, keys = {}, freshness = {}, exceptions = [], routes = {},
+	} = declaration;
+	return [
+		...Object.entries(workspaces).map(([workspace, limit]): Change => ({kind: 'setWorkspace', workspace, ...limit})),
+		...Object.entries(keys).map(([keyId, key]): Change => ({kind: 'addKey', keyId, ...key})),
+		...Object.entries(freshness).map(([readKind, value]): Change => ({kind: 'setFreshness', readKind, freshness: value})),
+		...exceptions.map(({kind: readKind, ...exception}): Change => ({kind: 'setException', readKind, ...exception})),
+		...Object.entries(routes).map(([route, content]): Change => ({kind: 'setRoute', route, ...content})),
+	];
+}
--- a/packages/operators/decode-change.ts
+++ b/packages/operators/decode-change.ts
@@ -1,5 +1,6 @@
 import {parseFreshness, type Change, type Freshness} from '@sapphirefall/decisions';
 import type {ChangeRequest} from '@sapphirefall/wire';
+import {decodeDeclaration} from './decode-declaration.ts';
 
 /** A change as it came, or what is wrong with it. */
 type Decoded =
@@ -51,6 +52,10 @@
 			}));
 		}
 
+		case 'declare': {
+			return decodeDeclaration(change.value);
+		}
+
 		case undefined: {
 			return {kind: 'invalid', reason: 'the request names no change'};
 		}
--- /dev/null
+++ b/packages/operators/decode-declaration.ts
@@ -0,0 +1,60 @@
+import {
+	parseFreshness, type Change, type Declaration, type Freshness,
+} from '@sapphirefall/decisions';
+import type {Declare} from '@sapphirefall/wire';
+
+type Decoded =
+	| {readonly kind: 'change'; readonly change: Change}
+	| {readonly kind: 'invalid'; readonly reason: string};
+
+const sections: readonly string[] = ['workspaces', 'keys', 'freshness', 'exceptions', 'routes'] satisfies ReadonlyArray<keyof Declaration>;
+
+/** Decodes a declaration of whole sections of the configuration. */
+export function decodeDeclaration(declared: Declare): Decoded {
+	const unknown = declared.sections.filter(section => !sections.includes(section));
+	const texts = [...declared.freshness, ...declared.exceptions, ...declared.routes].map(({freshness}) => freshness);
+	const faults = [
+		...unknown.map(section => `the section "${section}" is none of ${sections.join(', ')}`),
+		...texts
+			.filter(text => parseFreshness(text) === undefined)
+			.map(text => `the freshness "${text}" is unknown; allowed are latest, session and within <age>`),
+	];
+	return faults.length === 0
+		? {kind: 'change', change: {kind: 'declare', declaration: selectSections(declared)}}
+		: {kind: 'invalid', reason: faults.join('; ')};
+}
+
+/** Builds the sections that the message says it holds. */
+function selectSections(declared: Declare): Declaration {
+	const has = (section: keyof Declaration) => declared.sections.includes(section);
+	return {
+		...(has('workspaces') && {
+			workspaces: Object.fromEntries(declared.workspaces.map(({workspace, rate, burst, databases}) => [workspace, {rate, burst, databases}])),
+		}),
+		...(has('keys') && {
+			keys: Object.fromEntries(declared.keys.map(({keyId, workspace, digest}) => [keyId, {workspace, digest}])),
+		}),
+		...(has('freshness') && {
+			freshness: Object.fromEntries(declared.freshness.map(({kind, freshness}) => [kind, requireFreshness(freshness)])),
+		}),
+		...(has('exceptions') && {
+			exceptions: declared.exceptions.map(({
+				workspace, kind, freshness, reason,
+			}) => ({
+				workspace, kind, freshness: requireFreshness(freshness), reason,
+			})),
+		}),
+		...(has('routes') && {
+			routes: Object.fromEntries(declared.routes.map(({
+				route, workspace, database, sql, freshness,
+			}) => [route, {
+				workspace, database, sql, freshness: requireFreshness(freshness),
+			}])),
+		}),
+	};
+}
+
+/** Parses a freshness that has been checked. */
+function requireFreshness(text: string): Freshness {
+	return parseFreshness(text) ?? {kind: 'latest'};
+}
--- a/packages/platform/describe-change.ts
+++ b/packages/platform/describe-change.ts
@@ -30,5 +30,9 @@
 		case 'setRoute': {
 			return `route ${change.route} set`;
 		}
+
+		case 'declare': {
+			return `declaration of ${Object.keys(change.declaration).join(', ')} applied`;
+		}
 	}
 }
--- a/packages/settings/mod.ts
+++ b/packages/settings/mod.ts
@@ -1,4 +1,6 @@
 /** Checked settings in YAML. */
+export type * from './declaration-file.ts';
+export * from './declaration-schema.ts';
 export type * from './host-file.ts';
 export * from './host-schema.ts';
 export * from './list-settings.ts';
--- a/packages/settings/parse-settings.test.ts
+++ b/packages/settings/parse-settings.test.ts
@@ -1,6 +1,7 @@
 import {readdirSync, readFileSync} from 'node:fs';
 import path from 'node:path';
 import {expect} from 'chai';
+import {declarationSchema} from './declaration-schema.ts';
 import {hostSchema} from './host-schema.ts';
 import {parseSettings} from './parse-settings.ts';
 
@@ -34,9 +35,11 @@
 	}
 
 	const samples = path.join(import.meta.dirname, '../../settings-samples');
-	for (const file of readdirSync(samples)) {
-		it(`accepts the sample ${file}`, () => {
-			expect(parseSettings(readFileSync(path.join(samples, file), 'utf8'), hostSchema)).to.have.property('kind', 'valid');
-		});
+	for (const [directory, schema] of [['.', hostSchema], ['declarations', declarationSchema]] as const) {
+		for (const file of readdirSync(path.join(samples, directory)).filter(name => name.endsWith('.yaml'))) {
+			it(`accepts the sample ${directory}/${file}`, () => {
+				expect(parseSettings(readFileSync(path.join(samples, directory, file), 'utf8'), schema)).to.have.property('kind', 'valid');
+			});
+		}
 	}
 });
