Lend through a standby while a home is lost, and replace acceptors that are all gone

The home now lends a quarter of the burst to a second host in another zone, which lends it on when the home does not answer or has nothing. It is a loan like any other, off the bucket until it expires.

When all acceptors die together nobody may change the roster. When the platform lists none of them any more, any live host now may.

Forwards carry the sender's hybrid time, so that the time line orders what a gateway does after what the entry host did.

--- a/daemons/run-apply.test.ts
+++ b/daemons/run-apply.test.ts
@@ -104,12 +104,15 @@
 		await cluster.stop();
 	});
 
+	const apply = async (options: Case['options']) =>
+		runCaptured(async () => runApply(file, {...options, address: cluster.operatorUrl('host-a1')}));
+
 	for (const {
 		title, text, options, lines, error,
 	} of cases) {
 		it(title, async () => {
 			writeFileSync(file, text);
-			const run = await runCaptured(async () => runApply(file, {...options, address: cluster.operatorUrl('host-a1')}));
+			const run = await apply(options);
 			if (error === undefined) {
 				expect(run.error).to.equal(undefined);
 				expect(run.lines).to.deep.equal(lines);
--- a/packages/decisions/choose-roster.ts
+++ b/packages/decisions/choose-roster.ts
@@ -13,7 +13,8 @@
  *
  * A host that sees no more than half of the listed hosts alive changes nothing: it may be the one that is cut off.
  * Only an acceptor changes a roster that has acceptors, so that hosts which rely on the acceptors' word hear
- * of the change. A zone keeps one acceptor; a live one keeps its part.
+ * of the change. When the platform lists none of them any more, they have all been replaced, and any live host
+ * may change it. A zone keeps one acceptor; a live one keeps its part.
  *
  * @param state The host's state.
  * @param now Monotonic milliseconds.
@@ -26,9 +27,8 @@
 	const {roster} = state;
 	const isSettled = [...members.values()].every(({changedAt}) => now - changedAt >= settleTime);
 	const isSame = hosts.join(' ') === roster.hosts.join(' ') && homes.join(' ') === roster.homes.join(' ');
-	const changers = roster.acceptors.length === 0
-		? homes
-		: roster.acceptors.filter(id => homes.includes(id));
+	const listedAcceptors = roster.acceptors.filter(id => state.membership.hosts.has(id));
+	const changers = listedAcceptors.length === 0 ? homes : listedAcceptors.filter(id => homes.includes(id));
 	const hasMajority = homes.length * 2 > hosts.length;
 	if (isSame || !isSettled || !hasMajority || rankHosts('roster', changers)[0] !== self) {
 		return undefined;
--- /dev/null
+++ b/packages/decisions/lend-stock.ts
@@ -0,0 +1,35 @@
+import {chooseLoan} from './choose-loan.ts';
+import type {StandbyStock} from './standby-stock.ts';
+
+type Asked = {
+	/** Units that the host cannot do without; less is not lent. */
+	readonly needed: number;
+	/** Units that the host would like. */
+	readonly wanted: number;
+	/** Greatest milliseconds for which units are lent. */
+	readonly longestSpan: number;
+	/** Share by which a loan ends before the stock, so that a borrower with a slower clock has stopped before. */
+	readonly driftMargin: number;
+	readonly now: number;
+};
+
+/**
+ * Lends units of a standby's stock.
+ *
+ * The home has taken the stock off its bucket and counts it as open until it expires, so that what is lent from
+ * it is within the rate whatever has become of the home. What a borrower does not use is lost.
+ *
+ * @param stock The stock.
+ * @param asked What the host asks for, and monotonic milliseconds.
+ * @returns The stock, the units, and the milliseconds for which they may be used.
+ */
+export function lendStock(
+	stock: StandbyStock,
+	asked: Asked,
+): {readonly stock: StandbyStock; readonly units: number; readonly span: number} {
+	const left = (stock.expiresAt - asked.now) / asked.driftMargin;
+	const units = left > 0 ? chooseLoan(stock.units, asked) : 0;
+	return {
+		stock: {...stock, units: stock.units - units}, units, span: Math.max(0, Math.floor(Math.min(left, asked.longestSpan))),
+	};
+}
--- a/packages/decisions/lend-units.ts
+++ b/packages/decisions/lend-units.ts
@@ -1,3 +1,4 @@
+import {chooseLoan} from './choose-loan.ts';
 import type {HomeBucket} from './home-bucket.ts';
 
 type Asked = {
@@ -29,9 +30,6 @@
 
 const millisecondsPerSecond = 1000;
 
-/** Share of what the need leaves that may be lent ahead of demand. */
-const aheadShare = 0.25;
-
 /**
  * Lends units of a workspace's bucket to a host.
  *
@@ -49,7 +47,7 @@
 	const elapsed = Math.max(0, now - bucket.refilledAt);
 	const refilled = bucket.level + sumReturned(open, asked) + (elapsed * rate / millisecondsPerSecond);
 	const level = Math.max(0, Math.min(burst - sumUnits(loans), refilled));
-	const units = chooseUnits(level, asked);
+	const units = chooseLoan(level, asked);
 	const lent = units > 0
 		? [...loans, {
 			host: asked.host, id: asked.id, units, expiresAt: now + asked.span,
@@ -62,15 +60,6 @@
 	};
 }
 
-/**
- * Chooses how much to lend: nothing that would not cover the need, and beyond it only a part of what is left.
- *
- * Units that lie unused at one host are missing at the others, the more so the fewer there are.
- */
-function chooseUnits(level: number, {needed, wanted}: Asked): number {
-	return level < needed ? 0 : Math.min(wanted, needed + ((level - needed) * aheadShare));
-}
-
 function sumUnits(loans: HomeBucket['loans']): number {
 	return loans.reduce((sum, {units}) => sum + units, 0);
 }
--- a/packages/hosts/borrow-asked.ts
+++ b/packages/hosts/borrow-asked.ts
@@ -9,6 +9,8 @@
 	readonly needed: number;
 	/** Units that the host would like. */
 	readonly wanted: number;
+	/** Whether the host asks as the standby, for units to lend on. */
+	readonly isStandby: boolean;
 	/** What was used of earlier loans, and what is given back, by the loan's number. */
 	readonly settled: ReadonlyArray<{readonly id: number; readonly used: number; readonly returned: number}>;
 };
--- a/packages/hosts/create-forwarder.ts
+++ b/packages/hosts/create-forwarder.ts
@@ -1,6 +1,7 @@
 import {create} from '@bufbuild/protobuf';
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import type {HybridClock} from '@sapphirefall/events';
 import {
 	ForwardRequestSchema, HostService, openChannel, type Channel, type ForwardRequest, type ForwardResponse,
 } from '@sapphirefall/wire';
@@ -13,6 +14,8 @@
 	readonly heartbeatInterval: number;
 	/** Milliseconds without any answer after which the channel counts as silent and is replaced. */
 	readonly silenceLimit: number;
+	/** Orders what happens here after what the other host has seen. */
+	readonly clock: HybridClock;
 	/** Present monotonic milliseconds. */
 	readonly now: () => number;
 };
@@ -47,9 +50,14 @@
 				channel = open();
 			}
 
-			const encode = (id: number) => encodeForward(request, {id, now: options.now()});
+			const encode = (id: number) => encodeForward(request, {id, time: options.clock.tick(), now: options.now()});
 			const response = await channel.send(encode, {signal, closesOnAbort: false});
-			return response === undefined ? undefined : decodeForwardAnswer(response);
+			if (response === undefined) {
+				return undefined;
+			}
+
+			options.clock.observe(response.time);
+			return decodeForwardAnswer(response);
 		},
 		close() {
 			channel?.close();
--- a/packages/hosts/create-host-service.ts
+++ b/packages/hosts/create-host-service.ts
@@ -1,6 +1,7 @@
 import type {MessageInitShape} from '@bufbuild/protobuf';
 import type {ServiceImpl} from '@connectrpc/connect';
 import type {AdmittedRequest, Answer} from '@sapphirefall/decisions';
+import type {HybridClock} from '@sapphirefall/events';
 import type {ChangeRequest, ChangeResponseSchema, HostService} from '@sapphirefall/wire';
 import {serveForwards} from './serve-forwards.ts';
 import {decodeExchange} from './decode-exchange.ts';
@@ -16,10 +17,14 @@
 	readonly confirm: (database: string, term: number) => boolean;
 	/** Executes a request that another host has admitted. */
 	readonly execute: (request: AdmittedRequest) => Promise<Answer>;
+	/** Orders what happens here after what the other host has seen. */
+	readonly clock: HybridClock;
 	/** Present monotonic milliseconds. */
 	readonly now: () => number;
 	/** Lends units; undefined when this host is not the workspace's home. */
 	readonly lend: (asked: BorrowAsked) => BorrowGranted | undefined;
+	/** Keeps a part of a workspace's bucket as its standby. */
+	readonly stand: (workspace: string) => void;
 	/** Takes a bucket over; false when this host does not know that it is the home. */
 	readonly takeOver: (bucket: HandedBucket) => boolean;
 	/** Commits a change that another host passed on. */
@@ -31,14 +36,18 @@
 	return {
 		exchange: message => encodeExchange(options.exchange(decodeExchange(message))),
 		confirm: ({database, term}) => ({suspected: options.confirm(database, term)}),
-		borrow(asked) {
-			const granted = options.lend(asked);
+		borrow({standby, ...asked}) {
+			const granted = options.lend({...asked, isStandby: standby});
 			return granted === undefined
 				? {home: false}
 				: {
 					home: true, units: granted.units, spanMs: granted.span, retryAfterMs: granted.retryAfter,
 				};
 		},
+		stand({workspace}) {
+			options.stand(workspace);
+			return {};
+		},
 		handOver: ({loans, ...bucket}) => ({
 			taken: options.takeOver({...bucket, loans: loans.map(({leftMs, ...loan}) => ({...loan, left: leftMs}))}),
 		}),
--- a/packages/hosts/create-peer.ts
+++ b/packages/hosts/create-peer.ts
@@ -1,5 +1,6 @@
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import type {HybridClock} from '@sapphirefall/events';
 import {HostService} from '@sapphirefall/wire';
 import {createForwarder} from './create-forwarder.ts';
 import {decodeExchange} from './decode-exchange.ts';
@@ -13,6 +14,8 @@
 	readonly heartbeatInterval: number;
 	/** Milliseconds without any answer after which that channel is replaced. */
 	readonly silenceLimit: number;
+	/** Orders what happens here after what the other host has seen. */
+	readonly clock: HybridClock;
 	/** Present monotonic milliseconds. */
 	readonly now: () => number;
 };
@@ -47,10 +50,14 @@
 
 	return {
 		exchange: async content => decodeExchange(await guard(client.exchange(encodeExchange(content), callOptions))),
-		async borrow(asked) {
-			const {home, units, spanMs, retryAfterMs} = await guard(client.borrow({...asked, settled: [...asked.settled]}, callOptions));
+		async borrow({isStandby, ...asked}) {
+			const request = {...asked, standby: isStandby, settled: [...asked.settled]};
+			const {home, units, spanMs, retryAfterMs} = await guard(client.borrow(request, callOptions));
 			return home ? {units, span: spanMs, retryAfter: retryAfterMs} : undefined;
 		},
+		async stand(workspace) {
+			await guard(client.stand({workspace}, callOptions));
+		},
 		async handOver(bucket) {
 			const loans = bucket.loans.map(({left, ...loan}) => ({...loan, leftMs: Math.ceil(left)}));
 			const {taken} = await guard(client.handOver({...bucket, loans}, callOptions));
--- a/packages/hosts/encode-forward-answer.ts
+++ b/packages/hosts/encode-forward-answer.ts
@@ -2,12 +2,15 @@
 import type {Answer} from '@sapphirefall/decisions';
 import {encodeResult, ForwardResponseSchema, type ForwardResponse} from '@sapphirefall/wire';
 
+/** Number of the request on the channel, and the sender's hybrid time. */
+type Frame = {readonly id: number; readonly time: bigint};
+
 /** Encodes a gateway's answer. */
-export function encodeForwardAnswer(answer: Answer, id: number): ForwardResponse {
+export function encodeForwardAnswer(answer: Answer, frame: Frame): ForwardResponse {
 	switch (answer.kind) {
 		case 'done': {
 			return create(ForwardResponseSchema, {
-				id,
+				...frame,
 				answer: {
 					case: 'done',
 					value: {
@@ -22,12 +25,12 @@
 
 		case 'notRun': {
 			const {code, reason, retryAfter: retryAfterMs} = answer;
-			return create(ForwardResponseSchema, {id, answer: {case: 'notRun', value: {code, reason, retryAfterMs}}});
+			return create(ForwardResponseSchema, {...frame, answer: {case: 'notRun', value: {code, reason, retryAfterMs}}});
 		}
 
 		case 'unknown': {
 			const {code, reason} = answer;
-			return create(ForwardResponseSchema, {id, answer: {case: 'unknown', value: {code, reason}}});
+			return create(ForwardResponseSchema, {...frame, answer: {case: 'unknown', value: {code, reason}}});
 		}
 	}
 }
--- a/packages/hosts/encode-forward.ts
+++ b/packages/hosts/encode-forward.ts
@@ -8,17 +8,18 @@
  * Encodes an admitted request for its gateway.
  *
  * @param request The request.
- * @param options Its number on the channel, and monotonic milliseconds.
+ * @param options Its number on the channel, the sender's hybrid time, and monotonic milliseconds.
  */
 export function encodeForward(
 	request: AdmittedRequest,
-	options: {readonly id: number; readonly now: number},
+	options: {readonly id: number; readonly time: bigint; readonly now: number},
 ): ForwardRequest {
 	const {
 		requestId, workspace, database, cost, work, statements,
 	} = request;
 	return create(ForwardRequestSchema, {
 		id: options.id,
+		time: options.time,
 		requestId,
 		workspace,
 		database,
--- a/packages/hosts/peer.ts
+++ b/packages/hosts/peer.ts
@@ -10,6 +10,8 @@
 	readonly exchange: (content: ExchangeContent) => Promise<ExchangeContent>;
 	/** Borrows units of a workspace; undefined when the other host is not its home. */
 	readonly borrow: (asked: BorrowAsked) => Promise<BorrowGranted | undefined>;
+	/** Asks the other host to keep a part of a workspace's bucket as the standby. */
+	readonly stand: (workspace: string) => Promise<void>;
 	/** Hands a bucket over; false when the other host does not know yet that it is the home. */
 	readonly handOver: (bucket: HandedBucket) => Promise<boolean>;
 	/** Passes an operator's change on to an acceptor. */
--- a/packages/hosts/serve-forwards.ts
+++ b/packages/hosts/serve-forwards.ts
@@ -2,6 +2,7 @@
 import {
 	createRefusal, resultCodes, type AdmittedRequest, type Answer,
 } from '@sapphirefall/decisions';
+import type {HybridClock} from '@sapphirefall/events';
 import {
 	createQueue, ForwardResponseSchema, type ForwardRequest, type ForwardResponse,
 } from '@sapphirefall/wire';
@@ -10,6 +11,8 @@
 
 type Options = {
 	readonly execute: (request: AdmittedRequest) => Promise<Answer>;
+	/** Orders what happens here after what the other host has seen. */
+	readonly clock: HybridClock;
 	/** Present monotonic milliseconds. */
 	readonly now: () => number;
 };
@@ -27,11 +30,12 @@
 	const responses = createQueue<ForwardResponse>();
 
 	const run = async (message: ForwardRequest) => {
+		options.clock.observe(message.time);
 		const request = decodeForward(message, options.now());
 		const answer = request === undefined
 			? createRefusal(resultCodes.malformed, {reason: 'the forwarded request names no work'})
 			: await options.execute(request);
-		responses.push(encodeForwardAnswer(answer, message.id));
+		responses.push(encodeForwardAnswer(answer, {id: message.id, time: options.clock.tick()}));
 	};
 
 	const read = async () => {
--- a/packages/proxy/create-bucket-homes.ts
+++ b/packages/proxy/create-bucket-homes.ts
@@ -1,10 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	findHome, findProvenAt, lendUnits, type HomeBucket, type HostState,
+	findHome, findProvenAt, findStandby, lendUnits, type HomeBucket, type HostState,
 } from '@sapphirefall/decisions';
 import type {BorrowAsked, BorrowGranted} from '@sapphirefall/hosts';
 import type {HostFile} from '@sapphirefall/settings';
 import type {BucketHomes} from './bucket-homes.ts';
+import {driftMargin} from './drift-margin.ts';
 import type {FindPeer} from './find-peer.ts';
 
 type Options = {
@@ -16,13 +17,15 @@
 };
 
 type Home = {
+	/** When the standby was last asked to keep a part, in monotonic milliseconds. */
+	stoodAt: number;
 	/** Since when this host has been the home without a break, in monotonic milliseconds. */
 	readonly since: number;
 	bucket: HomeBucket;
 };
 
-/** Share by which a home outwaits a loan, so that a borrower with a slower clock has stopped before. */
-const driftMargin = 1.1;
+/** Times within its span that a standby is asked to renew its part, while the workspace is in use. */
+const renewalsPerSpan = 4;
 
 /** Milliseconds between two attempts to hand a bucket over. */
 const handOverDelay = 100;
@@ -41,8 +44,21 @@
 	/** Finds when a host that the newest roster made a home may begin to lend. */
 	const findStart = () => options.readState().homesKnownAt + settings.proofLimit + (settings.loanSpan * driftMargin);
 
-	const findLimit = (workspace: string) =>
-		options.readState().configuration.workspaces[workspace] ?? {rate: 0, burst: 0};
+	/** Finds the part of a workspace's rate and burst that its home lends. */
+	const findLimit = (workspace: string) => {
+		const {rate, burst} = options.readState().configuration.workspaces[workspace] ?? {rate: 0, burst: 0};
+		const share = 1 - settings.reserve;
+		return {rate: rate * share, burst: burst * share, standby: burst * share * settings.standby};
+	};
+
+	/** Creates the bucket of a home that cannot know what the one before it left with its standby. */
+	const createBucket = (workspace: string, startsAt: number): HomeBucket => ({
+		level: 0,
+		refilledAt: startsAt,
+		loans: [{
+			host: '', id: 0, units: findLimit(workspace).standby, expiresAt: startsAt + (settings.standbySpan * driftMargin),
+		}],
+	});
 
 	/** Finds the bucket of a workspace that this host may lend from now. */
 	const findOwnHome = (workspace: string): Home | undefined => {
@@ -52,28 +68,53 @@
 		}
 
 		const startsAt = findStart();
-		const home = homes.get(workspace) ?? {since: startsAt, bucket: {level: 0, refilledAt: startsAt, loans: []}};
+		const home = homes.get(workspace) ?? {since: startsAt, stoodAt: -Infinity, bucket: createBucket(workspace, startsAt)};
 		homes.set(workspace, home);
 		return isProven() && now() >= home.since ? home : undefined;
 	};
 
+	/** Asks the standby now and then to keep a part of a bucket that is in use. */
+	const askStandby = async (workspace: string, home: Home) => {
+		if (settings.standby === 0 || now() - home.stoodAt < settings.standbySpan / renewalsPerSpan) {
+			return;
+		}
+
+		home.stoodAt = now();
+		const {roster, membership} = options.readState();
+		const standby = findStandby(workspace, {homes: roster.homes, findZone: host => membership.hosts.get(host)?.zone});
+		try {
+			await options.findPeer(standby ?? '')?.stand(workspace);
+		} catch {
+			// The next loan asks again.
+		}
+	};
+
 	const lend = (asked: BorrowAsked): BorrowGranted | undefined => {
 		const home = findOwnHome(asked.workspace);
 		if (home === undefined) {
 			return undefined;
 		}
 
-		const limit = findLimit(asked.workspace);
-		const share = 1 - settings.reserve;
+		const {rate, burst, standby} = findLimit(asked.workspace);
+		if (rate === 0) {
+			return undefined;
+		}
+
+		const span = asked.isStandby ? settings.standbySpan : settings.loanSpan;
 		const lent = lendUnits(home.bucket, {
 			...asked,
-			rate: limit.rate * share,
-			burst: limit.burst * share,
-			span: settings.loanSpan * driftMargin,
+			wanted: asked.isStandby ? standby : asked.wanted,
+			rate,
+			burst,
+			span: span * driftMargin,
 			now: now(),
 		});
 		home.bucket = lent.bucket;
-		return {units: lent.units, span: settings.loanSpan, retryAfter: lent.retryAfter};
+		if (!asked.isStandby) {
+			void askStandby(asked.workspace, home);
+		}
+
+		return {units: lent.units, span, retryAfter: lent.retryAfter};
 	};
 
 	/** Hands a bucket over to its new home; gives up after a while, and the new home waits the loans out. */
@@ -129,7 +170,7 @@
 			}
 
 			const taken = loans.map(({left, ...loan}) => ({...loan, expiresAt: at + left}));
-			homes.set(workspace, {since: at, bucket: {level, refilledAt: at, loans: taken}});
+			homes.set(workspace, {since: at, stoodAt: -Infinity, bucket: {level, refilledAt: at, loans: taken}});
 			return true;
 		},
 	};
--- a/packages/proxy/create-rate-gate.ts
+++ b/packages/proxy/create-rate-gate.ts
@@ -1,8 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addLoan, chooseReserveShare, createPurse, createRefusal, findHome, findProvenAt, resultCodes, settlePurse, spendUnits,
+	addLoan, chooseReserveShare, createPurse, createRefusal, findHome, findProvenAt, findStandby, resultCodes, settlePurse, spendUnits,
 	takeUnits, type AdmittedRequest, type HostState, type Purse, type TokenBucket,
 } from '@sapphirefall/decisions';
+import type {BorrowAsked, BorrowGranted} from '@sapphirefall/hosts';
 import type {Metrics} from '@sapphirefall/operators';
 import type {HostFile} from '@sapphirefall/settings';
 import type {BucketHomes} from './bucket-homes.ts';
@@ -16,7 +17,7 @@
 	readonly settings: HostFile['rate'];
 	readonly readState: () => HostState;
 	readonly findPeer: FindPeer;
-	/** Lends units when this host is the home itself. */
+	/** Lends units when this host is the home or its standby itself. */
 	readonly lend: BucketHomes['lend'];
 	readonly metrics: Metrics;
 	readonly now: () => number;
@@ -25,6 +26,11 @@
 /** Milliseconds before the next request to a home that did not answer. */
 const homeRetry = 100;
 
+/** Milliseconds before the next request to a standby that had nothing to lend. */
+const standbyRetry = 250;
+
+type Asked = Omit<BorrowAsked, 'host' | 'isStandby'>;
+
 /** What came of asking the home, with the milliseconds after which to ask again. */
 type Borrowed = {readonly isReached: boolean; readonly retryAfter: number};
 
@@ -41,6 +47,8 @@
 	const {self, settings, now} = options;
 	const purses = new Map<string, Purse>();
 	const reserves = new Map<string, TokenBucket>();
+	/** Until when the standby of a workspace is not asked again. */
+	const emptyUntil = new Map<string, number>();
 	const borrowing = new Map<string, Promise<Borrowed>>();
 
 	const isProven = () => now() - findProvenAt(options.readState()) <= settings.proofLimit;
@@ -48,30 +56,56 @@
 	const findLimit = (workspace: string) =>
 		options.readState().configuration.workspaces[workspace] ?? {rate: 0, burst: 0};
 
-	/** Asks the home for units. */
-	const borrow = async (request: AdmittedRequest): Promise<Borrowed> => {
-		const {workspace, cost} = request;
+	/** Asks a host for units, and puts them into the purse; undefined when it does not answer or does not lend. */
+	const askLender = async (lender: string | undefined, asked: Asked): Promise<BorrowGranted | undefined> => {
 		const askedAt = now();
-		const {purse, settled, id} = settlePurse(purses.get(workspace) ?? createPurse(askedAt));
+		const isAlive = options.readState().membership.members.get(lender ?? '')?.isAlive ?? true;
+		if (lender === undefined || !isAlive) {
+			return undefined;
+		}
+
+		options.metrics.borrows.inc({place: lender === self ? 'own' : 'other'});
+		try {
+			const request = {...asked, host: options.owner, isStandby: false};
+			const granted = lender === self ? options.lend(request) : await options.findPeer(lender)?.borrow(request);
+			const loan = {id: asked.id, units: granted?.units ?? 0, expiresAt: askedAt + (granted?.span ?? 0)};
+			purses.set(asked.workspace, addLoan(purses.get(asked.workspace) ?? createPurse(askedAt), loan));
+			return granted;
+		} catch {
+			return undefined;
+		}
+	};
+
+	/** Asks the home for units, and its standby when the home does not give them. */
+	const borrow = async ({workspace, cost}: AdmittedRequest): Promise<Borrowed> => {
+		const {roster, membership} = options.readState();
+		const findZone = (host: string) => membership.hosts.get(host)?.zone;
+		const {purse, settled, id} = settlePurse(purses.get(workspace) ?? createPurse(now()));
+		purses.set(workspace, purse);
 		const wanted = cost + (purse.demand * settings.prefetch / 1000);
 		const asked = {
-			host: options.owner, id, workspace, needed: cost, wanted, settled,
+			id, workspace, needed: cost, wanted, settled,
 		};
-		purses.set(workspace, purse);
-		const home = findHome(workspace, options.readState().roster.homes);
-		options.metrics.borrows.inc({place: home === self ? 'own' : 'other'});
-		try {
-			const granted = home === self ? options.lend(asked) : await options.findPeer(home ?? '')?.borrow(asked);
-			if (granted === undefined) {
-				return unreached;
-			}
+		const granted = await askLender(findHome(workspace, roster.homes), asked);
+		if ((granted?.units ?? 0) > 0) {
+			return {isReached: true, retryAfter: 0};
+		}
 
-			const loan = {id, units: granted.units, expiresAt: askedAt + granted.span};
-			purses.set(workspace, addLoan(purses.get(workspace) ?? createPurse(askedAt), loan));
-			return {isReached: true, retryAfter: granted.retryAfter};
-		} catch {
-			return unreached;
+		const answer = granted === undefined ? unreached : {isReached: true, retryAfter: granted.retryAfter};
+		if (now() < (emptyUntil.get(workspace) ?? 0)) {
+			return answer;
+		}
+
+		const second = settlePurse(purses.get(workspace) ?? createPurse(now()));
+		purses.set(workspace, second.purse);
+		const standby = findStandby(workspace, {homes: roster.homes, findZone});
+		const lent = await askLender(standby, {...asked, id: second.id, settled: []});
+		if ((lent?.units ?? 0) > 0) {
+			return {isReached: true, retryAfter: 0};
 		}
+
+		emptyUntil.set(workspace, now() + standbyRetry);
+		return answer;
 	};
 
 	/** Asks once for all requests of a workspace that wait. */
--- a/packages/proxy/running-host.ts
+++ b/packages/proxy/running-host.ts
@@ -1,4 +1,5 @@
 import type {AdmittedRequest, Answer, Request} from '@sapphirefall/decisions';
+import type {HybridClock} from '@sapphirefall/events';
 import type {
 	BorrowAsked, BorrowGranted, ExchangeContent, HandedBucket,
 } from '@sapphirefall/hosts';
@@ -13,10 +14,14 @@
 	readonly operators: OperatorBackend;
 	/** Executes a request that another host has admitted. */
 	readonly execute: (request: AdmittedRequest) => Promise<Answer>;
+	/** Orders what happens here after what other hosts have seen. */
+	readonly clock: HybridClock;
 	/** Present monotonic milliseconds. */
 	readonly now: () => number;
-	/** Lends units of a workspace; undefined when this host is not its home. */
+	/** Lends units of a workspace; undefined when this host is neither its home nor a standby that holds a part. */
 	readonly lend: (asked: BorrowAsked) => BorrowGranted | undefined;
+	/** Keeps a part of a workspace's bucket as the standby of its home. */
+	readonly stand: (workspace: string) => void;
 	/** Takes the bucket of a workspace over; false when this host does not know that it is its home. */
 	readonly takeOver: (bucket: HandedBucket) => boolean;
 	/** Commits a change that another host passed on. */
--- a/packages/proxy/start-host.ts
+++ b/packages/proxy/start-host.ts
@@ -6,6 +6,7 @@
 import {createMetrics} from '@sapphirefall/operators';
 import {createPlatformClient} from '@sapphirefall/platform';
 import type {HostFile} from '@sapphirefall/settings';
+import type {BorrowAsked} from '@sapphirefall/hosts';
 import {createBucketHomes} from './create-bucket-homes.ts';
 import {createChangeBackend} from './create-change-backend.ts';
 import {createExchanger} from './create-exchanger.ts';
@@ -15,6 +16,7 @@
 import {createOperatorBackend} from './create-operator-backend.ts';
 import {createPeers} from './create-peers.ts';
 import {createRateGate} from './create-rate-gate.ts';
+import {createStandbyStocks} from './create-standby-stocks.ts';
 import {createRequestHandler} from './create-request-handler.ts';
 import type {GroupRuntime} from './group-runtime.ts';
 import type {HostLog} from './host-log.ts';
@@ -144,7 +146,7 @@
 	});
 	const {dispatch} = loop;
 	const readState = loop.state;
-	const findPeer = createPeers(readState, {...settings.endpoints, timeout: settings.control.exchangeTimeout, now});
+	const findPeer = createPeers(readState, {...settings.endpoints, timeout: settings.control.exchangeTimeout, clock, now});
 	const exchanger = createExchanger({
 		self, readState, dispatch, findPeer, clock, wordSpan: settings.keys.wordSpan, now,
 	});
@@ -157,8 +159,16 @@
 	const homes = createBucketHomes({
 		self, settings: settings.rate, readState, findPeer, now,
 	});
+	const stocks = createStandbyStocks({
+		owner, settings: settings.rate, readState, findPeer, now,
+	});
+	const lend = (asked: BorrowAsked) => {
+		const granted = homes.lend(asked);
+		return (granted?.units ?? 0) > 0 ? granted : stocks.lend(asked) ?? granted;
+	};
+
 	const rates = createRateGate({
-		self, owner, settings: settings.rate, readState, findPeer, lend: homes.lend, metrics, now,
+		self, owner, settings: settings.rate, readState, findPeer, lend, metrics, now,
 	});
 	const requests = createRequestHandler({
 		settings,
@@ -202,8 +212,10 @@
 		handle: requests.handle,
 		exchange: exchanger.answer,
 		execute: requests.executeForwarded,
+		clock,
 		now,
-		lend: homes.lend,
+		lend,
+		stand: stocks.stand,
 		takeOver: homes.takeOver,
 		takeChange: changes.takeChange,
 		confirm(database, term) {
--- a/packages/settings/host-schema.ts
+++ b/packages/settings/host-schema.ts
@@ -44,6 +44,8 @@
 		reserve: z.number().min(0).max(1).default(0.2).describe('Share of each rate and burst that is split evenly over the hosts; the rest lies with the workspace\'s home.'),
 		reserveSpan: milliseconds(600_000, 'Time after its last proof of the roster for which a host uses its share of the reserves, and until a new host may.'),
 		loanSpan: milliseconds(400, 'Time for which units on loan may be used.'),
+		standby: z.number().min(0).max(0.5).default(0.25).describe('Share of each burst that lies with a second host, which lends it when the workspace\'s home cannot.'),
+		standbySpan: milliseconds(4000, 'Time for which the standby may lend its share; longer than a new home takes to begin.'),
 		prefetch: z.number().int().min(0).max(10_000).default(250).describe('Milliseconds of recent demand that a loan covers ahead.'),
 		proofLimit: milliseconds(1200, 'Age of the roster\'s proof at which a host stops lending and using units.'),
 		longestWait: milliseconds(500, 'Longest time that a request waits for units that its rate does not give yet, before it is refused.'),
