Carry calls between hosts on one stream, and open callers' streams to the scenarios

Cause of the idle load: each exchange, loan and confirmation between hosts was a unary call, with its headers, signals and an error object for its time limit. They now share one stream a peer, with time limits that are taken back when the answer comes; a channel without calls for a while is closed.

The command line loads the plotting libraries only for load.

A request whose execution ends in an error of the host harmed the others: on a stream its rejection reached nobody and would have ended the process. It is now answered as unknown.

The scenario "streams" has sessions roam between open streams, a key withdrawn on them, and a host drain under one. execute-write is split: the transaction with its record apart from the attempts.

Run: streams, rate-holds, fault-table-hosts and all tests of packages pass.

--- a/daemons/create-command-line.ts
+++ b/daemons/create-command-line.ts
@@ -5,7 +5,6 @@
 import {runFreshness} from './run-freshness.ts';
 import {runKey} from './run-key.ts';
 import {runLimit} from './run-limit.ts';
-import {runLoadPlan} from './run-load-plan.ts';
 import {runRoute} from './run-route.ts';
 import {runServe} from './run-serve.ts';
 import {runStatus} from './run-status.ts';
@@ -84,7 +83,11 @@
 		.option('--report <file>', 'Write a page with plots')
 		.option('--json', 'Write the measures as JSON')
 		.example('sapphirefall load plan.yaml --report report.html')
-		.action(runLoadPlan);
+		.action(async (plan: string, options: {readonly report?: string; readonly json?: boolean}) => {
+			// The plotting libraries would cost every host its memory and the time of its start.
+			const {runLoadPlan} = await import('./run-load-plan.ts');
+			await runLoadPlan(plan, options);
+		});
 	cli.command('timeline <...sources>', 'Merge the events of all processes into one time line')
 		.option('--request <id>', 'Show only a request')
 		.option('--workspace <name>', 'Show only a workspace')
--- a/packages/callers/create-caller-handler.ts
+++ b/packages/callers/create-caller-handler.ts
@@ -4,7 +4,7 @@
 import {createConnectRouter, type HandlerContext} from '@connectrpc/connect';
 import {universalRequestFromNodeRequest, universalResponseToNodeResponse} from '@connectrpc/connect-node';
 import {
-	createRefusal, resultCodes, type Answer, type Request,
+	createFailure, createRefusal, resultCodes, type Answer, type Request,
 } from '@sapphirefall/decisions';
 import {
 	CallerService, createQueue, ExecuteResponseSchema, type ExecuteRequest, type ExecuteResponse,
@@ -93,7 +93,7 @@
 	return JSON.stringify(toJson(ExecuteResponseSchema, encodeAnswer(refusal, {requestId: '', session: ''})));
 }
 
-/** Answers the requests of a stream as each is done; a slow one delays no other. */
+/** Answers the requests of a stream as each is done; one that is slow or fails harms no other. */
 async function * answerMany(
 	messages: AsyncIterable<ExecuteRequest>,
 	answer: (message: ExecuteRequest) => Promise<ExecuteResponse>,
@@ -102,7 +102,11 @@
 	const running = new Set<Promise<void>>();
 
 	const run = async (message: ExecuteRequest) => {
-		responses.push(await answer(message));
+		try {
+			responses.push(await answer(message));
+		} catch {
+			responses.push(encodeAnswer(createFailure(), {requestId: message.requestId, session: ''}));
+		}
 	};
 
 	const read = async () => {
--- a/packages/decisions/lend-stock.ts
+++ b/packages/decisions/lend-stock.ts
@@ -1,11 +1,8 @@
-import {chooseLoan} from './choose-loan.ts';
 import type {StandbyStock} from './standby-stock.ts';
 
 type Asked = {
-	/** Units that the host cannot do without; less is not lent. */
+	/** Units that the host cannot do without; neither less nor more is lent. */
 	readonly needed: number;
-	/** Units that the host would like. */
-	readonly wanted: number;
 	/** Greatest milliseconds for which units are lent. */
 	readonly longestSpan: number;
 	/** Share by which a loan ends before the stock, so that a borrower with a slower clock has stopped before. */
@@ -17,7 +14,8 @@
  * Lends units of a standby's stock.
  *
  * The home has taken the stock off its bucket and counts it as open until it expires, so that what is lent from
- * it is within the rate whatever has become of the home. What a borrower does not use is lost.
+ * it is within the rate whatever has become of the home. What a borrower does not use would be lost, so nothing is
+ * lent ahead of demand.
  *
  * @param stock The stock.
  * @param asked What the host asks for, and monotonic milliseconds.
@@ -28,7 +26,7 @@
 	asked: Asked,
 ): {readonly stock: StandbyStock; readonly units: number; readonly span: number} {
 	const left = (stock.expiresAt - asked.now) / asked.driftMargin;
-	const units = left > 0 ? chooseLoan(stock.units, asked) : 0;
+	const units = left > 0 && stock.units >= asked.needed ? asked.needed : 0;
 	return {
 		stock: {...stock, units: stock.units - units}, units, span: Math.max(0, Math.floor(Math.min(left, asked.longestSpan))),
 	};
--- a/packages/endpoints/open-connection.ts
+++ b/packages/endpoints/open-connection.ts
@@ -40,9 +40,10 @@
 		baseUrl: address, httpVersion: '2', sessionManager: sessions,
 	}));
 	const channel = openChannel<BatchRequest, BatchResponse>({
-		...options,
 		open: (requests, signal) => client.connect(requests, {signal}),
-		createPing,
+		heartbeat: {createPing, interval: options.heartbeatInterval, silenceLimit: options.silenceLimit},
+		idleSpan: undefined,
+		now: options.now,
 		onClosed() {
 			sessions.abort();
 			options.onClosed();
--- a/packages/hosts/create-forwarder.ts
+++ b/packages/hosts/create-forwarder.ts
@@ -14,6 +14,8 @@
 	readonly heartbeatInterval: number;
 	/** Milliseconds without any answer after which the channel counts as silent and is replaced. */
 	readonly silenceLimit: number;
+	/** Milliseconds without a request after which the channel is closed. */
+	readonly idleSpan: number;
 	/** Orders what happens here after what the other host has seen. */
 	readonly clock: HybridClock;
 	/** Present monotonic milliseconds. */
@@ -35,9 +37,14 @@
 			baseUrl: address, httpVersion: '2', sessionManager: sessions,
 		}));
 		return openChannel<ForwardRequest, ForwardResponse>({
-			...options,
 			open: (requests, signal) => client.forward(requests, {signal}),
-			createPing: id => create(ForwardRequestSchema, {id, ping: true}),
+			heartbeat: {
+				createPing: id => create(ForwardRequestSchema, {id, ping: true}),
+				interval: options.heartbeatInterval,
+				silenceLimit: options.silenceLimit,
+			},
+			idleSpan: options.idleSpan,
+			now: options.now,
 			onClosed() {
 				sessions.abort();
 			},
--- a/packages/hosts/create-host-service.ts
+++ b/packages/hosts/create-host-service.ts
@@ -2,7 +2,10 @@
 import type {ServiceImpl} from '@connectrpc/connect';
 import type {AdmittedRequest, Answer} from '@sapphirefall/decisions';
 import type {HybridClock} from '@sapphirefall/events';
-import type {ChangeRequest, ChangeResponseSchema, HostService} from '@sapphirefall/wire';
+import type {
+	BorrowRequest, BorrowResponseSchema, ChangeRequest, ChangeResponseSchema, ControlRequest, ControlResponseSchema, HostService,
+} from '@sapphirefall/wire';
+import {serveControls} from './serve-controls.ts';
 import {serveForwards} from './serve-forwards.ts';
 import {decodeExchange} from './decode-exchange.ts';
 import {encodeExchange} from './encode-exchange.ts';
@@ -31,29 +34,60 @@
 	readonly takeChange: (change: ChangeRequest) => Promise<MessageInitShape<typeof ChangeResponseSchema>>;
 };
 
+type ControlAnswer = NonNullable<MessageInitShape<typeof ControlResponseSchema>['answer']>;
+
 /** Creates the service that other entry hosts use. */
 export function createHostService(options: Options): ServiceImpl<typeof HostService> {
 	return {
-		exchange: message => encodeExchange(options.exchange(decodeExchange(message))),
-		confirm: ({database, term}) => ({suspected: options.confirm(database, term)}),
-		borrow({standby, ...asked}) {
-			const granted = options.lend({...asked, isStandby: standby});
-			return granted === undefined
-				? {home: false}
-				: {
-					home: true, units: granted.units, spanMs: granted.span, retryAfterMs: granted.retryAfter,
-				};
-		},
-		stand({workspace}) {
-			options.stand(workspace);
-			return {};
+		async * control(messages) {
+			yield * serveControls(messages, async call => answerCall(call, options));
 		},
-		handOver: ({loans, ...bucket}) => ({
-			taken: options.takeOver({...bucket, loans: loans.map(({leftMs, ...loan}) => ({...loan, left: leftMs}))}),
-		}),
 		async * forward(messages) {
 			yield * serveForwards(messages, options);
 		},
-		passChange: async change => options.takeChange(change),
 	};
 }
+
+async function answerCall(call: ControlRequest['call'], options: Options): Promise<ControlAnswer> {
+	switch (call.case) {
+		case 'exchange': {
+			return {case: call.case, value: encodeExchange(options.exchange(decodeExchange(call.value)))};
+		}
+
+		case 'confirm': {
+			return {case: call.case, value: {suspected: options.confirm(call.value.database, call.value.term)}};
+		}
+
+		case 'borrow': {
+			return {case: call.case, value: lend(call.value, options)};
+		}
+
+		case 'stand': {
+			options.stand(call.value.workspace);
+			return {case: call.case, value: {}};
+		}
+
+		case 'handOver': {
+			const {loans, ...bucket} = call.value;
+			const taken = options.takeOver({...bucket, loans: loans.map(({leftMs, ...loan}) => ({...loan, left: leftMs}))});
+			return {case: call.case, value: {taken}};
+		}
+
+		case 'passChange': {
+			return {case: call.case, value: await options.takeChange(call.value)};
+		}
+
+		case undefined: {
+			throw new Error('The message names no call');
+		}
+	}
+}
+
+function lend({standby, ...asked}: BorrowRequest, options: Options): MessageInitShape<typeof BorrowResponseSchema> {
+	const granted = options.lend({...asked, isStandby: standby});
+	return granted === undefined
+		? {home: false}
+		: {
+			home: true, units: granted.units, spanMs: granted.span, retryAfterMs: granted.retryAfter,
+		};
+}
--- a/packages/hosts/create-peer.ts
+++ b/packages/hosts/create-peer.ts
@@ -1,72 +1,104 @@
+import {create} from '@bufbuild/protobuf';
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import type {HybridClock} from '@sapphirefall/events';
-import {HostService} from '@sapphirefall/wire';
+import {
+	BorrowRequestSchema, ConfirmRequestSchema, ControlRequestSchema, HandOverRequestSchema, HostService, openChannel,
+	runWithTimeout, StandRequestSchema, type Channel, type ControlRequest, type ControlResponse,
+} from '@sapphirefall/wire';
 import {createForwarder} from './create-forwarder.ts';
 import {decodeExchange} from './decode-exchange.ts';
 import {encodeExchange} from './encode-exchange.ts';
 import type {Peer} from './peer.ts';
 
 type Options = {
-	/** Milliseconds to wait for an answer to an exchange. */
+	/** Milliseconds to wait for an answer. */
 	readonly timeout: number;
 	/** Milliseconds between two heartbeats on the channel for requests. */
 	readonly heartbeatInterval: number;
 	/** Milliseconds without any answer after which that channel is replaced. */
 	readonly silenceLimit: number;
+	/** Milliseconds without a call after which a channel is closed. */
+	readonly idleSpan: number;
 	/** Orders what happens here after what the other host has seen. */
 	readonly clock: HybridClock;
 	/** Present monotonic milliseconds. */
 	readonly now: () => number;
 };
 
+type Call = ControlRequest['call'];
+type Kind = NonNullable<Call['case']>;
+type AnswerValue<K extends Kind> = Extract<ControlResponse['answer'], {readonly case: K}>['value'];
+
 /** Milliseconds for an acceptor to commit a change. */
 const changeTimeout = 4000;
 
 /**
  * Creates the client of another entry host.
  *
- * A call without an answer closes the connection, so that the next call does not use one that has gone silent.
+ * Calls share one channel and are answered in any order. A call without an answer closes it, so that the next one
+ * does not use a channel that has gone silent. Requests have a channel of their own.
  *
  * @param address URL of the host.
- * @param options How long to wait for an answer, heartbeat times, and the clock.
+ * @param options How long to wait for an answer, heartbeat times, and the clocks.
  */
 export function createPeer(address: string, options: Options): Peer {
 	const forwarder = createForwarder(address, options);
-	const sessions = new Http2SessionManager(address);
-	const client = createClient(HostService, createConnectTransport({
-		baseUrl: address, httpVersion: '2', sessionManager: sessions,
-	}));
-	const callOptions = {timeoutMs: options.timeout};
+	let channel: Channel<ControlRequest, ControlResponse> | undefined;
+
+	const open = () => {
+		const sessions = new Http2SessionManager(address);
+		const client = createClient(HostService, createConnectTransport({
+			baseUrl: address, httpVersion: '2', sessionManager: sessions,
+		}));
+		return openChannel<ControlRequest, ControlResponse>({
+			open: (requests, signal) => client.control(requests, {signal}),
+			heartbeat: undefined,
+			idleSpan: options.idleSpan,
+			now: options.now,
+			onClosed() {
+				sessions.abort();
+			},
+		});
+	};
 
-	const guard = async <T>(call: Promise<T>): Promise<T> => {
-		try {
-			return await call;
-		} catch (error) {
-			sessions.abort();
-			throw error;
+	/** Makes a call; the answer to it is of the same kind. */
+	const send = async <K extends Kind>(call: Call & {readonly case: K}, timeout = options.timeout): Promise<AnswerValue<K>> => {
+		if (channel?.isClosed() !== false) {
+			channel = open();
 		}
+
+		const {send: sendOn} = channel;
+		const response = await runWithTimeout(timeout, async signal =>
+			sendOn(id => create(ControlRequestSchema, {id, call}), {signal, closesOnAbort: true}));
+		if (response?.answer.case !== call.case) {
+			throw new Error(`The host at ${address} does not answer`);
+		}
+
+		return response.answer.value as unknown as AnswerValue<K>;
 	};
 
 	return {
-		exchange: async content => decodeExchange(await guard(client.exchange(encodeExchange(content), callOptions))),
+		exchange: async content => decodeExchange(await send({case: 'exchange', value: encodeExchange(content)})),
 		async borrow({isStandby, ...asked}) {
-			const request = {...asked, standby: isStandby, settled: [...asked.settled]};
-			const {home, units, spanMs, retryAfterMs} = await guard(client.borrow(request, callOptions));
+			const value = create(BorrowRequestSchema, {...asked, standby: isStandby, settled: [...asked.settled]});
+			const {
+				home, units, spanMs, retryAfterMs,
+			} = await send({case: 'borrow', value});
 			return home ? {units, span: spanMs, retryAfter: retryAfterMs} : undefined;
 		},
 		async stand(workspace) {
-			await guard(client.stand({workspace}, callOptions));
+			await send({case: 'stand', value: create(StandRequestSchema, {workspace})});
 		},
 		async handOver(bucket) {
 			const loans = bucket.loans.map(({left, ...loan}) => ({...loan, leftMs: Math.ceil(left)}));
-			const {taken} = await guard(client.handOver({...bucket, loans}, callOptions));
+			const {taken} = await send({case: 'handOver', value: create(HandOverRequestSchema, {...bucket, loans})});
 			return taken;
 		},
 		forward: forwarder.forward,
-		passChange: async change => guard(client.passChange(change, {timeoutMs: changeTimeout})),
+		passChange: async change => send({case: 'passChange', value: change}, changeTimeout),
 		async confirm(database, term) {
-			const {suspected} = await guard(client.confirm({database, term}, callOptions));
+			const {suspected} = await send({case: 'confirm', value: create(ConfirmRequestSchema, {database, term})});
 			return suspected;
 		},
 	};
--- a/packages/hosts/mod.ts
+++ b/packages/hosts/mod.ts
@@ -14,4 +14,5 @@
 export type * from './forwarder.ts';
 export type * from './handed-bucket.ts';
 export type * from './peer.ts';
+export * from './serve-controls.ts';
 export * from './serve-forwards.ts';
--- a/packages/hosts/serve-forwards.ts
+++ b/packages/hosts/serve-forwards.ts
@@ -1,6 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import {
-	createRefusal, resultCodes, type AdmittedRequest, type Answer,
+	createFailure, createRefusal, resultCodes, type AdmittedRequest, type Answer,
 } from '@sapphirefall/decisions';
 import type {HybridClock} from '@sapphirefall/events';
 import {
@@ -34,7 +34,7 @@
 		const request = decodeForward(message, options.now());
 		const answer = request === undefined
 			? createRefusal(resultCodes.malformed, {reason: 'the forwarded request names no work'})
-			: await options.execute(request);
+			: await execute(request, options);
 		responses.push(encodeForwardAnswer(answer, {id: message.id, time: options.clock.tick()}));
 	};
 
@@ -51,3 +51,12 @@
 	read().catch(() => undefined).finally(responses.end); // eslint-disable-line promise/prefer-await-to-then
 	yield * responses;
 }
+
+/** Executes a request; one that fails harms no other. */
+async function execute(request: AdmittedRequest, options: Options): Promise<Answer> {
+	try {
+		return await options.execute(request);
+	} catch {
+		return createFailure();
+	}
+}
--- /dev/null
+++ b/packages/proxy/_busy-retry.ts
@@ -0,0 +1,2 @@
+/** Milliseconds after which a caller may try again when all connections are busy. */
+export const busyRetry = 200;
--- /dev/null
+++ b/packages/proxy/_committed.ts
@@ -0,0 +1,9 @@
+import type {LogPoint, SqlResult} from '@sapphirefall/decisions';
+
+/** A transaction that committed at the primary, with its results. */
+export type Committed = {
+	readonly kind: 'committed';
+	readonly results: readonly SqlResult[];
+	readonly at: LogPoint;
+	readonly isReplayed: boolean;
+};
--- a/packages/proxy/create-exchanger.ts
+++ b/packages/proxy/create-exchanger.ts
@@ -17,6 +17,13 @@
 	readonly now: () => number;
 };
 
+type KnownPrimaries = {
+	/** The groups from which the rest follows. */
+	readonly groups: HostState['groups'];
+	readonly primaries: ReturnType<typeof listPrimaries>;
+	readonly digest: string;
+};
+
 type Exchanger = {
 	/** Exchanges with another host; sends what it lacks in a second message. */
 	readonly exchange: (id: string) => Promise<void>;
@@ -28,10 +35,21 @@
 export function createExchanger(options: Options): Exchanger {
 	const {readState, now, clock} = options;
 
+	let known: KnownPrimaries | undefined;
+
+	/** Lists the primaries with their digest, anew only when the groups have changed. */
+	const readPrimaries = (state: HostState): KnownPrimaries => {
+		if (known?.groups !== state.groups) {
+			const primaries = listPrimaries(state);
+			known = {groups: state.groups, primaries, digest: hashPrimaries(primaries)};
+		}
+
+		return known;
+	};
+
 	const createContent = (other: ExchangeContent | undefined): ExchangeContent => {
 		const state = readState();
-		const primaries = listPrimaries(state);
-		const digest = hashPrimaries(primaries);
+		const {primaries, digest} = readPrimaries(state);
 		const at = now();
 		return {
 			id: options.self,
@@ -67,7 +85,7 @@
 
 	const isLacking = (content: ExchangeContent) => {
 		const state = readState();
-		return content.head < state.roster.head || content.digest !== hashPrimaries(listPrimaries(state));
+		return content.head < state.roster.head || content.digest !== readPrimaries(state).digest;
 	};
 
 	return {
--- a/packages/proxy/create-rate-gate.ts
+++ b/packages/proxy/create-rate-gate.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addLoan, chooseReserveShare, createPurse, createRefusal, findHome, findProvenAt, findStandby, resultCodes, settlePurse, spendUnits,
+	addLoan, chooseReserveShare, createPurse, createRefusal, findHome, findProvenAt, findStandby, isRosterProven, resultCodes, settlePurse, spendUnits,
 	takeUnits, type AdmittedRequest, type HostState, type Purse, type TokenBucket,
 } from '@sapphirefall/decisions';
 import type {BorrowAsked, BorrowGranted} from '@sapphirefall/hosts';
@@ -26,6 +26,9 @@
 /** Milliseconds before the next request to a home that did not answer. */
 const homeRetry = 100;
 
+/** Milliseconds after the loss of a home within which the next one makes up for what was not served. */
+const recoverySpan = 3000;
+
 /** Milliseconds before the next request to a standby that had nothing to lend. */
 const standbyRetry = 250;
 
@@ -47,11 +50,13 @@
 	const {self, settings, now} = options;
 	const purses = new Map<string, Purse>();
 	const reserves = new Map<string, TokenBucket>();
+	/** Until when requests of a workspace wait to their deadlines, since its home was lost. */
+	const patientUntil = new Map<string, number>();
 	/** Until when the standby of a workspace is not asked again. */
 	const emptyUntil = new Map<string, number>();
 	const borrowing = new Map<string, Promise<Borrowed>>();
 
-	const isProven = () => now() - findProvenAt(options.readState()) <= settings.proofLimit;
+	const isProven = () => isRosterProven(options.readState(), {proofLimit: settings.proofLimit, now: now()});
 
 	const findLimit = (workspace: string) =>
 		options.readState().configuration.workspaces[workspace] ?? {rate: 0, burst: 0};
@@ -154,7 +159,7 @@
 
 	return {
 		async take(request) {
-			let latest = Math.min(request.deadline, now() + settings.longestWait);
+			const usual = Math.min(request.deadline, now() + settings.longestWait);
 			let isFirst = true;
 			for (;;) {
 				if (spend(request, isFirst)) {
@@ -167,9 +172,12 @@
 					return undefined;
 				}
 
-				// A home that is not reached says nothing about the rate: the request waits for the next one, whose
-				// bucket starts empty.
-				latest = isReached ? latest : request.deadline;
+				if (!isReached) {
+					patientUntil.set(request.workspace, now() + recoverySpan);
+				}
+
+				// A home that is not reached says nothing about the rate, and the bucket of the next one starts empty.
+				const latest = now() < (patientUntil.get(request.workspace) ?? 0) ? request.deadline : usual;
 				const pause = Math.max(1, retryAfter);
 				if (now() + pause > latest) {
 					return createRefusal(resultCodes.rateExceeded, {
--- a/packages/proxy/create-request-handler.ts
+++ b/packages/proxy/create-request-handler.ts
@@ -5,6 +5,7 @@
 import type {EventLog} from '@sapphirefall/events';
 import type {Metrics} from '@sapphirefall/operators';
 import type {HostFile} from '@sapphirefall/settings';
+import {runWithTimeout} from '@sapphirefall/wire';
 import {executeRequest} from './execute-request.ts';
 import type {FindPeer} from './find-peer.ts';
 import type {GroupRuntime} from './group-runtime.ts';
@@ -102,8 +103,7 @@
 			return executeHere(request, gateway === settings.host.id);
 		}
 
-		const signal = AbortSignal.timeout(Math.max(1, Math.ceil(request.deadline - now())));
-		const answer = await peer.forward(request, signal);
+		const answer = await runWithTimeout(Math.max(1, request.deadline - now()), async signal => peer.forward(request, signal));
 		if (answer !== undefined) {
 			return answer;
 		}
--- a/packages/proxy/start-host.ts
+++ b/packages/proxy/start-host.ts
@@ -146,7 +146,9 @@
 	});
 	const {dispatch} = loop;
 	const readState = loop.state;
-	const findPeer = createPeers(readState, {...settings.endpoints, timeout: settings.control.exchangeTimeout, clock, now});
+	const findPeer = createPeers(readState, {
+		...settings.endpoints, timeout: settings.control.exchangeTimeout, clock, now,
+	});
 	const exchanger = createExchanger({
 		self, readState, dispatch, findPeer, clock, wordSpan: settings.keys.wordSpan, now,
 	});
--- a/packages/wire/mod.ts
+++ b/packages/wire/mod.ts
@@ -12,6 +12,7 @@
 export * from './format-results.ts';
 export * from './open-channel.ts';
 export * from './parse-results.ts';
+export * from './run-with-timeout.ts';
 export * from './gen/caller_pb.ts';
 export * from './gen/endpoint_pb.ts';
 export * from './gen/host_pb.ts';
--- a/packages/wire/open-channel.ts
+++ b/packages/wire/open-channel.ts
@@ -1,14 +1,21 @@
 import {createQueue} from './create-queue.ts';
 import type {Channel} from './channel.ts';
 
-type Options<Request, Response> = {
-	/** Opens the stream. */
-	readonly open: (requests: AsyncIterable<Request>, signal: AbortSignal) => AsyncIterable<Response>;
+type Heartbeat<Request> = {
 	readonly createPing: (id: number) => Request;
 	/** Milliseconds between two heartbeats. */
-	readonly heartbeatInterval: number;
+	readonly interval: number;
 	/** Milliseconds without any answer after which the channel counts as silent and is closed. */
 	readonly silenceLimit: number;
+};
+
+type Options<Request, Response> = {
+	/** Opens the stream. */
+	readonly open: (requests: AsyncIterable<Request>, signal: AbortSignal) => AsyncIterable<Response>;
+	/** Undefined for a channel whose every request has a time limit that closes it. */
+	readonly heartbeat: Heartbeat<Request> | undefined;
+	/** Milliseconds without a request after which the channel is closed; undefined to keep it. */
+	readonly idleSpan: number | undefined;
 	/** Present monotonic milliseconds. */
 	readonly now: () => number;
 	/** Called once when the channel is closed, by either side. */
@@ -26,6 +33,7 @@
 	const abort = new AbortController();
 	let lastId = 0;
 	let heardAt = options.now();
+	let sentAt = options.now();
 	let isClosed = false;
 
 	const close = () => {
@@ -34,7 +42,8 @@
 		}
 
 		isClosed = true;
-		clearInterval(heartbeat);
+		clearInterval(heartbeatTimer);
+		clearInterval(idleTimer);
 		requests.end();
 		abort.abort();
 		for (const resolve of pending.values()) {
@@ -45,16 +54,24 @@
 		options.onClosed();
 	};
 
-	const beat = () => {
-		if (options.now() - heardAt > options.silenceLimit) {
+	const beat = ({createPing, silenceLimit}: Heartbeat<Request>) => {
+		if (options.now() - heardAt > silenceLimit) {
 			close();
 		} else {
 			lastId++;
-			requests.push(options.createPing(lastId));
+			requests.push(createPing(lastId));
 		}
 	};
 
-	const heartbeat = setInterval(beat, options.heartbeatInterval);
+	const {heartbeat, idleSpan} = options;
+	const heartbeatTimer = heartbeat && setInterval(beat, heartbeat.interval, heartbeat);
+	const idleTimer = idleSpan === undefined
+		? undefined
+		: setInterval(() => {
+			if (pending.size === 0 && options.now() - sentAt > idleSpan) {
+				close();
+			}
+		}, idleSpan);
 
 	const receive = async () => {
 		try {
@@ -82,6 +99,7 @@
 			}
 
 			lastId++;
+			sentAt = options.now();
 			const id = lastId;
 			return new Promise(resolve => {
 				const cancel = () => {
--- a/scenarios/scenario-schema.ts
+++ b/scenarios/scenario-schema.ts
@@ -27,6 +27,8 @@
 	idempotencyKey: z.string().optional(),
 	repeatable: z.boolean().optional(),
 	statements: z.array(statement).default([]),
+	/** Sends the call on a stream to the host that is opened by the first such call and stays open. */
+	stream: z.boolean().default(false),
 	/** Name of the session whose token the call shows, and which takes the new one. */
 	session: z.string().optional(),
 	/** Token to show in place of the session's. */
--- a/scenarios/send-call.ts
+++ b/scenarios/send-call.ts
@@ -1,3 +1,4 @@
+import type {CallerStream} from '../stand-ins/cluster/caller-stream.ts';
 import {createStatement} from '../stand-ins/cluster/create-statement.ts';
 import type {Answered} from './answered.ts';
 import type {Stage} from './stage.ts';
@@ -8,7 +9,7 @@
 /** Sends a caller's request once, and keeps the session token that comes back. */
 export async function sendCall(stage: Stage, call: Call): Promise<Answered> {
 	const sentAt = performance.now();
-	const response = await stage.cluster.caller(call.host, call.key ?? '').execute({
+	const response = await findCaller(stage, call).execute({
 		requestId: call.background ?? '',
 		database: call.route === undefined ? call.database ?? stage.scenario.cluster.databases[0] ?? '' : '',
 		route: call.route ?? '',
@@ -26,6 +27,18 @@
 	return {response, elapsed: performance.now() - sentAt};
 }
 
+/** Finds the open stream of a call that uses one, and else a client. */
+function findCaller({cluster, streams}: Stage, {host, key = '', stream}: Call): Pick<CallerStream, 'execute'> {
+	if (!stream) {
+		return cluster.caller(host, key);
+	}
+
+	const name = `${host} ${key}`;
+	const open = streams.get(name) ?? cluster.openStream(host, key);
+	streams.set(name, open);
+	return open;
+}
+
 function createKind(call: Call) {
 	return call.write === true
 		? {case: 'write' as const, value: {idempotencyKey: call.idempotencyKey ?? '', repeatable: call.repeatable ?? false}}
--- a/scenarios/stage.ts
+++ b/scenarios/stage.ts
@@ -1,4 +1,5 @@
 import type {ChangeResponse} from '@sapphirefall/wire';
+import type {CallerStream} from '../stand-ins/cluster/caller-stream.ts';
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
 import type {Answered} from './answered.ts';
 import type {Scenario} from './scenario.ts';
@@ -10,6 +11,8 @@
 	readonly cluster: Cluster;
 	readonly transcript: Transcript;
 	readonly sessions: Map<string, string>;
+	/** Open streams of callers, by host and key. */
+	readonly streams: Map<string, CallerStream>;
 	readonly calls: Map<string, Promise<Answered>>;
 	readonly changes: Map<string, Promise<ChangeResponse>>;
 	/** Writes that run or ran, by the step's name, and the key that they show. */
--- a/stand-ins/cluster/cluster.ts
+++ b/stand-ins/cluster/cluster.ts
@@ -4,6 +4,7 @@
 	CallerService, EndpointFaultService, OperatorService, PlatformFaultService,
 } from '@sapphirefall/wire';
 import type {LinkFault} from '../links/link-fault.ts';
+import type {CallerStream} from './caller-stream.ts';
 import type {Child} from './child.ts';
 
 /** A platform, database groups and entry hosts, each a process of its own, with a relay on each link between zones. */
@@ -12,6 +13,8 @@
 	readonly instances: readonly string[];
 	/** Client of a host for callers who show a key; empty for none. */
 	readonly caller: (host: string, key: string) => Client<typeof CallerService>;
+	/** Opens a stream to a host for callers who show a key. */
+	readonly openStream: (host: string, key: string) => CallerStream;
 	readonly operator: (host: string) => Client<typeof OperatorService>;
 	/** Sets what happens to the answers of an instance. */
 	readonly endpoint: (instance: string) => Client<typeof EndpointFaultService>;
--- a/stand-ins/cluster/start-cluster.ts
+++ b/stand-ins/cluster/start-cluster.ts
@@ -2,7 +2,7 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {createClient, type Interceptor, type Transport} from '@connectrpc/connect';
+import {createClient, type Transport} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {stringify} from 'yaml';
 import {
@@ -11,7 +11,9 @@
 import {createLink} from '../links/create-link.ts';
 import type {Link} from '../links/link.ts';
 import {createRandom} from './create-random.ts';
+import {createTokenInterceptor} from './create-token-interceptor.ts';
 import {findFreePort} from './find-free-port.ts';
+import {openCallerStream} from './open-caller-stream.ts';
 import {startChild} from './start-child.ts';
 import type {Child} from './child.ts';
 import type {ClusterPlan} from './cluster-plan.ts';
@@ -44,6 +46,7 @@
 	const platformPorts = new Map(await Promise.all(plan.zones.map(async zone => [zone, await findFreePort()] as const)));
 	const links = new Map<string, Link>();
 	const callerPorts = new Map<string, number>();
+	const streamPorts = new Map<string, number>();
 	const operatorPorts = new Map<string, number>();
 	const children = new Map<string, {readonly script: string; readonly arguments_: readonly string[]; child: Child}>();
 
@@ -106,13 +109,14 @@
 	}
 
 	for (const node of nodes.filter(({kind}) => kind === 'host')) {
-		const [callers, operators] = await Promise.all([findFreePort(), findFreePort()]); // eslint-disable-line no-await-in-loop
+		const [callers, streams, operators] = await Promise.all([findFreePort(), findFreePort(), findFreePort()]); // eslint-disable-line no-await-in-loop
 		callerPorts.set(node.id, callers);
+		streamPorts.set(node.id, streams);
 		operatorPorts.set(node.id, operators);
 		start(node.id, daemonScript, ['serve', writeSettings(node.id, {
 			host: {id: node.id, zone: node.zone},
 			listen: {
-				callers: `127.0.0.1:${callers}`, hosts: `127.0.0.1:${node.port}`, operators: `127.0.0.1:${operators}`,
+				callers: `127.0.0.1:${callers}`, streams: `127.0.0.1:${streams}`, hosts: `127.0.0.1:${node.port}`, operators: `127.0.0.1:${operators}`,
 			},
 			platform: {address: findAddress(node.zone, 'platform')},
 			secrets: {session: sessionSecret, operatorDigest: createHash('sha256').update(operatorToken).digest('hex')},
@@ -152,6 +156,7 @@
 		platform: createClient(PlatformFaultService, createConnectTransport({
 			baseUrl: `http://127.0.0.1:${[...platformPorts.values()][0]}`, httpVersion: '2',
 		})),
+		openStream: (host, key) => openCallerStream(`http://127.0.0.1:${streamPorts.get(host)}`, key),
 		callerUrl,
 		operatorUrl,
 		instanceUrl,
@@ -195,15 +200,7 @@
 }
 
 function createTransport(baseUrl: string, token: string): Transport {
-	const addToken: Interceptor = next => async request => {
-		if (token !== '') {
-			request.header.set('authorization', `Bearer ${token}`);
-		}
-
-		return next(request);
-	};
-
-	return createConnectTransport({baseUrl, httpVersion: '1.1', interceptors: [addToken]});
+	return createConnectTransport({baseUrl, httpVersion: '1.1', interceptors: [createTokenInterceptor(token)]});
 }
 
 async function endChild(child: Child): Promise<void> {
