--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,6 +13,11 @@
 /** Milliseconds between two phases. */
 const pauseBetween = 3000;
 
+/** Phases to run; all when none is named. */
+const wanted = process.argv.slice(2);
+
+const isWanted = (name: string) => wanted.length === 0 || wanted.includes(name);
+
 const noFault = () => undefined;
 const zoneOfFault = 'c';
 
@@ -103,10 +108,11 @@
 	const cluster = await startDeployment(deployment, {hostsPerZone: 3, host: {}, serviceTime: 2});
 	try {
 		await sleep(2000);
+		const phases = Object.entries(createPhases(deployment)).filter(([name]) => isWanted(name));
 		const overhead = await measureOverhead(cluster, deployment);
 		console.log(`\n${deployment.name}: overhead ${JSON.stringify(overhead)}`);
 		const summaries: Record<string, LoadSummary> = {};
-		for (const [index, [name, phase]] of Object.entries(createPhases(deployment)).entries()) {
+		for (const [index, [name, phase]] of phases.entries()) {
 			const summary = await runPhase(cluster, {deployment, phase: {...phase, seed: 100 + index}}); // eslint-disable-line no-await-in-loop
 			summaries[name] = summary;
 			console.log(`\n${deployment.name}: ${name}\n${formatSummary(summary)}`);
@@ -155,9 +161,13 @@
 for (const deployment of deployments) {
 	// eslint-disable-next-line no-await-in-loop -- two deployments at once would share the machine
 	const {overhead, summaries} = await benchDeployment(deployment);
-	const split = await benchStaticSplit(deployment); // eslint-disable-line no-await-in-loop
-	console.log(`\n${deployment.name}: static split\n${formatSummary(split)}`);
-	const all = {...summaries, staticSplit: split};
+	const all: Record<string, LoadSummary> = {...summaries};
+	if (isWanted('staticSplit')) {
+		const split = await benchStaticSplit(deployment); // eslint-disable-line no-await-in-loop
+		console.log(`\n${deployment.name}: static split\n${formatSummary(split)}`);
+		all['staticSplit'] = split;
+	}
+
 	wrongAnswers += Object.values(all).reduce((sum, {violations}) => sum + violations.length, 0);
 	results[deployment.name] = {
 		...pickMeasures(summaries['health']),
