Leave a live host off the list, lose all acceptors, and search what operators see for keys

wrong-list: 120 writes through all six hosts while one is left out of the platform's list and comes back are all done; then all acceptors die and leave the list, and changes are accepted again by those that are left. The search for keys now covers metrics, events and status too.

--- a/packages/proxy/start-host.ts
+++ b/packages/proxy/start-host.ts
@@ -7,6 +7,7 @@
 import {createPlatformClient} from '@sapphirefall/platform';
 import type {HostFile} from '@sapphirefall/settings';
 import type {BorrowAsked} from '@sapphirefall/hosts';
+import {createBorrower} from './create-borrower.ts';
 import {createBucketHomes} from './create-bucket-homes.ts';
 import {createChangeBackend} from './create-change-backend.ts';
 import {createExchanger} from './create-exchanger.ts';
@@ -169,9 +170,12 @@
 		return (granted?.units ?? 0) > 0 ? granted : stocks.lend(asked) ?? granted;
 	};
 
-	const rates = createRateGate({
+	const borrower = createBorrower({
 		self, owner, settings: settings.rate, readState, findPeer, lend, metrics, now,
 	});
+	const rates = createRateGate({
+		self, settings: settings.rate, readState, borrower, now,
+	});
 	const requests = createRequestHandler({
 		settings,
 		readState,
--- a/scenarios/apply-fault.ts
+++ b/scenarios/apply-fault.ts
@@ -76,9 +76,9 @@
 	}
 
 	if (platform !== undefined) {
-		const {down, delay, lostAnswers, departing} = platform;
+		const {delay, ...others} = platform;
 		await cluster.platform.setFault({
-			down, delayMs: delay, lostAnswers, departing,
+			...others, delayMs: delay,
 		});
 	}
 
--- a/scenarios/check-outputs.ts
+++ b/scenarios/check-outputs.ts
@@ -1,12 +1,13 @@
 import {expect} from 'chai';
 import {parseEvent} from '@sapphirefall/events';
+import type {Cluster} from '../stand-ins/cluster/cluster.ts';
 import type {Stage} from './stage.ts';
 import type {Step} from './step.ts';
 
-/** Checks what the processes have written, as a step says: that no key is in it, or the number of events. */
-export function checkOutputs(stage: Stage, step: Step): void {
+/** Checks what the processes have written and show, as a step says: that no key is in it, or the number of events. */
+export async function checkOutputs(stage: Stage, step: Step): Promise<void> {
 	if (step.noKeyShown === true) {
-		checkKeys(stage);
+		await checkKeys(stage);
 	}
 
 	if (step.events !== undefined) {
@@ -14,15 +15,33 @@
 	}
 }
 
-function checkKeys({cluster, keys}: Stage): void {
+async function checkKeys({cluster, keys}: Stage): Promise<void> {
+	const shown = await Promise.all(cluster.hosts.map(async host => readOperatorPages(cluster, host)));
+	expect(shown.some(text => text.includes('sapphirefall_requests_total')), 'no host shows its metrics').to.equal(true);
 	for (const process of ['platform', ...cluster.hosts, ...cluster.instances]) {
 		const child = cluster.child(process);
+		const text = [child.readOutput(), child.readErrors(), shown[cluster.hosts.indexOf(process)]].join('\n');
 		for (const key of keys) {
-			expect(child.readOutput() + child.readErrors(), `${process} shows a key`).to.not.include(key);
+			expect(text, `${process} shows a key`).to.not.include(key);
 		}
 	}
 }
 
+/** Reads all that a host shows to operators; empty when it does not run. */
+async function readOperatorPages(cluster: Cluster, host: string): Promise<string> {
+	const headers = {authorization: `Bearer ${cluster.operatorToken}`};
+	try {
+		const pages = await Promise.all(['/metrics', '/events'].map(async path => {
+			const response = await fetch(new URL(path, cluster.operatorUrl(host)), {headers});
+			return response.text();
+		}));
+		const {configuration} = await cluster.operator(host).status({});
+		return [...pages, configuration].join('\n');
+	} catch {
+		return '';
+	}
+}
+
 function checkEvents({cluster}: Stage, wanted: NonNullable<Step['events']>): void {
 	const found = cluster.hosts
 		.flatMap(host => cluster.child(host).readOutput().split('\n'))
--- a/scenarios/run-scenario.ts
+++ b/scenarios/run-scenario.ts
@@ -9,7 +9,9 @@
 import {checkOutputs} from './check-outputs.ts';
 import {checkTally} from './check-tally.ts';
 import {createChange} from './create-change.ts';
+import {findHost} from './find-host.ts';
 import {formatAnswer} from './format-answer.ts';
+import {loseAcceptors} from './lose-acceptors.ts';
 import {sendCall} from './send-call.ts';
 import {sendWrites} from './send-writes.ts';
 import {waitFor} from './wait-for.ts';
@@ -35,7 +37,7 @@
 export async function runScenario(scenario: Scenario, transcript: Transcript): Promise<void> {
 	const cluster = await startCluster(scenario.cluster);
 	const stage: Stage = {
-		cluster, transcript, scenario, sessions: new Map(), streams: new Map(), calls: new Map(), changes: new Map(), writes: new Map(), keys: new Set(),
+		cluster, transcript, scenario, sessions: new Map(), streams: new Map(), calls: new Map(), changes: new Map(), writes: new Map(), keys: new Set(), lost: new Set(),
 	};
 	try {
 		for (const [index, step] of scenario.steps.entries()) {
@@ -61,8 +63,12 @@
 async function runStep(stage: Stage, step: Step): Promise<void> {
 	await runCallStep(stage, step);
 	await applyFault(stage, step);
+	if (step.loseAcceptors === true) {
+		await loseAcceptors(stage);
+	}
+
 	await waitFor(stage, step);
-	checkOutputs(stage, step);
+	await checkOutputs(stage, step);
 }
 
 async function runBurst(stage: Stage, burst: NonNullable<Step['burst']>): Promise<void> {
@@ -174,7 +180,7 @@
 		return;
 	}
 
-	const response = await sending;
+	const response = await repeatChange(stage, {change, first: await sending});
 	stage.transcript.add(`change: code ${response.code}, version ${response.version}`);
 	expect(response.code, response.reason).to.equal(change.code);
 	if (change.reason !== undefined) {
@@ -182,12 +188,27 @@
 	}
 }
 
+/** Repeats a change until it has the expected code or the time is over. */
+async function repeatChange(
+	stage: Stage,
+	{change, first}: {readonly change: Change; readonly first: ChangeResponse},
+): Promise<ChangeResponse> {
+	const deadline = performance.now() + change.until;
+	let response = first;
+	while (response.code !== change.code && performance.now() < deadline) {
+		await sleep(repeatDelay); // eslint-disable-line no-await-in-loop -- attempts follow each other
+		response = await sendChange(stage, change); // eslint-disable-line no-await-in-loop
+	}
+
+	return response;
+}
+
 async function sendChange(stage: Stage, change: Change): Promise<ChangeResponse> {
 	if (change.key !== undefined) {
 		stage.keys.add(change.key.name);
 	}
 
-	const host = change.host ?? stage.cluster.hosts[0] ?? '';
+	const host = findHost(stage, change.host ?? stage.cluster.hosts[0] ?? '');
 	const response = await stage.cluster.operator(host).change({
 		changeId: randomUUID(), basedOn: change.basedOn ?? 0, change: createChange(change),
 	});
--- a/scenarios/scenario-schema.ts
+++ b/scenarios/scenario-schema.ts
@@ -61,6 +61,8 @@
 	code: z.number().default(0),
 	/** Text that the reason must hold. */
 	reason: z.string().optional(),
+	/** Repeats the change until it has the code, for so many milliseconds. */
+	until: z.number().default(0),
 	background: z.string().optional(),
 });
 
@@ -114,10 +116,14 @@
 		delay: z.number().default(0),
 		lostAnswers: z.number().default(0),
 		departing: z.array(z.string()).default([]),
+		/** Hosts that the list leaves out. */
+		unlisted: z.array(z.string()).default([]),
 	}).optional(),
 	answers: z.strictObject({
 		instance: z.string(), delay: z.number().default(0), dropped: z.number().default(0), skipped: z.number().default(0), strays: z.boolean().default(false),
 	}).optional(),
+	/** Kills all hosts through which changes enter, and takes them off the platform's list. */
+	loseAcceptors: z.literal(true).optional(),
 	wait: z.number().optional(),
 	/** Waits until hosts know a primary or a configuration version. */
 	waitFor: z.strictObject({
--- a/scenarios/send-call.ts
+++ b/scenarios/send-call.ts
@@ -1,5 +1,6 @@
 import type {CallerStream} from '../stand-ins/cluster/caller-stream.ts';
 import {createStatement} from '../stand-ins/cluster/create-statement.ts';
+import {findHost} from './find-host.ts';
 import type {Answered} from './answered.ts';
 import type {Stage} from './stage.ts';
 import type {Step} from './step.ts';
@@ -28,14 +29,16 @@
 }
 
 /** Finds the open stream of a call that uses one, and else a client. */
-function findCaller({cluster, streams}: Stage, {host, key = '', stream}: Call): Pick<CallerStream, 'execute'> {
+function findCaller(stage: Stage, {host: name, key = '', stream}: Call): Pick<CallerStream, 'execute'> {
+	const {cluster, streams} = stage;
+	const host = findHost(stage, name);
 	if (!stream) {
 		return cluster.caller(host, key);
 	}
 
-	const name = `${host} ${key}`;
-	const open = streams.get(name) ?? cluster.openStream(host, key);
-	streams.set(name, open);
+	const pair = `${host} ${key}`;
+	const open = streams.get(pair) ?? cluster.openStream(host, key);
+	streams.set(pair, open);
 	return open;
 }
 
--- a/scenarios/stage.ts
+++ b/scenarios/stage.ts
@@ -18,5 +18,7 @@
 	/** Writes that run or ran, by the step's name, and the key that they show. */
 	readonly writes: Map<string, Promise<{readonly key: string; readonly writes: readonly TalliedWrite[]}>>;
 	readonly keys: Set<string>;
+	/** Hosts that a `loseAcceptors` step has killed. */
+	readonly lost: Set<string>;
 	readonly scenario: Scenario;
 };
--- a/stand-ins/cluster/start-cluster.ts
+++ b/stand-ins/cluster/start-cluster.ts
@@ -1,4 +1,3 @@
-import {createHash} from 'node:crypto';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -10,34 +9,24 @@
 } from '@sapphirefall/wire';
 import {createLink} from '../links/create-link.ts';
 import type {Link} from '../links/link.ts';
+import {createHostSettings} from './create-host-settings.ts';
+import {createInstanceSettings} from './create-instance-settings.ts';
 import {createRandom} from './create-random.ts';
 import {createTokenInterceptor} from './create-token-interceptor.ts';
 import {findFreePort} from './find-free-port.ts';
 import {openCallerStream} from './open-caller-stream.ts';
 import {startChild} from './start-child.ts';
 import type {Child} from './child.ts';
+import type {ClusterNode} from './cluster-node.ts';
 import type {ClusterPlan} from './cluster-plan.ts';
 import type {Cluster} from './cluster.ts';
-
-/** One process of the cluster before it starts. */
-type Node = {
-	readonly id: string;
-	readonly zone: string;
-	readonly kind: 'host' | 'instance';
-	readonly database: string;
-	/** Port at which hosts and instances reach it. */
-	readonly port: number;
-};
+import type {HostPorts} from './host-ports.ts';
 
 const operatorToken = 'operator-token-of-the-stand-in';
-const sessionSecret = 'a secret of the stand-in fleet, 32 characters or more';
 const endpointScript = path.join(import.meta.dirname, '../endpoint/main.ts');
 const platformScript = path.join(import.meta.dirname, '../platform/main.ts');
 const daemonScript = path.join(import.meta.dirname, '../../daemons/main.ts');
 
-/** Milliseconds that a process may take to end before it is killed. */
-const endTimeout = 3000;
-
 /** Starts a cluster of processes on this machine. Ports are free ones. */
 export async function startCluster(plan: ClusterPlan): Promise<Cluster> {
 	const directory = mkdtempSync(path.join(tmpdir(), 'sapphirefall-'));
@@ -45,9 +34,7 @@
 	const nodes = await createNodes(plan);
 	const platformPorts = new Map(await Promise.all(plan.zones.map(async zone => [zone, await findFreePort()] as const)));
 	const links = new Map<string, Link>();
-	const callerPorts = new Map<string, number>();
-	const streamPorts = new Map<string, number>();
-	const operatorPorts = new Map<string, number>();
+	const hostPorts = new Map<string, HostPorts>();
 	const children = new Map<string, {readonly script: string; readonly arguments_: readonly string[]; child: Child}>();
 
 	for (const from of plan.zones) {
@@ -96,30 +83,18 @@
 
 	for (const node of nodes.filter(({kind}) => kind === 'instance')) {
 		const group = nodes.filter(({kind, database}) => kind === 'instance' && database === node.database);
-		const [first] = group;
-		const settings = {
-			id: node.id,
-			port: node.port,
-			journalFile: path.join(directory, `${node.id}.journal`),
-			routes: Object.fromEntries(group.map(({id}) => [id, findAddress(node.zone, id)])),
-			...(first === node ? {} : {primary: findAddress(node.zone, first?.id ?? '')}),
-			...plan.endpoint,
-		};
-		start(node.id, endpointScript, [writeSettings(node.id, settings)]);
+		start(node.id, endpointScript, [writeSettings(node.id, {
+			...createInstanceSettings(node, {group, directory, findAddress}), ...plan.endpoint,
+		})]);
 	}
 
 	for (const node of nodes.filter(({kind}) => kind === 'host')) {
 		const [callers, streams, operators] = await Promise.all([findFreePort(), findFreePort(), findFreePort()]); // eslint-disable-line no-await-in-loop
-		callerPorts.set(node.id, callers);
-		streamPorts.set(node.id, streams);
-		operatorPorts.set(node.id, operators);
+		hostPorts.set(node.id, {callers, streams, operators});
 		start(node.id, daemonScript, ['serve', writeSettings(node.id, {
-			host: {id: node.id, zone: node.zone},
-			listen: {
-				callers: `127.0.0.1:${callers}`, streams: `127.0.0.1:${streams}`, hosts: `127.0.0.1:${node.port}`, operators: `127.0.0.1:${operators}`,
-			},
-			platform: {address: findAddress(node.zone, 'platform')},
-			secrets: {session: sessionSecret, operatorDigest: createHash('sha256').update(operatorToken).digest('hex')},
+			...createHostSettings(node, {
+				ports: {callers, streams, operators}, platform: findAddress(node.zone, 'platform'), operatorToken,
+			}),
 			...plan.host,
 		})]);
 	}
@@ -142,8 +117,8 @@
 		return link;
 	};
 
-	const callerUrl = (host: string) => `http://127.0.0.1:${callerPorts.get(host)}`;
-	const operatorUrl = (host: string) => `http://127.0.0.1:${operatorPorts.get(host)}`;
+	const callerUrl = (host: string) => `http://127.0.0.1:${hostPorts.get(host)?.callers}`;
+	const operatorUrl = (host: string) => `http://127.0.0.1:${hostPorts.get(host)?.operators}`;
 	const instanceUrl = (instance: string) => `http://127.0.0.1:${nodes.find(({id}) => id === instance)?.port}`;
 	const cluster: Cluster = {
 		hosts: nodes.filter(({kind}) => kind === 'host').map(({id}) => id),
@@ -156,7 +131,7 @@
 		platform: createClient(PlatformFaultService, createConnectTransport({
 			baseUrl: `http://127.0.0.1:${[...platformPorts.values()][0]}`, httpVersion: '2',
 		})),
-		openStream: (host, key) => openCallerStream(`http://127.0.0.1:${streamPorts.get(host)}`, key),
+		openStream: (host, key) => openCallerStream(`http://127.0.0.1:${hostPorts.get(host)?.streams}`, key),
 		callerUrl,
 		operatorUrl,
 		instanceUrl,
@@ -177,7 +152,11 @@
 		},
 		zoneOf: id => nodes.find(node => node.id === id)?.zone ?? '',
 		async stop() {
-			await Promise.all([...children.values()].map(async ({child}) => endChild(child)));
+			// Nothing of a cluster lasts, so no process is given time to finish.
+			await Promise.all([...children.values()].map(async ({child}) => {
+				child.signal('SIGKILL');
+				await child.ended;
+			}));
 			for (const link of links.values()) {
 				link.close();
 			}
@@ -189,7 +168,7 @@
 	return cluster;
 }
 
-async function createNodes(plan: ClusterPlan): Promise<readonly Node[]> {
+async function createNodes(plan: ClusterPlan): Promise<readonly ClusterNode[]> {
 	const hosts = plan.zones.flatMap(zone => Array.from({length: plan.hostsPerZone}, (_, index) => ({
 		id: `host-${zone}${index + 1}`, zone, kind: 'host' as const, database: '',
 	})));
@@ -203,16 +182,6 @@
 	return createConnectTransport({baseUrl, httpVersion: '1.1', interceptors: [createTokenInterceptor(token)]});
 }
 
-async function endChild(child: Child): Promise<void> {
-	child.signal('SIGCONT');
-	child.signal('SIGTERM');
-	const timer = setTimeout(() => {
-		child.signal('SIGKILL');
-	}, endTimeout);
-	await child.ended;
-	clearTimeout(timer);
-}
-
 /** Milliseconds for a cluster to start. */
 const startTimeout = 15_000;
 
--- a/stand-ins/endpoint/create-instance.ts
+++ b/stand-ins/endpoint/create-instance.ts
@@ -3,25 +3,15 @@
 import {type InstanceRole as Role, type SqlStatement} from '@sapphirefall/decisions';
 import {
 	BatchResponseSchema, decodeStatement, encodeResult, EndpointFault, InstanceReportSchema, InstanceRole,
-	type BatchRequest, type BatchResponse, type InstanceReport, type LogEntry, type Statement,
+	type BatchRequest, type BatchResponse, type InstanceReport, type LogEntry,
 } from '@sapphirefall/wire';
 import {createEngine} from './_create-engine.ts';
 import {createSemaphore} from './_create-semaphore.ts';
+import {createSession} from './_create-session.ts';
+import {createTransactions} from './_create-transactions.ts';
 import {openJournal} from './_open-journal.ts';
 import {openReplicaLog} from './_open-replica-log.ts';
-
-/** A database connection's side of a transaction. */
-type Session = {
-	/** Statements to log when the transaction commits; undefined outside one. */
-	transaction: Statement[] | undefined;
-	/** Set when the instance rolled the transaction back by itself. */
-	isAborted: boolean;
-	/** A transaction keeps its slot from beginning to end, so that its commit never waits behind those that wait for its lock. */
-	hasSlot: boolean;
-	isRunning: boolean;
-	/** Set when the connection has closed; what still waited for the lock then ends at once. */
-	isClosed: boolean;
-};
+import type {Session} from './_session.ts';
 
 type Options = {
 	readonly id: string;
@@ -37,9 +27,6 @@
 	primary: InstanceRole.PRIMARY, replica: InstanceRole.REPLICA, fenced: InstanceRole.FENCED,
 };
 
-/** Milliseconds for which an idle open transaction may hold the lock. */
-const idleTransactionLimit = 2000;
-
 /**
  * Creates an instance of a database group: an engine, its log, its term and its role.
  *
@@ -49,15 +36,14 @@
 	const engine = createEngine();
 	const journal = openJournal(options.journalFile);
 	const log = openReplicaLog(engine, journal);
-	const slots = createSemaphore(options.slots);
 	const lock = createSemaphore(1);
+	const transactions = createTransactions(engine, {...options, lock});
+	const {end, rollBack} = transactions;
 	const waiters = new Set<() => void>();
 	let term = 0;
 	let owner = '';
 	let role: Role = 'fenced';
 	let primaryAddress = '';
-	let holder: Session | undefined;
-	let idleTimer: NodeJS.Timeout | undefined;
 	let tenure = new AbortController();
 
 	for (const record of journal.read()) {
@@ -88,51 +74,6 @@
 		id, instance: options.id, term, role: roleMessages[role], at: log.end(),
 	});
 
-	const endTransaction = (session: Session, command: 'COMMIT' | 'ROLLBACK') => {
-		engine.run({sql: command, parameters: []});
-		session.transaction = undefined;
-		holder = undefined;
-		clearTimeout(idleTimer);
-		lock.leave();
-	};
-
-	const rollBack = (session: Session) => {
-		if (session.transaction !== undefined) {
-			endTransaction(session, 'ROLLBACK');
-		}
-	};
-
-	/** Gives the slot back when neither a transaction nor a batch needs it. */
-	const leaveSlot = (session: Session) => {
-		if (session.hasSlot && !session.isRunning && session.transaction === undefined) {
-			session.hasSlot = false;
-			slots.leave();
-		}
-	};
-
-	const abortHolder = () => {
-		const session = holder;
-		if (session?.transaction !== undefined) {
-			session.isAborted = true;
-			endTransaction(session, 'ROLLBACK');
-			leaveSlot(session);
-		}
-	};
-
-	const begin = async (session: Session): Promise<boolean> => {
-		const isEntered = await lock.enter(options.lockTimeout);
-		if (!isEntered) {
-			return false;
-		}
-
-		engine.run({sql: 'BEGIN', parameters: []});
-		session.transaction = [];
-		holder = session;
-		clearTimeout(idleTimer);
-		idleTimer = setTimeout(abortHolder, idleTransactionLimit);
-		return true;
-	};
-
 	const createFault = (request: BatchRequest, fault: EndpointFault, message: string): BatchResponse =>
 		create(BatchResponseSchema, {
 			id: request.id, fault, message, at: log.end(),
@@ -156,7 +97,7 @@
 
 	const commit = (session: Session, isReadOnly: boolean) => {
 		const statements = session.transaction ?? [];
-		endTransaction(session, 'COMMIT');
+		end(session, 'COMMIT');
 		if (!isReadOnly && statements.length > 0) {
 			log.append(term, statements);
 			wakeWaiters();
@@ -173,7 +114,7 @@
 		try {
 			const response = runStatements(session, request);
 			if (request.rollback) {
-				endTransaction(session, 'ROLLBACK');
+				end(session, 'ROLLBACK');
 			} else if (request.commit || isWhole) {
 				commit(session, request.readOnly);
 			}
@@ -192,9 +133,7 @@
 		getRole: () => ({
 			role, term, primaryAddress, signal: tenure.signal,
 		}),
-		createSession: (): Session => ({
-			transaction: undefined, isAborted: false, hasSlot: false, isRunning: false, isClosed: false,
-		}),
+		createSession,
 
 		/** Runs a batch of a connection. */
 		async runBatch(session: Session, request: BatchRequest): Promise<BatchResponse> {
@@ -202,10 +141,8 @@
 				return runInLock(session, request, false);
 			}
 
-			session.isRunning = true;
-			session.hasSlot ||= await slots.enter(options.lockTimeout);
-			if (!session.hasSlot) {
-				session.isRunning = false;
+			const hasSlot = await transactions.enterSlot(session);
+			if (!hasSlot) {
 				return createFault(request, EndpointFault.BUSY, 'no slot came free');
 			}
 
@@ -215,7 +152,7 @@
 				}
 
 				const isWhole = !request.begin && session.transaction === undefined && !session.isAborted;
-				const isBegun = !(request.begin || isWhole) || await begin(session);
+				const isBegun = !(request.begin || isWhole) || await transactions.begin(session);
 				return isBegun
 					? runInLock(session, request, isWhole)
 					: createFault(request, EndpointFault.BUSY, 'the write lock did not come free');
@@ -225,7 +162,7 @@
 					rollBack(session);
 				}
 
-				leaveSlot(session);
+				transactions.leaveSlot(session);
 			}
 		},
 
@@ -233,13 +170,13 @@
 		closeSession(session: Session) {
 			session.isClosed = true;
 			rollBack(session);
-			leaveSlot(session);
+			transactions.leaveSlot(session);
 		},
 
 		/** Grants a term that is higher than all granted before, or the same one to its owner again. */
 		fence(request: {readonly term: number; readonly owner: string}): boolean {
 			if (request.term > term) {
-				abortHolder();
+				transactions.abortHolder();
 				setRole({
 					term: request.term, owner: request.owner, role: 'fenced', primary: '',
 				});
@@ -272,7 +209,7 @@
 				return false;
 			}
 
-			abortHolder();
+			transactions.abortHolder();
 			setRole({
 				term: request.term,
 				owner: request.term > term ? '' : owner,
--- a/stand-ins/platform/create-platform.ts
+++ b/stand-ins/platform/create-platform.ts
@@ -86,7 +86,7 @@
 				async listFleet() {
 					reads++;
 					await suffer();
-					return markDeparting(fleet, new Set(fault.departing));
+					return applyListFault(fleet, {departing: new Set(fault.departing), unlisted: new Set(fault.unlisted)});
 				},
 			});
 			router.service(PlatformFaultService, {
@@ -99,10 +99,14 @@
 	};
 }
 
-function markDeparting(fleet: ListFleetResponse, departing: ReadonlySet<string>): ListFleetResponse {
+/** Marks the hosts and instances that depart, and leaves out those that the list does not hold. */
+function applyListFault(
+	fleet: ListFleetResponse,
+	{departing, unlisted}: {readonly departing: ReadonlySet<string>; readonly unlisted: ReadonlySet<string>},
+): ListFleetResponse {
 	return {
 		...fleet,
-		hosts: fleet.hosts.map(host => ({...host, departing: departing.has(host.id)})),
+		hosts: fleet.hosts.filter(({id}) => !unlisted.has(id)).map(host => ({...host, departing: departing.has(host.id)})),
 		groups: fleet.groups.map(group => ({
 			...group,
 			instances: group.instances.map(instance => ({...instance, departing: departing.has(instance.id)})),
