--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import {measureOverhead} from './measure-overhead.ts';
 import {runPhase} from './run-phase.ts';
 import {startDeployment} from './start-deployment.ts';
+import {sumMetric} from './sum-metric.ts';
 import type {Deployment} from './deployment.ts';
 
 type Phase = Parameters<typeof runPhase>[1]['phase'];
@@ -16,7 +17,16 @@
 /** Phases to run; all when none is named. */
 const wanted = process.argv.slice(2);
 
-const isWanted = (name: string) => wanted.length === 0 || wanted.includes(name);
+/** Phases that run only when they are named. */
+const onlyNamed = new Set(['askEveryTime']);
+
+const isWanted = (name: string) => wanted.includes(name) || (wanted.length === 0 && !onlyNamed.has(name));
+
+/** Loans that hosts asked others and themselves for. */
+const borrowMetric = 'sapphirefall_borrows_total';
+
+/** Seed of the load in the first phase; each further phase has the next one, whichever run. */
+const firstSeed = 100;
 
 const noFault = () => undefined;
 const zoneOfFault = 'c';
@@ -108,12 +118,15 @@
 	const cluster = await startDeployment(deployment, {hostsPerZone: 3, host: {}, serviceTime: 2});
 	try {
 		await sleep(2000);
-		const phases = Object.entries(createPhases(deployment)).filter(([name]) => isWanted(name));
-		const overhead = await measureOverhead(cluster, deployment);
+		const phases = Object.entries(createPhases(deployment))
+			.map(([name, phase], index) => ({name, phase: {...phase, seed: firstSeed + index}}))
+			.filter(({name}) => isWanted(name));
+		const overhead = isWanted('overhead') ? await measureOverhead(cluster, deployment) : undefined;
 		console.log(`\n${deployment.name}: overhead ${JSON.stringify(overhead)}`);
 		const summaries: Record<string, LoadSummary> = {};
-		for (const [index, [name, phase]] of phases.entries()) {
-			const summary = await runPhase(cluster, {deployment, phase: {...phase, seed: 100 + index}}); // eslint-disable-line no-await-in-loop
+		for (const {name, phase} of phases) {
+			const run = name === 'health' ? runCounted : runPhase;
+			const summary = await run(cluster, {deployment, phase}); // eslint-disable-line no-await-in-loop
 			summaries[name] = summary;
 			console.log(`\n${deployment.name}: ${name}\n${formatSummary(summary)}`);
 			await sleep(pauseBetween); // eslint-disable-line no-await-in-loop -- buckets fill and processes settle
@@ -125,16 +138,20 @@
 	}
 }
 
-/** Measures health with each workspace's rate split evenly over the hosts, the baseline of the loans. */
-async function benchStaticSplit(deployment: Deployment): Promise<LoadSummary> {
-	const cluster = await startDeployment(deployment, {
-		hostsPerZone: 3, host: {rate: {reserve: 1, reserveSpan: 1000}}, serviceTime: 2,
-	});
+/** Settings of rates that are baselines of the loans: an even split over the hosts, and a loan for each request. */
+const baselines: Readonly<Record<string, Readonly<Record<string, unknown>>>> = {
+	staticSplit: {reserve: 1, reserveSpan: 1000},
+	askEveryTime: {prefetch: 0},
+};
+
+/** Measures health with other settings of rates. */
+async function benchBaseline(deployment: Deployment, rate: Readonly<Record<string, unknown>>): Promise<LoadSummary> {
+	const cluster = await startDeployment(deployment, {hostsPerZone: 3, host: {rate}, serviceTime: 2});
 	try {
 		await sleep(2000);
-		return await runPhase(cluster, {
+		return await runCounted(cluster, {
 			deployment, phase: {
-				duration: 10_000, fail: noFault, repair: noFault, seed: 100,
+				duration: 10_000, fail: noFault, repair: noFault, seed: firstSeed,
 			},
 		});
 	} finally {
@@ -142,6 +159,15 @@
 	}
 }
 
+/** Runs a phase and says how often hosts asked another one for units. */
+async function runCounted(cluster: Cluster, options: Parameters<typeof runPhase>[1]): Promise<LoadSummary> {
+	const before = await sumMetric(cluster, borrowMetric);
+	const summary = await runPhase(cluster, options);
+	const borrows = await sumMetric(cluster, borrowMetric) - before;
+	console.log(`\n${borrows} loans asked for`);
+	return summary;
+}
+
 function pickMeasures(summary: LoadSummary | undefined) {
 	return summary === undefined
 		? undefined
@@ -162,10 +188,9 @@
 	// eslint-disable-next-line no-await-in-loop -- two deployments at once would share the machine
 	const {overhead, summaries} = await benchDeployment(deployment);
 	const all: Record<string, LoadSummary> = {...summaries};
-	if (isWanted('staticSplit')) {
-		const split = await benchStaticSplit(deployment); // eslint-disable-line no-await-in-loop
-		console.log(`\n${deployment.name}: static split\n${formatSummary(split)}`);
-		all['staticSplit'] = split;
+	for (const [name, rate] of Object.entries(baselines).filter(([name]) => isWanted(name))) {
+		all[name] = await benchBaseline(deployment, rate); // eslint-disable-line no-await-in-loop
+		console.log(`\n${deployment.name}: ${name}\n${formatSummary(all[name])}`);
 	}
 
 	wrongAnswers += Object.values(all).reduce((sum, {violations}) => sum + violations.length, 0);
--- a/bench/measure-overhead.ts
+++ b/bench/measure-overhead.ts
@@ -6,7 +6,7 @@
 import {createStatement} from '../stand-ins/cluster/create-statement.ts';
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
 import {probeKey} from './probe-key.ts';
-import {readHostCpu} from './read-host-cpu.ts';
+import {sumMetric} from './sum-metric.ts';
 import type {Deployment} from './deployment.ts';
 
 /** What a way through a host costs. */
@@ -27,6 +27,8 @@
 	readonly stream: Way;
 };
 
+const cpuMetric = 'process_cpu_seconds_total';
+
 /** Requests that warm the processes up before figures are taken. */
 const warmUp = 1500;
 
@@ -49,9 +51,9 @@
 	};
 	const stream = cluster.openStream('host-b1', probeKey);
 	const callers = {unary: cluster.caller('host-b1', probeKey), stream};
-	const idleBefore = await readHostCpu(cluster);
+	const idleBefore = await sumMetric(cluster, cpuMetric);
 	await sleep(idleSpan);
-	const idleShare = (await readHostCpu(cluster) - idleBefore) / idleSpan;
+	const idleShare = (await sumMetric(cluster, cpuMetric) - idleBefore) / idleSpan;
 
 	const measureWay = async (caller: Pick<CallerStream, 'execute'>): Promise<Way> => {
 		const read = async () => {
@@ -62,11 +64,11 @@
 		};
 
 		await sample(read, warmUp);
-		const before = await readHostCpu(cluster);
+		const before = await sumMetric(cluster, cpuMetric);
 		const startedAt = performance.now();
 		const medianMs = await sample(read, samples);
 		const elapsed = performance.now() - startedAt;
-		const used = await readHostCpu(cluster) - before - (idleShare * elapsed);
+		const used = await sumMetric(cluster, cpuMetric) - before - (idleShare * elapsed);
 		return {latencyRatio: medianMs / directMs, medianMs, cpuMicroseconds: used * 1e6 / samples};
 	};
 
--- /dev/null
+++ b/bench/sum-metric.ts
@@ -0,0 +1,16 @@
+import type {Cluster} from '../stand-ins/cluster/cluster.ts';
+
+/** Sums a metric over all its labels and all entry hosts. */
+export async function sumMetric(cluster: Cluster, name: string): Promise<number> {
+	const sums = await Promise.all(cluster.hosts.map(async host => {
+		const response = await fetch(new URL('/metrics', cluster.operatorUrl(host)));
+		return sumLines(await response.text(), name);
+	}));
+	return sums.reduce((sum, value) => sum + value, 0);
+}
+
+function sumLines(text: string, name: string): number {
+	return text.split('\n')
+		.filter(line => line.startsWith(`${name} `) || line.startsWith(`${name}{`))
+		.reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(' '))), 0);
+}
--- a/packages/proxy/create-rate-gate.ts
+++ b/packages/proxy/create-rate-gate.ts
@@ -16,7 +16,7 @@
 };
 
 /** Milliseconds after the loss of a home within which the next one makes up for what was not served. */
-const recoverySpan = 3000;
+const recoverySpan = 8000;
 
 /**
  * Creates the gate that holds workspaces to their rates.
