Put instances and the platform on the time line too

Stand-ins write their changes of role and their writes of a row as events, so that a merged time line covers all processes. two-promotions counts with them that no term had two primaries.

--- a/packages/events/process-event.ts
+++ b/packages/events/process-event.ts
@@ -24,4 +24,6 @@
 	| 'failover-step'
 	| 'configuration-in-force'
 	| 'change-committed'
-	| 'change-refused';
+	| 'change-refused'
+	| 'role-changed'
+	| 'row-written';
--- a/scenarios/check-outputs.ts
+++ b/scenarios/check-outputs.ts
@@ -43,8 +43,8 @@
 }
 
 function checkEvents({cluster}: Stage, wanted: NonNullable<Step['events']>): void {
-	const found = cluster.hosts
-		.flatMap(host => cluster.child(host).readOutput().split('\n'))
+	const found = ['platform', ...cluster.hosts, ...cluster.instances]
+		.flatMap(process => cluster.child(process).readOutput().split('\n'))
 		.map(line => parseEvent(line))
 		.filter(event => event?.kind === wanted.kind && (wanted.detail === undefined || event.detail === wanted.detail));
 	expect(found.length).to.be.at.least(wanted.least ?? 0);
--- a/scenarios/scenario-schema.ts
+++ b/scenarios/scenario-schema.ts
@@ -138,7 +138,7 @@
 	exit: z.strictObject({process: z.string(), code: z.number(), within: z.number()}).optional(),
 	/** No process has written any of the keys given so far. */
 	noKeyShown: z.literal(true).optional(),
-	/** Counts the events of a kind over all hosts. */
+	/** Counts the events of a kind over all processes. */
 	events: z.strictObject({
 		kind: z.string(), detail: z.string().optional(), least: z.number().optional(), most: z.number().optional(),
 	}).optional(),
--- a/stand-ins/endpoint/create-instance.ts
+++ b/stand-ins/endpoint/create-instance.ts
@@ -21,6 +21,8 @@
 	readonly serviceTime: number;
 	/** Milliseconds to wait for a slot or for the write lock. */
 	readonly lockTimeout: number;
+	/** Called when the role or the term changes. */
+	readonly onRole: (role: Role, term: number) => void;
 };
 
 const roleMessages: Readonly<Record<Role, InstanceRole>> = {
@@ -58,6 +60,7 @@
 		({term, owner, role} = next);
 		primaryAddress = next.primary;
 		journal.write({kind: 'term', ...next});
+		options.onRole(role, term);
 		tenure.abort();
 		tenure = new AbortController();
 	};
--- a/stand-ins/endpoint/main.ts
+++ b/stand-ins/endpoint/main.ts
@@ -5,6 +5,7 @@
 import {parse} from 'yaml';
 import {z} from 'zod';
 import {EndpointFaultService, EndpointService} from '@sapphirefall/wire';
+import {createPrintedLog} from '../cluster/create-printed-log.ts';
 import type {AnswerFault} from './answer-fault.ts';
 import {createEndpointService} from './create-endpoint-service.ts';
 import {createInstance} from './create-instance.ts';
@@ -30,12 +31,16 @@
 });
 
 const settings = schema.parse(parse(readFileSync(process.argv[2] ?? '', 'utf8')));
+const events = createPrintedLog(settings.id);
 const instance = createInstance({
 	id: settings.id,
 	journalFile: settings.journalFile,
 	slots: settings.slots,
 	serviceTime: settings.serviceTime,
 	lockTimeout: settings.lockTimeout,
+	onRole(role, term) {
+		events.emit({kind: 'role-changed', detail: `${role} of term ${term}`});
+	},
 });
 
 if (instance.getRole().term === 0) {
@@ -78,3 +83,4 @@
 	},
 });
 createServer(handler).listen(settings.port, '127.0.0.1');
+events.emit({kind: 'process-started', detail: `port ${settings.port}`});
--- a/stand-ins/platform/create-platform.ts
+++ b/stand-ins/platform/create-platform.ts
@@ -12,8 +12,12 @@
 	readonly createRoutes: (fleet: ListFleetResponse) => (router: ConnectRouter) => void;
 };
 
-/** Creates the platform. Its faults are set by command. */
-export function createPlatform(): Platform {
+/**
+ * Creates the platform. Its faults are set by command.
+ *
+ * @param onWritten Called when a row of the table is written, also when the answer is lost.
+ */
+export function createPlatform(onWritten: (row: string, version: number) => void): Platform {
 	const rows = new Map<string, {version: number; value: string}>();
 	const objects = new Map<string, Uint8Array>();
 	let fault: PlatformFault = create(PlatformFaultSchema, {});
@@ -51,6 +55,7 @@
 
 				const written = {version: row.version + 1, value};
 				rows.set(name, written);
+				onWritten(name, written.version);
 				loseAnswer();
 				return {written: true, row: written};
 			},
