--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,7 +6,7 @@
 import {measureOverhead} from './measure-overhead.ts';
 import {runPhase} from './run-phase.ts';
 import {startDeployment} from './start-deployment.ts';
-import {sumMetric} from './sum-metric.ts';
+import {readMetric} from './read-metric.ts';
 import type {Deployment} from './deployment.ts';
 
 type Phase = Parameters<typeof runPhase>[1]['phase'];
@@ -161,9 +161,9 @@
 
 /** Runs a phase and says how often hosts asked another one for units. */
 async function runCounted(cluster: Cluster, options: Parameters<typeof runPhase>[1]): Promise<LoadSummary> {
-	const before = await sumMetric(cluster, borrowMetric);
+	const before = await readMetric(cluster, borrowMetric);
 	const summary = await runPhase(cluster, options);
-	const borrows = await sumMetric(cluster, borrowMetric) - before;
+	const borrows = await readMetric(cluster, borrowMetric) - before;
 	console.log(`\n${borrows} loans asked for`);
 	return summary;
 }
--- a/bench/measure-overhead.ts
+++ b/bench/measure-overhead.ts
@@ -6,7 +6,7 @@
 import {createStatement} from '../stand-ins/cluster/create-statement.ts';
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
 import {probeKey} from './probe-key.ts';
-import {sumMetric} from './sum-metric.ts';
+import {readMetric} from './read-metric.ts';
 import type {Deployment} from './deployment.ts';
 
 /** What a way through a host costs. */
@@ -51,9 +51,9 @@
 	};
 	const stream = cluster.openStream('host-b1', probeKey);
 	const callers = {unary: cluster.caller('host-b1', probeKey), stream};
-	const idleBefore = await sumMetric(cluster, cpuMetric);
+	const idleBefore = await readMetric(cluster, cpuMetric);
 	await sleep(idleSpan);
-	const idleShare = (await sumMetric(cluster, cpuMetric) - idleBefore) / idleSpan;
+	const idleShare = (await readMetric(cluster, cpuMetric) - idleBefore) / idleSpan;
 
 	const measureWay = async (caller: Pick<CallerStream, 'execute'>): Promise<Way> => {
 		const read = async () => {
@@ -64,11 +64,11 @@
 		};
 
 		await sample(read, warmUp);
-		const before = await sumMetric(cluster, cpuMetric);
+		const before = await readMetric(cluster, cpuMetric);
 		const startedAt = performance.now();
 		const medianMs = await sample(read, samples);
 		const elapsed = performance.now() - startedAt;
-		const used = await sumMetric(cluster, cpuMetric) - before - (idleShare * elapsed);
+		const used = await readMetric(cluster, cpuMetric) - before - (idleShare * elapsed);
 		return {latencyRatio: medianMs / directMs, medianMs, cpuMicroseconds: used * 1e6 / samples};
 	};
 
--- a/bench/measure-processes.ts
+++ b/bench/measure-processes.ts
@@ -3,7 +3,7 @@
 import {startCluster} from '../stand-ins/cluster/start-cluster.ts';
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
 import {fitLine} from './fit-line.ts';
-import {sumMetric} from './sum-metric.ts';
+import {readMetric} from './read-metric.ts';
 
 const cpuMetric = 'process_cpu_seconds_total';
 
@@ -28,11 +28,11 @@
 	const cluster = await start(databases, hostsPerZone);
 	try {
 		await sleep(2000);
-		const before = await sumMetric(cluster, cpuMetric);
+		const before = await readMetric(cluster, cpuMetric);
 		const counted = await cluster.platform.setFault({});
 		await sleep(idleSpan);
 		const after = await cluster.platform.setFault({});
-		const used = await sumMetric(cluster, cpuMetric) - before;
+		const used = await readMetric(cluster, cpuMetric) - before;
 		return {
 			share: used * 1000 / idleSpan / cluster.hosts.length,
 			reads: (after.reads - counted.reads) * 1000 / idleSpan,
--- a/bench/sum-metric.ts
+++ b/bench/read-metric.ts
@@ -1,7 +1,7 @@
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
 
-/** Sums a metric over all its labels and all entry hosts. */
-export async function sumMetric(cluster: Cluster, name: string): Promise<number> {
+/** Reads a metric and sums it over all its labels and all entry hosts. */
+export async function readMetric(cluster: Cluster, name: string): Promise<number> {
 	const sums = await Promise.all(cluster.hosts.map(async host => {
 		const response = await fetch(new URL('/metrics', cluster.operatorUrl(host)));
 		return sumLines(await response.text(), name);
