Put the faults of the tables after five writes that are done

What it checks of the answers held each time; the fault came after 250 ms, and a busy machine had not done five writes by then. Ruled out: a wrong answer (the rows are checked first), the splitting of the stand-in's transactions.

--- a/scenarios/run-scenario.ts
+++ b/scenarios/run-scenario.ts
@@ -24,6 +24,9 @@
 type Call = NonNullable<Step['call']>;
 type Change = NonNullable<Step['change']>;
 
+/** Milliseconds within which the first writes of a step are done. */
+const startTimeout = 5000;
+
 /** Milliseconds between two attempts of a step that repeats. */
 const repeatDelay = 20;
 
@@ -90,7 +93,7 @@
 	}
 
 	if (writes !== undefined) {
-		startWrites(stage, writes);
+		await startWrites(stage, writes);
 	}
 
 	if (tally !== undefined) {
@@ -110,10 +113,21 @@
 	}
 }
 
-function startWrites(stage: Stage, writes: NonNullable<Step['writes']>): void {
-	const run = async () => ({key: writes.key, writes: await sendWrites(stage, writes)});
+/** Starts the writes of a step, and waits until so many are done that a fault comes in their midst. */
+async function startWrites(stage: Stage, writes: NonNullable<Step['writes']>): Promise<void> {
+	let done = 0;
+	const onDone = () => {
+		done++;
+	};
+
+	const run = async () => ({key: writes.key, writes: await sendWrites(stage, {writes, onDone})});
 	stage.writes.set(writes.name, run());
 	stage.transcript.add(`start ${writes.count} writes ${writes.name}`);
+	const deadline = performance.now() + startTimeout;
+	while (done < writes.after) {
+		expect(performance.now(), `only ${done} writes ${writes.name} are done`).to.be.below(deadline);
+		await sleep(1); // eslint-disable-line no-await-in-loop -- the fault must not come late
+	}
 }
 
 async function runJoin(stage: Stage, join: NonNullable<Step['join']>): Promise<void> {
--- a/scenarios/scenario-schema.ts
+++ b/scenarios/scenario-schema.ts
@@ -76,13 +76,14 @@
 		count: z.number(),
 		done: z.strictObject({least: z.number(), most: z.number()}),
 	}).optional(),
-	/** Begins writes with keys of their own through hosts in turn, one each `every` ms, and goes on at once. */
+	/** Begins writes with keys of their own through hosts in turn, one each `every` ms; goes on when `after` are done. */
 	writes: z.strictObject({
 		name: z.string(),
 		key: z.string(),
 		hosts: z.array(z.string()).optional(),
 		count: z.number(),
 		every: z.number(),
+		after: z.number().default(0),
 		deadline: z.number(),
 	}).optional(),
 	/** Waits for the writes, counts what each left in the database, repeats the unknown ones and counts again. */
