Do not call a write "not run" because the attempt after a lost commit found no connection

Cause: an attempt that finds the primary busy ended the request with its own refusal, also when the commit of an attempt before it may have gone through. It is now answered as unknown, which the key settles.

--- a/packages/proxy/_repeat-attempts.ts
+++ b/packages/proxy/_repeat-attempts.ts
@@ -26,7 +26,9 @@
 	do {
 		const outcome = await attempt(); // eslint-disable-line no-await-in-loop -- attempts follow each other
 		if (outcome.kind === 'answered') {
-			return outcome.answer;
+			return mayHaveRun && isUnsettled(outcome.answer)
+				? {kind: 'unknown', code: resultCodes.answerLost, reason}
+				: outcome.answer;
 		}
 
 		mayHaveRun ||= outcome.mayHaveRun;
@@ -43,3 +45,8 @@
 		? {kind: 'unknown', code: resultCodes.deadlinePassed, reason}
 		: createRefusal(resultCodes.primaryUnavailable, {reason, retryAfter});
 }
+
+/** Tells whether an answer says nothing of the attempts before it: the last one never reached the database. */
+function isUnsettled(answer: Answer): boolean {
+	return answer.kind === 'notRun' && answer.code === resultCodes.connectionsBusy;
+}
