Join the ways in which messages between processes are sent and served

Cause: forwards and control calls each had their own stream, service loop and decoding, and stand-ins repeated what the wire package does. One copy of each is left. Ruled out: no behaviour is meant to change.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -35,17 +35,6 @@
 const floodName = 'w5';
 const floodFactor = 8;
 
-function setZoneCut(cluster: Cluster, isCut: boolean): void {
-	for (const process of [...cluster.hosts, ...cluster.instances]) {
-		const isInside = cluster.zoneOf(process) === zoneOfFault;
-		for (const from of ['a', 'b', 'c']) {
-			if ((from === zoneOfFault) !== isInside) {
-				cluster.setFault(from, process, {isCut});
-			}
-		}
-	}
-}
-
 function createPhases(deployment: Deployment): Readonly<Record<string, Omit<Phase, 'seed'>>> {
 	const [database = ''] = deployment.databases;
 	const outside = ['host-a1', 'host-a2', 'host-a3', 'host-b1', 'host-b2', 'host-b3'];
@@ -88,10 +77,10 @@
 			duration: 12_000,
 			targets: outside,
 			fail(cluster) {
-				setZoneCut(cluster, true);
+				cluster.setZoneCut(zoneOfFault, true);
 			},
 			repair(cluster) {
-				setZoneCut(cluster, false);
+				cluster.setZoneCut(zoneOfFault, false);
 			},
 		},
 		primaryKilled: {
@@ -161,9 +150,9 @@
 
 /** Runs a phase and says how often hosts asked another one for units. */
 async function runCounted(cluster: Cluster, options: Parameters<typeof runPhase>[1]): Promise<LoadSummary> {
-	const before = await readMetric(cluster, borrowMetric);
+	const before = await readMetric(cluster, {name: borrowMetric});
 	const summary = await runPhase(cluster, options);
-	const borrows = await readMetric(cluster, borrowMetric) - before;
+	const borrows = await readMetric(cluster, {name: borrowMetric}) - before;
 	console.log(`\n${borrows} loans asked for`);
 	return summary;
 }
--- a/bench/measure-failover.ts
+++ b/bench/measure-failover.ts
@@ -1,8 +1,6 @@
-import {randomUUID, createHash} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {create} from '@bufbuild/protobuf';
-import {parseEvent} from '@sapphirefall/events';
-import {AddKeySchema, SetWorkspaceSchema} from '@sapphirefall/wire';
+import {parseEvent, timesPerMillisecond} from '@sapphirefall/events';
+import {addWorkspace} from '../stand-ins/cluster/add-workspace.ts';
 import {createStatement} from '../stand-ins/cluster/create-statement.ts';
 import {startCluster} from '../stand-ins/cluster/start-cluster.ts';
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
@@ -21,7 +19,6 @@
 const zones = ['a', 'b', 'c'];
 const writeInterval = 20;
 const settleTimeout = 20_000;
-const timesPerMillisecond = 65_536n;
 
 /** Measures failovers of one kind, one after the other, under a steady load of writes. */
 export async function measureFailover(
@@ -58,17 +55,8 @@
 }
 
 async function configure(cluster: Cluster): Promise<void> {
-	const operator = cluster.operator('host-a1');
-	await operator.change({
-		changeId: randomUUID(), change: {
-			case: 'setWorkspace', value: create(SetWorkspaceSchema, {
-				workspace: 'writer', rate: 100_000, burst: 100_000, databases: ['pondbook'],
-			}),
-		},
-	});
-	const digest = createHash('sha256').update(key).digest('hex');
-	await operator.change({
-		changeId: randomUUID(), change: {case: 'addKey', value: create(AddKeySchema, {workspace: 'writer', keyId: 'writer', digest})},
+	await addWorkspace(cluster, {
+		name: 'writer', key, rate: 100_000, burst: 100_000, database: 'pondbook',
 	});
 	await sleep(1500);
 	await cluster.caller('host-a1', key).execute({
--- a/bench/measure-overhead.ts
+++ b/bench/measure-overhead.ts
@@ -50,10 +50,9 @@
 		kind: {case: 'read', value: create(ReadSchema, {freshness: 'within 10s'})},
 	};
 	const stream = cluster.openStream('host-b1', probeKey);
-	const callers = {unary: cluster.caller('host-b1', probeKey), stream};
-	const idleBefore = await readMetric(cluster, cpuMetric);
+	const idleBefore = await readMetric(cluster, {name: cpuMetric});
 	await sleep(idleSpan);
-	const idleShare = (await readMetric(cluster, cpuMetric) - idleBefore) / idleSpan;
+	const idleShare = (await readMetric(cluster, {name: cpuMetric}) - idleBefore) / idleSpan;
 
 	const measureWay = async (caller: Pick<CallerStream, 'execute'>): Promise<Way> => {
 		const read = async () => {
@@ -64,16 +63,16 @@
 		};
 
 		await sample(read, warmUp);
-		const before = await readMetric(cluster, cpuMetric);
+		const before = await readMetric(cluster, {name: cpuMetric});
 		const startedAt = performance.now();
 		const medianMs = await sample(read, samples);
 		const elapsed = performance.now() - startedAt;
-		const used = await readMetric(cluster, cpuMetric) - before - (idleShare * elapsed);
+		const used = await readMetric(cluster, {name: cpuMetric}) - before - (idleShare * elapsed);
 		return {latencyRatio: medianMs / directMs, medianMs, cpuMicroseconds: used * 1e6 / samples};
 	};
 
-	const unary = await measureWay(callers.unary);
-	const streamed = await measureWay(callers.stream);
+	const unary = await measureWay(cluster.caller('host-b1', probeKey));
+	const streamed = await measureWay(stream);
 	stream.close();
 	return {directMs, unary, stream: streamed};
 }
--- a/bench/measure-processes.ts
+++ b/bench/measure-processes.ts
@@ -6,6 +6,7 @@
 import {readMetric} from './read-metric.ts';
 
 const cpuMetric = 'process_cpu_seconds_total';
+const memoryMetric = 'process_resident_memory_bytes';
 
 const idleSpan = 4000;
 
@@ -28,11 +29,11 @@
 	const cluster = await start(databases, hostsPerZone);
 	try {
 		await sleep(2000);
-		const before = await readMetric(cluster, cpuMetric);
+		const before = await readMetric(cluster, {name: cpuMetric});
 		const counted = await cluster.platform.setFault({});
 		await sleep(idleSpan);
 		const after = await cluster.platform.setFault({});
-		const used = await readMetric(cluster, cpuMetric) - before;
+		const used = await readMetric(cluster, {name: cpuMetric}) - before;
 		return {
 			share: used * 1000 / idleSpan / cluster.hosts.length,
 			reads: (after.reads - counted.reads) * 1000 / idleSpan,
@@ -43,12 +44,6 @@
 	}
 }
 
-async function readMemory(cluster: Cluster, host: string): Promise<number> {
-	const response = await fetch(new URL('/metrics', cluster.operatorUrl(host)));
-	const text = await response.text();
-	return Number(/^process_resident_memory_bytes (?<value>\S+)/mv.exec(text)?.groups?.['value'] ?? 0);
-}
-
 /** Measures the memory that idle callers' connections take in a host. */
 async function measureConnections() {
 	const cluster = await start(1, 1);
@@ -63,7 +58,7 @@
 			}
 
 			await sleep(1000); // eslint-disable-line no-await-in-loop -- the host takes its time
-			points.push([count, await readMemory(cluster, 'host-a1')]); // eslint-disable-line no-await-in-loop
+			points.push([count, await readMetric(cluster, {name: memoryMetric, hosts: ['host-a1']})]); // eslint-disable-line no-await-in-loop
 		}
 
 		return {points, ...fitLine(points)};
--- a/bench/read-metric.ts
+++ b/bench/read-metric.ts
@@ -1,8 +1,11 @@
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
 
-/** Reads a metric and sums it over all its labels and all entry hosts. */
-export async function readMetric(cluster: Cluster, name: string): Promise<number> {
-	const sums = await Promise.all(cluster.hosts.map(async host => {
+/** Reads a metric and sums it over all its labels and over hosts; all entry hosts unless some are named. */
+export async function readMetric(
+	cluster: Cluster,
+	{name, hosts = cluster.hosts}: {readonly name: string; readonly hosts?: readonly string[]},
+): Promise<number> {
+	const sums = await Promise.all(hosts.map(async host => {
 		const response = await fetch(new URL('/metrics', cluster.operatorUrl(host)));
 		return sumLines(await response.text(), name);
 	}));
--- a/bench/start-deployment.ts
+++ b/bench/start-deployment.ts
@@ -1,6 +1,4 @@
-import {createHash, randomUUID} from 'node:crypto';
-import {create} from '@bufbuild/protobuf';
-import {AddKeySchema, SetWorkspaceSchema, type ChangeRequest} from '@sapphirefall/wire';
+import {addWorkspace} from '../stand-ins/cluster/add-workspace.ts';
 import {startCluster} from '../stand-ins/cluster/start-cluster.ts';
 import type {Cluster} from '../stand-ins/cluster/cluster.ts';
 import {probeKey} from './probe-key.ts';
@@ -32,26 +30,11 @@
 		},
 		seed: 1,
 	});
-	const [host = ''] = cluster.hosts;
-	const send = async (change: ChangeRequest['change']) => {
-		await cluster.operator(host).change({changeId: randomUUID(), change});
-	};
-
 	const probe = {
 		name: 'probe', key: probeKey, rate: probeRate, burst: probeRate, database: deployment.databases[0] ?? '',
 	};
-	for (const {
-		name, key, rate, burst, database,
-	} of [probe, ...deployment.workspaces]) {
-		// eslint-disable-next-line no-await-in-loop -- one change after the other
-		await send({
-			case: 'setWorkspace', value: create(SetWorkspaceSchema, {
-				workspace: name, rate, burst, databases: [database],
-			}),
-		});
-		const digest = createHash('sha256').update(key).digest('hex');
-		// eslint-disable-next-line no-await-in-loop -- one change after the other
-		await send({case: 'addKey', value: create(AddKeySchema, {workspace: name, keyId: `key-${name}`, digest})});
+	for (const workspace of [probe, ...deployment.workspaces]) {
+		await addWorkspace(cluster, workspace); // eslint-disable-line no-await-in-loop -- one change after the other
 	}
 
 	return cluster;
--- a/daemons/connect-operator.ts
+++ b/daemons/connect-operator.ts
@@ -1,11 +1,11 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {
-	Code, ConnectError, createClient, type Client, type Interceptor,
+	Code, ConnectError, createClient, type Client,
 } from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {resultCodes} from '@sapphirefall/decisions';
-import {OperatorService} from '@sapphirefall/wire';
+import {createTokenInterceptor, OperatorService} from '@sapphirefall/wire';
 import {CommandError} from './command-error.ts';
 import type {OperatorOptions} from './operator-options.ts';
 
@@ -27,14 +27,8 @@
 		throw new CommandError(resultCodes.usage, `--address must be the URL of a host's operator address, not "${baseUrl ?? ''}"`);
 	}
 
-	const token = readToken(options);
-	const addToken: Interceptor = next => async request => {
-		request.header.set('authorization', `Bearer ${token}`);
-		return next(request);
-	};
-
 	const transport = createConnectTransport({
-		baseUrl, httpVersion: '1.1', interceptors: [addToken], defaultTimeoutMs: timeout,
+		baseUrl, httpVersion: '1.1', interceptors: [createTokenInterceptor(readToken(options))], defaultTimeoutMs: timeout,
 	});
 	try {
 		return await call(createClient(OperatorService, transport));
--- a/daemons/create-command-line.ts
+++ b/daemons/create-command-line.ts
@@ -39,9 +39,7 @@
 		.example('sapphirefall apply fleet.yaml --dry-run')
 		.example('sapphirefall apply fleet.yaml')
 		.action(runApply);
-	addChangeOptions(cli.command('workspace <action> [name]', 'Set, remove or list workspaces'))
-		.option('--rate <units>', 'Units a second over the whole fleet')
-		.option('--burst <units>', 'Units that may be used at once')
+	addLimitOptions(cli.command('workspace <action> [name]', 'Set, remove or list workspaces'))
 		.option('--databases <names>', 'Databases that the workspace may use, parted by commas')
 		.example('sapphirefall workspace set upper --rate 50 --burst 100 --databases pondbook')
 		.example('sapphirefall workspace list --json')
@@ -51,9 +49,7 @@
 		.example('sapphirefall key give upper-1 --workspace upper')
 		.example('sapphirefall key withdraw upper-1')
 		.action(runKey);
-	addChangeOptions(cli.command('limit <workspace>', 'Change the rate or burst of a workspace'))
-		.option('--rate <units>', 'Units a second over the whole fleet')
-		.option('--burst <units>', 'Units that may be used at once')
+	addLimitOptions(cli.command('limit <workspace>', 'Change the rate or burst of a workspace'))
 		.example('sapphirefall limit upper --rate 80')
 		.action(runLimit);
 	addChangeOptions(cli.command('freshness <action> [kind]', 'Set the default of a kind of read, make an exception, or list both'))
@@ -110,3 +106,9 @@
 	return addConnection(command)
 		.option('--based-on <version>', 'Refuse the change when another version is in force');
 }
+
+function addLimitOptions(command: Command): Command {
+	return addChangeOptions(command)
+		.option('--rate <units>', 'Units a second over the whole fleet')
+		.option('--burst <units>', 'Units that may be used at once');
+}
--- a/daemons/create-declaration.ts
+++ b/daemons/create-declaration.ts
@@ -1,4 +1,4 @@
-import {parseFreshness, type Declaration, type Freshness} from '@sapphirefall/decisions';
+import {requireFreshness, type Declaration} from '@sapphirefall/decisions';
 import type {DeclarationFile} from '@sapphirefall/settings';
 
 /** Creates a declaration from its checked file. */
@@ -9,24 +9,14 @@
 		...(workspaces && {workspaces}),
 		...(keys && {keys}),
 		...(freshness && {
-			freshness: Object.fromEntries(Object.entries(freshness).map(([kind, text]) => [kind, readFreshness(text)])),
+			freshness: Object.fromEntries(Object.entries(freshness).map(([kind, text]) => [kind, requireFreshness(text)])),
 		}),
 		...(exceptions && {
-			exceptions: exceptions.map(exception => ({...exception, freshness: readFreshness(exception.freshness)})),
+			exceptions: exceptions.map(exception => ({...exception, freshness: requireFreshness(exception.freshness)})),
 		}),
 		...(routes && {
 			routes: Object.fromEntries(Object.entries(routes).map(([route, content]) =>
-				[route, {...content, freshness: readFreshness(content.freshness)}])),
+				[route, {...content, freshness: requireFreshness(content.freshness)}])),
 		}),
 	};
 }
-
-/** Reads a freshness that the schema has checked. */
-function readFreshness(text: string): Freshness {
-	const freshness = parseFreshness(text);
-	if (freshness === undefined) {
-		throw new Error(`The freshness "${text}" is unknown`);
-	}
-
-	return freshness;
-}
--- a/packages/callers/create-caller-handler.ts
+++ b/packages/callers/create-caller-handler.ts
@@ -7,7 +7,7 @@
 	createFailure, createRefusal, resultCodes, type Answer, type Request,
 } from '@sapphirefall/decisions';
 import {
-	CallerService, createQueue, ExecuteResponseSchema, type ExecuteRequest, type ExecuteResponse,
+	CallerService, ExecuteResponseSchema, serveMessages, type ExecuteRequest, type ExecuteResponse,
 } from '@sapphirefall/wire';
 import {decodeRequest} from './decode-request.ts';
 import {encodeAnswer} from './encode-answer.ts';
@@ -48,11 +48,20 @@
 		return encodeAnswer(answer, {requestId: request.requestId, session});
 	};
 
+	/** Answers a request of a stream; one that fails harms no other. */
+	const answerSafely = async (message: ExecuteRequest, context: HandlerContext): Promise<ExecuteResponse> => {
+		try {
+			return await answerOne(message, context);
+		} catch {
+			return encodeAnswer(createFailure(), {requestId: message.requestId, session: ''});
+		}
+	};
+
 	const router = createConnectRouter({readMaxBytes: options.largest, jsonOptions: {ignoreUnknownFields: false}});
 	router.service(CallerService, {
 		execute: answerOne,
 		async * converse(messages, context) {
-			yield * answerMany(messages, async message => answerOne(message, context));
+			yield * serveMessages(messages, async message => answerSafely(message, context));
 		},
 	});
 	const handlers = new Map(router.handlers.map(handler => [handler.requestPath, handler]));
@@ -92,33 +101,3 @@
 		: createRefusal(resultCodes.malformed, {reason: 'the request is not a valid ExecuteRequest in JSON'});
 	return JSON.stringify(toJson(ExecuteResponseSchema, encodeAnswer(refusal, {requestId: '', session: ''})));
 }
-
-/** Answers the requests of a stream as each is done; one that is slow or fails harms no other. */
-async function * answerMany(
-	messages: AsyncIterable<ExecuteRequest>,
-	answer: (message: ExecuteRequest) => Promise<ExecuteResponse>,
-): AsyncGenerator<ExecuteResponse> {
-	const responses = createQueue<ExecuteResponse>();
-	const running = new Set<Promise<void>>();
-
-	const run = async (message: ExecuteRequest) => {
-		try {
-			responses.push(await answer(message));
-		} catch {
-			responses.push(encodeAnswer(createFailure(), {requestId: message.requestId, session: ''}));
-		}
-	};
-
-	const read = async () => {
-		for await (const message of messages) {
-			const task = run(message);
-			running.add(task);
-			void task.finally(() => running.delete(task)); // eslint-disable-line promise/prefer-await-to-then
-		}
-
-		await Promise.allSettled(running);
-	};
-
-	read().catch(() => undefined).finally(responses.end); // eslint-disable-line promise/prefer-await-to-then
-	yield * responses;
-}
--- a/packages/decisions/find-standby.ts
+++ b/packages/decisions/find-standby.ts
@@ -1,4 +1,5 @@
 import {rankHosts} from './rank-hosts.ts';
+import type {HostState} from './host-state.ts';
 
 /**
  * Finds the standby of a workspace's home: the next host by rank in another zone, or the next one at all.
@@ -6,13 +7,13 @@
  * When the home leaves the roster, alone or with its zone, its standby is the next home or that one's standby.
  *
  * @param workspace The workspace.
- * @param options The hosts of the roster, and the zone of a host.
+ * @param state The roster and the zones of its hosts.
  */
 export function findStandby(
 	workspace: string,
-	options: {readonly homes: readonly string[]; readonly findZone: (host: string) => string | undefined},
+	{roster, membership}: Pick<HostState, 'roster' | 'membership'>,
 ): string | undefined {
-	const [home, ...others] = rankHosts(`home/${workspace}`, options.homes);
-	const zone = options.findZone(home ?? '');
-	return others.find(host => options.findZone(host) !== zone) ?? others[0];
+	const findZone = (host: string | undefined) => membership.hosts.get(host ?? '')?.zone;
+	const [home, ...others] = rankHosts(`home/${workspace}`, roster.homes);
+	return others.find(host => findZone(host) !== findZone(home)) ?? others[0];
 }
--- a/packages/events/create-hybrid-clock.ts
+++ b/packages/events/create-hybrid-clock.ts
@@ -1,8 +1,6 @@
+import {timesPerMillisecond} from './times-per-millisecond.ts';
 import type {HybridClock} from './hybrid-clock.ts';
 
-/** Hybrid logical times in one millisecond. */
-const timesPerMillisecond = 65_536n;
-
 /**
  * Creates a hybrid logical clock (Kulkarni, Demirbas and others 2014).
  *
--- a/packages/events/format-time-line.ts
+++ b/packages/events/format-time-line.ts
@@ -1,8 +1,6 @@
+import {timesPerMillisecond} from './times-per-millisecond.ts';
 import type {ProcessEvent} from './process-event.ts';
 
-/** Hybrid logical times in one millisecond. */
-const timesPerMillisecond = 65_536n;
-
 /** Formats a time line as text, one event a line: time, process, kind, and what the event names. */
 export function formatTimeLine(events: readonly ProcessEvent[]): string {
 	return events.map(event => formatLine(event)).join('\n');
--- a/packages/events/mod.ts
+++ b/packages/events/mod.ts
@@ -9,3 +9,4 @@
 export * from './merge-time-line.ts';
 export * from './parse-event.ts';
 export type * from './process-event.ts';
+export * from './times-per-millisecond.ts';
--- a/packages/hosts/create-forwarder.ts
+++ b/packages/hosts/create-forwarder.ts
@@ -1,13 +1,10 @@
 import {create} from '@bufbuild/protobuf';
-import {createClient} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import type {HybridClock} from '@sapphirefall/events';
-import {
-	ForwardRequestSchema, HostService, openChannel, type Channel, type ForwardRequest, type ForwardResponse,
-} from '@sapphirefall/wire';
+import {ForwardRequestSchema, type ForwardRequest, type ForwardResponse} from '@sapphirefall/wire';
+import {createHostChannel} from './create-host-channel.ts';
 import {decodeForwardAnswer} from './decode-forward-answer.ts';
 import {encodeForward} from './encode-forward.ts';
-import type {Forwarder} from './forwarder.ts';
+import type {Peer} from './peer.ts';
 
 type Options = {
 	/** Milliseconds between two heartbeats. */
@@ -23,51 +20,31 @@
 };
 
 /**
- * Creates the forwarder to another host; a channel that has closed is replaced at the next request.
+ * Creates what sends admitted requests to another host, all over one channel.
  *
  * @param address URL of the host.
  * @param options Heartbeat times and the clock.
  */
-export function createForwarder(address: string, options: Options): Forwarder {
-	let channel: Channel<ForwardRequest, ForwardResponse> | undefined;
-
-	const open = () => {
-		const sessions = new Http2SessionManager(address);
-		const client = createClient(HostService, createConnectTransport({
-			baseUrl: address, httpVersion: '2', sessionManager: sessions,
-		}));
-		return openChannel<ForwardRequest, ForwardResponse>({
-			open: (requests, signal) => client.forward(requests, {signal}),
-			heartbeat: {
-				createPing: id => create(ForwardRequestSchema, {id, ping: true}),
-				interval: options.heartbeatInterval,
-				silenceLimit: options.silenceLimit,
-			},
-			idleSpan: options.idleSpan,
-			now: options.now,
-			onClosed() {
-				sessions.abort();
-			},
-		});
-	};
-
-	return {
-		async forward(request, signal) {
-			if (channel?.isClosed() !== false) {
-				channel = open();
-			}
+export function createForwarder(address: string, options: Options): Peer['forward'] {
+	const send = createHostChannel<ForwardRequest, ForwardResponse>(address, {
+		open: (client, requests, signal) => client.forward(requests, {signal}),
+		heartbeat: {
+			createPing: id => create(ForwardRequestSchema, {id, ping: true}),
+			interval: options.heartbeatInterval,
+			silenceLimit: options.silenceLimit,
+		},
+		idleSpan: options.idleSpan,
+		now: options.now,
+	});
 
-			const encode = (id: number) => encodeForward(request, {id, time: options.clock.tick(), now: options.now()});
-			const response = await channel.send(encode, {signal, closesOnAbort: false});
-			if (response === undefined) {
-				return undefined;
-			}
+	return async (request, signal) => {
+		const encode = (id: number) => encodeForward(request, {id, time: options.clock.tick(), now: options.now()});
+		const response = await send(encode, {signal, closesOnAbort: false});
+		if (response === undefined) {
+			return undefined;
+		}
 
-			options.clock.observe(response.time);
-			return decodeForwardAnswer(response);
-		},
-		close() {
-			channel?.close();
-		},
+		options.clock.observe(response.time);
+		return decodeForwardAnswer(response);
 	};
 }
--- a/packages/hosts/create-host-service.ts
+++ b/packages/hosts/create-host-service.ts
@@ -1,12 +1,12 @@
-import type {MessageInitShape} from '@bufbuild/protobuf';
+import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import type {ServiceImpl} from '@connectrpc/connect';
 import type {AdmittedRequest, Answer} from '@sapphirefall/decisions';
 import type {HybridClock} from '@sapphirefall/events';
-import type {
-	BorrowRequest, BorrowResponseSchema, ChangeRequest, ChangeResponseSchema, ControlRequest, ControlResponseSchema, HostService,
+import {
+	ControlResponseSchema, serveMessages, type BorrowRequest, type BorrowResponseSchema, type ChangeRequest,
+	type ChangeResponseSchema, type ControlRequest, type ControlResponse, type HostService,
 } from '@sapphirefall/wire';
-import {serveControls} from './serve-controls.ts';
-import {serveForwards} from './serve-forwards.ts';
+import {executeForward} from './execute-forward.ts';
 import {decodeExchange} from './decode-exchange.ts';
 import {encodeExchange} from './encode-exchange.ts';
 import type {BorrowAsked} from './borrow-asked.ts';
@@ -40,14 +40,23 @@
 export function createHostService(options: Options): ServiceImpl<typeof HostService> {
 	return {
 		async * control(messages) {
-			yield * serveControls(messages, async call => answerCall(call, options));
+			yield * serveMessages(messages, async message => answerControl(message, options));
 		},
 		async * forward(messages) {
-			yield * serveForwards(messages, options);
+			yield * serveMessages(messages, async message => executeForward(message, options));
 		},
 	};
 }
 
+/** Answers a call; one that fails gets an empty answer. */
+async function answerControl({id, call}: ControlRequest, options: Options): Promise<ControlResponse> {
+	try {
+		return create(ControlResponseSchema, {id, answer: await answerCall(call, options)});
+	} catch {
+		return create(ControlResponseSchema, {id});
+	}
+}
+
 async function answerCall(call: ControlRequest['call'], options: Options): Promise<ControlAnswer> {
 	switch (call.case) {
 		case 'exchange': {
--- a/packages/hosts/create-peer.ts
+++ b/packages/hosts/create-peer.ts
@@ -1,12 +1,11 @@
 import {create} from '@bufbuild/protobuf';
-import {createClient} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import type {HybridClock} from '@sapphirefall/events';
 import {
-	BorrowRequestSchema, ConfirmRequestSchema, ControlRequestSchema, HandOverRequestSchema, HostService, openChannel,
-	runWithTimeout, StandRequestSchema, type Channel, type ControlRequest, type ControlResponse,
+	BorrowRequestSchema, ConfirmRequestSchema, ControlRequestSchema, HandOverRequestSchema, runWithTimeout,
+	StandRequestSchema, type ControlRequest, type ControlResponse,
 } from '@sapphirefall/wire';
 import {createForwarder} from './create-forwarder.ts';
+import {createHostChannel} from './create-host-channel.ts';
 import {decodeExchange} from './decode-exchange.ts';
 import {encodeExchange} from './encode-exchange.ts';
 import type {Peer} from './peer.ts';
@@ -43,34 +42,17 @@
  * @param options How long to wait for an answer, heartbeat times, and the clocks.
  */
 export function createPeer(address: string, options: Options): Peer {
-	const forwarder = createForwarder(address, options);
-	let channel: Channel<ControlRequest, ControlResponse> | undefined;
-
-	const open = () => {
-		const sessions = new Http2SessionManager(address);
-		const client = createClient(HostService, createConnectTransport({
-			baseUrl: address, httpVersion: '2', sessionManager: sessions,
-		}));
-		return openChannel<ControlRequest, ControlResponse>({
-			open: (requests, signal) => client.control(requests, {signal}),
-			heartbeat: undefined,
-			idleSpan: options.idleSpan,
-			now: options.now,
-			onClosed() {
-				sessions.abort();
-			},
-		});
-	};
+	const sendControl = createHostChannel<ControlRequest, ControlResponse>(address, {
+		open: (client, requests, signal) => client.control(requests, {signal}),
+		heartbeat: undefined,
+		idleSpan: options.idleSpan,
+		now: options.now,
+	});
 
 	/** Makes a call; the answer to it is of the same kind. */
 	const send = async <K extends Kind>(call: Call & {readonly case: K}, timeout = options.timeout): Promise<AnswerValue<K>> => {
-		if (channel?.isClosed() !== false) {
-			channel = open();
-		}
-
-		const {send: sendOn} = channel;
 		const response = await runWithTimeout(timeout, async signal =>
-			sendOn(id => create(ControlRequestSchema, {id, call}), {signal, closesOnAbort: true}));
+			sendControl(id => create(ControlRequestSchema, {id, call}), {signal, closesOnAbort: true}));
 		if (response?.answer.case !== call.case) {
 			throw new Error(`The host at ${address} does not answer`);
 		}
@@ -95,7 +77,7 @@
 			const {taken} = await send({case: 'handOver', value: create(HandOverRequestSchema, {...bucket, loans})});
 			return taken;
 		},
-		forward: forwarder.forward,
+		forward: createForwarder(address, options),
 		passChange: async change => send({case: 'passChange', value: change}, changeTimeout),
 		async confirm(database, term) {
 			const {suspected} = await send({case: 'confirm', value: create(ConfirmRequestSchema, {database, term})});
--- a/packages/hosts/mod.ts
+++ b/packages/hosts/mod.ts
@@ -2,6 +2,7 @@
 export type * from './borrow-asked.ts';
 export type * from './borrow-granted.ts';
 export * from './create-forwarder.ts';
+export * from './create-host-channel.ts';
 export * from './create-host-service.ts';
 export * from './create-peer.ts';
 export * from './decode-exchange.ts';
@@ -11,8 +12,6 @@
 export * from './encode-forward-answer.ts';
 export * from './encode-forward.ts';
 export type * from './exchange-content.ts';
-export type * from './forwarder.ts';
+export * from './execute-forward.ts';
 export type * from './handed-bucket.ts';
 export type * from './peer.ts';
-export * from './serve-controls.ts';
-export * from './serve-forwards.ts';
--- a/packages/load/create-schedule.ts
+++ b/packages/load/create-schedule.ts
@@ -1,10 +1,10 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {loadClasses} from './load-classes.ts';
 import type {LoadClass} from './load-class.ts';
 import type {LoadPlan} from './load-plan.ts';
 import type {ScheduledRequest} from './scheduled-request.ts';
 
-const classes: readonly LoadClass[] = ['write', 'latest', 'session', 'within'];
 const millisecondsPerSecond = 1000;
 
 /**
@@ -42,9 +42,9 @@
 }
 
 function chooseClass(workspace: LoadPlan['workspaces'][number], point: number): LoadClass {
-	const total = classes.reduce((sum, name) => sum + workspace[name], 0);
+	const total = loadClasses.reduce((sum, name) => sum + workspace[name], 0);
 	let left = point * total;
-	for (const name of classes) {
+	for (const name of loadClasses) {
 		left -= workspace[name];
 		if (left < 0) {
 			return name;
--- a/packages/load/format-summary.ts
+++ b/packages/load/format-summary.ts
@@ -1,7 +1,6 @@
-import type {LoadClass} from './load-class.ts';
+import {loadClasses} from './load-classes.ts';
 import type {LoadSummary} from './load-summary.ts';
 
-const classes: readonly LoadClass[] = ['write', 'latest', 'session', 'within'];
 const percent = 100;
 
 /** Formats the measures of a load as text. */
@@ -13,7 +12,7 @@
 		`longest write gap   ${summary.writeGapMs.toFixed(0)} ms`,
 		`worst workspace     ${summary.worstWorkspaceName}, ${share(summary.worstWorkspace)} of its due`,
 		`wrongful refusals   ${share(summary.wrongfulRefusals)}`,
-		...classes.map(name => {
+		...loadClasses.map(name => {
 			const {p50, p99, max} = summary.latency[name];
 			return `latency ${name.padEnd(11)} p50 ${p50.toFixed(1)}, p99 ${p99.toFixed(1)}, max ${max.toFixed(1)} ms`;
 		}),
--- a/packages/load/load-class.ts
+++ b/packages/load/load-class.ts
@@ -1,2 +1,4 @@
-/** Classes of requests, which differ in cost and in what is checked. */
-export type LoadClass = 'write' | 'latest' | 'session' | 'within';
+import type {loadClasses} from './load-classes.ts';
+
+/** One of the classes of requests. */
+export type LoadClass = typeof loadClasses[number];
--- a/packages/load/mod.ts
+++ b/packages/load/mod.ts
@@ -6,6 +6,7 @@
 export * from './find-wrongful-refusals.ts';
 export * from './format-summary.ts';
 export type * from './load-class.ts';
+export * from './load-classes.ts';
 export type * from './load-history.ts';
 export * from './load-plan-schema.ts';
 export type * from './load-plan.ts';
--- a/packages/load/run-load.ts
+++ b/packages/load/run-load.ts
@@ -1,8 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
+import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {
-	CallerService, decodeResult, encodeStatement, type ExecuteResponse,
+	CallerService, createTokenInterceptor, decodeResult, encodeStatement, type ExecuteResponse,
 } from '@sapphirefall/wire';
 import type {SqlStatement} from '@sapphirefall/decisions';
 import {createSchedule} from './create-schedule.ts';
@@ -87,12 +87,9 @@
 type Caller = Client<typeof CallerService>;
 
 function createCaller(baseUrl: string, key: string): Caller {
-	const addKey: Interceptor = next => async request => {
-		request.header.set('authorization', `Bearer ${key}`);
-		return next(request);
-	};
-
-	return createClient(CallerService, createConnectTransport({baseUrl, httpVersion: '1.1', interceptors: [addKey]}));
+	return createClient(CallerService, createConnectTransport({
+		baseUrl, httpVersion: '1.1', interceptors: [createTokenInterceptor(key)],
+	}));
 }
 
 async function sendRequest(
--- a/packages/operators/decode-change.ts
+++ b/packages/operators/decode-change.ts
@@ -1,14 +1,12 @@
-import {parseFreshness, type Change, type Freshness} from '@sapphirefall/decisions';
+import {
+	describeUnknownFreshness, parseFreshness, type Change, type Freshness,
+} from '@sapphirefall/decisions';
 import type {ChangeRequest} from '@sapphirefall/wire';
 import {decodeDeclaration} from './decode-declaration.ts';
-
-/** A change as it came, or what is wrong with it. */
-type Decoded =
-	| {readonly kind: 'change'; readonly change: Change}
-	| {readonly kind: 'invalid'; readonly reason: string};
+import type {DecodedChange} from './decoded-change.ts';
 
 /** Decodes an operator's change. */
-export function decodeChange(request: ChangeRequest): Decoded {
+export function decodeChange(request: ChangeRequest): DecodedChange {
 	const {change} = request;
 	switch (change.case) {
 		case 'setWorkspace': {
@@ -62,13 +60,13 @@
 	}
 }
 
-function createDecoded(change: Change): Decoded {
+function createDecoded(change: Change): DecodedChange {
 	return {kind: 'change', change};
 }
 
-function withFreshness(text: string, createChange: (freshness: Freshness) => Change): Decoded {
+function withFreshness(text: string, createChange: (freshness: Freshness) => Change): DecodedChange {
 	const freshness = parseFreshness(text);
 	return freshness === undefined
-		? {kind: 'invalid', reason: `the freshness "${text}" is unknown; allowed are latest, session and within <age>`}
+		? {kind: 'invalid', reason: describeUnknownFreshness(text)}
 		: createDecoded(createChange(freshness));
 }
--- a/packages/operators/decode-declaration.ts
+++ b/packages/operators/decode-declaration.ts
@@ -1,23 +1,20 @@
 import {
-	parseFreshness, type Change, type Declaration, type Freshness,
+	describeUnknownFreshness, parseFreshness, requireFreshness, type Declaration,
 } from '@sapphirefall/decisions';
 import type {Declare} from '@sapphirefall/wire';
-
-type Decoded =
-	| {readonly kind: 'change'; readonly change: Change}
-	| {readonly kind: 'invalid'; readonly reason: string};
+import type {DecodedChange} from './decoded-change.ts';
 
 const sections: readonly string[] = ['workspaces', 'keys', 'freshness', 'exceptions', 'routes'] satisfies ReadonlyArray<keyof Declaration>;
 
 /** Decodes a declaration of whole sections of the configuration. */
-export function decodeDeclaration(declared: Declare): Decoded {
+export function decodeDeclaration(declared: Declare): DecodedChange {
 	const unknown = declared.sections.filter(section => !sections.includes(section));
 	const texts = [...declared.freshness, ...declared.exceptions, ...declared.routes].map(({freshness}) => freshness);
 	const faults = [
 		...unknown.map(section => `the section "${section}" is none of ${sections.join(', ')}`),
 		...texts
 			.filter(text => parseFreshness(text) === undefined)
-			.map(text => `the freshness "${text}" is unknown; allowed are latest, session and within <age>`),
+			.map(text => describeUnknownFreshness(text)),
 	];
 	return faults.length === 0
 		? {kind: 'change', change: {kind: 'declare', declaration: selectSections(declared)}}
@@ -53,8 +50,3 @@
 		}),
 	};
 }
-
-/** Parses a freshness that has been checked. */
-function requireFreshness(text: string): Freshness {
-	return parseFreshness(text) ?? {kind: 'latest'};
-}
--- a/packages/operators/mod.ts
+++ b/packages/operators/mod.ts
@@ -3,5 +3,6 @@
 export * from './create-operator-handler.ts';
 export * from './decode-change.ts';
 export * from './decode-declaration.ts';
+export type * from './decoded-change.ts';
 export type * from './metrics.ts';
 export type * from './operator-backend.ts';
--- a/packages/proxy/_repeat-attempts.test.ts
+++ b/packages/proxy/_repeat-attempts.test.ts
@@ -6,7 +6,7 @@
 
 const lost: Attempt = {kind: 'failed', mayHaveRun: true, reason: 'the answer to the commit was lost'};
 const missed: Attempt = {kind: 'failed', mayHaveRun: false, reason: 'the primary did not answer before the commit'};
-const busy: Attempt = {kind: 'answered', answer: createRefusal(resultCodes.connectionsBusy, {reason: 'no connection'})};
+const busy: Attempt = {kind: 'refused', answer: createRefusal(resultCodes.connectionsBusy, {reason: 'no connection'})};
 const failed: Attempt = {kind: 'answered', answer: createRefusal(resultCodes.statementFailed, {reason: 'no such table'})};
 
 const cases: ReadonlyArray<readonly [string, readonly Attempt[], 'notRun' | 'unknown']> = [
--- a/packages/proxy/_repeat-attempts.ts
+++ b/packages/proxy/_repeat-attempts.ts
@@ -25,10 +25,12 @@
 	let reason = 'no primary is known';
 	do {
 		const outcome = await attempt(); // eslint-disable-line no-await-in-loop -- attempts follow each other
-		if (outcome.kind === 'answered') {
-			return mayHaveRun && isUnsettled(outcome.answer)
-				? {kind: 'unknown', code: resultCodes.answerLost, reason}
-				: outcome.answer;
+		if (outcome.kind === 'refused' && mayHaveRun) {
+			return {kind: 'unknown', code: resultCodes.answerLost, reason};
+		}
+
+		if (outcome.kind !== 'failed') {
+			return outcome.answer;
 		}
 
 		mayHaveRun ||= outcome.mayHaveRun;
@@ -45,8 +47,3 @@
 		? {kind: 'unknown', code: resultCodes.deadlinePassed, reason}
 		: createRefusal(resultCodes.primaryUnavailable, {reason, retryAfter});
 }
-
-/** Tells whether an answer says nothing of the attempts before it: the last one never reached the database. */
-function isUnsettled(answer: Answer): boolean {
-	return answer.kind === 'notRun' && answer.code === resultCodes.connectionsBusy;
-}
--- a/packages/proxy/_run-transaction.ts
+++ b/packages/proxy/_run-transaction.ts
@@ -191,7 +191,7 @@
 
 		case 'busy': {
 			const refusal = createRefusal(resultCodes.connectionsBusy, {reason: 'the endpoint is busy', retryAfter: busyRetry});
-			return {kind: 'answered', answer: refusal};
+			return {kind: 'refused', answer: refusal};
 		}
 
 		case 'term': {
--- a/packages/proxy/create-borrower.ts
+++ b/packages/proxy/create-borrower.ts
@@ -47,6 +47,8 @@
 
 	const isProven = () => isRosterProven(options.readState(), {proofLimit: settings.proofLimit, now: now()});
 
+	const readPurse = (workspace: string) => purses.get(workspace) ?? createPurse(now());
+
 	/** Asks a host for units, and puts them into the purse; undefined when it does not answer or does not lend. */
 	const askLender = async (lender: string | undefined, asked: Asked): Promise<BorrowGranted | undefined> => {
 		const askedAt = now();
@@ -60,7 +62,7 @@
 			const request = {...asked, host: options.owner, isStandby: false};
 			const granted = lender === self ? options.lend(request) : await options.findPeer(lender)?.borrow(request);
 			const loan = {id: asked.id, units: granted?.units ?? 0, expiresAt: askedAt + (granted?.span ?? 0)};
-			purses.set(asked.workspace, addLoan(purses.get(asked.workspace) ?? createPurse(askedAt), loan));
+			purses.set(asked.workspace, addLoan(readPurse(asked.workspace), loan));
 			return granted;
 		} catch {
 			return undefined;
@@ -69,15 +71,14 @@
 
 	/** Asks the home for units, and its standby when the home does not give them. */
 	const borrowNow = async ({workspace, cost}: AdmittedRequest): Promise<Borrowed> => {
-		const {roster, membership} = options.readState();
-		const findZone = (host: string) => membership.hosts.get(host)?.zone;
-		const {purse, settled, id} = settlePurse(purses.get(workspace) ?? createPurse(now()));
+		const state = options.readState();
+		const {purse, settled, id} = settlePurse(readPurse(workspace));
 		purses.set(workspace, purse);
 		const wanted = cost + (purse.demand * settings.prefetch / 1000);
 		const asked = {
 			id, workspace, needed: cost, wanted, settled,
 		};
-		const granted = await askLender(findHome(workspace, roster.homes), asked);
+		const granted = await askLender(findHome(workspace, state.roster.homes), asked);
 		if ((granted?.units ?? 0) > 0) {
 			return {isReached: true, retryAfter: 0};
 		}
@@ -87,10 +88,9 @@
 			return answer;
 		}
 
-		const second = settlePurse(purses.get(workspace) ?? createPurse(now()));
+		const second = settlePurse(readPurse(workspace));
 		purses.set(workspace, second.purse);
-		const standby = findStandby(workspace, {homes: roster.homes, findZone});
-		const lent = await askLender(standby, {...asked, id: second.id, settled: []});
+		const lent = await askLender(findStandby(workspace, state), {...asked, id: second.id, settled: []});
 		if ((lent?.units ?? 0) > 0) {
 			return {isReached: true, retryAfter: 0};
 		}
@@ -119,8 +119,7 @@
 			return false;
 		}
 
-		const at = now();
-		const spent = spendUnits(purses.get(request.workspace) ?? createPurse(at), {cost: request.cost, isFirst, now: at});
+		const spent = spendUnits(readPurse(request.workspace), {cost: request.cost, isFirst, now: now()});
 		purses.set(request.workspace, spent.purse);
 		return spent.isSpent;
 	};
--- a/packages/proxy/create-bucket-homes.ts
+++ b/packages/proxy/create-bucket-homes.ts
@@ -80,8 +80,7 @@
 		}
 
 		home.stoodAt = now();
-		const {roster, membership} = options.readState();
-		const standby = findStandby(workspace, {homes: roster.homes, findZone: host => membership.hosts.get(host)?.zone});
+		const standby = findStandby(workspace, options.readState());
 		try {
 			await options.findPeer(standby ?? '')?.stand(workspace);
 		} catch {
--- a/packages/proxy/execute-write.ts
+++ b/packages/proxy/execute-write.ts
@@ -58,7 +58,7 @@
 		reason: 'no connection to the primary came free before the deadline', retryAfter: busyRetry,
 	});
 	return isLate
-		? {kind: 'answered', answer: refusal}
+		? {kind: 'refused', answer: refusal}
 		: {kind: 'failed', mayHaveRun: false, reason: 'the primary was replaced'};
 }
 
--- a/packages/wire/mod.ts
+++ b/packages/wire/mod.ts
@@ -1,6 +1,8 @@
 /** Messages between processes: generated from the .proto files, and their conversion to the types of decisions. */
+export type * from './channel-options.ts';
 export type * from './channel.ts';
 export * from './create-queue.ts';
+export * from './create-token-interceptor.ts';
 export * from './decode-point.ts';
 export * from './decode-report.ts';
 export * from './decode-result.ts';
@@ -10,9 +12,11 @@
 export * from './encode-statement.ts';
 export * from './encode-value.ts';
 export * from './format-results.ts';
+export type * from './heartbeat.ts';
 export * from './open-channel.ts';
 export * from './parse-results.ts';
 export * from './run-with-timeout.ts';
+export * from './serve-messages.ts';
 export * from './gen/caller_pb.ts';
 export * from './gen/endpoint_pb.ts';
 export * from './gen/host_pb.ts';
--- a/packages/wire/open-channel.ts
+++ b/packages/wire/open-channel.ts
@@ -1,33 +1,14 @@
 import {createQueue} from './create-queue.ts';
+import type {ChannelOptions} from './channel-options.ts';
 import type {Channel} from './channel.ts';
-
-type Heartbeat<Request> = {
-	readonly createPing: (id: number) => Request;
-	/** Milliseconds between two heartbeats. */
-	readonly interval: number;
-	/** Milliseconds without any answer after which the channel counts as silent and is closed. */
-	readonly silenceLimit: number;
-};
-
-type Options<Request, Response> = {
-	/** Opens the stream. */
-	readonly open: (requests: AsyncIterable<Request>, signal: AbortSignal) => AsyncIterable<Response>;
-	/** Undefined for a channel whose every request has a time limit that closes it. */
-	readonly heartbeat: Heartbeat<Request> | undefined;
-	/** Milliseconds without a request after which the channel is closed; undefined to keep it. */
-	readonly idleSpan: number | undefined;
-	/** Present monotonic milliseconds. */
-	readonly now: () => number;
-	/** Called once when the channel is closed, by either side. */
-	readonly onClosed: () => void;
-};
+import type {Heartbeat} from './heartbeat.ts';
 
 /**
  * Opens a channel. An answer that nobody awaits any more is dropped, and a channel that goes silent is closed.
  *
  * @param options How to open the stream, heartbeat times, the clock, and what to do at the end.
  */
-export function openChannel<Request, Response extends {readonly id: number}>(options: Options<Request, Response>): Channel<Request, Response> {
+export function openChannel<Request, Response extends {readonly id: number}>(options: ChannelOptions<Request, Response>): Channel<Request, Response> {
 	const requests = createQueue<Request>();
 	const pending = new Map<number, (response: Response | undefined) => void>();
 	const abort = new AbortController();
--- a/scenarios/apply-fault.ts
+++ b/scenarios/apply-fault.ts
@@ -33,7 +33,11 @@
 	}
 
 	if (step.partition !== undefined) {
-		partition(stage, step.partition);
+		const {zone, platform} = step.partition;
+		cluster.setZoneCut(zone, true);
+		if (platform) {
+			cluster.setFault(zone, 'platform', {isCut: true});
+		}
 	}
 
 	if (step.heal === true) {
@@ -53,21 +57,6 @@
 	}
 }
 
-function partition({cluster, scenario}: Stage, {zone, platform}: {readonly zone: string; readonly platform: boolean}): void {
-	for (const process of [...cluster.hosts, ...cluster.instances]) {
-		const isInside = cluster.zoneOf(process) === zone;
-		for (const from of scenario.cluster.zones) {
-			if ((from === zone) !== isInside) {
-				cluster.setFault(from, process, {isCut: true});
-			}
-		}
-	}
-
-	if (platform) {
-		cluster.setFault(zone, 'platform', {isCut: true});
-	}
-}
-
 async function commandStandIns({cluster, transcript}: Stage, {platform, answers, restart}: Step): Promise<void> {
 	if (restart !== undefined) {
 		transcript.add(`restart ${restart}`);
--- a/stand-ins/cluster/cluster.ts
+++ b/stand-ins/cluster/cluster.ts
@@ -31,6 +31,8 @@
 	readonly restart: (process: string) => void;
 	/** Sets the fault of the links from a zone to a process. */
 	readonly setFault: (from: string, process: string, fault: Partial<LinkFault>) => void;
+	/** Cuts a zone from the processes of all others and theirs from it, or lets them go on. */
+	readonly setZoneCut: (zone: string, isCut: boolean) => void;
 	/** Closes the connections from a zone to a process. */
 	readonly resetLink: (from: string, process: string) => void;
 	/** Silences the open connections from a zone to a process for good. */
--- a/stand-ins/cluster/open-caller-stream.ts
+++ b/stand-ins/cluster/open-caller-stream.ts
@@ -2,9 +2,8 @@
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import {
-	CallerService, createQueue, ExecuteRequestSchema, type ExecuteRequest, type ExecuteResponse,
+	CallerService, createQueue, createTokenInterceptor, ExecuteRequestSchema, type ExecuteRequest, type ExecuteResponse,
 } from '@sapphirefall/wire';
-import {createTokenInterceptor} from './create-token-interceptor.ts';
 import type {CallerStream} from './caller-stream.ts';
 
 type Waiting = {
--- a/stand-ins/cluster/start-cluster.ts
+++ b/stand-ins/cluster/start-cluster.ts
@@ -5,14 +5,13 @@
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {stringify} from 'yaml';
 import {
-	CallerService, EndpointFaultService, OperatorService, PlatformFaultService,
+	CallerService, createTokenInterceptor, EndpointFaultService, OperatorService, PlatformFaultService,
 } from '@sapphirefall/wire';
 import {createLink} from '../links/create-link.ts';
 import type {Link} from '../links/link.ts';
 import {createHostSettings} from './create-host-settings.ts';
 import {createInstanceSettings} from './create-instance-settings.ts';
 import {createRandom} from './create-random.ts';
-import {createTokenInterceptor} from './create-token-interceptor.ts';
 import {findFreePort} from './find-free-port.ts';
 import {openCallerStream} from './open-caller-stream.ts';
 import {startChild} from './start-child.ts';
@@ -144,6 +143,13 @@
 		setFault(from, id, fault) {
 			findLink(from, id).setFault(fault);
 		},
+		setZoneCut(zone, isCut) {
+			for (const node of nodes) {
+				for (const from of plan.zones.filter(other => (other === zone) !== (node.zone === zone))) {
+					findLink(from, node.id).setFault({isCut});
+				}
+			}
+		},
 		resetLink(from, id) {
 			findLink(from, id).reset();
 		},
