--- /dev/null
+++ b/packages/sessions/acquire-outcome.ts
@@ -0,0 +1,8 @@
+import type {PooledLink} from './pooled-link.ts';
+
+/** Whether a connection of a pool could be had. */
+export type AcquireOutcome =
+	| {readonly kind: 'acquired'; readonly link: PooledLink}
+	/** All connections are in use, or the instance takes no more. */
+	| {readonly kind: 'busy'}
+	| {readonly kind: 'unreachable'};
--- /dev/null
+++ b/packages/sessions/create-session-group.ts
@@ -0,0 +1,212 @@
+import type {LogPoint} from '@sapphirefall/decisions';
+import {addSample} from './add-sample.ts';
+import {createInstanceRuntime} from './create-instance-runtime.ts';
+import {findElapsed} from './find-elapsed.ts';
+import {findPrimary} from './find-primary.ts';
+import {findRequiredPosition} from './find-required-position.ts';
+import type {GroupRow} from './group-row.ts';
+import type {InstancePool} from './instance-pool.ts';
+import type {InstanceRuntime} from './instance-runtime.ts';
+import type {Instant} from './instant.ts';
+import type {OpenLink} from './open-link.ts';
+import type {PooledLink} from './pooled-link.ts';
+import type {PositionSample} from './position-sample.ts';
+import type {PrimaryView} from './primary-view.ts';
+import {rankReaders} from './rank-readers.ts';
+import type {SessionGroup} from './session-group.ts';
+import type {SessionLog} from './session-log.ts';
+import type {Versioned} from './versioned.ts';
+
+type Options = {
+	/** Availability zone of this host. */
+	readonly zone: string;
+	readonly openLink: OpenLink;
+	readonly now: () => Instant;
+	readonly log: SessionLog;
+	/** A workspace in whose name the primary may be asked for its position. */
+	readonly findWorkspace: () => string | undefined;
+};
+
+/** Milliseconds without a sample of the primary's position after which it is asked for one. */
+const sampleInterval = 600;
+
+/** Milliseconds within which the primary must answer when it is asked for its position. */
+const probeTimeout = 600;
+
+/** Creates what a host keeps of a group of instances. */
+export function createSessionGroup(name: string, options: Options): SessionGroup {
+	const {
+		zone, openLink, now, log, findWorkspace,
+	} = options;
+	const instances = new Map<string, InstanceRuntime>();
+	const waiters = new Set<() => void>();
+	let row: Versioned<GroupRow> | undefined;
+	let provenAt: Instant | undefined;
+	let fencedAt: number | undefined;
+	/** Epoch whose fence this host has promised to respect, whatever older rows say. */
+	let fencedEpoch = 0;
+	let isRegistered = false;
+	let samples: readonly PositionSample[] = [];
+	let isProbing = false;
+
+	const primary = () => findPrimary({
+		row: row !== undefined && row.epoch < fencedEpoch ? {...row, state: 'fencing'} : row, provenAt, fencedAt, isRegistered,
+	}, now());
+
+	const wake = () => {
+		for (const waiter of waiters) {
+			waiter();
+		}
+	};
+
+	const updateRow: SessionGroup['updateRow'] = (newer, newerProvenAt) => {
+		if (newer === undefined || (row !== undefined && newer.version < row.version)) {
+			return;
+		}
+
+		if (newer.epoch !== row?.epoch || newer.state !== row.state) {
+			log.info({
+				group: name, epoch: newer.epoch, state: newer.state, primary: newer.primary, successor: newer.successor, version: newer.version,
+			}, 'group: The store names the primary.');
+			fencedAt = newer.state === 'fencing' ? now().steady : undefined;
+			if (newer.epoch !== row?.epoch) {
+				samples = [];
+			}
+		}
+
+		row = newer;
+		provenAt = newerProvenAt;
+		wake();
+	};
+
+	const updateInstances: SessionGroup['updateInstances'] = (listed, limit) => {
+		for (const entry of listed) {
+			const known = instances.get(entry.id);
+			if (known === undefined) {
+				instances.set(entry.id, createInstanceRuntime(entry, {openLink, limit, now: () => now().steady}));
+			} else {
+				known.update(entry);
+				known.pool.setLimit(limit);
+			}
+		}
+
+		const ids = new Set(listed.map(({id}) => id));
+		for (const [id, instance] of instances) {
+			if (!ids.has(id) && row?.primary !== id) {
+				instances.delete(id);
+				instance.pool.close();
+			}
+		}
+	};
+
+	const listReaders = (required: LogPoint): readonly InstanceRuntime[] => {
+		const candidates = [...instances.values()]
+			.filter(instance => !instance.listed().isDeparting)
+			.map(instance => {
+				const {busy, waiting, limit} = instance.pool.load();
+				const {id, zone: instanceZone} = instance.listed();
+				return {
+					id,
+					isLocal: instanceZone === zone,
+					isPrimary: id === row?.primary,
+					health: instance.health(),
+					load: (busy + waiting) / Math.max(1, limit),
+				};
+			});
+		return rankReaders(candidates, {required, now: now().steady})
+			.map(({id}) => instances.get(id))
+			.filter(instance => instance !== undefined);
+	};
+
+	const noteAnswer: SessionGroup['noteAnswer'] = (instance, answer, asked) => {
+		const isSample = answer.kind === 'answered' && instance === row?.primary && asked.epoch === row.epoch && row.state === 'serving';
+		if (isSample && answer.position !== undefined) {
+			samples = addSample(samples, {askedAt: asked.at, position: answer.position});
+		}
+	};
+
+	const sample = async () => {
+		const view = primary();
+		const instance = view.kind === 'leased' ? instances.get(view.instance) : undefined;
+		const link = instance && await takeProbeLink(instance.pool, findWorkspace());
+		if (view.kind !== 'leased' || instance === undefined || link === undefined) {
+			return;
+		}
+
+		const at = now();
+		const answer = await instance.send(link, {kind: 'reset'}, probeTimeout);
+		link.values.clear();
+		link.prepared.clear();
+		instance.pool.release(link, answer.kind === 'answered' && answer.outcome.kind === 'done' && answer.state === 'idle');
+		noteAnswer(view.instance, answer, {at, epoch: view.epoch});
+	};
+
+	return {
+		name,
+		updateInstances,
+		updateRow,
+		setRegistered() {
+			isRegistered = true;
+			wake();
+		},
+		fence(epoch) {
+			if (epoch > fencedEpoch) {
+				fencedEpoch = epoch;
+				fencedAt = now().steady;
+			}
+		},
+		primary,
+		async waitForPrimary(timeout) {
+			const view = primary();
+			if (view.kind === 'leased' || timeout <= 0) {
+				return view;
+			}
+
+			return new Promise<PrimaryView>(resolve => {
+				const finish = () => {
+					clearTimeout(timer);
+					waiters.delete(check);
+					resolve(primary());
+				};
+
+				const check = () => {
+					if (primary().kind === 'leased') {
+						finish();
+					}
+				};
+
+				const timer = setTimeout(finish, timeout);
+				waiters.add(check);
+			});
+		},
+		findInstance: id => instances.get(id),
+		listInstances: () => [...instances.values()],
+		findRequired: read => row === undefined ? undefined : findRequiredPosition({samples, epoch: row.epoch, ...read}),
+		listReaders,
+		noteAnswer,
+		async probe() {
+			const last = samples.at(-1);
+			if (isProbing || (last !== undefined && findElapsed(last.askedAt, now()) < sampleInterval)) {
+				return;
+			}
+
+			isProbing = true;
+			try {
+				await sample();
+			} finally {
+				isProbing = false;
+			}
+		},
+	};
+}
+
+/** Takes an idle connection for a question, or opens one if there is none at all. */
+async function takeProbeLink(pool: InstancePool, workspace: string | undefined): Promise<PooledLink | undefined> {
+	const idle = pool.takeIdle();
+	if (idle !== undefined || pool.load().busy > 0 || workspace === undefined) {
+		return idle;
+	}
+
+	const outcome = await pool.acquire({workspace, priority: 0, timeout: 0});
+	return outcome.kind === 'acquired' ? outcome.link : undefined;
+}
--- /dev/null
+++ b/packages/sessions/create-transaction.ts
@@ -0,0 +1,169 @@
+import {createFailure} from './create-failure.ts';
+import type {InstanceAnswer} from './instance-answer.ts';
+import {openTransaction} from './open-transaction.ts';
+import type {Operation} from './operation.ts';
+import {runWork} from './run-work.ts';
+import type {StatementOutcome} from './statement-outcome.ts';
+import type {Transaction} from './transaction.ts';
+
+type Options = {
+	readonly isReadOnly: boolean;
+	/** Called when the transaction is ended because it stood idle. */
+	readonly onIdle: () => void;
+	/** Milliseconds for which it may stand idle. */
+	readonly idleLimit: number;
+};
+
+type Opened = Extract<Awaited<ReturnType<typeof openTransaction>>, {readonly kind: 'opened'}>;
+
+/** Milliseconds within which an instance must answer a rollback before the connection is closed instead. */
+const rollbackTimeout = 500;
+
+/**
+ * Creates a transaction; an instance hears of it with its first statement.
+ *
+ * Nothing of it is kept unless its commit was sent. So until then every failure is a promise, and after it a
+ * lost answer is not.
+ */
+export function createTransaction({isReadOnly, onIdle, idleLimit}: Options): Transaction {
+	let opened: Opened | undefined;
+	let isOver = false;
+	let hasWritten = false;
+	let endedBecause: string | undefined;
+	let idleTimer: NodeJS.Timeout | undefined;
+
+	const finish = async () => {
+		clearTimeout(idleTimer);
+		isOver = true;
+		const last = opened;
+		opened = undefined;
+		if (last !== undefined) {
+			const answer = await last.instance.send(last.pooled, {kind: 'rollback'}, rollbackTimeout);
+			last.instance.pool.release(last.pooled, answer.kind === 'answered' && answer.state === 'idle');
+		}
+	};
+
+	const startIdleTimer = () => {
+		clearTimeout(idleTimer);
+		idleTimer = setTimeout(() => {
+			endedBecause = `The transaction stood idle for ${idleLimit} ms`;
+			void finish();
+			onIdle();
+		}, idleLimit);
+	};
+
+	const ensureOpened = async (operation: Operation): Promise<StatementOutcome | undefined> => {
+		if (opened !== undefined) {
+			return undefined;
+		}
+
+		const begun = await openTransaction(operation, isReadOnly);
+		if (begun.kind === 'failed') {
+			isOver = true;
+			return begun.outcome;
+		}
+
+		opened = begun;
+		return undefined;
+	};
+
+	const isLeased = ({group}: Operation) => {
+		const view = group.primary();
+		return opened?.epoch === undefined || (view.kind === 'leased' && view.epoch === opened.epoch);
+	};
+
+	const abort = (reason: string) => {
+		void finish();
+		return createFailure('aborted', reason);
+	};
+
+	const judge = (answer: InstanceAnswer | {readonly kind: 'notSent'}): StatementOutcome => {
+		if (answer.kind !== 'answered') {
+			return abort(answer.kind === 'lost' ? answer.reason : 'The statement was not sent');
+		}
+
+		if (answer.outcome.kind === 'done' && answer.state === 'open') {
+			return answer.outcome;
+		}
+
+		const outcome = answer.outcome.kind === 'failed' && answer.outcome.code !== 'unknownStatement'
+			? answer.outcome
+			: createFailure('aborted', 'The instance ended the transaction');
+		void finish();
+		return outcome;
+	};
+
+	return {
+		async run(work, operation) {
+			clearTimeout(idleTimer);
+			const failure = await ensureOpened(operation);
+			if (failure !== undefined || opened === undefined) {
+				return failure ?? createFailure('aborted', 'The transaction is over');
+			}
+
+			hasWritten ||= work.access === 'write';
+			const {instance, pooled} = opened;
+			const answer = await runWork(pooled, {
+				operation,
+				instance,
+				work,
+				after: undefined,
+				isInTransaction: true,
+				timeout: Math.max(1, operation.deadline - operation.context.now().steady),
+				maySend: () => operation.isAllowed() && !isOver && (isReadOnly || isLeased(operation)),
+			});
+			operation.trace(`${instance.listed().id}: ${answer.kind}`);
+			const outcome = judge(answer);
+			if (outcome.kind === 'done') {
+				startIdleTimer();
+			}
+
+			return outcome;
+		},
+		async commit({id, text}, operation) {
+			clearTimeout(idleTimer);
+			const failure = await ensureOpened(operation);
+			if (failure !== undefined || opened === undefined) {
+				return failure ?? createFailure('aborted', 'The transaction is over');
+			}
+
+			if (!operation.isAllowed() || (hasWritten && !isLeased(operation))) {
+				return abort('The primary is being replaced, or the key no longer holds');
+			}
+
+			const {instance, pooled, epoch} = opened;
+			const askedAt = operation.context.now();
+			const answer = await instance.send(pooled, {kind: 'forward', id, text}, Math.max(1, operation.deadline - askedAt.steady));
+			operation.trace(`${instance.listed().id}: commit ${answer.kind}`);
+			isOver = true;
+			opened = undefined;
+			instance.pool.release(pooled, answer.kind === 'answered' && answer.state === 'idle');
+			if (answer.kind === 'lost') {
+				return hasWritten
+					? createFailure('unknown', `The commit may have run: ${answer.reason}`)
+					: createFailure('aborted', answer.reason);
+			}
+
+			if (answer.outcome.kind === 'failed') {
+				return answer.outcome;
+			}
+
+			if (!hasWritten) {
+				return answer.outcome;
+			}
+
+			const view = operation.group.primary();
+			if (epoch === undefined || answer.position === undefined || view.kind !== 'leased' || view.epoch !== epoch) {
+				return createFailure('unknown', 'The primary was replaced while the commit ran');
+			}
+
+			operation.group.noteAnswer(instance.listed().id, answer, {at: askedAt, epoch});
+			operation.setMark({epoch, position: answer.position});
+			return answer.outcome;
+		},
+		rollBack() {
+			void finish();
+		},
+		endedBecause: () => endedBecause,
+	};
+}
--- /dev/null
+++ b/packages/sessions/find-primary.ts
@@ -0,0 +1,36 @@
+import {findLeaseLeft} from './find-lease-left.ts';
+import type {GroupRow} from './group-row.ts';
+import type {Instant} from './instant.ts';
+import type {PrimaryView} from './primary-view.ts';
+
+type Known = {
+	readonly row: GroupRow | undefined;
+	/** Moment as of which the row is known. */
+	readonly provenAt: Instant | undefined;
+	/** Steady milliseconds since when a successor is being made, as seen here. */
+	readonly fencedAt: number | undefined;
+	/** Whether this host is registered in the store, so that a fence waits for it. */
+	readonly isRegistered: boolean;
+};
+
+/** Milliseconds that a replacement usually takes from the fence to the new primary. */
+const usualReplacement = 2500;
+
+/** Milliseconds after which the store should have answered again. */
+const usualProof = 500;
+
+/** Finds whether the primary of a group may be used now. */
+export function findPrimary({row, provenAt, fencedAt, isRegistered}: Known, now: Instant): PrimaryView {
+	if (row === undefined || provenAt === undefined || !isRegistered) {
+		return {kind: 'unavailable', reason: 'unknown', retryAfter: usualProof};
+	}
+
+	if (row.state === 'fencing') {
+		const elapsed = now.steady - (fencedAt ?? now.steady);
+		return {kind: 'unavailable', reason: 'fencing', retryAfter: Math.max(usualProof, usualReplacement - elapsed)};
+	}
+
+	return findLeaseLeft(provenAt, now) > 0
+		? {kind: 'leased', instance: row.primary, epoch: row.epoch}
+		: {kind: 'unavailable', reason: 'lapsed', retryAfter: usualProof};
+}
--- /dev/null
+++ b/packages/sessions/fleet-keys.ts
@@ -0,0 +1,6 @@
+/** Keys of the fleet's rows in the store. */
+export const fleetKeys = {
+	duty: 'duty',
+	groupPrefix: 'group/',
+	hostPrefix: 'host/',
+} as const;
--- /dev/null
+++ b/packages/sessions/follow-table.ts
@@ -0,0 +1,83 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {findProof} from './find-proof.ts';
+import type {Instant} from './instant.ts';
+import type {SessionLog} from './session-log.ts';
+import type {Store} from './store.ts';
+import type {StoreClock} from './store-clock.ts';
+import type {StoreRow} from './store-row.ts';
+import type {StoreTable} from './store-table.ts';
+
+type Options = {
+	readonly store: Store;
+	readonly table: StoreTable;
+	/** Milliseconds that a call may wait for changes. */
+	readonly wait: number;
+	/** Called with all rows of the table, and the moment as of which they are known. */
+	readonly onRows: (rows: ReadonlyMap<string, StoreRow>, provenAt: Instant) => void;
+	readonly log: SessionLog;
+	/** Ends the following. */
+	readonly signal: AbortSignal;
+};
+
+/** Milliseconds between two tries while the store does not answer, at the least and at the most. */
+const retryDelay = {first: 100, last: 400};
+
+/**
+ * Follows a table of the store until told to stop: reads it whole, then waits for changes.
+ *
+ * Whenever a call fails or the store has forgotten the history, the table is read whole again.
+ */
+export async function followTable({store, table, wait, onRows, log, signal}: Options): Promise<void> {
+	let rows = new Map<string, StoreRow>();
+	let version: number | undefined;
+	let clock: StoreClock | undefined;
+	let failures = 0;
+	while (!signal.aborted) {
+		const outcome = version === undefined
+			? await store.read(table)
+			: await store.follow(table, {after: version, wait});
+		if (outcome.kind !== 'done') {
+			failures++;
+			logFailure({table, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined, failures}, log);
+			version = undefined;
+			if (outcome.kind !== 'forgotten') {
+				await sleep(Math.min(retryDelay.last, retryDelay.first * failures) * (0.5 + (Math.random() / 2)));
+			}
+
+			continue;
+		}
+
+		if (failures > 0) {
+			log.info({table, failures}, 'store: The table can be read again.');
+			failures = 0;
+		}
+
+		const {value} = outcome;
+		rows = applyRows(version === undefined ? new Map() : rows, value.rows);
+		version = value.version;
+		const proof = findProof(clock, value);
+		({clock} = proof);
+		onRows(rows, proof.provenAt);
+	}
+}
+
+function logFailure(fields: {readonly table: StoreTable; readonly outcome: string; readonly reason: string | undefined; readonly failures: number}, log: SessionLog): void {
+	if (fields.failures === 1) {
+		log.warn(fields, 'store: The table cannot be read; it is tried again.');
+	} else {
+		log.debug(fields, 'store: The table still cannot be read.');
+	}
+}
+
+function applyRows(known: ReadonlyMap<string, StoreRow>, changed: readonly StoreRow[]): Map<string, StoreRow> {
+	const rows = new Map(known);
+	for (const row of changed) {
+		if (row.value === undefined) {
+			rows.delete(row.key);
+		} else {
+			rows.set(row.key, row);
+		}
+	}
+
+	return rows;
+}
--- /dev/null
+++ b/packages/sessions/instance-pool.ts
@@ -0,0 +1,26 @@
+import type {AcquireOutcome} from './acquire-outcome.ts';
+import type {PooledLink} from './pooled-link.ts';
+
+/** Who wants a connection, and for how long it may wait. */
+type Wish = {
+	readonly workspace: string;
+	/** 0 is the most urgent. */
+	readonly priority: number;
+	/** Milliseconds. */
+	readonly timeout: number;
+};
+
+/** The connections of this host to one instance. */
+export type InstancePool = {
+	readonly acquire: (wish: Wish) => Promise<AcquireOutcome>;
+	/** Gives a connection back; one that is not clean is closed. */
+	readonly release: (link: PooledLink, isClean: boolean) => void;
+	/** Takes an idle connection without waiting; undefined when there is none. */
+	readonly takeIdle: () => PooledLink | undefined;
+	readonly load: () => {readonly busy: number; readonly idle: number; readonly waiting: number; readonly limit: number};
+	readonly setLimit: (limit: number) => void;
+	/** Closes idle connections now and others when they are given back. */
+	readonly close: () => void;
+	/** Closes all connections at once, since the instance does not answer. */
+	readonly reset: () => void;
+};
--- /dev/null
+++ b/packages/sessions/instance-runtime.ts
@@ -0,0 +1,19 @@
+import type {LogPoint} from '@sapphirefall/decisions';
+import type {InstanceAnswer} from './instance-answer.ts';
+import type {InstanceHealth} from './instance-health.ts';
+import type {InstancePool} from './instance-pool.ts';
+import type {InstanceRequest} from './instance-request.ts';
+import type {ListedInstance} from './listed-instance.ts';
+import type {PooledLink} from './pooled-link.ts';
+
+/** An instance as a host uses it. */
+export type InstanceRuntime = {
+	readonly listed: () => ListedInstance;
+	readonly update: (listed: ListedInstance) => void;
+	readonly health: () => InstanceHealth;
+	readonly pool: InstancePool;
+	/** Sends a request and gives it up after `timeout` milliseconds, which closes the connection. */
+	readonly send: (link: PooledLink, request: InstanceRequest, timeout: number) => Promise<InstanceAnswer>;
+	/** Takes note that the instance said it lacks a position. */
+	readonly noteLag: (lacks: LogPoint) => void;
+};
--- /dev/null
+++ b/packages/sessions/operation.ts
@@ -0,0 +1,25 @@
+import type {Instant} from './instant.ts';
+import type {Route} from './route.ts';
+import type {SessionContext} from './session-context.ts';
+import type {SessionMark} from './session-mark.ts';
+import type {SessionGroup} from './session-group.ts';
+import type {SessionValues} from './session-values.ts';
+
+/** A single statement or a transaction under way. */
+export type Operation = {
+	readonly context: SessionContext;
+	readonly group: SessionGroup;
+	readonly route: Route;
+	readonly workspace: string;
+	readonly setup: SessionValues;
+	/** When the statement, or the beginning of the transaction, arrived. */
+	readonly arrivedAt: Instant;
+	/** Steady milliseconds at which the present statement must be answered. */
+	readonly deadline: number;
+	/** Whether the caller's key still holds; asked before each send. */
+	readonly isAllowed: () => boolean;
+	readonly mark: () => SessionMark | undefined;
+	readonly setMark: (mark: SessionMark) => void;
+	/** Adds a step to the trace of the statement. */
+	readonly trace: (step: string) => void;
+};
--- /dev/null
+++ b/packages/sessions/session-context.ts
@@ -0,0 +1,41 @@
+import type {FailureCode} from './failure-code.ts';
+import type {Instant} from './instant.ts';
+import type {Route} from './route.ts';
+import type {SessionGroup} from './session-group.ts';
+import type {SessionLog} from './session-log.ts';
+import type {StatementOutcome} from './statement-outcome.ts';
+
+/** Whether a caller may use a database now. */
+type Access =
+	| {readonly kind: 'allowed'; readonly route: Route; readonly workspace: string; readonly version: number}
+	| {readonly kind: 'denied'; readonly code: FailureCode; readonly reason: string};
+
+/** A statement that was answered, for logs and metrics. */
+type AnsweredStatement = {
+	readonly id: string;
+	readonly session: number;
+	readonly kind: string;
+	readonly database: string;
+	readonly workspace: string;
+	readonly outcome: StatementOutcome;
+	/** Milliseconds. */
+	readonly elapsed: number;
+	/** What was decided on the way. */
+	readonly trace: readonly string[];
+};
+
+/** What sessions use of their host. */
+export type SessionContext = {
+	readonly now: () => Instant;
+	/** Checks the route and the key by the newest configuration, if that is known to be fresh enough. */
+	readonly findAccess: (database: string, keyDigest: string) => Access;
+	/** Milliseconds for which a transaction may stand idle. */
+	readonly transactionIdle: () => number;
+	readonly findGroup: (name: string) => SessionGroup | undefined;
+	/** Takes one operation from the workspace's share; else says after how many milliseconds to come back. */
+	readonly takeOperation: (workspace: string) => {readonly isTaken: boolean; readonly retryAfter: number};
+	/** Whether the host is stopping. */
+	readonly isStopping: () => boolean;
+	readonly onAnswered: (answered: AnsweredStatement) => void;
+	readonly log: SessionLog;
+};
--- /dev/null
+++ b/packages/sessions/session-mark.ts
@@ -0,0 +1,8 @@
+import type {LogPoint} from '@sapphirefall/decisions';
+
+/** The last write of a session, which its later reads must see. */
+export type SessionMark = {
+	/** Epoch of the primary that acknowledged it. */
+	readonly epoch: number;
+	readonly position: LogPoint;
+};
--- /dev/null
+++ b/packages/sessions/store-row.ts
@@ -0,0 +1,8 @@
+/** A row of the platform's store. */
+export type StoreRow = {
+	readonly key: string;
+	/** Undefined for a row that was dropped. */
+	readonly value: string | undefined;
+	/** Version of the row's last change; 0 for a row that does not exist. */
+	readonly version: number;
+};
