--- a/packages/sessions/open-transaction.ts
+++ b/packages/sessions/open-transaction.ts
@@ -1,4 +1,5 @@
 import type {LogPoint} from '@sapphirefall/decisions';
+import {applySetup} from './apply-setup.ts';
 import {createBusy} from './create-busy.ts';
 import {hasNotRun} from './has-not-run.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
@@ -79,6 +80,14 @@
 	}
 
 	const {link: pooled} = acquired;
+	const isReady = await applySetup(pooled, {
+		setup: operation.setup, prepared: undefined, isInTransaction: false, send: async request => instance.send(pooled, request, beginTimeout),
+	});
+	if (!isReady) {
+		instance.pool.release(pooled, false);
+		return {kind: 'failed', outcome: createBusy(`Instance ${id} did not take the session's values`, 100)};
+	}
+
 	const askedAt: Instant = context.now();
 	const answer = await instance.send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeout, deadline - askedAt.steady)));
 	if (answer.kind === 'answered' && answer.outcome.kind === 'done' && answer.state === 'open') {
