--- /dev/null
+++ b/packages/hosts/create-fleet-service.ts
@@ -0,0 +1,80 @@
+import {create} from '@bufbuild/protobuf';
+import type {ServiceImpl} from '@connectrpc/connect';
+import type {FleetPeer, StoreTable} from '@sapphirefall/sessions';
+import {
+	FleetResponseSchema, serveMessages, type FleetRequest, type FleetResponse, type SessionHostService,
+} from '@sapphirefall/wire';
+
+type Answer = FleetResponse['answer'];
+
+/** Creates the service that hosts which serve sessions offer to each other. */
+export function createFleetService(own: FleetPeer): ServiceImpl<typeof SessionHostService> {
+	return {
+		async * call(messages) {
+			yield * serveMessages(messages, async message => answerCall(message, own));
+		},
+	};
+}
+
+/** Answers a call; one that fails gets an empty answer. */
+async function answerCall({id, call}: FleetRequest, own: FleetPeer): Promise<FleetResponse> {
+	try {
+		return create(FleetResponseSchema, {id, answer: await createAnswer(call, own) as Answer});
+	} catch {
+		return create(FleetResponseSchema, {id});
+	}
+}
+
+async function createAnswer(call: FleetRequest['call'], own: FleetPeer): Promise<unknown> {
+	switch (call.case) {
+		case 'readTables': {
+			const known = new Map(Object.entries(call.value.changedAt).map(([table, version]) => [table as StoreTable, Number(version)]));
+			const tables = await own.readTables(known);
+			return {
+				case: call.case,
+				value: {
+					tables: (tables ?? []).map(({
+						table, version, changedAt, age, rows,
+					}) => ({
+						table,
+						version: BigInt(version),
+						changedAt: BigInt(changedAt),
+						ageMs: age,
+						changed: rows !== undefined,
+						rows: rows?.map(row => ({key: row.key, value: row.value ?? '', version: BigInt(row.version)})) ?? [],
+					})),
+				},
+			};
+		}
+
+		case 'claimRates': {
+			const {host, incarnation, epoch, claims} = call.value;
+			const shares = await own.claimRates({
+				host,
+				incarnation: Number(incarnation),
+				epoch: Number(epoch),
+				claims: claims.map(({workspace, demand, held, heldMs}) => ({
+					workspace, demand, held, heldFor: heldMs,
+				})),
+			});
+			return {
+				case: call.case,
+				value: shares === undefined || shares === 'notHome'
+					? {home: false}
+					: {home: true, shares: [...shares.rates].map(([workspace, rate]) => ({workspace, rate})), spanMs: shares.span},
+			};
+		}
+
+		case 'fenceGroup': {
+			return {case: call.case, value: {fenced: await own.fenceGroup(call.value.group, Number(call.value.epoch)) ?? false}};
+		}
+
+		case 'confirmSilence': {
+			return {case: call.case, value: {silent: await own.confirmSilence(call.value.group, call.value.instance) ?? false}};
+		}
+
+		case undefined: {
+			return {case: undefined};
+		}
+	}
+}
--- a/packages/hosts/create-forwarder.ts
+++ b/packages/hosts/create-forwarder.ts
@@ -1,6 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import type {HybridClock} from '@sapphirefall/events';
-import {ForwardRequestSchema, type ForwardRequest, type ForwardResponse} from '@sapphirefall/wire';
+import {ForwardRequestSchema, type ForwardRequest, type ForwardResponse, HostService} from '@sapphirefall/wire';
 import {createHostChannel} from './create-host-channel.ts';
 import {decodeForwardAnswer} from './decode-forward-answer.ts';
 import {encodeForward} from './encode-forward.ts';
@@ -26,7 +26,8 @@
  * @param options Heartbeat times and the clock.
  */
 export function createForwarder(address: string, options: Options): Peer['forward'] {
-	const send = createHostChannel<ForwardRequest, ForwardResponse>(address, {
+	const send = createHostChannel<typeof HostService, ForwardRequest, ForwardResponse>(address, {
+		service: HostService,
 		open: (client, requests, signal) => client.forward(requests, {signal}),
 		heartbeat: {
 			createPing: id => create(ForwardRequestSchema, {id, ping: true}),
--- a/packages/hosts/create-host-channel.ts
+++ b/packages/hosts/create-host-channel.ts
@@ -1,12 +1,13 @@
+import type {DescService} from '@bufbuild/protobuf';
 import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
-import {
-	HostService, openChannel, type Channel, type ChannelOptions,
-} from '@sapphirefall/wire';
+import {openChannel, type Channel, type ChannelOptions} from '@sapphirefall/wire';
 
-type Options<Request, Response> = Omit<ChannelOptions<Request, Response>, 'open' | 'onClosed'> & {
+type Options<Service extends DescService, Request, Response> = Omit<ChannelOptions<Request, Response>, 'open' | 'onClosed'> & {
+	/** What the other host offers. */
+	readonly service: Service;
 	/** Opens the stream. */
-	readonly open: (client: Client<typeof HostService>, requests: AsyncIterable<Request>, signal: AbortSignal) => AsyncIterable<Response>;
+	readonly open: (client: Client<Service>, requests: AsyncIterable<Request>, signal: AbortSignal) => AsyncIterable<Response>;
 };
 
 /**
@@ -16,15 +17,15 @@
  * @param options How to open the stream, heartbeat times, and the clock.
  * @returns What sends a request on the channel.
  */
-export function createHostChannel<Request, Response extends {readonly id: number}>(
+export function createHostChannel<Service extends DescService, Request, Response extends {readonly id: number}>(
 	address: string,
-	options: Options<Request, Response>,
+	options: Options<Service, Request, Response>,
 ): Channel<Request, Response>['send'] {
 	let channel: Channel<Request, Response> | undefined;
 
 	const open = () => {
 		const sessions = new Http2SessionManager(address);
-		const client = createClient(HostService, createConnectTransport({
+		const client = createClient(options.service, createConnectTransport({
 			baseUrl: address, httpVersion: '2', sessionManager: sessions,
 		}));
 		return openChannel<Request, Response>({
--- a/packages/hosts/create-peer.ts
+++ b/packages/hosts/create-peer.ts
@@ -1,7 +1,7 @@
 import {create} from '@bufbuild/protobuf';
 import type {HybridClock} from '@sapphirefall/events';
 import {
-	BorrowRequestSchema, ConfirmRequestSchema, ControlRequestSchema, HandOverRequestSchema, runWithTimeout,
+	BorrowRequestSchema, ConfirmRequestSchema, ControlRequestSchema, HandOverRequestSchema, HostService, runWithTimeout,
 	StandRequestSchema, type ControlRequest, type ControlResponse,
 } from '@sapphirefall/wire';
 import {createForwarder} from './create-forwarder.ts';
@@ -42,7 +42,8 @@
  * @param options How long to wait for an answer, heartbeat times, and the clocks.
  */
 export function createPeer(address: string, options: Options): Peer {
-	const sendControl = createHostChannel<ControlRequest, ControlResponse>(address, {
+	const sendControl = createHostChannel<typeof HostService, ControlRequest, ControlResponse>(address, {
+		service: HostService,
 		open: (client, requests, signal) => client.control(requests, {signal}),
 		heartbeat: undefined,
 		idleSpan: options.idleSpan,
--- a/packages/hosts/mod.ts
+++ b/packages/hosts/mod.ts
@@ -1,6 +1,8 @@
 /** Other entry hosts as a peer: exchange, confirmation and forwarding. */
 export type * from './borrow-asked.ts';
 export type * from './borrow-granted.ts';
+export * from './create-fleet-peer.ts';
+export * from './create-fleet-service.ts';
 export * from './create-forwarder.ts';
 export * from './create-host-channel.ts';
 export * from './create-host-service.ts';
--- /dev/null
+++ b/packages/sessions/create-fleet-control.ts
@@ -0,0 +1,226 @@
+import {rankHosts} from '@sapphirefall/decisions';
+import type {FleetControl} from './fleet-control.ts';
+import {fleetKeys} from './fleet-keys.ts';
+import type {FleetPeer} from './fleet-peer.ts';
+import type {FleetRows} from './fleet-rows.ts';
+import {findReplacementReason} from './find-replacement-reason.ts';
+import type {GroupRow} from './group-row.ts';
+import type {HostRow} from './host-row.ts';
+import type {Instant} from './instant.ts';
+import {isMajoritySilent} from './is-majority-silent.ts';
+import type {ListedInstance} from './listed-instance.ts';
+import type {OrderPromotion} from './order-promotion.ts';
+import {replacePrimary} from './replace-primary.ts';
+import type {ReplacementReason} from './replacement-reason.ts';
+import type {SessionGroup} from './session-group.ts';
+import type {SessionLog} from './session-log.ts';
+import type {Store} from './store.ts';
+
+type Options = {
+	readonly own: HostRow;
+	readonly store: Store;
+	readonly listGroups: () => readonly SessionGroup[];
+	readonly listInstances: () => readonly ListedInstance[];
+	/** Whether what the platform lists is known to be recent. */
+	readonly isListFresh: () => boolean;
+	readonly findPeer: (host: string) => FleetPeer | undefined;
+	readonly orderPromotion: OrderPromotion;
+	/** Workspace in whose name instances are asked. */
+	readonly findWorkspace: () => string | undefined;
+	readonly now: () => Instant;
+	readonly log: SessionLog;
+};
+
+/** Milliseconds for which a host that is no longer registered may still hold leases. */
+const recentSpan = 5000;
+
+/** Milliseconds by which each host waits longer than the one before it, so that one alone replaces a primary. */
+const placeDelay = 300;
+
+/** Places after which hosts wait no longer. */
+const lastPlace = 8;
+
+/** Milliseconds within which an instance must answer when another host asks about it. */
+const confirmTimeout = 400;
+
+/** Milliseconds between two tries to register, or to name a first primary. */
+const retryInterval = 500;
+
+/** Hosts that are asked about a silent primary at most. */
+const votersLimit = 12;
+
+/** Creates a host's part in the control of the fleet. */
+export function createFleetControl(options: Options): FleetControl {
+	const {own, store, now, log} = options;
+	const recent = new Map<string, {readonly row: HostRow; readonly seenAt: number}>();
+	const reasonSince = new Map<string, {readonly reason: ReplacementReason; readonly since: number}>();
+	const busyGroups = new Set<string>();
+	let fleet: FleetRows | undefined;
+	let triedAt = 0;
+
+	const isRegistered = () => fleet?.hosts.get(own.name)?.incarnation === own.incarnation;
+
+	const register = async () => {
+		const key = `${fleetKeys.hostPrefix}${own.name}`;
+		const outcome = await store.commit({expected: new Map(), values: new Map([[key, JSON.stringify(own)]])});
+		log.info({incarnation: own.incarnation, outcome: outcome.kind}, 'host: The host registers in the store.');
+	};
+
+	/** Names the first primary of a group that has none in the store, as the instances see themselves. */
+	const nameFirstPrimary = async (group: string) => {
+		const primary = options.listInstances().find(entry => entry.group === group && entry.role === 'primary' && !entry.isDeparting);
+		if (primary === undefined) {
+			return;
+		}
+
+		const key = `${fleetKeys.groupPrefix}${group}`;
+		const row: GroupRow = {
+			epoch: 1, state: 'serving', primary: primary.id, successor: '', holder: own.name, token: 0,
+		};
+		const outcome = await store.commit({expected: new Map([[key, 0]]), values: new Map([[key, JSON.stringify(row)]])});
+		log.info({group, primary: primary.id, outcome: outcome.kind}, 'group: The first primary is named in the store.');
+	};
+
+	/** Place of this host among those that may replace primaries; the one that did so last comes first. */
+	const findPlace = () => {
+		const names = rankHosts('duty', [...fleet?.hosts.keys() ?? []]);
+		const holder = fleet?.duty?.holder;
+		const order = holder !== undefined && names.includes(holder) ? [holder, ...names.filter(name => name !== holder)] : names;
+		return Math.min(lastPlace, Math.max(0, order.indexOf(own.name)));
+	};
+
+	const hearsNothing = async (groupName: string, id: string): Promise<boolean> => {
+		const instance = options.listGroups().find(({name}) => name === groupName)?.findInstance(id);
+		const workspace = options.findWorkspace();
+		if (instance === undefined || workspace === undefined) {
+			return false;
+		}
+
+		const {heardAt, unansweredSince} = instance.health();
+		if (unansweredSince === undefined && now().steady - heardAt < confirmTimeout) {
+			return false;
+		}
+
+		const acquired = await instance.pool.acquire({workspace, priority: 0, timeout: confirmTimeout});
+		if (acquired.kind !== 'acquired') {
+			return acquired.kind === 'unreachable' || now().steady - instance.health().heardAt > confirmTimeout;
+		}
+
+		const answer = await instance.send(acquired.link, {kind: 'reset'}, confirmTimeout);
+		acquired.link.values.clear();
+		acquired.link.prepared.clear();
+		instance.pool.release(acquired.link, answer.kind === 'answered' && answer.state === 'idle');
+		return answer.kind === 'lost';
+	};
+
+	/** Asks other hosts whether they hear nothing of a primary either. */
+	const isConfirmed = async (group: string, primary: string): Promise<boolean> => {
+		const others = rankHosts(`vote/${group}`, [...fleet?.hosts.keys() ?? []]).filter(name => name !== own.name).slice(0, votersLimit);
+		const votes = await Promise.all([own.name, ...others].map(async name => {
+			const isSilent = name === own.name ? await hearsNothing(group, primary) : await options.findPeer(name)?.confirmSilence(group, primary);
+			return isSilent === undefined ? undefined : {zone: fleet?.hosts.get(name)?.zone ?? '', isSilent};
+		}));
+		const answered = votes.filter(vote => vote !== undefined);
+		const isSilent = isMajoritySilent(answered);
+		log.info({
+			group, primary, answered: answered.length, silent: answered.filter(vote => vote.isSilent).length, isSilent,
+		}, 'failover: Other hosts were asked about a silent primary.');
+		return isSilent;
+	};
+
+	const replace = async (group: SessionGroup, primary: string, reason: ReplacementReason) => {
+		const workspace = options.findWorkspace();
+		if (workspace === undefined || (reason === 'silent' && !await isConfirmed(group.name, primary))) {
+			return;
+		}
+
+		await replacePrimary({
+			group, reason, self: own.name, store, orderPromotion: options.orderPromotion, findPeer: options.findPeer, listRecentHosts, workspace, now, log,
+		});
+	};
+
+	const listRecentHosts = () => [...recent.values()]
+		.filter(({seenAt}) => now().steady - seenAt < recentSpan)
+		.map(({row}) => row);
+
+	const stepGroup = (group: SessionGroup) => {
+		const row = fleet?.groups.get(group.name);
+		if (row === undefined || busyGroups.has(group.name)) {
+			return;
+		}
+
+		const instance = group.findInstance(row.primary);
+		const at = now().steady;
+		const reason = findReplacementReason({
+			row,
+			isDeparting: instance?.listed().isDeparting ?? false,
+			missingSince: group.missingSince(row.primary),
+			health: instance?.health(),
+			fencedAt: group.fencedAt(),
+			isListFresh: options.isListFresh(),
+			now: at,
+		});
+		const before = reasonSince.get(group.name);
+		if (reason === undefined) {
+			reasonSince.delete(group.name);
+			return;
+		}
+
+		if (before?.reason !== reason) {
+			reasonSince.set(group.name, {reason, since: at});
+		}
+
+		if (at - (before?.reason === reason ? before.since : at) >= findPlace() * placeDelay) {
+			reasonSince.delete(group.name);
+			busyGroups.add(group.name);
+			void replace(group, row.primary, reason).finally(() => { // eslint-disable-line promise/prefer-await-to-then
+				busyGroups.delete(group.name);
+			});
+		}
+	};
+
+	return {
+		updateFleet(newer) {
+			fleet = newer;
+			for (const row of newer.hosts.values()) {
+				recent.set(row.name, {row, seenAt: now().steady});
+			}
+		},
+		step() {
+			const at = now().steady;
+			if (fleet !== undefined && at - triedAt > retryInterval) {
+				triedAt = at;
+				if (!isRegistered()) {
+					void register();
+				}
+
+				for (const group of options.listGroups()) {
+					if (!fleet.groups.has(group.name)) {
+						void nameFirstPrimary(group.name);
+					}
+				}
+			}
+
+			if (isRegistered()) {
+				for (const group of options.listGroups()) {
+					stepGroup(group);
+				}
+			}
+		},
+		isRegistered,
+		listRecentHosts,
+		async fenceGroup(group, epoch) {
+			const known = options.listGroups().find(({name}) => name === group);
+			known?.fence(epoch);
+			return known !== undefined;
+		},
+		confirmSilence: hearsNothing,
+		async leave() {
+			const key = `${fleetKeys.hostPrefix}${own.name}`;
+			const row = fleet?.hosts.get(own.name);
+			if (row?.incarnation === own.incarnation) {
+				await store.commit({expected: new Map([[key, row.version]]), values: new Map([[key, undefined]])});
+			}
+		},
+	};
+}
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -30,6 +30,9 @@
 /** Milliseconds without a sample of the primary's position after which it is asked for one. */
 const sampleInterval = 600;
 
+/** Milliseconds after which an instance that is no longer listed is given up; its entry may have lapsed by mistake. */
+const missingSpan = 2500;
+
 /** Milliseconds within which the primary must answer when it is asked for its position. */
 const probeTimeout = 600;
 
@@ -40,6 +43,8 @@
 	} = options;
 	const instances = new Map<string, InstanceRuntime>();
 	const waiters = new Set<() => void>();
+	/** Instances that the platform lists no more, and since when in steady milliseconds. */
+	const missing = new Map<string, number>();
 	let row: Versioned<GroupRow> | undefined;
 	let provenAt: Instant | undefined;
 	let fencedAt: number | undefined;
@@ -91,10 +96,24 @@
 		}
 
 		const ids = new Set(listed.map(({id}) => id));
-		for (const [id, instance] of instances) {
-			if (!ids.has(id) && row?.primary !== id) {
+		for (const id of ids) {
+			missing.delete(id);
+		}
+
+		for (const id of instances.keys()) {
+			if (!ids.has(id) && !missing.has(id)) {
+				missing.set(id, now().steady);
+			}
+		}
+	};
+
+	/** Gives up instances that are gone for good; the primary stays until it is replaced. */
+	const dropMissing = () => {
+		for (const [id, since] of missing) {
+			if (now().steady - since > missingSpan && row?.primary !== id) {
+				missing.delete(id);
+				instances.get(id)?.pool.close();
 				instances.delete(id);
-				instance.pool.close();
 			}
 		}
 	};
@@ -155,6 +174,8 @@
 				fencedAt = now().steady;
 			}
 		},
+		fencedAt: () => fencedAt,
+		missingSince: id => missing.get(id),
 		primary,
 		async waitForPrimary(timeout) {
 			const view = primary();
@@ -185,6 +206,7 @@
 		listReaders,
 		noteAnswer,
 		async probe() {
+			dropMissing();
 			const last = samples.at(-1);
 			if (isProbing || (last !== undefined && findElapsed(last.askedAt, now()) < sampleInterval)) {
 				return;
--- /dev/null
+++ b/packages/sessions/fleet-peer.ts
@@ -0,0 +1,42 @@
+import type {RateClaim} from './rate-claim.ts';
+import type {StoreRow} from './store-row.ts';
+import type {StoreTable} from './store-table.ts';
+
+/** A table as another host knows it. */
+type PeerTable = {
+	readonly table: StoreTable;
+	/** Version of the store as of which the rows are known. */
+	readonly version: number;
+	/** Version of the last change that is among them. */
+	readonly changedAt: number;
+	/** Milliseconds since the store confirmed this. */
+	readonly age: number;
+	/** Undefined when the asking host knows the last change. */
+	readonly rows: readonly StoreRow[] | undefined;
+};
+
+/** Claims of a host to shares of the rates. */
+type Claims = {
+	readonly host: string;
+	readonly incarnation: number;
+	/** Epoch of the home that is asked. */
+	readonly epoch: number;
+	readonly claims: readonly RateClaim[];
+};
+
+/** Shares that the home grants; undefined when the asked host is not the home. */
+type Shares = {
+	readonly rates: ReadonlyMap<string, number>;
+	/** Milliseconds for which the shares hold, from when they were asked for. */
+	readonly span: number;
+};
+
+/** What hosts ask each other. Each call is undefined when no answer came. */
+export type FleetPeer = {
+	readonly readTables: (changedAt: ReadonlyMap<StoreTable, number>) => Promise<readonly PeerTable[] | undefined>;
+	readonly claimRates: (claims: Claims) => Promise<Shares | 'notHome' | undefined>;
+	/** Asks the host to give up the primary of a group before an epoch; true once it has. */
+	readonly fenceGroup: (group: string, epoch: number) => Promise<boolean | undefined>;
+	/** Whether the host hears nothing of an instance either. */
+	readonly confirmSilence: (group: string, instance: string) => Promise<boolean | undefined>;
+};
--- a/packages/sessions/follow-table.ts
+++ b/packages/sessions/follow-table.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {findProof} from './find-proof.ts';
-import type {Instant} from './instant.ts';
+import type {KnownTable} from './known-table.ts';
 import type {SessionLog} from './session-log.ts';
 import type {Store} from './store.ts';
 import type {StoreClock} from './store-clock.ts';
@@ -12,8 +12,9 @@
 	readonly table: StoreTable;
 	/** Milliseconds that a call may wait for changes. */
 	readonly wait: number;
-	/** Called with all rows of the table, and the moment as of which they are known. */
-	readonly onRows: (rows: ReadonlyMap<string, StoreRow>, provenAt: Instant) => void;
+	/** What is known already, to go on from. */
+	readonly known: KnownTable | undefined;
+	readonly onTable: (known: KnownTable) => void;
 	readonly log: SessionLog;
 	/** Ends the following. */
 	readonly signal: AbortSignal;
@@ -27,19 +28,26 @@
  *
  * Whenever a call fails or the store has forgotten the history, the table is read whole again.
  */
-export async function followTable({store, table, wait, onRows, log, signal}: Options): Promise<void> {
-	let rows = new Map<string, StoreRow>();
-	let version: number | undefined;
+export async function followTable(options: Options): Promise<void> {
+	const {store, table, wait, onTable, log, signal} = options;
+	let {known} = options;
+	let isWhole = known !== undefined;
 	let clock: StoreClock | undefined;
 	let failures = 0;
 	while (!signal.aborted) {
-		const outcome = version === undefined
+		const outcome = known === undefined || !isWhole
 			? await store.read(table)
-			: await store.follow(table, {after: version, wait});
+			: await store.follow(table, {after: known.version, wait});
+		if (signal.aborted) {
+			return;
+		}
+
 		if (outcome.kind !== 'done') {
 			failures++;
-			logFailure({table, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined, failures}, log);
-			version = undefined;
+			logFailure({
+				table, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined, failures,
+			}, log);
+			isWhole = false;
 			if (outcome.kind !== 'forgotten') {
 				await sleep(Math.min(retryDelay.last, retryDelay.first * failures) * (0.5 + (Math.random() / 2)));
 			}
@@ -52,12 +60,17 @@
 			failures = 0;
 		}
 
-		const {value} = outcome;
-		rows = applyRows(version === undefined ? new Map() : rows, value.rows);
-		version = value.version;
-		const proof = findProof(clock, value);
+		const {rows, version} = outcome.value;
+		const proof = findProof(clock, outcome.value);
 		({clock} = proof);
-		onRows(rows, proof.provenAt);
+		known = {
+			rows: applyRows(isWhole ? known?.rows : undefined, rows),
+			version,
+			changedAt: known === undefined || !isWhole || rows.length > 0 ? version : known.changedAt,
+			provenAt: proof.provenAt,
+		};
+		isWhole = true;
+		onTable(known);
 	}
 }
 
@@ -69,7 +82,7 @@
 	}
 }
 
-function applyRows(known: ReadonlyMap<string, StoreRow>, changed: readonly StoreRow[]): Map<string, StoreRow> {
+function applyRows(known: ReadonlyMap<string, StoreRow> | undefined, changed: readonly StoreRow[]): ReadonlyMap<string, StoreRow> {
 	const rows = new Map(known);
 	for (const row of changed) {
 		if (row.value === undefined) {
--- /dev/null
+++ b/packages/sessions/home-row.ts
@@ -0,0 +1,8 @@
+/** Which host shares out the rates; one at a time over the fleet. */
+export type HomeRow = {
+	readonly holder: string;
+	/** Start of the holder's process. */
+	readonly incarnation: number;
+	/** Counts the homes. */
+	readonly epoch: number;
+};
--- a/packages/sessions/host-profile.ts
+++ b/packages/sessions/host-profile.ts
@@ -1,3 +1,5 @@
+import type {RateBound} from './rate-bound.ts';
+
 /** An address to listen on or to connect to. */
 type Address = {
 	readonly host: string;
@@ -22,6 +24,7 @@
 	readonly promotions: Address;
 	/** Milliseconds after which a withdrawn key must have stopped working everywhere. */
 	readonly revocationLimit: number;
+	readonly rateBound: RateBound;
 	/** Milliseconds from the request to stop until the process is killed. */
 	readonly graceSpan: number;
 };
--- a/packages/sessions/parse-fleet-rows.ts
+++ b/packages/sessions/parse-fleet-rows.ts
@@ -2,6 +2,7 @@
 import {fleetKeys} from './fleet-keys.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {GroupRow} from './group-row.ts';
+import type {HomeRow} from './home-row.ts';
 import type {HostRow} from './host-row.ts';
 import type {SessionLog} from './session-log.ts';
 import type {StoreRow} from './store-row.ts';
@@ -12,10 +13,13 @@
 	const groups = new Map<string, Versioned<GroupRow>>();
 	const hosts = new Map<string, Versioned<HostRow>>();
 	let duty: Versioned<DutyRow> | undefined;
+	let rateHome: Versioned<HomeRow> | undefined;
 	for (const {key, value = '', version} of rows) {
 		try {
 			if (key === fleetKeys.duty) {
 				duty = {...JSON.parse(value) as DutyRow, version};
+			} else if (key === fleetKeys.rateHome) {
+				rateHome = {...JSON.parse(value) as HomeRow, version};
 			} else if (key.startsWith(fleetKeys.groupPrefix)) {
 				groups.set(key.slice(fleetKeys.groupPrefix.length), {...JSON.parse(value) as GroupRow, version});
 			} else if (key.startsWith(fleetKeys.hostPrefix)) {
@@ -26,5 +30,7 @@
 		}
 	}
 
-	return {groups, hosts, duty};
+	return {
+		groups, hosts, duty, rateHome,
+	};
 }
--- /dev/null
+++ b/packages/sessions/parse-status.ts
@@ -0,0 +1,16 @@
+import type {InstanceStatus} from './instance-status.ts';
+
+/** Parses the row in which an instance tells its role, newest term, and received position. */
+export function parseStatus(row: string): InstanceStatus | undefined {
+	const [role, term, position = ''] = row.split(' ');
+	const match = /^(?<term>\d+)\.(?<number>\d+)$/v.exec(position);
+	if ((role !== 'primary' && role !== 'replica') || match === null) {
+		return undefined;
+	}
+
+	return {
+		role,
+		term: Number(term),
+		received: {term: Number(match.groups?.['term']), position: BigInt(match.groups?.['number'] ?? 0)},
+	};
+}
--- /dev/null
+++ b/packages/sessions/read-status.ts
@@ -0,0 +1,22 @@
+import type {InstanceRuntime} from './instance-runtime.ts';
+import type {InstanceStatus} from './instance-status.ts';
+import {parseStatus} from './parse-status.ts';
+
+type Options = {
+	/** Workspace in whose name the instance is asked. */
+	readonly workspace: string;
+	/** Milliseconds. */
+	readonly timeout: number;
+};
+
+/** Asks an instance for its role and the end of its log; undefined when it does not answer in time. */
+export async function readStatus(instance: InstanceRuntime, {workspace, timeout}: Options): Promise<InstanceStatus | undefined> {
+	const acquired = await instance.pool.acquire({workspace, priority: 0, timeout});
+	if (acquired.kind !== 'acquired') {
+		return undefined;
+	}
+
+	const answer = await instance.send(acquired.link, {kind: 'status'}, timeout);
+	instance.pool.release(acquired.link, answer.kind === 'answered' && answer.state === 'idle');
+	return answer.kind === 'answered' && answer.outcome.kind === 'done' ? parseStatus(answer.outcome.rows[0] ?? '') : undefined;
+}
--- a/packages/sessions/session-context.ts
+++ b/packages/sessions/session-context.ts
@@ -34,8 +34,6 @@
 	readonly findGroup: (name: string) => SessionGroup | undefined;
 	/** Takes one operation from the workspace's share; else says after how many milliseconds to come back. */
 	readonly takeOperation: (workspace: string) => {readonly isTaken: boolean; readonly retryAfter: number};
-	/** Whether the host is stopping. */
-	readonly isStopping: () => boolean;
 	readonly onAnswered: (answered: AnsweredStatement) => void;
 	readonly log: SessionLog;
 };
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -18,6 +18,10 @@
 	readonly setRegistered: () => void;
 	/** Gives the primary up at once, because a successor is being made. */
 	readonly fence: (epoch: number) => void;
+	/** Since when a successor is being made, in steady milliseconds. */
+	readonly fencedAt: () => number | undefined;
+	/** Since when the platform does not list an instance, in steady milliseconds. */
+	readonly missingSince: (id: string) => number | undefined;
 	readonly primary: () => PrimaryView;
 	/** Waits until the primary may be used, `timeout` milliseconds at most. */
 	readonly waitForPrimary: (timeout: number) => Promise<PrimaryView>;
--- /dev/null
+++ b/packages/sessions/share-state.ts
@@ -0,0 +1,19 @@
+import type {Instant} from './instant.ts';
+
+/** A host's share of a workspace's rate. */
+export type ShareState = {
+	/** Operations a second that the home granted. */
+	readonly rate: number;
+	/** When the share was asked for. */
+	readonly askedAt: Instant;
+	/** Milliseconds for which it holds from then. */
+	readonly span: number;
+	/** Operations that may run now. */
+	readonly level: number;
+	/** Steady milliseconds when the level was last brought up to date. */
+	readonly refilledAt: number;
+	/** Operations a second that callers ask for, smoothed. */
+	readonly demand: number;
+	/** Steady milliseconds when the demand was last brought up to date. */
+	readonly demandAt: number;
+};
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -1,28 +1,38 @@
-import {takeUnits, type TokenBucket} from '@sapphirefall/decisions';
+import {createFleetControl} from './create-fleet-control.ts';
+import {createRateShares} from './create-rate-shares.ts';
 import {createSession} from './create-session.ts';
 import {createSessionGroup} from './create-session-group.ts';
+import {createTableReader} from './create-table-reader.ts';
 import type {Directory} from './directory.ts';
 import {findAccess} from './find-access.ts';
-import {fleetKeys} from './fleet-keys.ts';
+import {findConnectionLimit} from './find-connection-limit.ts';
+import {findElapsed} from './find-elapsed.ts';
+import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
-import {followTable} from './follow-table.ts';
 import type {HostProfile} from './host-profile.ts';
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
 import type {KnownDirectory} from './known-directory.ts';
+import type {KnownTable} from './known-table.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenLink} from './open-link.ts';
+import type {OrderPromotion} from './order-promotion.ts';
 import {parseFleetRows} from './parse-fleet-rows.ts';
 import type {Session} from './session.ts';
 import type {SessionContext} from './session-context.ts';
 import type {SessionGroup} from './session-group.ts';
+import type {SessionHost} from './session-host.ts';
 import type {SessionLog} from './session-log.ts';
 import type {Store} from './store.ts';
+import type {StoreTable} from './store-table.ts';
 
 type Options = {
 	readonly profile: HostProfile;
 	readonly store: Store;
 	readonly openLink: OpenLink;
+	readonly orderPromotion: OrderPromotion;
+	/** Opens the way to another host. */
+	readonly createPeer: (address: string) => FleetPeer;
 	readonly decodeDirectory: (text: string) => Directory;
 	readonly decodeInstance: (id: string, text: string) => ListedInstance | undefined;
 	readonly now: () => Instant;
@@ -30,148 +40,159 @@
 	readonly onAnswered: SessionContext['onAnswered'];
 };
 
-/** A host that serves sessions. */
-type SessionHost = {
-	readonly openSession: (connection: Pick<Parameters<typeof createSession>[0], 'send' | 'close'>) => Session;
-	readonly isReady: () => boolean;
-	/** Stops taking work; resolves when no session is left, or the time is over. */
-	readonly stop: () => Promise<void>;
-};
+/** Milliseconds between two rounds of small tasks. */
+const tickInterval = 100;
 
-/** Milliseconds that calls which follow the tables may wait for changes. */
-const followWaits = {configuration: 1500, fleet: 1000, instances: 4000};
+/** Milliseconds for which what the platform lists counts as recent. */
+const listFreshness = 6500;
 
-/** Milliseconds between two rounds of small tasks. */
-const tickInterval = 200;
+/** Milliseconds for which sessions may go on idle after the request to stop, so that callers are sent elsewhere first. */
+const sessionGrace = 2200;
 
-/** Connections of an instance that are left to hosts which come and go. */
-const spareConnections = 4;
+/** Milliseconds left between the last session and the end of the process. */
+const exitMargin = 1200;
 
-/** Starts a host that serves sessions: it follows the store, and takes callers once it knows enough. */
+/** Starts a host that serves sessions: it learns what the store holds, and takes callers once it knows enough. */
 export function startSessionHost(options: Options): SessionHost {
 	const {profile, store, now, log} = options;
-	const stopping = new AbortController();
 	const groups = new Map<string, SessionGroup>();
 	const sessions = new Set<Session>();
-	const buckets = new Map<string, TokenBucket>();
-	const incarnation = Math.trunc(now().wall);
+	const peers = new Map<string, {readonly address: string; readonly peer: FleetPeer}>();
+	const tables = new Map<StoreTable, KnownTable>();
+	const own: HostRow = {
+		name: profile.name, zone: profile.zone, address: `${profile.listen.hosts.host}:${profile.listen.hosts.port}`, incarnation: Math.trunc(now().wall),
+	};
 	let known: KnownDirectory | undefined;
-	let listed: ReadonlyMap<string, ListedInstance> = new Map();
-	let fleet: FleetRows = {groups: new Map(), hosts: new Map(), duty: undefined};
-	let fleetProvenAt: Instant | undefined;
+	let directoryRowVersion = -1;
+	let listed: readonly ListedInstance[] = [];
+	let fleet: FleetRows | undefined;
 	let sessionCount = 0;
-	let isRegistered = false;
+	let isStopping = false;
 
 	const findWorkspace = () => known?.directory.limits.keys().next().value;
 
-	const countHosts = () => Math.max(1, fleet.hosts.size);
-
-	const updateGroups = () => {
-		if (known === undefined) {
-			return;
+	const findPeer = (name: string): FleetPeer | undefined => {
+		const address = fleet?.hosts.get(name)?.address;
+		const before = peers.get(name);
+		if (address === undefined || before?.address === address) {
+			return before?.peer;
 		}
 
-		for (const [name, cap] of known.directory.connectionCaps) {
+		const peer = options.createPeer(address);
+		peers.set(name, {address, peer});
+		return peer;
+	};
+
+	const control = createFleetControl({
+		own,
+		store,
+		listGroups: () => [...groups.values()],
+		listInstances: () => listed,
+		isListFresh() {
+			const table = tables.get('instances');
+			return table !== undefined && findElapsed(table.provenAt, now()) < listFreshness;
+		},
+		findPeer,
+		orderPromotion: options.orderPromotion,
+		findWorkspace,
+		now,
+		log,
+	});
+
+	const rates = createRateShares({
+		self: own.name,
+		incarnation: own.incarnation,
+		bound: profile.rateBound,
+		findLimits: () => known?.directory.limits ?? new Map(),
+		findPeer,
+		findFleetProof: () => tables.get('fleet')?.provenAt,
+		store,
+		now,
+		log,
+	});
+
+	const updateGroups = () => {
+		for (const [name, cap] of known?.directory.connectionCaps ?? []) {
 			const group = groups.get(name) ?? createSessionGroup(name, {
 				zone: profile.zone, openLink: options.openLink, now, log, findWorkspace,
 			});
 			groups.set(name, group);
-			const limit = Math.max(1, Math.floor((cap - spareConnections) / countHosts()));
-			group.updateInstances([...listed.values()].filter(entry => entry.group === name), limit);
-			if (isRegistered) {
+			group.updateInstances(listed.filter(entry => entry.group === name), findConnectionLimit(cap, fleet?.hosts.size ?? 1));
+			if (control.isRegistered()) {
 				group.setRegistered();
 			}
 
-			if (fleetProvenAt !== undefined) {
-				group.updateRow(fleet.groups.get(name), fleetProvenAt);
-			}
-		}
-	};
-
-	const register = async () => {
-		const key = `${fleetKeys.hostPrefix}${profile.name}`;
-		const row: HostRow = {
-			name: profile.name, zone: profile.zone, address: `${profile.listen.hosts.host}:${profile.listen.hosts.port}`, incarnation,
-		};
-		const outcome = await store.commit({expected: new Map(), values: new Map([[key, JSON.stringify(row)]])});
-		if (outcome.kind === 'done') {
-			log.info({incarnation}, 'host: The host is registered in the store.');
-		}
-	};
-
-	/** Names the first primary of each group that has none in the store, as the instances see themselves. */
-	const nameFirstPrimaries = async () => {
-		for (const name of groups.keys()) {
-			const primary = [...listed.values()].find(entry => entry.group === name && entry.role === 'primary' && !entry.isDeparting);
-			if (fleet.groups.has(name) || primary === undefined) {
-				continue;
+			const fleetTable = tables.get('fleet');
+			if (fleetTable !== undefined) {
+				group.updateRow(fleet?.groups.get(name), fleetTable.provenAt);
 			}
-
-			const key = `${fleetKeys.groupPrefix}${name}`;
-			const row = {
-				epoch: 1, state: 'serving', primary: primary.id, successor: '', holder: profile.name, token: 0,
-			};
-			const outcome = await store.commit({expected: new Map([[key, 0]]), values: new Map([[key, JSON.stringify(row)]])});
-			log.info({group: name, primary: primary.id, outcome: outcome.kind}, 'group: The first primary is named in the store.');
 		}
 	};
 
-	const follow = (table: keyof typeof followWaits, onRows: Parameters<typeof followTable>[0]['onRows']) => {
-		void followTable({
-			store, table, wait: followWaits[table], onRows, log, signal: stopping.signal,
-		});
-	};
-
-	follow('configuration', (rows, provenAt) => {
+	const takeConfiguration = ({rows, provenAt}: KnownTable) => {
 		const row = rows.get('config');
 		if (row?.value === undefined) {
 			return;
 		}
 
-		if (known !== undefined && known.directory.version !== 0 && row.version === directoryRowVersion) {
+		if (known !== undefined && row.version === directoryRowVersion) {
 			known = {...known, provenAt};
 			return;
 		}
 
 		try {
 			const directory = options.decodeDirectory(row.value);
-			directoryRowVersion = row.version;
 			if (known === undefined || directory.version >= known.directory.version) {
+				directoryRowVersion = row.version;
 				known = {directory, provenAt};
 				log.info({version: directory.version, routes: directory.routes.size, workspaces: directory.limits.size}, 'configuration: A version is in force.');
 			}
-
-			updateGroups();
 		} catch (error) {
 			log.warn({version: row.version, error: (error as Error).message}, 'configuration: A version cannot be read; the older one stays.');
 		}
-	});
-	let directoryRowVersion = -1;
+	};
 
-	follow('instances', rows => {
-		const entries = [...rows].map(([id, row]) => options.decodeInstance(id, row.value ?? '')).filter(entry => entry !== undefined);
-		listed = new Map(entries.map(entry => [entry.id, entry]));
-		updateGroups();
-	});
+	const takeInstances = ({rows}: KnownTable) => {
+		listed = [...rows]
+			.map(([id, row]) => options.decodeInstance(id, row.value ?? ''))
+			.filter(entry => entry !== undefined);
+	};
 
-	follow('fleet', (rows, provenAt) => {
+	const takeFleet = ({rows}: KnownTable) => {
 		fleet = parseFleetRows(rows.values(), log);
-		fleetProvenAt = provenAt;
-		const own = fleet.hosts.get(profile.name);
-		isRegistered = own?.incarnation === incarnation;
+		control.updateFleet(fleet);
+		rates.updateFleet(fleet);
+	};
+
+	const takeTable = (table: StoreTable, newer: KnownTable) => {
+		const before = tables.get(table);
+		tables.set(table, newer);
+		if (table === 'configuration') {
+			takeConfiguration(newer);
+		} else if (before?.rows !== newer.rows) {
+			(table === 'instances' ? takeInstances : takeFleet)(newer);
+		}
+
 		updateGroups();
+	};
+
+	const reader = createTableReader({
+		self: own.name,
+		zone: own.zone,
+		store,
+		listHosts: () => [...fleet?.hosts.values() ?? []],
+		findPeer,
+		onTable: takeTable,
+		now,
+		log,
 	});
 
 	const tick = () => {
+		control.step();
+		rates.step();
 		for (const group of groups.values()) {
 			void group.probe();
 		}
-
-		if (fleetProvenAt !== undefined && !isRegistered) {
-			void register();
-		}
-
-		void nameFirstPrimaries();
 	};
 
 	const timer = setInterval(tick, tickInterval);
@@ -183,19 +204,7 @@
 		}),
 		transactionIdle: () => known?.directory.transactionIdle ?? 0,
 		findGroup: name => groups.get(name),
-		takeOperation(workspace) {
-			const limits = known?.directory.limits.get(workspace);
-			if (limits === undefined) {
-				return {isTaken: true, retryAfter: 0};
-			}
-
-			const {bucket, isTaken, retryAfter} = takeUnits(buckets.get(workspace), {
-				cost: 1, rate: limits.rate, burst: limits.burst, now: now().steady,
-			});
-			buckets.set(workspace, bucket);
-			return {isTaken, retryAfter};
-		},
-		isStopping: () => stopping.signal.aborted,
+		takeOperation: rates.takeOperation,
 		onAnswered: options.onAnswered,
 		log,
 	};
@@ -221,13 +230,40 @@
 				},
 			};
 		},
-		isReady: () => !stopping.signal.aborted && known !== undefined && listed.size > 0 && isRegistered,
+		isReady: () => !isStopping && known !== undefined && listed.length > 0 && control.isRegistered(),
+		peer: {
+			readTables: reader.readTables,
+			claimRates: rates.claimRates,
+			fenceGroup: control.fenceGroup,
+			confirmSilence: control.confirmSilence,
+		},
 		async stop() {
-			stopping.abort();
-			clearInterval(timer);
+			isStopping = true;
+			log.info({sessions: sessions.size}, 'host: The host stops; it takes no new callers.');
+			await wait(sessionGrace);
 			for (const session of sessions) {
 				session.stop();
 			}
+
+			const until = now().steady + profile.graceSpan - sessionGrace - exitMargin;
+			while (sessions.size > 0 && now().steady < until) {
+				await wait(tickInterval);
+			}
+
+			for (const session of sessions) {
+				session.abort();
+			}
+
+			await Promise.race([control.leave(), wait(exitMargin / 2)]);
+			clearInterval(timer);
+			reader.stop();
+			log.info({}, 'host: The host has stopped.');
 		},
 	};
 }
+
+async function wait(milliseconds: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
--- a/packages/wire/mod.ts
+++ b/packages/wire/mod.ts
@@ -19,6 +19,7 @@
 export * from './serve-messages.ts';
 export * from './gen/caller_pb.ts';
 export * from './gen/endpoint_pb.ts';
+export * from './gen/fleet_pb.ts';
 export * from './gen/host_pb.ts';
 export * from './gen/operator_pb.ts';
 export * from './gen/platform_pb.ts';
