--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -1,5 +1,6 @@
 import {allotRates} from './allot-rates.ts';
 import {findRateHomePlace} from './find-rate-home-place.ts';
+import {createShareState} from './create-share-state.ts';
 import {findElapsed} from './find-elapsed.ts';
 import {findHeldRate} from './find-held-rate.ts';
 import {findLeaseLeft} from './find-lease-left.ts';
@@ -46,6 +47,9 @@
 /** Milliseconds without an answer of the home after which another host takes its place. */
 const homeSilence = 1500;
 
+/** Workspaces at most for which shares are held before callers ask. */
+const expectedLimit = 200;
+
 /** Creates a host's shares of the rates. */
 export function createRateShares(options: Options): RateShares {
 	const {self, incarnation, bound, now, log} = options;
@@ -87,6 +91,16 @@
 		return {rates: allotted.rates, span: shareSpan};
 	};
 
+	/** Holds shares before the first callers come, as long as there are not too many workspaces for that. */
+	const addExpected = () => {
+		const limits = options.findLimits();
+		for (const workspace of limits.size <= expectedLimit ? limits.keys() : []) {
+			if (!shares.has(workspace)) {
+				shares.set(workspace, createShareState(now()));
+			}
+		}
+	};
+
 	const createClaims = (): readonly RateClaim[] => [...shares].map(([workspace, share]) => {
 		const held = findHeldRate(share, now());
 		const faded = share.demand * Math.exp(-(now().steady - share.demandAt) / 1500);
@@ -110,6 +124,7 @@
 		isClaiming = true;
 		claimedAt = now().steady;
 		const askedAt = now();
+		addExpected();
 		const message = {
 			host: self, incarnation, epoch: row.epoch, claims: createClaims(),
 		};
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -16,6 +16,7 @@
 export * from './create-rate-shares.ts';
 export * from './create-session-group.ts';
 export * from './create-session.ts';
+export * from './create-share-state.ts';
 export * from './create-table-reader.ts';
 export * from './create-transaction.ts';
 export type * from './directory.ts';
--- a/packages/sessions/take-operation.ts
+++ b/packages/sessions/take-operation.ts
@@ -1,3 +1,4 @@
+import {createShareState} from './create-share-state.ts';
 import {findHeldRate} from './find-held-rate.ts';
 import {findSpareOperations} from './find-spare-operations.ts';
 import type {Instant} from './instant.ts';
@@ -47,7 +48,7 @@
 	const {
 		limits, bound, hostCount, now,
 	} = options;
-	const old = share ?? createShare(now);
+	const old = share ?? createShareState(now);
 	const spare = findSpareOperations(limits, bound);
 	const held = findHeldRate(old, now).rate;
 	const unasked = unaskedPart * spare * millisecondsPerSecond / bound.window / hostCount;
@@ -64,13 +65,6 @@
 	return {share: known, isTaken: false, retryAfter: Math.max(leastRetry, Math.min(mostRetry, wait))};
 }
 
-/** A new share is empty, so that a host that restarts grants nothing twice. */
-function createShare(now: Instant): ShareState {
-	return {
-		rate: 0, askedAt: now, span: 0, level: 0, refilledAt: now.steady, demand: 0, demandAt: now.steady,
-	};
-}
-
 function addDemand(share: ShareState, now: Instant): ShareState {
 	const elapsed = Math.max(0, now.steady - share.demandAt);
 	const faded = share.demand * Math.exp(-elapsed / demandFade);
