--- a/packages/sessions/allot-rates.ts
+++ b/packages/sessions/allot-rates.ts
@@ -58,7 +58,10 @@
 		});
 	}
 
-	return {home: {...home, hosts: new Map(home.hosts).set(host, holdings)}, rates};
+	return {
+		home: {...home, hosts: new Map(home.hosts).set(host, holdings), heardAt: new Map(home.heardAt).set(host, now)},
+		rates,
+	};
 }
 
 function listOthers({hosts}: RateHome, workspace: string, host: string) {
--- a/packages/sessions/create-fleet-control.ts
+++ b/packages/sessions/create-fleet-control.ts
@@ -7,6 +7,7 @@
 import type {GroupRow} from './group-row.ts';
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
+import {isAnswering} from './is-answering.ts';
 import {isMajoritySilent} from './is-majority-silent.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OrderPromotion} from './order-promotion.ts';
@@ -15,6 +16,7 @@
 import type {SessionGroup} from './session-group.ts';
 import type {SessionLog} from './session-log.ts';
 import type {Store} from './store.ts';
+import type {Versioned} from './versioned.ts';
 
 type Options = {
 	readonly own: HostRow;
@@ -25,6 +27,8 @@
 	readonly isListFresh: () => boolean;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
 	readonly orderPromotion: OrderPromotion;
+	/** Registered hosts that have not been heard of for long, as far as this host has to know. */
+	readonly listSilentHosts: () => readonly string[];
 	/** Workspace in whose name instances are asked. */
 	readonly findWorkspace: () => string | undefined;
 	readonly now: () => Instant;
@@ -41,7 +45,7 @@
 const lastPlace = 8;
 
 /** Milliseconds within which an instance must answer when another host asks about it. */
-const confirmTimeout = 400;
+const confirmTimeout = 300;
 
 /** Milliseconds between two tries to register, or to name a first primary. */
 const retryInterval = 500;
@@ -56,6 +60,8 @@
 	const reasonSince = new Map<string, {readonly reason: ReplacementReason; readonly since: number}>();
 	const busyGroups = new Set<string>();
 	let fleet: FleetRows | undefined;
+	/** Hosts that are marked as gone, and since when in steady milliseconds. */
+	const marked = new Map<string, number>();
 	let triedAt = 0;
 
 	const isRegistered = () => fleet?.hosts.get(own.name)?.incarnation === own.incarnation;
@@ -89,6 +95,7 @@
 		return Math.min(lastPlace, Math.max(0, order.indexOf(own.name)));
 	};
 
+	/** Whether this host hears nothing of an instance, after asking it if there is no evidence yet. */
 	const hearsNothing = async (groupName: string, id: string): Promise<boolean> => {
 		const instance = options.listGroups().find(({name}) => name === groupName)?.findInstance(id);
 		const workspace = options.findWorkspace();
@@ -97,20 +104,12 @@
 		}
 
 		const {heardAt, unansweredSince} = instance.health();
-		if (unansweredSince === undefined && now().steady - heardAt < confirmTimeout) {
-			return false;
-		}
-
-		const acquired = await instance.pool.acquire({workspace, priority: 0, timeout: confirmTimeout});
-		if (acquired.kind !== 'acquired') {
-			return acquired.kind === 'unreachable' || now().steady - instance.health().heardAt > confirmTimeout;
+		const at = now().steady;
+		if (unansweredSince !== undefined && at - unansweredSince > confirmTimeout) {
+			return true;
 		}
 
-		const answer = await instance.send(acquired.link, {kind: 'reset'}, confirmTimeout);
-		acquired.link.values.clear();
-		acquired.link.prepared.clear();
-		instance.pool.release(acquired.link, answer.kind === 'answered' && answer.state === 'idle');
-		return answer.kind === 'lost';
+		return at - heardAt >= confirmTimeout && !await isAnswering(instance, {workspace, timeout: confirmTimeout});
 	};
 
 	/** Asks other hosts whether they hear nothing of a primary either. */
@@ -139,6 +138,41 @@
 		});
 	};
 
+	/**
+	 * Takes hosts that are gone out of the store, in two steps: a host that is marked gets no lease any more, and
+	 * its row is dropped when the leases that it may still have are over.
+	 */
+	const removeSilentHosts = async () => {
+		const at = now().steady;
+		for (const name of options.listSilentHosts()) {
+			const row = fleet?.hosts.get(name);
+			if (row !== undefined) {
+				await changeHost(row, {...row, isGone: true});
+				marked.set(name, at);
+			}
+		}
+
+		for (const row of isRemover() ? fleet?.goneHosts.values() ?? [] : []) {
+			const markedAt = marked.get(row.name) ?? at;
+			marked.set(row.name, markedAt);
+			if (at - markedAt > recentSpan) {
+				await changeHost(row, undefined);
+				marked.delete(row.name);
+			}
+		}
+	};
+
+	const isRemover = () => fleet?.rateHome?.holder === own.name;
+
+	const changeHost = async ({version, name}: Versioned<HostRow>, value: HostRow | undefined) => {
+		const key = `${fleetKeys.hostPrefix}${name}`;
+		const outcome = await store.commit({
+			expected: new Map([[key, version]]),
+			values: new Map([[key, value && JSON.stringify({...value, version: undefined})]]),
+		});
+		log.info({name, isDropped: value === undefined, outcome: outcome.kind}, 'host: A host that was not heard of for long is taken out of the store.');
+	};
+
 	const listRecentHosts = () => [...recent.values()]
 		.filter(({seenAt}) => now().steady - seenAt < recentSpan)
 		.map(({row}) => row);
@@ -190,6 +224,7 @@
 			const at = now().steady;
 			if (fleet !== undefined && at - triedAt > retryInterval) {
 				triedAt = at;
+				void removeSilentHosts();
 				if (!isRegistered()) {
 					void register();
 				}
--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -33,10 +33,10 @@
 };
 
 /** Milliseconds for which shares hold: long enough to outlast a cut, short enough that a lost host's share comes back. */
-const shareSpan = 8000;
+const shareSpan = 3000;
 
 /** Milliseconds by which the home takes a share to last longer than its holder does. */
-const spanMargin = 500;
+const spanMargin = 300;
 
 /** Milliseconds between two claims of a host. */
 const claimInterval = 700;
@@ -47,6 +47,9 @@
 /** Milliseconds without an answer of the home after which another host takes its place. */
 const homeSilence = 1500;
 
+/** Milliseconds without a claim after which a host counts as silent. */
+const hostSilence = 10_000;
+
 /** Workspaces at most for which shares are held before callers ask. */
 const expectedLimit = 200;
 
@@ -75,7 +78,7 @@
 		}
 
 		if (home?.epoch !== row.epoch) {
-			home = {epoch: row.epoch, startedAt: now().steady, hosts: new Map()};
+			home = {epoch: row.epoch, startedAt: now().steady, hosts: new Map(), heardAt: new Map()};
 		}
 
 		const allotted = allotRates(home, {
@@ -180,6 +183,15 @@
 			return {isTaken, retryAfter};
 		},
 		claimRates,
+		listSilentHosts() {
+			const at = now().steady;
+			const begun = home;
+			if (begun === undefined || !hasHomeLease() || at - begun.startedAt < hostSilence) {
+				return [];
+			}
+
+			return [...fleet?.hosts.keys() ?? []].filter(host => host !== self && at - (begun.heardAt.get(host) ?? begun.startedAt) > hostSilence);
+		},
 		updateFleet(newer) {
 			if (newer.rateHome?.epoch !== fleet?.rateHome?.epoch) {
 				log.info({holder: newer.rateHome?.holder, epoch: newer.rateHome?.epoch}, 'rates: The store names the host that shares out the rates.');
--- a/packages/sessions/fleet-rows.ts
+++ b/packages/sessions/fleet-rows.ts
@@ -7,7 +7,10 @@
 /** The fleet's own rows. */
 export type FleetRows = {
 	readonly groups: ReadonlyMap<string, Versioned<GroupRow>>;
+	/** Hosts in use, by name. */
 	readonly hosts: ReadonlyMap<string, Versioned<HostRow>>;
+	/** Hosts that were not heard of for long; they may hold leases for a little while. */
+	readonly goneHosts: ReadonlyMap<string, Versioned<HostRow>>;
 	readonly duty: Versioned<DutyRow> | undefined;
 	readonly rateHome: Versioned<HomeRow> | undefined;
 };
--- a/packages/sessions/host-row.ts
+++ b/packages/sessions/host-row.ts
@@ -6,4 +6,6 @@
 	readonly address: string;
 	/** Differs at each start of the process. */
 	readonly incarnation: number;
+	/** Whether the host was not heard of for long; it may hold leases for a little while. */
+	readonly isGone?: boolean;
 };
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -53,6 +53,7 @@
 export type * from './instance-runtime.ts';
 export type * from './instance-status.ts';
 export type * from './instant.ts';
+export * from './is-answering.ts';
 export * from './is-majority-silent.ts';
 export type * from './known-directory.ts';
 export type * from './known-table.ts';
--- a/packages/sessions/parse-fleet-rows.ts
+++ b/packages/sessions/parse-fleet-rows.ts
@@ -12,6 +12,7 @@
 export function parseFleetRows(rows: Iterable<StoreRow>, log: SessionLog): FleetRows {
 	const groups = new Map<string, Versioned<GroupRow>>();
 	const hosts = new Map<string, Versioned<HostRow>>();
+	const goneHosts = new Map<string, Versioned<HostRow>>();
 	let duty: Versioned<DutyRow> | undefined;
 	let rateHome: Versioned<HomeRow> | undefined;
 	for (const {key, value = '', version} of rows) {
@@ -23,7 +24,8 @@
 			} else if (key.startsWith(fleetKeys.groupPrefix)) {
 				groups.set(key.slice(fleetKeys.groupPrefix.length), {...JSON.parse(value) as GroupRow, version});
 			} else if (key.startsWith(fleetKeys.hostPrefix)) {
-				hosts.set(key.slice(fleetKeys.hostPrefix.length), {...JSON.parse(value) as HostRow, version});
+				const row = {...JSON.parse(value) as HostRow, version};
+				(row.isGone === true ? goneHosts : hosts).set(row.name, row);
 			}
 		} catch (error) {
 			log.warn({key, version, error: (error as Error).message}, 'store: A row of the fleet cannot be read and is left out.');
@@ -31,6 +33,6 @@
 	}
 
 	return {
-		groups, hosts, duty, rateHome,
+		groups, hosts, goneHosts, duty, rateHome,
 	};
 }
--- a/packages/sessions/rate-home.ts
+++ b/packages/sessions/rate-home.ts
@@ -4,6 +4,8 @@
 	readonly epoch: number;
 	/** Steady milliseconds when this home began. */
 	readonly startedAt: number;
+	/** Steady milliseconds of each host's last claim. */
+	readonly heardAt: ReadonlyMap<string, number>;
 	/** By host; those that have not claimed since the home began are absent. */
 	readonly hosts: ReadonlyMap<string, ReadonlyMap<string, Holding>>;
 };
--- a/packages/sessions/rate-shares.ts
+++ b/packages/sessions/rate-shares.ts
@@ -7,6 +7,8 @@
 	readonly takeOperation: (workspace: string) => {readonly isTaken: boolean; readonly retryAfter: number};
 	/** Answers the claims of a host if this one is the home. */
 	readonly claimRates: FleetPeer['claimRates'];
+	/** Registered hosts that have not claimed for long, if this host is the home. */
+	readonly listSilentHosts: () => readonly string[];
 	/** Takes in the fleet's rows, which name the home. */
 	readonly updateFleet: (fleet: FleetRows) => void;
 	/** Claims shares if it is time to. */
--- a/packages/sessions/read-status.ts
+++ b/packages/sessions/read-status.ts
@@ -10,7 +10,11 @@
 };
 
 /** Asks an instance for its role and the end of its log; undefined when it does not answer in time. */
-export async function readStatus(instance: InstanceRuntime, {workspace, timeout}: Options): Promise<InstanceStatus | undefined> {
+export async function readStatus(instance: InstanceRuntime, options: Options): Promise<InstanceStatus | undefined> {
+	return Promise.race([askStatus(instance, options), wait(options.timeout)]);
+}
+
+async function askStatus(instance: InstanceRuntime, {workspace, timeout}: Options): Promise<InstanceStatus | undefined> {
 	const acquired = await instance.pool.acquire({workspace, priority: 0, timeout});
 	if (acquired.kind !== 'acquired') {
 		return undefined;
@@ -20,3 +24,11 @@
 	instance.pool.release(acquired.link, answer.kind === 'answered' && answer.state === 'idle');
 	return answer.kind === 'answered' && answer.outcome.kind === 'done' ? parseStatus(answer.outcome.rows[0] ?? '') : undefined;
 }
+
+async function wait(milliseconds: number): Promise<undefined> {
+	return new Promise(resolve => {
+		setTimeout(() => {
+			resolve(undefined);
+		}, milliseconds);
+	});
+}
--- a/packages/sessions/replace-primary.ts
+++ b/packages/sessions/replace-primary.ts
@@ -108,8 +108,8 @@
 
 	const {duty} = before;
 	const isOthers = row.state === 'fencing' && row.holder !== self && options.reason !== 'abandoned';
-	const isBusyElsewhere = duty !== undefined && duty.holder !== self && [...before.groups.values()]
-		.some(other => other.state === 'fencing' && other.holder === duty.holder && other.epoch !== row.epoch && options.reason !== 'abandoned');
+	const isBusyElsewhere = duty !== undefined && duty.holder !== self && options.reason !== 'abandoned' && [...before.groups]
+		.some(([name, other]) => name !== group.name && other.state === 'fencing' && other.holder === duty.holder);
 	if (isOthers || isBusyElsewhere) {
 		return undefined;
 	}
@@ -131,7 +131,7 @@
 	const after = await readRows(store, log);
 	const fenced = after?.groups.get(group.name);
 	return after !== undefined && fenced?.holder === self && fenced.epoch === next.epoch
-		? {row: fenced, hosts: [...after.hosts.values()], at}
+		? {row: fenced, hosts: [...after.hosts.values(), ...after.goneHosts.values()], at}
 		: undefined;
 }
 
@@ -183,11 +183,14 @@
 async function promoteSuccessor(fence: Fence, options: Options, step: (line: string, fields: Readonly<Record<string, unknown>>) => void): Promise<Promoted | undefined> {
 	const {group, now, orderPromotion, self} = options;
 	let {row} = fence;
-	await waitForCatchUp(fence, options);
+	if (options.reason === 'departing' || options.reason === 'missing') {
+		await waitForCatchUp(fence, options);
+	}
+
 	let ordered: {readonly instance: string; readonly at: number} | undefined;
 	while (findElapsed(fence.at, now()) < replacementLimit) {
 		const answers = await readStatuses(options);
-		const leader = findLeader(answers, fence, options);
+		const leader = findLeader(answers, row, options);
 		if (leader !== undefined) {
 			return {row, instance: leader.id, status: leader.status};
 		}
@@ -237,19 +240,21 @@
 	return answers.filter(answer => answer !== undefined);
 }
 
-/** Finds an instance that leads already: a successor, or the old primary if it is back and was only silent. */
-function findLeader(answers: readonly Answered[], fence: Fence, {reason}: Options): Answered | undefined {
-	const leaders = answers
-		.filter(({status}) => status.role === 'primary')
-		.toSorted((a, b) => b.status.term - a.status.term);
-	const [leader] = leaders;
+/**
+ * Finds an instance that leads already.
+ *
+ * Once a successor has been named, its promotion may have been ordered, so no other may lead. Before that the old
+ * primary may go on if it was only silent, also as a new instance that took over its log.
+ */
+function findLeader(answers: readonly Answered[], row: GroupRow, {reason}: Options): Answered | undefined {
 	const newestTerm = Math.max(...answers.map(({status}) => status.term));
-	if (leader === undefined || leader.status.term < newestTerm) {
-		return undefined;
+	const leader = answers.find(({status}) => status.role === 'primary' && status.term === newestTerm);
+	if (row.successor !== '') {
+		return leader?.id === row.successor ? leader : undefined;
 	}
 
-	const isOld = leader.id === fence.row.primary;
-	return isOld && (reason === 'departing' || reason === 'missing' || leader.isDeparting || fence.row.successor !== '') ? undefined : leader;
+	const mayStay = (reason === 'silent' || reason === 'abandoned') && leader?.isDeparting === false;
+	return mayStay ? leader : undefined;
 }
 
 /** Lets the others receive what the old primary still has, if that answers; nothing is written there any more. */
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -93,6 +93,7 @@
 			return table !== undefined && findElapsed(table.provenAt, now()) < listFreshness;
 		},
 		findPeer,
+		listSilentHosts: () => rates.listSilentHosts(),
 		orderPromotion: options.orderPromotion,
 		findWorkspace,
 		now,
