--- a/daemons/verbs.test.ts
+++ b/daemons/verbs.test.ts
@@ -17,7 +17,7 @@
 	const starts = new RegExp(`^(?:${verbs.join('|')})(?:[A-Z]|$)`, 'v');
 
 	it('covers every exported function, of which a file has one', () => {
-		for (const file of ['packages', 'daemons', 'stand-ins', 'scenarios', 'bench'].flatMap(directory => listSources(directory))) {
+		for (const file of ['packages', 'platform', 'daemons', 'stand-ins', 'scenarios', 'bench'].flatMap(directory => listSources(directory))) {
 			const text = readFileSync(path.join(root, file), 'utf8');
 			const functions = [...text.matchAll(/^export (?:async )?function \*? ?(?<name>\w+)/gmv)].map(({groups}) => groups?.['name'] ?? '');
 			for (const name of functions) {
--- /dev/null
+++ b/packages/sessions/apply-grant.ts
@@ -0,0 +1,28 @@
+import type {Instant} from './instant.ts';
+import type {ShareState} from './share-state.ts';
+
+type Grant = {
+	/** Operations a second. */
+	readonly rate: number;
+	/** Milliseconds for which it holds from when it was asked for. */
+	readonly span: number;
+	readonly askedAt: Instant;
+	/** Steady milliseconds. */
+	readonly now: number;
+};
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Applies a grant of the home to a share.
+ *
+ * The first grant of a process also counts for the time since the process began, in which the host let nothing run:
+ * so callers who waited for a restart find some operations at once.
+ */
+export function applyGrant(share: ShareState, {rate, span, askedAt, now}: Grant): ShareState {
+	const isFirst = share.span === 0;
+	const missed = isFirst ? rate * Math.max(0, now - share.refilledAt) / millisecondsPerSecond : 0;
+	return {
+		...share, rate, span, askedAt, level: share.level + missed, refilledAt: isFirst ? now : share.refilledAt,
+	};
+}
--- /dev/null
+++ b/packages/sessions/assign-rates.test.ts
@@ -0,0 +1,81 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {assignRates} from './assign-rates.ts';
+import type {RateHome} from './rate-home.ts';
+
+const hosts = ['a1', 'a2', 'b1', 'c1'];
+const limits = new Map([['upper', {rate: 100, burst: 100}]]);
+const empty: RateHome = {
+	epoch: 1, startedAt: 0, hosts: new Map(), heardAt: new Map(),
+};
+
+const claim = (home: RateHome, {host, demand, held = 0, now}: {readonly host: string; readonly demand: number; readonly held?: number; readonly now: number}) => {
+	const {home: next, rates} = assignRates(home, {
+		host,
+		claims: [{
+			workspace: 'upper', demand, held, heldFor: 1000,
+		}],
+		limits,
+		registered: hosts,
+		span: 3000,
+		unknownSpan: 3300,
+		now,
+	});
+	return {home: next, rate: rates.get('upper') ?? 0};
+};
+
+describe('assignRates', () => {
+	it('gives the first callers an even share once all hosts have claimed', () => {
+		let home = empty;
+		for (const host of hosts) {
+			({home} = claim(home, {host, demand: 0, now: 10}));
+		}
+
+		expect(claim(home, {host: 'a1', demand: 0, now: 20}).rate).to.equal(25);
+	});
+
+	it('moves shares to where a flood comes in', () => {
+		let home = empty;
+		let rate = 0;
+		for (const now of [10, 700, 1400]) {
+			for (const host of hosts) {
+				const claimed = claim(home, {host, demand: host === 'a1' ? 300 : 5, held: 0, now});
+				({home} = claimed);
+				rate = host === 'a1' ? claimed.rate : rate;
+			}
+		}
+
+		expect(rate).to.be.above(70);
+	});
+
+	it('gives no more than is held while hosts of an earlier home are unknown', () => {
+		expect(claim(empty, {host: 'a1', demand: 50, held: 12, now: 10}).rate).to.equal(12);
+		expect(claim(empty, {host: 'a1', demand: 50, held: 12, now: 4000}).rate).to.be.above(50);
+	});
+
+	it('never lets the shares that hold at one moment exceed the rate, whatever answers are lost', () => {
+		const step = fc.record({
+			host: fc.constantFrom(...hosts), demand: fc.integer({min: 0, max: 500}), isLost: fc.boolean(), pause: fc.integer({min: 0, max: 900}),
+		});
+		fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
+			let home: RateHome = {...empty, startedAt: -10_000};
+			let now = 0;
+			const held = new Map<string, {readonly rate: number; readonly until: number}>();
+			for (const {host, demand, isLost, pause} of steps) {
+				now += pause;
+				const old = held.get(host);
+				const holds = old !== undefined && old.until > now ? old.rate : 0;
+				const claimed = claim(home, {
+					host, demand, held: holds, now,
+				});
+				({home} = claimed);
+				if (!isLost) {
+					held.set(host, {rate: claimed.rate, until: now + 2700});
+				}
+
+				const sum = [...held.values()].reduce((total, {rate, until}) => total + (until > now ? rate : 0), 0);
+				expect(sum).to.be.at.most(100.000_001);
+			}
+		}));
+	});
+});
--- a/packages/sessions/allot-rates.ts
+++ b/packages/sessions/assign-rates.ts
@@ -29,12 +29,12 @@
 const demandMemory = 5000;
 
 /**
- * Allots shares of the workspaces' rates to a host, by its demand and that of the others.
+ * Assigns shares of the workspaces' rates to a host, by its demand and that of the others.
  *
  * The shares that hold at one moment never sum up to more than the rate. What is still held under an earlier home
  * is known once all hosts have claimed; until then a host gets no more than it holds.
  */
-export function allotRates(home: RateHome, options: Options): Allotted {
+export function assignRates(home: RateHome, options: Options): Allotted {
 	const {host, claims, limits, registered, span, unknownSpan, now} = options;
 	const isAllKnown = now - home.startedAt > unknownSpan || registered.every(name => name === host || home.hosts.has(name));
 	const holdings = new Map<string, RateHome['hosts'] extends ReadonlyMap<string, ReadonlyMap<string, infer Holding>> ? Holding : never>();
--- a/packages/sessions/create-fleet-control.ts
+++ b/packages/sessions/create-fleet-control.ts
@@ -36,7 +36,7 @@
 };
 
 /** Milliseconds for which a host that is no longer registered may still hold leases. */
-const recentSpan = 5000;
+const recentSpan = 6000;
 
 /** Milliseconds by which each host waits longer than the one before it, so that one alone replaces a primary. */
 const placeDelay = 300;
@@ -62,7 +62,7 @@
 	let fleet: FleetRows | undefined;
 	/** Hosts that are marked as gone, and since when in steady milliseconds. */
 	const marked = new Map<string, number>();
-	let triedAt = 0;
+	let triedAt = Number.NEGATIVE_INFINITY;
 
 	const isRegistered = () => fleet?.hosts.get(own.name)?.incarnation === own.incarnation;
 
--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -1,4 +1,5 @@
-import {allotRates} from './allot-rates.ts';
+import {applyGrant} from './apply-grant.ts';
+import {assignRates} from './assign-rates.ts';
 import {findRateHomePlace} from './find-rate-home-place.ts';
 import {createShareState} from './create-share-state.ts';
 import {findElapsed} from './find-elapsed.ts';
@@ -59,7 +60,7 @@
 	const shares = new Map<string, ShareState>();
 	let fleet: FleetRows | undefined;
 	let home: RateHome | undefined;
-	let claimedAt = 0;
+	let claimedAt = Number.NEGATIVE_INFINITY;
 	let answeredAt = now().steady;
 	let isClaiming = false;
 	let hasRefused = false;
@@ -81,7 +82,7 @@
 			home = {epoch: row.epoch, startedAt: now().steady, hosts: new Map(), heardAt: new Map()};
 		}
 
-		const allotted = allotRates(home, {
+		const allotted = assignRates(home, {
 			host,
 			claims,
 			limits: options.findLimits(),
@@ -116,9 +117,9 @@
 		for (const [workspace, rate] of rates) {
 			const share = shares.get(workspace);
 			if (share !== undefined) {
-				shares.set(workspace, {
-					...share, rate, span, askedAt,
-				});
+				shares.set(workspace, applyGrant(share, {
+					rate, span, askedAt, now: now().steady,
+				}));
 			}
 		}
 	};
--- /dev/null
+++ b/packages/sessions/find-access.test.ts
@@ -0,0 +1,44 @@
+import {expect} from 'chai';
+import {findAccess} from './find-access.ts';
+import {hashKey} from './hash-key.ts';
+
+const route = {
+	database: 'ponds', group: 'pondbook', freshness: 'latest', maxStaleness: 0, statementTimeout: 1000, targetLatency: 200, priority: 1, isPublic: false,
+} as const;
+
+const known = {
+	directory: {
+		version: 7,
+		routes: new Map([['ponds', route], ['open', {...route, database: 'open', isPublic: true}]]),
+		connectionCaps: new Map([['pondbook', 34]]),
+		workspaceOfKey: new Map([[hashKey('good'), 'upper']]),
+		limits: new Map([['upper', {rate: 10, burst: 10}]]),
+		transactionIdle: 3000,
+	},
+	provenAt: {steady: 0, wall: 0},
+};
+
+describe('findAccess', () => {
+	const cases = [
+		{name: 'allows a key of a workspace', database: 'ponds', key: 'good', now: 100, expected: 'upper'},
+		{name: 'refuses an unknown key', database: 'ponds', key: 'bad', now: 100, expected: 'badKey'},
+		{name: 'refuses an unknown database', database: 'lakes', key: 'good', now: 100, expected: 'noDatabase'},
+		{name: 'allows a key until shortly before it must have stopped working', database: 'ponds', key: 'good', now: 4599, expected: 'upper'},
+		{name: 'refuses a key that may have been withdrawn', database: 'ponds', key: 'good', now: 4600, expected: 'busy'},
+		{name: 'allows all on an open route, however old the configuration', database: 'open', key: 'bad', now: 60_000, expected: 'public'},
+	];
+	for (const {name, database, key, now, expected} of cases) {
+		it(name, () => {
+			const access = findAccess(known, {
+				database, keyDigest: hashKey(key), revocationLimit: 5000, now: {steady: now, wall: 0},
+			});
+			expect(access.kind === 'allowed' ? access.workspace : access.code).to.equal(expected);
+		});
+	}
+
+	it('refuses everything before a configuration was read', () => {
+		expect(findAccess(undefined, {
+			database: 'ponds', keyDigest: hashKey('good'), revocationLimit: 5000, now: {steady: 0, wall: 0},
+		})).to.include({kind: 'denied', code: 'busy'});
+	});
+});
--- a/packages/sessions/find-primary.ts
+++ b/packages/sessions/find-primary.ts
@@ -19,6 +19,9 @@
 /** Milliseconds after which the store should have answered again. */
 const usualProof = 500;
 
+/** Milliseconds after which to come back when the store has not answered for longer than is usual. */
+const longOutage = 2000;
+
 /** Finds whether the primary of a group may be used now. */
 export function findPrimary({row, provenAt, fencedAt, isRegistered}: Known, now: Instant): PrimaryView {
 	if (row === undefined || provenAt === undefined || !isRegistered) {
@@ -30,7 +33,8 @@
 		return {kind: 'unavailable', reason: 'fencing', retryAfter: Math.max(usualProof, usualReplacement - elapsed)};
 	}
 
-	return findLeaseLeft(provenAt, now) > 0
+	const left = findLeaseLeft(provenAt, now);
+	return left > 0
 		? {kind: 'leased', instance: row.primary, epoch: row.epoch}
-		: {kind: 'unavailable', reason: 'lapsed', retryAfter: usualProof};
+		: {kind: 'unavailable', reason: 'lapsed', retryAfter: -left < usualProof ? usualProof : longOutage};
 }
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -1,9 +1,10 @@
 /** Sessions of callers over groups of instances; the wire and the store are passed in as functions. */
 export type * from './acquire-outcome.ts';
 export * from './add-sample.ts';
-export * from './allot-rates.ts';
+export * from './apply-grant.ts';
 export * from './apply-observation.ts';
 export * from './apply-setup.ts';
+export * from './assign-rates.ts';
 export * from './choose-source.ts';
 export * from './choose-successor.ts';
 export type * from './client-answer.ts';
--- /dev/null
+++ b/packages/sessions/rank-readers.test.ts
@@ -0,0 +1,30 @@
+import {expect} from 'chai';
+import {rankReaders} from './rank-readers.ts';
+import type {ReadCandidate} from './read-candidate.ts';
+
+const point = (position: number) => ({term: 1, position: BigInt(position)});
+const health = {
+	latency: 30, heardAt: 0, unansweredSince: undefined, avoidedUntil: 0, failures: 0, position: undefined, lagged: undefined,
+};
+const replica: ReadCandidate = {
+	id: 'replica', isLocal: true, isPrimary: false, health, load: 0,
+};
+const remote: ReadCandidate = {...replica, id: 'remote', isLocal: false};
+const primary: ReadCandidate = {...replica, id: 'primary', isPrimary: true};
+
+describe('rankReaders', () => {
+	const cases = [
+		{name: 'takes the replica of the own zone', given: [remote, primary, replica], expected: 'replica'},
+		{name: 'leaves the own zone when its replica is slow', given: [{...replica, health: {...health, latency: 300}}, remote], expected: 'remote'},
+		{name: 'leaves the own zone when its connections are full', given: [{...replica, load: 3}, remote], expected: 'remote'},
+		{name: 'avoids an instance that failed a moment ago', given: [{...replica, health: {...health, avoidedUntil: 200}}, remote], expected: 'remote'},
+		{name: 'avoids a replica that lacked an older position a moment ago', given: [{...replica, health: {...health, lagged: {at: 90, lacks: point(5)}}}, primary], expected: 'primary'},
+		{name: 'tries a replica again that lacked a newer position', given: [{...replica, health: {...health, lagged: {at: 90, lacks: point(50)}}}, primary], expected: 'replica'},
+		{name: 'trusts what a replica has shown since', given: [{...replica, health: {...health, position: point(10), lagged: {at: 90, lacks: point(5)}}}, primary], expected: 'replica'},
+	];
+	for (const {name, given, expected} of cases) {
+		it(name, () => {
+			expect(rankReaders(given, {required: point(10), now: 100}).at(0)?.id).to.equal(expected);
+		});
+	}
+});
--- a/packages/sessions/replace-primary.ts
+++ b/packages/sessions/replace-primary.ts
@@ -57,7 +57,7 @@
 const catchUpLimit = 1500;
 
 /** Milliseconds after which a replacement is left to another host. */
-const replacementLimit = 9000;
+const replacementLimit = 11_000;
 
 /**
  * Replaces the primary of a group: fences the old one in the store, waits until no host uses it, promotes the
--- a/packages/sessions/session-host.ts
+++ b/packages/sessions/session-host.ts
@@ -10,6 +10,10 @@
 	readonly isReady: () => boolean;
 	/** What other hosts may ask. */
 	readonly peer: FleetPeer;
-	/** Takes no new work, and resolves when no session is left or their time is over. */
-	readonly stop: () => Promise<void>;
+	/**
+	 * Takes no new work, and resolves when no session is left or their time is over.
+	 *
+	 * `closeDoor` is called when callers have been sent elsewhere, so that no connection is taken any more.
+	 */
+	readonly stop: (closeDoor: () => void) => Promise<void>;
 };
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -68,6 +68,7 @@
 	let fleet: FleetRows | undefined;
 	let sessionCount = 0;
 	let isStopping = false;
+	let isDoorClosed = false;
 
 	const findWorkspace = () => known?.directory.limits.keys().next().value;
 
@@ -223,6 +224,10 @@
 				},
 			});
 			sessions.add(session);
+			if (isDoorClosed) {
+				session.stop();
+			}
+
 			return {
 				...session,
 				end() {
@@ -238,10 +243,12 @@
 			fenceGroup: control.fenceGroup,
 			confirmSilence: control.confirmSilence,
 		},
-		async stop() {
+		async stop(closeDoor) {
 			isStopping = true;
 			log.info({sessions: sessions.size}, 'host: The host stops; it takes no new callers.');
 			await wait(sessionGrace);
+			closeDoor();
+			isDoorClosed = true;
 			for (const session of sessions) {
 				session.stop();
 			}
@@ -255,6 +262,8 @@
 				session.abort();
 			}
 
+			// The last answers are written out meanwhile.
+			await wait(tickInterval);
 			await Promise.race([control.leave(), wait(exitMargin / 2)]);
 			clearInterval(timer);
 			reader.stop();
