--- /dev/null
+++ b/stand-ins/wire/start-store-stand-in.ts
@@ -0,0 +1,148 @@
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {text} from 'node:stream/consumers';
+import type {StoreStandIn} from './store-stand-in.ts';
+
+type Row = {readonly table: string; readonly key: string; readonly value?: string; readonly ver: number; readonly tombstone?: boolean};
+
+type Change = {
+	readonly expected_rev?: ReadonlyArray<{readonly table: string; readonly key: string; readonly ver: number}>;
+	readonly put?: ReadonlyArray<{readonly table: string; readonly key: string; readonly value: string}>;
+	readonly delete?: ReadonlyArray<{readonly table: string; readonly key: string}>;
+};
+
+/** Starts a stand-in of the platform's store on a free port of the loopback address. */
+export async function startStoreStandIn(): Promise<StoreStandIn> {
+	const rows = new Map<string, Row>();
+	const waiting = new Set<() => void>();
+	let history: Row[] = [];
+	let forgottenUpTo = 0;
+	let version = 0;
+	let mode: Parameters<StoreStandIn['setMode']>[0] = 'ready';
+	let answersToLose = 0;
+
+	const write = (changes: ReadonlyArray<Omit<Row, 'ver'>>) => {
+		version++;
+		for (const change of changes) {
+			const row = {...change, ver: version};
+			history.push(row);
+			if (row.tombstone === true) {
+				rows.delete(`${row.table}/${row.key}`);
+			} else {
+				rows.set(`${row.table}/${row.key}`, row);
+			}
+		}
+
+		for (const wake of waiting) {
+			wake();
+		}
+	};
+
+	const reply = (response: ServerResponse, status: number, body: object) => {
+		response.writeHead(status, {'Content-Type': 'application/json'});
+		response.end(JSON.stringify({...body, ver: version, now_ms: performance.now()}));
+	};
+
+	const commit = async (request: IncomingMessage, response: ServerResponse) => {
+		const change = JSON.parse(await text(request)) as Change;
+		const isMet = (change.expected_rev ?? []).every(({table, key, ver}) => (rows.get(`${table}/${key}`)?.ver ?? 0) === ver);
+		if (!isMet) {
+			reply(response, 412, {rows: []});
+			return;
+		}
+
+		write([
+			...(change.put ?? []).map(({table, key, value}) => ({table, key, value})),
+			...(change.delete ?? []).map(({table, key}) => ({table, key, tombstone: true})),
+		]);
+		if (answersToLose > 0) {
+			answersToLose--;
+			request.socket.destroy();
+		} else {
+			reply(response, 200, {});
+		}
+	};
+
+	const follow = async (query: URLSearchParams, response: ServerResponse) => {
+		const after = Number(query.get('after'));
+		if (after < forgottenUpTo) {
+			reply(response, 410, {});
+			return;
+		}
+
+		const listChanged = () => history.filter(row => row.table === query.get('table') && row.ver > after);
+		if (listChanged().length === 0) {
+			await new Promise<void>(resolve => {
+				const finish = () => {
+					clearTimeout(timer);
+					waiting.delete(check);
+					resolve();
+				};
+
+				const check = () => {
+					if (listChanged().length > 0) {
+						finish();
+					}
+				};
+
+				const timer = setTimeout(finish, Number(query.get('wait_ms')));
+				waiting.add(check);
+			});
+		}
+
+		reply(response, 200, {rows: listChanged()});
+	};
+
+	const serve = async (request: IncomingMessage, response: ServerResponse) => {
+		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://store');
+		if (mode === 'silent') {
+			return;
+		}
+
+		if (mode === 'refusing') {
+			reply(response, 503, {});
+		} else if (pathname.endsWith('/rows-tx')) {
+			await commit(request, response);
+		} else if (pathname.endsWith('/rows-feed')) {
+			await follow(searchParams, response);
+		} else {
+			reply(response, 200, {rows: [...rows.values()].filter(row => row.table === searchParams.get('table')), truncated: false});
+		}
+	};
+
+	const server = createServer((request, response) => {
+		void serve(request, response);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return {
+		address: () => server.address() as AddressInfo,
+		put(table, key, value) {
+			write([{table, key, value: Buffer.from(JSON.stringify(value)).toString('base64')}]);
+		},
+		drop(table, key) {
+			write([{table, key, tombstone: true}]);
+		},
+		read(table, key) {
+			const value = rows.get(`${table}/${key}`)?.value;
+			return value === undefined ? undefined : JSON.parse(Buffer.from(value, 'base64').toString());
+		},
+		setMode(newMode) {
+			mode = newMode;
+			server.closeAllConnections();
+		},
+		loseAnswers(count) {
+			answersToLose = count;
+		},
+		compact() {
+			history = [];
+			forgottenUpTo = version;
+		},
+		close() {
+			server.closeAllConnections();
+			server.close();
+		},
+	};
+}
--- /dev/null
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -0,0 +1,210 @@
+import {spawn} from 'node:child_process';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {createServer as createHttpServer} from 'node:http';
+import {createServer, type AddressInfo} from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {text} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {InstanceStandIn} from './instance-stand-in.ts';
+import type {LogEntry} from './log-entry.ts';
+import {startInstanceStandIn} from './start-instance-stand-in.ts';
+import {startStoreStandIn} from './start-store-stand-in.ts';
+import type {StoreStandIn} from './store-stand-in.ts';
+import type {WireDeployment} from './wire-deployment.ts';
+
+type Options = {
+	readonly hostCount: number;
+	/** Milliseconds that replicas are behind the primary. */
+	readonly lag: number;
+};
+
+const root = path.join(import.meta.dirname, '../..');
+const zones = ['a', 'b', 'c'];
+const group = 'pondbook';
+
+/** Milliseconds that a promotion takes. */
+const promotionSpan = 100;
+
+/** Milliseconds after which an instance's entry is written anew. */
+const entryDelay = 50;
+
+/** Starts hosts as processes, with a store, three instances of one group, and promotions as stand-ins. */
+export async function startWireDeployment({hostCount, lag}: Options): Promise<WireDeployment> {
+	const store = await startStoreStandIn();
+	const instances: InstanceStandIn[] = [];
+	const replicate = (entry: LogEntry, from: string) => {
+		setTimeout(() => {
+			for (const instance of instances) {
+				if (instance.id !== from && instance.role() === 'replica' && instance.term() <= entry.term) {
+					instance.receive(entry);
+				}
+			}
+		}, lag);
+	};
+
+	for (const [index, zone] of zones.entries()) {
+		const id = `i-${zone}`;
+		instances.push(await startInstanceStandIn({
+			id,
+			group,
+			role: index === 0 ? 'primary' : 'replica',
+			onCommit(entry) {
+				replicate(entry, id);
+			},
+		}));
+	}
+
+	const list = () => {
+		for (const [index, instance] of instances.entries()) {
+			store.put('servers', instance.id, {
+				backend: group, address: `127.0.0.1:${instance.port}`, zone: zones[index], version: 'v1', capacity: 5, state: 'ready', warmup_ms: 0, db_role: instance.role(), seq: 1,
+			});
+		}
+	};
+
+	const promotions: Array<{readonly id: string; readonly token: number}> = [];
+	const promote = (id: string) => {
+		const term = Math.max(...instances.map(instance => instance.term())) + 1;
+		const next = instances.find(instance => instance.id === id);
+		next?.promote(term);
+		for (const instance of instances) {
+			if (instance.id !== id && instance.role() === 'replica') {
+				instance.follow(term, next?.log() ?? []);
+			}
+		}
+
+		setTimeout(list, entryDelay);
+	};
+
+	const cloud = createHttpServer((request, response) => {
+		const answer = async () => {
+			const {id} = JSON.parse(await text(request)) as {readonly id: string};
+			promotions.push({id, token: Number(request.headers['x-fencing-token'])});
+			response.writeHead(200).end('{}');
+			setTimeout(promote, promotionSpan, id);
+		};
+
+		void answer();
+	});
+	await new Promise<void>(resolve => {
+		cloud.listen(0, '127.0.0.1', resolve);
+	});
+	let version = 0;
+	const configure: WireDeployment['configure'] = ({keys}) => {
+		version += 3;
+		store.put('op', 'config', createConfiguration(version, keys));
+	};
+
+	configure({keys: ['good', 'other']});
+	list();
+	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => startHost(index, {store, cloudPort: (cloud.address() as AddressInfo).port})));
+	return {
+		store,
+		instances,
+		hosts,
+		promotions: () => promotions,
+		async waitUntilReady() {
+			for (const {readyPort} of hosts) {
+				while (!await isReady(readyPort)) {
+					await sleep(100);
+				}
+			}
+		},
+		configure,
+		stop() {
+			for (const host of hosts) {
+				host.process.kill('SIGKILL');
+			}
+
+			cloud.close();
+			store.close();
+			for (const instance of instances) {
+				instance.close();
+			}
+		},
+	};
+}
+
+function createConfiguration(version: number, keys: readonly string[]): object {
+	const route = {
+		prefix: '/', timeout_ms: 1500, target_latency_ms: 200, priority: 1, backend: group, max_attempts: 2, public: false,
+	};
+	return {
+		version,
+		routes: [
+			{
+				...route, name: 'r1', database: 'latest', route_type: 'primary',
+			},
+			{
+				...route, name: 'r2', database: 'old', route_type: 'bounded_staleness', max_staleness_ms: 1500,
+			},
+			{
+				...route, name: 'r3', database: 'own', route_type: 'read_your_writes', max_staleness_ms: 2500,
+			},
+		],
+		services: [{name: group, max_conns: 34, sync_replicas: 0}],
+		limits: {tx_idle_ms: 3000},
+		tenants: [
+			{
+				name: 'upper', api_keys: keys.filter(key => key !== 'other'), rate_per_s: 200, burst: 200,
+			},
+			{
+				name: 'lower', api_keys: keys.filter(key => key === 'other'), rate_per_s: 200, burst: 200,
+			},
+		],
+	};
+}
+
+async function startHost(index: number, {store, cloudPort}: {readonly store: StoreStandIn; readonly cloudPort: number}): Promise<WireDeployment['hosts'][number]> {
+	const name = `host-${index + 1}`;
+	const [port = 0, readyPort = 0, hostPort = 0] = await findFreePorts(3);
+	const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'sapphirefall-wire-')), 'local.conf');
+	writeFileSync(file, `node_name=${name}
+ip=127.0.0.1
+zone=${zones[index % zones.length]}
+listen_addrs.front=127.0.0.1:${port}
+listen_addrs.ready=127.0.0.1:${readyPort}
+port_range=${hostPort},${hostPort + 2}
+bounds.grace_s=4
+bounds.revoke_ms=5000
+bounds.quota_window_s=5
+bounds.quota_overage=0.1
+bounds.quota_slack=20
+platform.address=127.0.0.1:${store.address().port}
+cloud_api.address=127.0.0.1:${cloudPort}
+`);
+	const child = spawn(process.execPath, ['--import=tsx', 'platform/main.ts'], {
+		cwd: root, env: {...process.env, SAPPHIREFALL_BOOT: file}, stdio: ['ignore', 'pipe', 'inherit'],
+	});
+	let output = '';
+	child.stdout.on('data', (piece: unknown) => {
+		output += String(piece);
+	});
+	return {
+		name, process: child, port, readyPort, output: () => output,
+	};
+}
+
+async function findFreePorts(count: number): Promise<readonly number[]> {
+	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
+		const server = createServer().listen(0, '127.0.0.1', () => {
+			resolve(server);
+		});
+	})));
+	const ports = servers.map(server => (server.address() as AddressInfo).port);
+	await Promise.all(servers.map(async server => new Promise(resolve => {
+		server.close(resolve);
+	})));
+	return ports;
+}
+
+async function isReady(port: number): Promise<boolean> {
+	try {
+		const response = await fetch(`http://127.0.0.1:${port}/sapphirefall/readyz`);
+		return response.ok;
+	} catch {
+		return false;
+	}
+}
