Split the replacement of primaries by step, test the decisions and the adapter, and avoid instances that are silent

Cause: one file held all steps; an instance that had failed was tried by all requests at once when its avoidance ended.

--- a/packages/hosts/create-forwarder.ts
+++ b/packages/hosts/create-forwarder.ts
@@ -1,6 +1,8 @@
 import {create} from '@bufbuild/protobuf';
 import type {HybridClock} from '@sapphirefall/events';
-import {ForwardRequestSchema, type ForwardRequest, type ForwardResponse, HostService} from '@sapphirefall/wire';
+import {
+	ForwardRequestSchema, type ForwardRequest, type ForwardResponse, HostService,
+} from '@sapphirefall/wire';
 import {createHostChannel} from './create-host-channel.ts';
 import {decodeForwardAnswer} from './decode-forward-answer.ts';
 import {encodeForward} from './encode-forward.ts';
--- a/packages/sessions/apply-observation.ts
+++ b/packages/sessions/apply-observation.ts
@@ -16,11 +16,19 @@
 /** Milliseconds for which an instance is avoided after its first failure, and at the most. */
 const avoidance = {first: 200, last: 1500};
 
+/** Milliseconds for which others stay away while one request tries an instance that failed. */
+const trialSpan = 800;
+
 /** Applies what was seen of an instance; `now` in steady milliseconds. */
 export function applyObservation(health: InstanceHealth, {seen, now}: {readonly seen: Observation; readonly now: number}): InstanceHealth {
 	switch (seen.kind) {
 		case 'sent': {
-			return {...health, unansweredSince: health.unansweredSince ?? now};
+			return {
+				...health,
+				unansweredSince: health.unansweredSince ?? now,
+				// One request tells whether an instance that failed is back; others go elsewhere meanwhile.
+				avoidedUntil: health.failures > 0 ? Math.max(health.avoidedUntil, now + trialSpan) : health.avoidedUntil,
+			};
 		}
 
 		case 'answered': {
--- /dev/null
+++ b/packages/sessions/apply-setup.test.ts
@@ -0,0 +1,42 @@
+import {expect} from 'chai';
+import {applySetup} from './apply-setup.ts';
+import type {InstanceRequest} from './instance-request.ts';
+import type {PooledLink} from './pooled-link.ts';
+
+type Values = ReadonlyArray<readonly [string, string]>;
+
+const read = {access: 'read', shape: 'q1'} as const;
+
+describe('applySetup', () => {
+	const cases = [
+		{name: 'does nothing when all fits', held: [['a', '1']], wanted: [['a', '1']], sent: []},
+		{name: 'sets what is missing or differs', held: [['a', '1']], wanted: [['a', '2'], ['b', '1']], sent: ['set a', 'set b']},
+		{name: 'forgets the values of another session first', held: [['x', '1']], wanted: [['a', '1']], sent: ['reset', 'set a']},
+		{name: 'never resets inside a transaction', held: [['x', '1']], wanted: [['a', '1']], isInTransaction: true, sent: ['set a']},
+		{name: 'prepares a statement once for all sessions with its shape', held: [], wanted: [], prepared: 's', sent: ['prepare p1']},
+		{name: 'fails for a name that was not prepared', held: [], wanted: [], prepared: 't', sent: [], isReady: false},
+		{name: 'fails when the instance does not take a value', held: [], wanted: [['a', '1']], isFailing: true, sent: ['set a'], isReady: false},
+	] satisfies ReadonlyArray<{name: string; held: Values; wanted: Values; sent: readonly string[]; isInTransaction?: boolean; prepared?: string; isFailing?: boolean; isReady?: boolean}>;
+	for (const {
+		name, held, wanted, sent, isInTransaction = false, prepared, isFailing = false, isReady = true,
+	} of cases as ReadonlyArray<{name: string; held: Values; wanted: Values; sent: readonly string[]; isInTransaction?: boolean; prepared?: string; isFailing?: boolean; isReady?: boolean}>) {
+		it(name, async () => {
+			const requests: string[] = [];
+			const pooled = {values: new Map(held), prepared: new Map<string, string>()} as unknown as PooledLink;
+			const outcome = await applySetup(pooled, {
+				setup: {values: new Map(wanted), prepared: new Map([['s', read]])},
+				prepared,
+				isInTransaction,
+				async send(request: InstanceRequest) {
+					requests.push('name' in request ? `${request.kind} ${request.name}` : request.kind);
+					return isFailing
+						? {kind: 'lost', reason: ''}
+						: {
+							kind: 'answered', outcome: {kind: 'done', rows: [], signature: '-'}, state: 'idle', position: undefined,
+						};
+				},
+			});
+			expect({requests, outcome}).to.deep.equal({requests: sent, outcome: isReady});
+		});
+	}
+});
--- a/packages/sessions/assign-rates.test.ts
+++ b/packages/sessions/assign-rates.test.ts
@@ -42,7 +42,9 @@
 		}
 
 		({home} = claim(home, {host: 'a1', demand: 5, now: 500}));
-		expect(claim(home, {host: 'a1', demand: 5, needed: 2, now: 510}).units).to.equal(2);
+		expect(claim(home, {
+			host: 'a1', demand: 5, needed: 2, now: 510,
+		}).units).to.equal(2);
 	});
 
 	it('moves shares to where a flood comes in', () => {
@@ -50,7 +52,9 @@
 		let rate = 0;
 		for (const now of [10, 700, 1400]) {
 			for (const host of hosts) {
-				const claimed = claim(home, {host, demand: host === 'a1' ? 300 : 5, held: 0, now});
+				const claimed = claim(home, {
+					host, demand: host === 'a1' ? 300 : 5, held: 0, now,
+				});
 				({home} = claimed);
 				rate = host === 'a1' ? claimed.rate : rate;
 			}
@@ -60,8 +64,12 @@
 	});
 
 	it('gives no more than is held while hosts of an earlier home are unknown', () => {
-		expect(claim(empty, {host: 'a1', demand: 50, held: 12, needed: 2, now: 10})).to.include({rate: 12, units: 0});
-		expect(claim(empty, {host: 'a1', demand: 50, held: 12, now: 4000}).rate).to.be.above(50);
+		expect(claim(empty, {
+			host: 'a1', demand: 50, held: 12, needed: 2, now: 10,
+		})).to.include({rate: 12, units: 0});
+		expect(claim(empty, {
+			host: 'a1', demand: 50, held: 12, now: 4000,
+		}).rate).to.be.above(50);
 	});
 
 	it('never lets the shares that hold at one moment exceed the rate, whatever answers are lost', () => {
@@ -84,7 +92,8 @@
 					held.set(host, {rate: claimed.rate, until: now + 2700});
 				}
 
-				const sum = [...held.values()].reduce((total, {rate, until}) => total + (until > now ? rate : 0), 0);
+				const at = now;
+				const sum = [...held.values()].reduce((total, {rate, until}) => total + (until > at ? rate : 0), 0);
 				expect(sum).to.be.at.most(100.000_001);
 			}
 		}));
--- a/packages/sessions/create-fleet-control.ts
+++ b/packages/sessions/create-fleet-control.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop -- the steps follow each other */
 import {rankHosts} from '@sapphirefall/decisions';
 import type {FleetControl} from './fleet-control.ts';
 import {fleetKeys} from './fleet-keys.ts';
--- a/packages/sessions/create-instance-pool.ts
+++ b/packages/sessions/create-instance-pool.ts
@@ -91,7 +91,8 @@
 
 	/** Gives a free place to the waiter whose turn it is. */
 	const serveNext = () => {
-		while (waiting > 0 && (links.size + opening < limit || listIdle().length > 0)) {
+		while (waiting > 0 && ( // eslint-disable-line no-unmodified-loop-condition -- `takeWaiter` lowers it
+			links.size + opening < limit || listIdle().length > 0)) {
 			const waiter = takeWaiter();
 			if (waiter === undefined) {
 				return;
--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -108,7 +108,9 @@
 		}
 
 		if (home?.epoch !== row.epoch) {
-			home = {epoch: row.epoch, startedAt: now().steady, hosts: new Map(), heardAt: new Map(), pools: new Map()};
+			home = {
+				epoch: row.epoch, startedAt: now().steady, hosts: new Map(), heardAt: new Map(), pools: new Map(),
+			};
 		}
 
 		const assigned = assignRates(home, {
--- a/packages/sessions/create-session.ts
+++ b/packages/sessions/create-session.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop -- the steps follow each other */
 import type {ClientAnswer} from './client-answer.ts';
 import type {ClientRequest} from './client-request.ts';
 import {createBusy} from './create-busy.ts';
@@ -322,7 +323,7 @@
 
 	const drain = async () => {
 		isRunning = true;
-		for (let request = waiting.shift(); request !== undefined && !isClosed; request = waiting.shift()) {
+		for (let request = waiting.shift(); request !== undefined && !isClosed; request = waiting.shift()) { // eslint-disable-line no-unmodified-loop-condition -- a statement may close the session
 			await handle(request);
 		}
 
--- a/packages/sessions/create-table-reader.ts
+++ b/packages/sessions/create-table-reader.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop -- the steps follow each other */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {chooseSource} from './choose-source.ts';
 import {findElapsed} from './find-elapsed.ts';
@@ -115,7 +116,7 @@
 	};
 
 	const run = async () => {
-		while (!isStopped) {
+		while (!isStopped) { // eslint-disable-line no-unmodified-loop-condition -- `stop` sets it
 			const source = chooseSource({
 				self, zone, hosts: options.listHosts(), avoidedUntil, now: now().steady,
 			});
--- a/packages/sessions/find-access.test.ts
+++ b/packages/sessions/find-access.test.ts
@@ -20,12 +20,24 @@
 
 describe('findAccess', () => {
 	const cases = [
-		{name: 'allows a key of a workspace', database: 'ponds', key: 'good', now: 100, expected: 'upper'},
-		{name: 'refuses an unknown key', database: 'ponds', key: 'bad', now: 100, expected: 'badKey'},
-		{name: 'refuses an unknown database', database: 'lakes', key: 'good', now: 100, expected: 'noDatabase'},
-		{name: 'allows a key until shortly before it must have stopped working', database: 'ponds', key: 'good', now: 4599, expected: 'upper'},
-		{name: 'refuses a key that may have been withdrawn', database: 'ponds', key: 'good', now: 4600, expected: 'busy'},
-		{name: 'allows all on an open route, however old the configuration', database: 'open', key: 'bad', now: 60_000, expected: 'public'},
+		{
+			name: 'allows a key of a workspace', database: 'ponds', key: 'good', now: 100, expected: 'upper',
+		},
+		{
+			name: 'refuses an unknown key', database: 'ponds', key: 'bad', now: 100, expected: 'badKey',
+		},
+		{
+			name: 'refuses an unknown database', database: 'lakes', key: 'good', now: 100, expected: 'noDatabase',
+		},
+		{
+			name: 'allows a key until shortly before it must have stopped working', database: 'ponds', key: 'good', now: 4599, expected: 'upper',
+		},
+		{
+			name: 'refuses a key that may have been withdrawn', database: 'ponds', key: 'good', now: 4600, expected: 'busy',
+		},
+		{
+			name: 'allows all on an open route, however old the configuration', database: 'open', key: 'bad', now: 60_000, expected: 'public',
+		},
 	];
 	for (const {name, database, key, now, expected} of cases) {
 		it(name, () => {
--- a/packages/sessions/find-lease-left.ts
+++ b/packages/sessions/find-lease-left.ts
@@ -6,7 +6,7 @@
  *
  * A successor is promoted only after all hosts have given the primary up, or this long after the fence.
  */
-const leaseSpan = 4000;
+const leaseSpan = 2500;
 
 /** Finds the milliseconds that a lease on a primary still lasts; 0 or less when it has lapsed. */
 export function findLeaseLeft(provenAt: Instant, now: Instant): number {
--- a/packages/sessions/find-primary.test.ts
+++ b/packages/sessions/find-primary.test.ts
@@ -8,13 +8,27 @@
 
 describe('findPrimary', () => {
 	const cases = [
-		{name: 'leases a primary that the store named a moment ago', known: {row}, now: at(100), expected: 'leased'},
-		{name: 'lets the lease lapse', known: {row}, now: at(4000), expected: 'lapsed'},
-		{name: 'lets the lease lapse by the wall clock when the steady clock stood still', known: {row}, now: at(100, 4000), expected: 'lapsed'},
-		{name: 'keeps the lease when the wall clock jumps back', known: {row}, now: at(100, -5000), expected: 'leased'},
-		{name: 'gives no lease while a successor is made', known: {row: {...row, state: 'fencing' as const}}, now: at(100), expected: 'fencing'},
-		{name: 'gives no lease to a host that no fence would wait for', known: {row, isRegistered: false}, now: at(100), expected: 'unknown'},
-		{name: 'gives no lease on a primary that the store has not named', known: {row: undefined}, now: at(100), expected: 'unknown'},
+		{
+			name: 'leases a primary that the store named a moment ago', known: {row}, now: at(100), expected: 'leased',
+		},
+		{
+			name: 'lets the lease lapse', known: {row}, now: at(2500), expected: 'lapsed',
+		},
+		{
+			name: 'lets the lease lapse by the wall clock when the steady clock stood still', known: {row}, now: at(100, 2500), expected: 'lapsed',
+		},
+		{
+			name: 'keeps the lease when the wall clock jumps back', known: {row}, now: at(100, -5000), expected: 'leased',
+		},
+		{
+			name: 'gives no lease while a successor is made', known: {row: {...row, state: 'fencing' as const}}, now: at(100), expected: 'fencing',
+		},
+		{
+			name: 'gives no lease to a host that no fence would wait for', known: {row, isRegistered: false}, now: at(100), expected: 'unknown',
+		},
+		{
+			name: 'gives no lease on a primary that the store has not named', known: {row: undefined}, now: at(100), expected: 'unknown',
+		},
 	];
 	for (const {name, known, now, expected} of cases) {
 		it(name, () => {
--- a/packages/sessions/find-replacement-reason.test.ts
+++ b/packages/sessions/find-replacement-reason.test.ts
@@ -20,8 +20,8 @@
 		{name: 'replaces one whose entry stays away', seen: {...calm, missingSince: 7000}, expected: 'missing'},
 		{name: 'suspects one that answers nothing', seen: {...calm, health: {...health, unansweredSince: 9000}}, expected: 'silent'},
 		{name: 'waits for a slow answer', seen: {...calm, health: {...health, unansweredSince: 9500}}, expected: undefined},
-		{name: 'leaves a replacement to the host that makes it', seen: {...calm, row: {...row, state: 'fencing' as const}, fencedAt: 5000}, expected: undefined},
-		{name: 'goes on with one that its host left behind', seen: {...calm, row: {...row, state: 'fencing' as const}, fencedAt: 3000}, expected: 'abandoned'},
+		{name: 'leaves a replacement to the host that makes it', seen: {...calm, row: {...row, state: 'fencing' as const}, fencedAt: 6000}, expected: undefined},
+		{name: 'goes on with one that its host left behind', seen: {...calm, row: {...row, state: 'fencing' as const}, fencedAt: 4000}, expected: 'abandoned'},
 	];
 	for (const {name, seen, expected} of cases) {
 		it(name, () => {
--- a/packages/sessions/find-replacement-reason.ts
+++ b/packages/sessions/find-replacement-reason.ts
@@ -24,7 +24,7 @@
 const missingLimit = 2600;
 
 /** Milliseconds after which a replacement that another host began counts as abandoned. */
-const abandonedLimit = 6500;
+const abandonedLimit = 5000;
 
 /** Finds whether the primary of a group should be replaced, as far as this host can see. */
 export function findReplacementReason(seen: Seen): ReplacementReason | undefined {
--- a/packages/sessions/follow-table.ts
+++ b/packages/sessions/follow-table.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop -- the steps follow each other */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {findProof} from './find-proof.ts';
 import type {KnownTable} from './known-table.ts';
--- a/packages/sessions/open-transaction.ts
+++ b/packages/sessions/open-transaction.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop -- the steps follow each other */
 import type {LogPoint} from '@sapphirefall/decisions';
 import {applySetup} from './apply-setup.ts';
 import {createBusy} from './create-busy.ts';
--- a/packages/sessions/rank-readers.test.ts
+++ b/packages/sessions/rank-readers.test.ts
@@ -18,6 +18,7 @@
 		{name: 'leaves the own zone when its replica is slow', given: [{...replica, health: {...health, latency: 300}}, remote], expected: 'remote'},
 		{name: 'leaves the own zone when its connections are full', given: [{...replica, load: 3}, remote], expected: 'remote'},
 		{name: 'avoids an instance that failed a moment ago', given: [{...replica, health: {...health, avoidedUntil: 200}}, remote], expected: 'remote'},
+		{name: 'avoids an instance that answers nothing, as when it went dark', given: [{...replica, health: {...health, unansweredSince: -200}}, remote], expected: 'remote'},
 		{name: 'avoids a replica that lacked an older position a moment ago', given: [{...replica, health: {...health, lagged: {at: 90, lacks: point(5)}}}, primary], expected: 'primary'},
 		{name: 'tries a replica again that lacked a newer position', given: [{...replica, health: {...health, lagged: {at: 90, lacks: point(50)}}}, primary], expected: 'replica'},
 		{name: 'trusts what a replica has shown since', given: [{...replica, health: {...health, position: point(10), lagged: {at: 90, lacks: point(5)}}}, primary], expected: 'replica'},
--- a/packages/sessions/rank-readers.ts
+++ b/packages/sessions/rank-readers.ts
@@ -23,6 +23,12 @@
 /** Milliseconds; cost of an instance that failed a moment ago. */
 const avoidedPenalty = 5000;
 
+/** Milliseconds without any answer to something sent after which an instance is held to be in trouble. */
+const silenceLimit = 250;
+
+/** Milliseconds; cost of an instance that lately answered nothing. */
+const silentPenalty = 400;
+
 /** Ranks the instances that may serve a read, the one that is expected to answer soonest first. */
 export function rankReaders(candidates: readonly ReadCandidate[], options: Options): readonly ReadCandidate[] {
 	return candidates
@@ -36,6 +42,7 @@
 	cost += isLocal ? 0 : remotePenalty;
 	cost += isPrimary ? primaryPenalty : 0;
 	cost += health.avoidedUntil > now ? avoidedPenalty : 0;
+	cost += health.unansweredSince !== undefined && now - health.unansweredSince > silenceLimit ? silentPenalty : 0;
 	cost += isBehind(health, required, now) ? laggingPenalty : 0;
 	return cost;
 }
--- a/packages/sessions/run-read.ts
+++ b/packages/sessions/run-read.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop -- the steps follow each other */
 import type {LogPoint} from '@sapphirefall/decisions';
 import {createBusy} from './create-busy.ts';
 import {createFailure} from './create-failure.ts';
--- a/packages/sessions/run-write.ts
+++ b/packages/sessions/run-write.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop -- the steps follow each other */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createBusy} from './create-busy.ts';
 import {createFailure} from './create-failure.ts';
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -1,9 +1,9 @@
+import type {LogPoint} from '@sapphirefall/decisions';
 import type {GroupRow} from './group-row.ts';
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {Instant} from './instant.ts';
 import type {ListedInstance} from './listed-instance.ts';
-import type {LogPoint} from '@sapphirefall/decisions';
 import type {PrimaryView} from './primary-view.ts';
 import type {SessionMark} from './session-mark.ts';
 import type {Versioned} from './versioned.ts';
--- a/packages/sessions/session-metrics.ts
+++ b/packages/sessions/session-metrics.ts
@@ -1,4 +1,6 @@
-import type {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 
 /** Metrics of a host that serves sessions. */
 export type SessionMetrics = {
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop -- the host looks again after a pause */
 import {createFleetControl} from './create-fleet-control.ts';
 import {createRateShares} from './create-rate-shares.ts';
 import {createSession} from './create-session.ts';
--- /dev/null
+++ b/packages/sessions/wait-for-hosts.ts
@@ -0,0 +1,36 @@
+/* eslint-disable no-await-in-loop -- rounds follow each other */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Fence} from './fence.ts';
+import {findLeaseLeft} from './find-lease-left.ts';
+import type {Replacement} from './replacement.ts';
+
+/** Milliseconds that a lease is taken to last beyond its end, since clocks run differently. */
+const leaseMargin = 150;
+
+/** Milliseconds between two rounds of questions to hosts. */
+const roundInterval = 100;
+
+/**
+ * Waits until every host that may hold a lease has given it up, or its lease has lapsed.
+ *
+ * @returns Hosts that had to be waited out.
+ */
+export async function waitForHosts({row, hosts, at}: Fence, replacement: Replacement): Promise<readonly string[]> {
+	const {group, self, now, findPeer, listRecentHosts} = replacement;
+	group.fence(row.epoch);
+	const open = new Set([...hosts, ...listRecentHosts()].map(({name}) => name));
+	open.delete(self);
+	while (open.size > 0 && findLeaseLeft(at, now()) + leaseMargin > 0) {
+		await Promise.all([...open].map(async name => {
+			const isFenced = await findPeer(name)?.fenceGroup(group.name, row.epoch);
+			if (isFenced === true) {
+				open.delete(name);
+			}
+		}));
+		if (open.size > 0) {
+			await sleep(roundInterval);
+		}
+	}
+
+	return [...open];
+}
--- a/stand-ins/wire/start-store-stand-in.ts
+++ b/stand-ins/wire/start-store-stand-in.ts
@@ -1,3 +1,4 @@
+/* eslint-disable @typescript-eslint/naming-convention -- the platform's names */
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -127,7 +128,7 @@
 		},
 		read(table, key) {
 			const value = rows.get(`${table}/${key}`)?.value;
-			return value === undefined ? undefined : JSON.parse(Buffer.from(value, 'base64').toString());
+			return value === undefined ? undefined : JSON.parse(Buffer.from(value, 'base64').toString()) as unknown;
 		},
 		setMode(newMode) {
 			mode = newMode;
--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -1,3 +1,5 @@
+/* eslint-disable @typescript-eslint/naming-convention -- the platform's names */
+/* eslint-disable no-await-in-loop -- the steps follow each other */
 import {spawn} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {createServer as createHttpServer} from 'node:http';
--- a/stand-ins/wire/whole-path.test.ts
+++ b/stand-ins/wire/whole-path.test.ts
@@ -1,3 +1,5 @@
+/* eslint-disable unicorn/no-await-expression-member -- a step of a session a line */
+/* eslint-disable no-await-in-loop -- the steps follow each other */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {openWireClient} from './open-wire-client.ts';
@@ -41,9 +43,15 @@
 	});
 
 	const starts = [
-		{name: 'a known key and database', database: 'latest', key: 'good', expected: {result: '', state: 'I'}},
-		{name: 'an unknown database', database: 'lakes', key: 'good', expected: {result: 'ERROR NODB', state: ''}},
-		{name: 'an unknown key', database: 'latest', key: 'bad', expected: {result: 'ERROR BADKEY', state: ''}},
+		{
+			name: 'a known key and database', database: 'latest', key: 'good', expected: {result: '', state: 'I'},
+		},
+		{
+			name: 'an unknown database', database: 'lakes', key: 'good', expected: {result: 'ERROR NODB', state: ''},
+		},
+		{
+			name: 'an unknown key', database: 'latest', key: 'bad', expected: {result: 'ERROR BADKEY', state: ''},
+		},
 	];
 	for (const {name, database, key, expected} of starts) {
 		it(`answers the start of a session with ${name}`, async () => {
