--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -40,7 +40,8 @@
 
 	let ordered: {readonly instance: string; readonly at: number} | undefined;
 	while (findElapsed(fence.at, now()) < replacementLimit) {
-		const answers = await readStatuses(replacement);
+		// Once a successor is named the old primary, which may be silent, has no say any more.
+		const answers = await readStatuses(replacement, row.successor === '' ? undefined : fence.row.primary);
 		const leader = findLeader(answers, row, replacement);
 		if (leader !== undefined) {
 			return {row, instance: leader.id, status: leader.status};
@@ -82,8 +83,9 @@
 
 type Answered = {readonly id: string; readonly status: InstanceStatus; readonly isDeparting: boolean};
 
-async function readStatuses({group, workspace}: Replacement): Promise<readonly Answered[]> {
-	const answers = await Promise.all(group.listInstances().map(async instance => {
+async function readStatuses({group, workspace}: Replacement, excluded?: string): Promise<readonly Answered[]> {
+	const instances = group.listInstances().filter(instance => instance.listed().id !== excluded);
+	const answers = await Promise.all(instances.map(async instance => {
 		const {id, isDeparting} = instance.listed();
 		const status = await readStatus(instance, {workspace, timeout: statusTimeout});
 		return status && {id, status, isDeparting};
--- a/packages/sessions/wait-for-hosts.ts
+++ b/packages/sessions/wait-for-hosts.ts
@@ -20,15 +20,17 @@
 	group.fence(row.epoch);
 	const open = new Set([...hosts, ...listRecentHosts()].map(({name}) => name));
 	open.delete(self);
-	while (open.size > 0 && findLeaseLeft(at, now()) + leaseMargin > 0) {
-		await Promise.all([...open].map(async name => {
+	const findLeft = () => findLeaseLeft(at, now()) + leaseMargin;
+	while (open.size > 0 && findLeft() > 0) {
+		const round = Promise.all([...open].map(async name => {
 			const isFenced = await findPeer(name)?.fenceGroup(group.name, row.epoch);
 			if (isFenced === true) {
 				open.delete(name);
 			}
 		}));
+		await Promise.race([round, sleep(findLeft())]);
 		if (open.size > 0) {
-			await sleep(roundInterval);
+			await sleep(Math.min(roundInterval, Math.max(0, findLeft())));
 		}
 	}
 
