--- a/packages/sessions/apply-setup.test.ts
+++ b/packages/sessions/apply-setup.test.ts
@@ -9,13 +9,27 @@
 
 describe('applySetup', () => {
 	const cases = [
-		{name: 'does nothing when all fits', held: [['a', '1']], wanted: [['a', '1']], sent: []},
-		{name: 'sets what is missing or differs', held: [['a', '1']], wanted: [['a', '2'], ['b', '1']], sent: ['set a', 'set b']},
-		{name: 'forgets the values of another session first', held: [['x', '1']], wanted: [['a', '1']], sent: ['reset', 'set a']},
-		{name: 'never resets inside a transaction', held: [['x', '1']], wanted: [['a', '1']], isInTransaction: true, sent: ['set a']},
-		{name: 'prepares a statement once for all sessions with its shape', held: [], wanted: [], prepared: 's', sent: ['prepare p1']},
-		{name: 'fails for a name that was not prepared', held: [], wanted: [], prepared: 't', sent: [], isReady: false},
-		{name: 'fails when the instance does not take a value', held: [], wanted: [['a', '1']], isFailing: true, sent: ['set a'], isReady: false},
+		{
+			name: 'does nothing when all fits', held: [['a', '1']], wanted: [['a', '1']], sent: [],
+		},
+		{
+			name: 'sets what is missing or differs', held: [['a', '1']], wanted: [['a', '2'], ['b', '1']], sent: ['set a', 'set b'],
+		},
+		{
+			name: 'forgets the values of another session first', held: [['x', '1']], wanted: [['a', '1']], sent: ['reset', 'set a'],
+		},
+		{
+			name: 'never resets inside a transaction', held: [['x', '1']], wanted: [['a', '1']], isInTransaction: true, sent: ['set a'],
+		},
+		{
+			name: 'prepares a statement once for all sessions with its shape', held: [], wanted: [], prepared: 's', sent: ['prepare p1'],
+		},
+		{
+			name: 'fails for a name that was not prepared', held: [], wanted: [], prepared: 't', sent: [], isReady: false,
+		},
+		{
+			name: 'fails when the instance does not take a value', held: [], wanted: [['a', '1']], isFailing: true, sent: ['set a'], isReady: false,
+		},
 	] satisfies ReadonlyArray<{name: string; held: Values; wanted: Values; sent: readonly string[]; isInTransaction?: boolean; prepared?: string; isFailing?: boolean; isReady?: boolean}>;
 	for (const {
 		name, held, wanted, sent, isInTransaction = false, prepared, isFailing = false, isReady = true,
--- a/packages/sessions/create-instance-pool.test.ts
+++ b/packages/sessions/create-instance-pool.test.ts
@@ -68,8 +68,13 @@
 		};
 
 		const wishes = [
-			want('flood', 2, 'flood1'), want('flood', 2, 'flood2'), want('flood', 2, 'flood3'), want('flood', 2, 'flood4'), want('flood', 2, 'flood5'),
-			want('small', 2, 'small'), want('small', 1, 'urgent'),
+			want('flood', 2, 'flood1'),
+			want('flood', 2, 'flood2'),
+			want('flood', 2, 'flood3'),
+			want('flood', 2, 'flood4'),
+			want('flood', 2, 'flood5'),
+			want('small', 2, 'small'),
+			want('small', 1, 'urgent'),
 		];
 		pool.release(held!, true);
 		await Promise.all(wishes);
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -37,6 +37,7 @@
 export * from './find-connection-limit.ts';
 export * from './find-demand.ts';
 export * from './find-elapsed.ts';
+export * from './find-fence-left.ts';
 export * from './find-held-rate.ts';
 export * from './find-lease-left.ts';
 export * from './find-primary.ts';
--- a/packages/sessions/wait-for-hosts.ts
+++ b/packages/sessions/wait-for-hosts.ts
@@ -1,12 +1,9 @@
 /* eslint-disable no-await-in-loop -- rounds follow each other */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Fence} from './fence.ts';
-import {findLeaseLeft} from './find-lease-left.ts';
+import {findFenceLeft} from './find-fence-left.ts';
 import type {Replacement} from './replacement.ts';
 
-/** Milliseconds that a lease is taken to last beyond its end, since clocks run differently. */
-const leaseMargin = 150;
-
 /** Milliseconds between two rounds of questions to hosts. */
 const roundInterval = 100;
 
@@ -20,8 +17,8 @@
 	group.fence(row.epoch);
 	const open = new Set([...hosts, ...listRecentHosts()].map(({name}) => name));
 	open.delete(self);
-	const findLeft = () => findLeaseLeft(at, now()) + leaseMargin;
-	while (open.size > 0 && findLeft() > 0) {
+	const findLeft = () => findFenceLeft({at, open}, now());
+	while (findLeft() > 0) {
 		const round = Promise.all([...open].map(async name => {
 			const isFenced = await findPeer(name)?.fenceGroup(group.name, row.epoch);
 			if (isFenced === true) {
