--- /dev/null
+++ b/packages/sessions/apply-local-statement.ts
@@ -0,0 +1,40 @@
+import {createFailure} from './create-failure.ts';
+import {localResult} from './local-result.ts';
+import type {SessionValues} from './session-values.ts';
+import type {Statement} from './statement.ts';
+import type {StatementOutcome} from './statement-outcome.ts';
+
+/** Values and prepared statements that a session may hold, so that one session cannot fill the host. */
+const setupLimit = 200;
+
+/**
+ * Applies a statement that only sets the session up; connections are brought to it when work runs there.
+ *
+ * @returns Undefined for any other statement.
+ */
+export function applyLocalStatement(statement: Statement, setup: SessionValues): StatementOutcome | undefined {
+	switch (statement.kind) {
+		case 'set': {
+			setup.values.set(statement.name, statement.value);
+			break;
+		}
+
+		case 'prepare': {
+			setup.prepared.set(statement.name, statement.prepared);
+			break;
+		}
+
+		case 'close': {
+			setup.prepared.delete(statement.name);
+			break;
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+
+	return setup.values.size > setupLimit || setup.prepared.size > setupLimit
+		? createFailure('malformed', `A session holds ${setupLimit} values and prepared statements at most`)
+		: localResult;
+}
--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -1,11 +1,10 @@
 import {applyGrant} from './apply-grant.ts';
-import {assignRates} from './assign-rates.ts';
 import {findRateHomePlace} from './find-rate-home-place.ts';
+import {createRateHome} from './create-rate-home.ts';
 import {createShareState} from './create-share-state.ts';
 import {findDemand} from './find-demand.ts';
 import {findElapsed} from './find-elapsed.ts';
 import {findHeldRate} from './find-held-rate.ts';
-import {findLeaseLeft} from './find-lease-left.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
@@ -14,7 +13,6 @@
 import type {RateBound} from './rate-bound.ts';
 import type {RateClaim} from './rate-claim.ts';
 import type {RateGrant} from './rate-grant.ts';
-import type {RateHome} from './rate-home.ts';
 import type {RateShares} from './rate-shares.ts';
 import type {SessionLog} from './session-log.ts';
 import type {ShareState} from './share-state.ts';
@@ -35,18 +33,12 @@
 	readonly log: SessionLog;
 };
 
-/** Milliseconds for which shares hold: long enough to outlast a cut, short enough that a lost host's share comes back. */
-const shareSpan = 2500;
-
 /** Milliseconds that a share still holds when it is claimed again, though nothing has changed. */
 const renewalSpan = 1300;
 
 /** Share by which demand must have changed to be told. */
 const demandChange = 0.2;
 
-/** Milliseconds by which the home takes a share to last longer than its holder does. */
-const spanMargin = 300;
-
 /** Milliseconds between two claims of a host. */
 const claimInterval = 800;
 
@@ -71,9 +63,6 @@
 /** Milliseconds for which the home is not asked again when it had nothing left. */
 const poolPause = 150;
 
-/** Milliseconds without a claim after which a host counts as silent. */
-const hostSilence = 10_000;
-
 /** Workspaces at most for which shares are held before callers ask. */
 const expectedLimit = 200;
 
@@ -88,44 +77,13 @@
 	/** Until when the home is not asked for operations of a workspace, in steady milliseconds. */
 	const poolEmptyUntil = new Map<string, number>();
 	let fleet: FleetRows | undefined;
-	let home: RateHome | undefined;
 	let claimedAt = Number.NEGATIVE_INFINITY;
 	let answeredAt = now().steady;
 	let isClaiming = false;
 	let hasRefused = false;
 
-	const isHome = () => fleet?.rateHome?.holder === self && fleet.rateHome.incarnation === incarnation;
-
-	const hasHomeLease = () => {
-		const proof = options.findFleetProof();
-		return isHome() && proof !== undefined && findLeaseLeft(proof, now()) > 0;
-	};
-
-	const claimRates: RateShares['claimRates'] = async ({host, epoch, claims}) => {
-		const row = fleet?.rateHome;
-		if (row === undefined || !hasHomeLease() || epoch !== row.epoch) {
-			return 'notHome';
-		}
-
-		if (home?.epoch !== row.epoch) {
-			home = {
-				epoch: row.epoch, startedAt: now().steady, hosts: new Map(), heardAt: new Map(), pools: new Map(),
-			};
-		}
-
-		const assigned = assignRates(home, {
-			host,
-			claims,
-			limits: options.findLimits(),
-			bound,
-			registered: [...fleet?.hosts.keys() ?? []],
-			span: shareSpan + spanMargin,
-			unknownSpan: shareSpan + spanMargin,
-			now: now().steady,
-		});
-		({home} = assigned);
-		return {grants: assigned.grants, span: shareSpan};
-	};
+	const home = createRateHome({...options, findFleet: () => fleet});
+	const {isHome, claimRates} = home;
 
 	/** Holds shares before the first callers come, as long as there are not too many workspaces for that. */
 	const addExpected = () => {
@@ -280,15 +238,7 @@
 			return second;
 		},
 		claimRates,
-		listSilentHosts() {
-			const at = now().steady;
-			const begun = home;
-			if (begun === undefined || !hasHomeLease() || at - begun.startedAt < hostSilence) {
-				return [];
-			}
-
-			return [...fleet?.hosts.keys() ?? []].filter(host => host !== self && at - (begun.heardAt.get(host) ?? begun.startedAt) > hostSilence);
-		},
+		listSilentHosts: home.listSilentHosts,
 		updateFleet(newer) {
 			if (newer.rateHome?.epoch !== fleet?.rateHome?.epoch) {
 				log.info({holder: newer.rateHome?.holder, epoch: newer.rateHome?.epoch}, 'rates: The store names the host that shares out the rates.');
--- a/packages/sessions/create-session.ts
+++ b/packages/sessions/create-session.ts
@@ -1,10 +1,13 @@
 /* eslint-disable no-await-in-loop -- the steps follow each other */
+import {applyLocalStatement} from './apply-local-statement.ts';
 import type {ClientAnswer} from './client-answer.ts';
 import type {ClientRequest} from './client-request.ts';
 import {createBusy} from './create-busy.ts';
 import {createFailure} from './create-failure.ts';
 import {createTransaction} from './create-transaction.ts';
+import {createWork} from './create-work.ts';
 import {hashKey} from './hash-key.ts';
+import {localResult} from './local-result.ts';
 import type {Operation} from './operation.ts';
 import {runRead} from './run-read.ts';
 import {runWrite} from './run-write.ts';
@@ -28,12 +31,6 @@
 
 type StatementRequest = Extract<ClientRequest, {readonly kind: 'statement'}>;
 
-/** A statement that this host answers itself. */
-const ownResult: StatementOutcome = {kind: 'done', rows: [], signature: '-'};
-
-/** Values and prepared statements that a session may hold, so that one session cannot fill the host. */
-const setupLimit = 200;
-
 /** Creates the session of a caller that has just connected. */
 export function createSession({context, number, send, close}: Options): Session {
 	const setup: SessionValues = {values: new Map(), prepared: new Map()};
@@ -115,34 +112,13 @@
 	/** Ends a failed transaction, as the caller has asked for. */
 	const leaveFailed = (kind: 'commit' | 'rollback'): StatementOutcome => {
 		state = 'idle';
-		return kind === 'rollback' ? ownResult : createFailure('aborted', 'The transaction had failed and is rolled back');
+		return kind === 'rollback' ? localResult : createFailure('aborted', 'The transaction had failed and is rolled back');
 	};
 
-	const applyLocal = (statement: StatementRequest['statement']): StatementOutcome | undefined => {
-		switch (statement.kind) {
-			case 'set': {
-				setup.values.set(statement.name, statement.value);
-				break;
-			}
-
-			case 'prepare': {
-				setup.prepared.set(statement.name, statement.prepared);
-				break;
-			}
-
-			case 'close': {
-				setup.prepared.delete(statement.name);
-				break;
-			}
-
-			default: {
-				return undefined;
-			}
-		}
-
-		return setup.values.size > setupLimit || setup.prepared.size > setupLimit
-			? createFailure('malformed', `A session holds ${setupLimit} values and prepared statements at most`)
-			: ownResult;
+	/** Takes an operation from the workspace's rate; a refusal if there is none left. */
+	const takeOperation = async (workspace: string): Promise<StatementOutcome | undefined> => {
+		const {isTaken, retryAfter} = await context.takeOperation(workspace);
+		return isTaken ? undefined : createBusy('The workspace has used up its rate', retryAfter);
 	};
 
 	const begin = async (isReadOnly: boolean, trace: string[]): Promise<StatementOutcome> => {
@@ -155,9 +131,9 @@
 			return operation;
 		}
 
-		const taken = await context.takeOperation(operation.workspace);
-		if (!taken.isTaken) {
-			return createBusy('The workspace has used up its rate', taken.retryAfter);
+		const refusal = await takeOperation(operation.workspace);
+		if (refusal !== undefined) {
+			return refusal;
 		}
 
 		transaction = createTransaction({
@@ -168,7 +144,7 @@
 			},
 		});
 		state = 'open';
-		return ownResult;
+		return localResult;
 	};
 
 	const runInTransaction = async (open: Transaction, work: Work, trace: string[]): Promise<StatementOutcome> => {
@@ -188,9 +164,9 @@
 			return operation;
 		}
 
-		const taken = await context.takeOperation(operation.workspace);
-		if (!taken.isTaken) {
-			return createBusy('The workspace has used up its rate', taken.retryAfter);
+		const refusal = await takeOperation(operation.workspace);
+		if (refusal !== undefined) {
+			return refusal;
 		}
 
 		return work.access === 'read' ? runRead(work, operation) : runWrite(work, operation);
@@ -209,7 +185,7 @@
 	};
 
 	const run = async (request: StatementRequest, trace: string[]): Promise<StatementOutcome> => {
-		const {statement, id, text} = request;
+		const {statement} = request;
 		if (opened === undefined) {
 			return createFailure('malformed', 'The session has not been started');
 		}
@@ -224,7 +200,7 @@
 			return reason === undefined ? createFailure('malformed', 'The transaction has failed; end it first') : createFailure('aborted', reason);
 		}
 
-		const local = applyLocal(statement);
+		const local = applyLocalStatement(statement, setup);
 		if (local !== undefined) {
 			return local;
 		}
@@ -246,13 +222,13 @@
 				transaction.rollBack();
 				transaction = undefined;
 				state = 'idle';
-				return ownResult;
+				return localResult;
 			}
 
 			case 'execute':
 			case 'read':
 			case 'write': {
-				const work = createWork(statement, {id, text, setup});
+				const work = createWork(request, setup);
 				if (work === undefined) {
 					return createFailure('unknownStatement', 'No statement of this name is prepared');
 				}
@@ -355,18 +331,3 @@
 		isIdle: () => !isRunning && state === 'idle',
 	};
 }
-
-function createWork(statement: StatementRequest['statement'], {id, text, setup}: {readonly id: string; readonly text: string; readonly setup: SessionValues}): Work | undefined {
-	if (statement.kind === 'execute') {
-		const access = setup.prepared.get(statement.name)?.access;
-		return access && {
-			id, text, access, execute: {name: statement.name, parameters: statement.parameters},
-		};
-	}
-
-	return statement.kind === 'read' || statement.kind === 'write'
-		? {
-			id, text, access: statement.kind, execute: undefined,
-		}
-		: undefined;
-}
--- /dev/null
+++ b/packages/sessions/create-work.ts
@@ -0,0 +1,19 @@
+import type {ClientRequest} from './client-request.ts';
+import type {SessionValues} from './session-values.ts';
+import type {Work} from './work.ts';
+
+/** Creates the work of a read, a write, or a prepared statement; undefined for a name that was not prepared. */
+export function createWork({statement, id, text}: Extract<ClientRequest, {readonly kind: 'statement'}>, setup: SessionValues): Work | undefined {
+	if (statement.kind === 'execute') {
+		const access = setup.prepared.get(statement.name)?.access;
+		return access && {
+			id, text, access, execute: {name: statement.name, parameters: statement.parameters},
+		};
+	}
+
+	return statement.kind === 'read' || statement.kind === 'write'
+		? {
+			id, text, access: statement.kind, execute: undefined,
+		}
+		: undefined;
+}
--- a/packages/sessions/find-access.ts
+++ b/packages/sessions/find-access.ts
@@ -1,12 +1,7 @@
+import type {Access} from './access.ts';
 import {findElapsed} from './find-elapsed.ts';
-import type {FailureCode} from './failure-code.ts';
 import type {Instant} from './instant.ts';
 import type {KnownDirectory} from './known-directory.ts';
-import type {Route} from './route.ts';
-
-type Access =
-	| {readonly kind: 'allowed'; readonly route: Route; readonly workspace: string; readonly version: number}
-	| {readonly kind: 'denied'; readonly code: FailureCode; readonly reason: string};
 
 type Caller = {
 	readonly database: string;
--- a/packages/sessions/session-context.ts
+++ b/packages/sessions/session-context.ts
@@ -1,15 +1,9 @@
-import type {FailureCode} from './failure-code.ts';
+import type {Access} from './access.ts';
 import type {Instant} from './instant.ts';
-import type {Route} from './route.ts';
 import type {SessionGroup} from './session-group.ts';
 import type {SessionLog} from './session-log.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
 
-/** Whether a caller may use a database now. */
-type Access =
-	| {readonly kind: 'allowed'; readonly route: Route; readonly workspace: string; readonly version: number}
-	| {readonly kind: 'denied'; readonly code: FailureCode; readonly reason: string};
-
 /** A statement that was answered, for logs and metrics. */
 type AnsweredStatement = {
 	readonly id: string;
