--- a/packages/sessions/create-session.ts
+++ b/packages/sessions/create-session.ts
@@ -62,7 +62,11 @@
 		const keyDigest = hashKey(key);
 		const access = context.findAccess(database, keyDigest);
 		if (access.kind === 'denied') {
-			send({kind: 'rejected', outcome: createFailure(access.code, access.reason)});
+			const outcome = createFailure(access.code, access.reason);
+			send({kind: 'rejected', outcome});
+			context.onAnswered({
+				id: '', session: number, kind: 'start', database, workspace: '', outcome, elapsed: 0, trace: [],
+			});
 			closeSession();
 			return;
 		}
--- a/stand-ins/wire/whole-path.test.ts
+++ b/stand-ins/wire/whole-path.test.ts
@@ -59,6 +59,13 @@
 		});
 	}
 
+	it('logs sessions that are refused at their start, with the reason', async () => {
+		await sleep(100);
+		const lines = deployment.hosts[0]?.output().split('\n').filter(line => line.includes('"kind":"start"')) ?? [];
+		expect(lines.filter(line => line.includes('"outcome":"badKey"'))).to.have.length(1);
+		expect(lines.filter(line => line.includes('"outcome":"noDatabase"'))).to.have.length(1);
+	});
+
 	it('lets a session read its own writes while replicas lag', async () => {
 		const client = open(0, 'own');
 		for (let number = 0; number < 10; number++) {
