Choose where reads and transactions go in one place

Found on reading the whole change: the choice of an instance stood in run-read and open-transaction, the wait for a primary and the check of its lease in three places, a pause of one's own in three beside the one of Node, and a pool had a reset that nobody called.

--- a/packages/sessions/create-instance-pool.ts
+++ b/packages/sessions/create-instance-pool.ts
@@ -199,12 +199,5 @@
 				drop(link);
 			}
 		},
-		reset() {
-			for (const link of links) {
-				drop(link);
-			}
-
-			serveNext();
-		},
 	};
 }
--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {applyGrant} from './apply-grant.ts';
 import {findRateHomePlace} from './find-rate-home-place.ts';
 import {createRateHome} from './create-rate-home.ts';
@@ -180,7 +181,7 @@
 		}
 
 		const claims = createClaims().filter(claimed => claimed.workspace === workspace).map(claimed => ({...claimed, needed: unitsWanted}));
-		const asked = Promise.race([ask(row, claims), wait(unitsTimeout)]);
+		const asked = Promise.race([ask(row, claims), sleep(unitsTimeout)]);
 		asking.set(workspace, asked);
 		await asked;
 		asking.delete(workspace);
@@ -271,9 +272,3 @@
 function isWorthClaiming({demand, heldFor}: RateClaim, told: number | undefined): boolean {
 	return told === undefined || heldFor < renewalSpan || Math.abs(demand - told) > (demandChange * told) + 0.5;
 }
-
-async function wait(milliseconds: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/packages/sessions/instance-pool.ts
+++ b/packages/sessions/instance-pool.ts
@@ -21,6 +21,4 @@
 	readonly setLimit: (limit: number) => void;
 	/** Closes idle connections now and others when they are given back. */
 	readonly close: () => void;
-	/** Closes all connections at once, since the instance does not answer. */
-	readonly reset: () => void;
 };
--- a/packages/sessions/open-transaction.ts
+++ b/packages/sessions/open-transaction.ts
@@ -1,6 +1,6 @@
 /* eslint-disable no-await-in-loop -- the steps follow each other */
-import type {LogPoint} from '@sapphirefall/decisions';
 import {applySetup} from './apply-setup.ts';
+import {chooseTarget} from './choose-target.ts';
 import {createBusy} from './create-busy.ts';
 import {hasNotRun} from './has-not-run.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
@@ -8,6 +8,7 @@
 import type {Operation} from './operation.ts';
 import type {PooledLink} from './pooled-link.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
+import type {Target} from './target.ts';
 
 /** The connection of a transaction that has begun. */
 type Opened = {
@@ -18,8 +19,6 @@
 	readonly epoch: number | undefined;
 };
 
-type Target = Pick<Opened, 'instance' | 'epoch'> & {readonly after: LogPoint | undefined};
-
 /** Times that a transaction is begun on instances at most. */
 const attemptsLimit = 5;
 
@@ -53,23 +52,6 @@
 	return {kind: 'failed', outcome};
 }
 
-async function chooseTarget(operation: Operation, {isReadOnly, tried, left}: {readonly isReadOnly: boolean; readonly tried: ReadonlySet<string>; readonly left: number}): Promise<Target | undefined> {
-	const {group, route, arrivedAt} = operation;
-	if (isReadOnly && route.freshness !== 'latest') {
-		const required = group.findRequired({maxStaleness: route.maxStaleness, mark: operation.mark(), arrivedAt});
-		const readers = required === undefined ? [] : group.listReaders(required);
-		const instance = readers.find(reader => !tried.has(reader.listed().id));
-		if (required !== undefined && instance !== undefined) {
-			return {instance, after: required, epoch: undefined};
-		}
-	}
-
-	const now = group.primary();
-	const view = now.kind === 'leased' || now.retryAfter > left ? now : await group.waitForPrimary(left);
-	const instance = view.kind === 'leased' ? group.findInstance(view.instance) : undefined;
-	return view.kind === 'leased' && instance !== undefined ? {instance, after: undefined, epoch: view.epoch} : undefined;
-}
-
 async function tryTarget(operation: Operation, target: Target, isReadOnly: boolean): Promise<Opened | {readonly kind: 'failed'; readonly outcome: StatementOutcome}> {
 	const {context, group, route, workspace, deadline} = operation;
 	const {instance, after, epoch} = target;
--- a/packages/sessions/read-status.ts
+++ b/packages/sessions/read-status.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {InstanceStatus} from './instance-status.ts';
 import {parseStatus} from './parse-status.ts';
@@ -11,7 +12,7 @@
 
 /** Asks an instance for its role and the end of its log; undefined when it does not answer in time. */
 export async function readStatus(instance: InstanceRuntime, options: Options): Promise<InstanceStatus | undefined> {
-	return Promise.race([askStatus(instance, options), wait(options.timeout)]);
+	return Promise.race([askStatus(instance, options), sleep(options.timeout, undefined)]);
 }
 
 async function askStatus(instance: InstanceRuntime, {workspace, timeout}: Options): Promise<InstanceStatus | undefined> {
@@ -24,11 +25,3 @@
 	instance.pool.release(acquired.link, answer.kind === 'answered' && answer.state === 'idle');
 	return answer.kind === 'answered' && answer.outcome.kind === 'done' ? parseStatus(answer.outcome.rows[0] ?? '') : undefined;
 }
-
-async function wait(milliseconds: number): Promise<undefined> {
-	return new Promise(resolve => {
-		setTimeout(() => {
-			resolve(undefined);
-		}, milliseconds);
-	});
-}
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -47,7 +47,6 @@
 			}),
 			setLimit: () => undefined,
 			close: () => undefined,
-			reset: () => undefined,
 		},
 		send: async () => answer(),
 		noteLag: () => undefined,
--- a/packages/sessions/run-read.ts
+++ b/packages/sessions/run-read.ts
@@ -1,22 +1,15 @@
 /* eslint-disable no-await-in-loop -- the steps follow each other */
-import type {LogPoint} from '@sapphirefall/decisions';
+import {chooseTarget} from './choose-target.ts';
 import {createBusy} from './create-busy.ts';
 import {createFailure} from './create-failure.ts';
+import {hasLease} from './has-lease.ts';
 import {hasNotRun} from './has-not-run.ts';
-import type {InstanceRuntime} from './instance-runtime.ts';
 import type {Operation} from './operation.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
+import type {Target} from './target.ts';
 import type {Work} from './work.ts';
 import {runWork} from './run-work.ts';
 
-/** Where a read goes: an instance, and the position that its log must hold unless it is the leased primary. */
-type Target = {
-	readonly instance: InstanceRuntime;
-	readonly after: LogPoint | undefined;
-	/** Epoch of the lease, when the read relies on it. */
-	readonly epoch: number | undefined;
-};
-
 /** Times that a read is tried on instances at most. */
 const attemptsLimit = 6;
 
@@ -38,7 +31,7 @@
 			break;
 		}
 
-		const target = await chooseTarget(operation, tried, left);
+		const target = await chooseTarget(operation, {isReadOnly: true, tried, left});
 		if (target === undefined) {
 			return last;
 		}
@@ -55,29 +48,6 @@
 	return last;
 }
 
-/** Chooses where a read goes next: fresh replicas first, then the primary under its lease. */
-async function chooseTarget(operation: Operation, tried: ReadonlySet<string>, left: number): Promise<Target | undefined> {
-	const {group, route, arrivedAt} = operation;
-	if (route.freshness !== 'latest') {
-		const required = group.findRequired({maxStaleness: route.maxStaleness, mark: operation.mark(), arrivedAt});
-		const readers = required === undefined ? [] : group.listReaders(required);
-		const instance = readers.find(reader => !tried.has(reader.listed().id));
-		if (required !== undefined && instance !== undefined) {
-			return {instance, after: required, epoch: undefined};
-		}
-	}
-
-	const view = await waitForUsefulPrimary(operation, left);
-	const instance = view.kind === 'leased' ? group.findInstance(view.instance) : undefined;
-	return view.kind === 'leased' && instance !== undefined ? {instance, after: undefined, epoch: view.epoch} : undefined;
-}
-
-/** Waits for the primary only if it should be there before the statement's time is over. */
-async function waitForUsefulPrimary({group}: Operation, left: number) {
-	const view = group.primary();
-	return view.kind === 'leased' || view.retryAfter > left ? view : group.waitForPrimary(left);
-}
-
 type Tried =
 	| {readonly kind: 'done'; readonly outcome: StatementOutcome}
 	| {readonly kind: 'failed'; readonly outcome: StatementOutcome; readonly isFinal: boolean};
@@ -101,7 +71,7 @@
 		after,
 		isInTransaction: false,
 		timeout: Math.max(1, Math.min(patience, deadline - askedAt.steady)),
-		maySend: () => operation.isAllowed() && (epoch === undefined || isLeased(operation, epoch)),
+		maySend: () => operation.isAllowed() && (epoch === undefined || hasLease(group, epoch)),
 	});
 	const isClean = answer.kind === 'notSent' ? !acquired.link.link.isClosed() : answer.kind === 'answered' && answer.state === 'idle';
 	instance.pool.release(acquired.link, isClean);
@@ -135,8 +105,3 @@
 	const outcome = hasNotRun(code) ? createBusy(`Instance ${id} answered ${code}`, 100) : answer.outcome;
 	return {kind: 'failed', outcome, isFinal: code === 'malformed' || code === 'timeout'};
 }
-
-function isLeased({group}: Operation, epoch: number): boolean {
-	const view = group.primary();
-	return view.kind === 'leased' && view.epoch === epoch;
-}
--- a/packages/sessions/run-write.ts
+++ b/packages/sessions/run-write.ts
@@ -2,11 +2,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createBusy} from './create-busy.ts';
 import {createFailure} from './create-failure.ts';
+import {hasLease} from './has-lease.ts';
 import {hasNotRun} from './has-not-run.ts';
 import type {Operation} from './operation.ts';
 import type {PrimaryView} from './primary-view.ts';
 import {runWork} from './run-work.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
+import {waitForUsefulPrimary} from './wait-for-useful-primary.ts';
 import type {Work} from './work.ts';
 
 /** Milliseconds between two tries of a write that did not run. */
@@ -30,8 +32,7 @@
 			break;
 		}
 
-		const now = group.primary();
-		const view = now.kind === 'leased' || now.retryAfter > left ? now : await group.waitForPrimary(left);
+		const view = await waitForUsefulPrimary(group, left);
 		if (view.kind !== 'leased') {
 			operation.trace(`no primary (${view.reason})`);
 			return createBusy(`The group has no primary now (${view.reason})`, view.retryAfter);
@@ -64,11 +65,6 @@
 		return {outcome: createBusy(`The primary ${id} takes no connection`, 100), isFinal: false};
 	}
 
-	const isLeased = () => {
-		const view = group.primary();
-		return view.kind === 'leased' && view.epoch === epoch;
-	};
-
 	const askedAt = context.now();
 	const answer = await runWork(acquired.link, {
 		operation,
@@ -77,7 +73,7 @@
 		after: undefined,
 		isInTransaction: false,
 		timeout: Math.max(1, deadline - askedAt.steady),
-		maySend: () => operation.isAllowed() && isLeased(),
+		maySend: () => operation.isAllowed() && hasLease(group, epoch),
 	});
 	const isClean = answer.kind === 'notSent' ? !acquired.link.link.isClosed() : answer.kind === 'answered' && answer.state === 'idle';
 	instance.pool.release(acquired.link, isClean);
@@ -101,7 +97,7 @@
 			: {outcome: answer.outcome, isFinal: true};
 	}
 
-	if (!isLeased() || answer.position === undefined) {
+	if (!hasLease(group, epoch) || answer.position === undefined) {
 		return {outcome: createFailure('unknown', 'The primary was replaced while the write ran'), isFinal: true};
 	}
 
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -1,4 +1,5 @@
 /* eslint-disable no-await-in-loop -- the host looks again after a pause */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createFleetControl} from './create-fleet-control.ts';
 import {createRateShares} from './create-rate-shares.ts';
 import {createSession} from './create-session.ts';
@@ -251,7 +252,7 @@
 		async stop(closeDoor) {
 			isStopping = true;
 			log.info({sessions: sessions.size}, 'host: The host stops; it takes no new callers.');
-			await wait(sessionGrace);
+			await sleep(sessionGrace);
 			closeDoor();
 			isDoorClosed = true;
 			for (const session of sessions) {
@@ -260,7 +261,7 @@
 
 			const until = now().steady + profile.graceSpan - sessionGrace - exitMargin;
 			while (sessions.size > 0 && now().steady < until) {
-				await wait(tickInterval);
+				await sleep(tickInterval);
 			}
 
 			for (const session of sessions) {
@@ -268,17 +269,11 @@
 			}
 
 			// The last answers are written out meanwhile.
-			await wait(tickInterval);
-			await Promise.race([control.leave(), wait(exitMargin / 2)]);
+			await sleep(tickInterval);
+			await Promise.race([control.leave(), sleep(exitMargin / 2)]);
 			clearInterval(timer);
 			reader.stop();
 			log.info({}, 'host: The host has stopped.');
 		},
 	};
 }
-
-async function wait(milliseconds: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
