--- a/packages/hosts/create-fleet-peer.ts
+++ b/packages/hosts/create-fleet-peer.ts
@@ -1,10 +1,12 @@
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import type {FleetPeer, StoreTable} from '@sapphirefall/sessions';
 import {
-	FleetRequestSchema, runWithTimeout, SessionHostService, type FleetRequest, type FleetResponse,
+	decodePoint, FleetRequestSchema, runWithTimeout, SessionHostService, type FleetRequest, type FleetResponse,
 	type ReadTablesResponse,
 } from '@sapphirefall/wire';
 import {createHostChannel} from './create-host-channel.ts';
+import {decodeJobAnswer} from './decode-job-answer.ts';
+import {encodeJob} from './encode-job.ts';
 
 type Options = {
 	/** Milliseconds to wait for an answer. */
@@ -15,6 +17,21 @@
 	readonly now: () => number;
 };
 
+/** Milliseconds between two signs of life of a host that runs work, and without any after which it counts as silent. */
+const workBeat = 250;
+const workSilence = 900;
+
+/** Milliseconds beyond the time that work may take, for the way there and back. */
+const wayMargin = 150;
+
+/** Milliseconds within which a host must answer whether it answers at all. */
+const pingTimeout = 300;
+
+/** Milliseconds for work that names no time of its own. */
+const usualJobTimeout = 1000;
+
+type PeerKnowledge = NonNullable<Awaited<ReturnType<FleetPeer['readTables']>>>;
+
 type Call = NonNullable<MessageInitShape<typeof FleetRequestSchema>['call']>;
 
 /**
@@ -30,25 +47,49 @@
 		idleSpan,
 		now,
 	});
-	const send = async (call: Call) => {
-		const response = await runWithTimeout(timeout, async signal =>
+	const work = createHostChannel<typeof SessionHostService, FleetRequest, FleetResponse>(address, {
+		service: SessionHostService,
+		open: (client, requests, signal) => client.call(requests, {signal}),
+		heartbeat: {
+			createPing: id => create(FleetRequestSchema, {id, call: {case: 'ping', value: {}}}),
+			interval: workBeat,
+			silenceLimit: workSilence,
+			isOnlyWhilePending: true,
+		},
+		idleSpan,
+		now,
+	});
+	const sendWork = async (call: Call, options: {readonly timeout: number; readonly closesOnAbort: boolean}) => {
+		const response = await runWithTimeout(options.timeout, async signal =>
+			work(id => create(FleetRequestSchema, {id, call}), {signal, closesOnAbort: options.closesOnAbort}));
+		return response?.answer;
+	};
+
+	/** Sends a call that may wait for some milliseconds at the other host. */
+	const send = async (call: Call, wait = 0) => {
+		const response = await runWithTimeout(timeout + wait, async signal =>
 			channel(id => create(FleetRequestSchema, {id, call}), {signal, closesOnAbort: true}));
 		return response?.answer;
 	};
 
 	return {
-		async readTables(changedAt) {
+		async readTables(changedAt, wait) {
 			const answer = await send({
 				case: 'readTables',
-				value: {changedAt: Object.fromEntries([...changedAt].map(([table, version]) => [table, BigInt(version)]))},
-			});
-			return answer?.case === 'readTables' ? decodeTables(answer.value) : undefined;
+				value: {changedAt: Object.fromEntries([...changedAt].map(([table, version]) => [table, BigInt(version)])), waitMs: wait},
+			}, wait);
+			return answer?.case === 'readTables'
+				? {tables: decodeTables(answer.value), positions: decodePositions(answer.value), waited: answer.value.waitedMs}
+				: undefined;
 		},
-		async claimRates({host, incarnation, epoch, claims}) {
+		async claimRates({
+			host, incarnation, partition, epoch, claims,
+		}) {
 			const answer = await send({
 				case: 'claimRates',
 				value: {
 					host,
+					partition,
 					incarnation: BigInt(incarnation),
 					epoch: BigInt(epoch),
 					claims: claims.map(({heldFor, ...claim}) => ({...claim, heldMs: heldFor})),
@@ -69,10 +110,25 @@
 			const answer = await send({case: 'confirmSilence', value: {group, instance}});
 			return answer?.case === 'confirmSilence' ? answer.value.silent : undefined;
 		},
+		async runJob(instance, job) {
+			const timeout = ('timeout' in job ? job.timeout : usualJobTimeout) + wayMargin;
+			const answer = await sendWork({case: 'runJob', value: encodeJob(instance, job)}, {timeout, closesOnAbort: false});
+			return answer?.case === 'runJob' ? decodeJobAnswer(answer.value) : undefined;
+		},
+		async ping() {
+			const answer = await sendWork({case: 'ping', value: {}}, {timeout: pingTimeout, closesOnAbort: true});
+			return answer?.case === 'ping';
+		},
 	};
 }
 
-function decodeTables({tables}: ReadTablesResponse): NonNullable<Awaited<ReturnType<FleetPeer['readTables']>>> {
+function decodePositions({samples}: ReadTablesResponse): PeerKnowledge['positions'] {
+	return samples.map(({group, epoch, position, ageMs}) => ({
+		group, epoch: Number(epoch), position: decodePoint(position), age: ageMs,
+	}));
+}
+
+function decodeTables({tables}: ReadTablesResponse): PeerKnowledge['tables'] {
 	return tables.map(({
 		table, version, changedAt, ageMs, changed, rows,
 	}) => ({
--- a/packages/hosts/create-fleet-service.ts
+++ b/packages/hosts/create-fleet-service.ts
@@ -4,6 +4,8 @@
 import {
 	FleetResponseSchema, serveMessages, type FleetRequest, type FleetResponse, type SessionHostService,
 } from '@sapphirefall/wire';
+import {decodeJob} from './decode-job.ts';
+import {encodeJobAnswer} from './encode-job-answer.ts';
 
 type Answer = FleetResponse['answer'];
 
@@ -29,11 +31,17 @@
 	switch (call.case) {
 		case 'readTables': {
 			const known = new Map(Object.entries(call.value.changedAt).map(([table, version]) => [table as StoreTable, Number(version)]));
-			const tables = await own.readTables(known);
+			const {tables = [], positions = [], waited = 0} = await own.readTables(known, call.value.waitMs) ?? {};
 			return {
 				case: call.case,
 				value: {
-					tables: (tables ?? []).map(({
+					waitedMs: waited,
+					samples: positions.map(({
+						group, epoch, position, age,
+					}) => ({
+						group, epoch: BigInt(epoch), position, ageMs: age,
+					})),
+					tables: tables.map(({
 						table, version, changedAt, age, rows,
 					}) => ({
 						table,
@@ -48,9 +56,12 @@
 		}
 
 		case 'claimRates': {
-			const {host, incarnation, epoch, claims} = call.value;
+			const {
+				host, incarnation, partition, epoch, claims,
+			} = call.value;
 			const shares = await own.claimRates({
 				host,
+				partition,
 				incarnation: Number(incarnation),
 				epoch: Number(epoch),
 				claims: claims.map(({heldMs, ...claim}) => ({...claim, heldFor: heldMs})),
@@ -71,6 +82,15 @@
 			return {case: call.case, value: {silent: await own.confirmSilence(call.value.group, call.value.instance) ?? false}};
 		}
 
+		case 'runJob': {
+			const answer = await own.runJob({group: call.value.group, id: call.value.instance}, decodeJob(call.value));
+			return {case: call.case, value: encodeJobAnswer(answer)};
+		}
+
+		case 'ping': {
+			return {case: call.case, value: {}};
+		}
+
 		case undefined: {
 			return {case: undefined};
 		}
--- /dev/null
+++ b/packages/hosts/decode-job-answer.ts
@@ -0,0 +1,44 @@
+import type {JobAnswer, StatementOutcome} from '@sapphirefall/sessions';
+import {
+	decodePoint, JobResult, JobState, type RunJobResponse,
+} from '@sapphirefall/wire';
+
+type FailureCode = Extract<StatementOutcome, {readonly kind: 'failed'}>['code'];
+
+/** Decodes a gateway's answer to a job; undefined when it says nothing that is known here. */
+export function decodeJobAnswer(message: RunJobResponse): JobAnswer | 'notServed' | undefined {
+	const {result, rows, signature, code, reason} = message;
+	switch (result) {
+		case JobResult.NOT_SERVED: {
+			return 'notServed';
+		}
+
+		case JobResult.NOT_SENT: {
+			return {kind: 'notSent', reason, isUnreachable: message.unreachable};
+		}
+
+		case JobResult.LOST: {
+			return {kind: 'lost', reason};
+		}
+
+		case JobResult.DONE: {
+			return {kind: 'answered', outcome: {kind: 'done', rows, signature}, ...decodeEnd(message)};
+		}
+
+		case JobResult.FAILED: {
+			return {kind: 'answered', outcome: {kind: 'failed', code: code as FailureCode, reason}, ...decodeEnd(message)};
+		}
+
+		case JobResult.UNSPECIFIED: {
+			return undefined;
+		}
+	}
+}
+
+function decodeEnd({state, position, transaction}: RunJobResponse): Omit<Extract<JobAnswer, {readonly kind: 'answered'}>, 'kind' | 'outcome'> {
+	return {
+		state: state === JobState.IDLE ? 'idle' : (state === JobState.OPEN ? 'open' : 'failed'),
+		position: position && decodePoint(position),
+		transaction: transaction === 0n ? undefined : Number(transaction),
+	};
+}
--- /dev/null
+++ b/packages/hosts/decode-job.ts
@@ -0,0 +1,75 @@
+import type {Job} from '@sapphirefall/sessions';
+import {decodePoint, JobKind, type RunJobRequest} from '@sapphirefall/wire';
+
+/** Decodes a job that another host sends to an instance through this one. */
+export function decodeJob(message: RunJobRequest): Job {
+	const base = {
+		workspace: message.workspace,
+		priority: message.priority,
+		caller: {database: message.database, keyDigest: message.keyDigest},
+		timeout: message.timeoutMs,
+	};
+	const transaction = Number(message.transaction);
+	const after = message.after && decodePoint(message.after);
+	switch (message.kind) {
+		case JobKind.SINGLE: {
+			return {
+				...base, kind: 'single', ...decodeWork(message), after,
+			};
+		}
+
+		case JobKind.BEGIN:
+		case JobKind.BEGIN_READ: {
+			return {
+				...base, kind: 'begin', setup: decodeSetup(message), isReadOnly: message.kind === JobKind.BEGIN_READ, after, idleLimit: message.idleLimitMs,
+			};
+		}
+
+		case JobKind.WITHIN: {
+			return {
+				...base, kind: 'within', transaction, ...decodeWork(message),
+			};
+		}
+
+		case JobKind.COMMIT: {
+			return {
+				...base, kind: 'commit', transaction, id: message.id, text: message.text,
+			};
+		}
+
+		case JobKind.ROLLBACK: {
+			return {kind: 'rollback', transaction};
+		}
+
+		case JobKind.POSITION: {
+			return {kind: 'position', workspace: message.workspace};
+		}
+
+		case JobKind.UNSPECIFIED: {
+			throw new Error('The job has no kind that is known here');
+		}
+	}
+}
+
+type Parts = Pick<Extract<Job, {readonly kind: 'within'}>, 'setup' | 'work'>;
+
+function decodeSetup({values, prepared}: RunJobRequest): Parts['setup'] {
+	return {
+		values: new Map(Object.entries(values)),
+		prepared: new Map(prepared === undefined ? [] : [[prepared.name, {access: findAccess(prepared.isWrite), shape: prepared.shape}]]),
+	};
+}
+
+function decodeWork(message: RunJobRequest): Parts {
+	const {id, text, isWrite, prepared, parameters} = message;
+	return {
+		setup: decodeSetup(message),
+		work: {
+			id, text, access: findAccess(isWrite), execute: prepared && {name: prepared.name, parameters},
+		},
+	};
+}
+
+function findAccess(isWrite: boolean): Parts['work']['access'] {
+	return isWrite ? 'write' : 'read';
+}
--- /dev/null
+++ b/packages/hosts/encode-job-answer.ts
@@ -0,0 +1,38 @@
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import type {JobAnswer} from '@sapphirefall/sessions';
+import {
+	JobResult, JobState, type RunJobResponse, type RunJobResponseSchema,
+} from '@sapphirefall/wire';
+
+type Message = Exclude<MessageInitShape<typeof RunJobResponseSchema>, RunJobResponse>;
+
+const states = {idle: JobState.IDLE, open: JobState.OPEN, failed: JobState.FAILED};
+
+/** Encodes the answer to a job of another host. */
+export function encodeJobAnswer(answer: JobAnswer | 'notServed' | undefined): Message {
+	if (answer === undefined || answer === 'notServed') {
+		return {result: JobResult.NOT_SERVED};
+	}
+
+	switch (answer.kind) {
+		case 'lost': {
+			return {result: JobResult.LOST, reason: answer.reason};
+		}
+
+		case 'notSent': {
+			return {result: JobResult.NOT_SENT, reason: answer.reason, unreachable: answer.isUnreachable ?? false};
+		}
+
+		case 'answered': {
+			const {outcome, state, position, transaction} = answer;
+			return {
+				...outcome.kind === 'done'
+					? {result: JobResult.DONE, rows: [...outcome.rows], signature: outcome.signature}
+					: {result: JobResult.FAILED, code: outcome.code, reason: outcome.reason},
+				state: states[state],
+				...position && {position},
+				transaction: BigInt(transaction ?? 0),
+			};
+		}
+	}
+}
--- /dev/null
+++ b/packages/hosts/encode-job.ts
@@ -0,0 +1,72 @@
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import type {Job} from '@sapphirefall/sessions';
+import {JobKind, type RunJobRequest, type RunJobRequestSchema} from '@sapphirefall/wire';
+
+type Message = Exclude<MessageInitShape<typeof RunJobRequestSchema>, RunJobRequest>;
+
+/** Encodes a job for the gateway of an instance. */
+export function encodeJob(instance: {readonly group: string; readonly id: string}, job: Job): Message {
+	return {
+		group: instance.group, instance: instance.id, ...encodeBase(job), ...encodeDetails(job),
+	};
+}
+
+function encodeBase(job: Job): Message {
+	return 'caller' in job
+		? {
+			workspace: job.workspace, priority: job.priority, database: job.caller.database, keyDigest: job.caller.keyDigest, timeoutMs: job.timeout,
+		}
+		: {};
+}
+
+function encodeDetails(job: Job): Message {
+	switch (job.kind) {
+		case 'single': {
+			return {
+				kind: JobKind.SINGLE, ...encodeWork(job), ...job.after && {after: job.after},
+			};
+		}
+
+		case 'begin': {
+			return {
+				kind: job.isReadOnly ? JobKind.BEGIN_READ : JobKind.BEGIN,
+				values: Object.fromEntries(job.setup.values),
+				idleLimitMs: job.idleLimit,
+				...job.after && {after: job.after},
+			};
+		}
+
+		case 'within': {
+			return {kind: JobKind.WITHIN, transaction: BigInt(job.transaction), ...encodeWork(job)};
+		}
+
+		case 'commit': {
+			return {
+				kind: JobKind.COMMIT, transaction: BigInt(job.transaction), id: job.id, text: job.text,
+			};
+		}
+
+		case 'rollback': {
+			return {kind: JobKind.ROLLBACK, transaction: BigInt(job.transaction)};
+		}
+
+		case 'position': {
+			return {kind: JobKind.POSITION, workspace: job.workspace};
+		}
+	}
+}
+
+function encodeWork({setup, work}: Pick<Extract<Job, {readonly kind: 'within'}>, 'setup' | 'work'>): Message {
+	const {id, text, access, execute} = work;
+	const prepared = execute && setup.prepared.get(execute.name);
+	return {
+		values: Object.fromEntries(setup.values),
+		id,
+		text,
+		isWrite: access === 'write',
+		...execute && prepared && {
+			prepared: {name: execute.name, isWrite: prepared.access === 'write', shape: prepared.shape},
+			parameters: execute.parameters,
+		},
+	};
+}
--- a/packages/sessions/assign-rates.test.ts
+++ b/packages/sessions/assign-rates.test.ts
@@ -1,9 +1,16 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
+import {applyGrant} from './apply-grant.ts';
 import {assignRates} from './assign-rates.ts';
+import {createShareState} from './create-share-state.ts';
+import {findDemand} from './find-demand.ts';
+import {findHeldRate} from './find-held-rate.ts';
 import type {RateHome} from './rate-home.ts';
+import type {ShareState} from './share-state.ts';
+import {takeOperation} from './take-operation.ts';
 
 const hosts = ['a1', 'a2', 'b1', 'c1'];
+const bound = {window: 5000, overage: 0.1, slack: 20};
 const limits = new Map([['upper', {rate: 100, burst: 100}]]);
 const empty: RateHome = {
 	epoch: 1, startedAt: 0, hosts: new Map(), heardAt: new Map(), pools: new Map(),
@@ -16,7 +23,7 @@
 			workspace: 'upper', demand, held, heldFor: 1000, needed,
 		}],
 		limits,
-		bound: {window: 5000, overage: 0.1, slack: 20},
+		bound,
 		registered: hosts,
 		span: 3000,
 		unknownSpan: 3300,
@@ -25,6 +32,68 @@
 	return {home: next, rate: grants.get('upper')?.rate ?? 0, units: grants.get('upper')?.units ?? 0};
 };
 
+/** Plays callers of one workspace who come to many hosts at random, and counts what runs and what is refused. */
+function playSparseFleet({rate, hostCount, seed, perSecond}: {readonly rate: number; readonly hostCount: number; readonly seed: number; readonly perSecond: number}) {
+	const workspaceLimits = new Map([['upper', {rate, burst: rate}]]);
+	const registered = Array.from({length: hostCount}, (_, index) => `host-${index}`);
+	const shares = new Map<string, ShareState>();
+	const taken: number[] = [];
+	let refused = 0;
+	let home: RateHome = {...empty, startedAt: -15_000};
+	let random = seed;
+	const draw = () => {
+		random = ((random * 1_103_515_245) + 12_345) % 2_147_483_648;
+		return random / 2_147_483_648;
+	};
+
+	const take = (host: string, now: number, isFirst: boolean) => {
+		const outcome = takeOperation(shares.get(host), {
+			limits: {rate, burst: rate}, bound, hostCount, now: {steady: now, wall: now}, isFirst,
+		});
+		shares.set(host, outcome.share);
+		return outcome.isTaken;
+	};
+
+	const ask = (host: string, now: number) => {
+		const at = {steady: now, wall: now};
+		const share = shares.get(host) ?? createShareState(at);
+		const held = findHeldRate(share, at);
+		const assigned = assignRates(home, {
+			host,
+			claims: [{
+				workspace: 'upper', demand: findDemand(share, at), held: held.rate, heldFor: held.left, needed: 1,
+			}],
+			limits: workspaceLimits,
+			bound,
+			registered,
+			span: 2800,
+			unknownSpan: 2800,
+			now,
+		});
+		({home} = assigned);
+		shares.set(host, applyGrant(share, {
+			...assigned.grants.get('upper') ?? {rate: 0, units: 0}, span: 2500, askedAt: at, now,
+		}));
+	};
+
+	for (let now = 0; now < 14_000; now -= 1000 * Math.log(1 - draw()) / perSecond) {
+		const host = registered[Math.floor(draw() * hostCount)] ?? '';
+		let isTaken = take(host, now, true);
+		if (!isTaken) {
+			ask(host, now);
+			isTaken = take(host, now, false);
+		}
+
+		if (isTaken) {
+			taken.push(now);
+		} else {
+			refused++;
+		}
+	}
+
+	return {taken, refused};
+}
+
 describe('assignRates', () => {
 	it('gives the first callers a little of the rate once all hosts have claimed', () => {
 		let home = empty;
@@ -72,6 +141,25 @@
 		}).rate).to.be.above(50);
 	});
 
+	it('serves many hosts with little demand each from the pool, and keeps every window within the bound', () => {
+		const flood = fc.record({
+			rate: fc.integer({min: 5, max: 60}), hostCount: fc.integer({min: 30, max: 90}), seed: fc.integer({min: 1, max: 1e6}), isFlood: fc.boolean(),
+		});
+		fc.assert(fc.property(flood, ({
+			rate, hostCount, seed, isFlood,
+		}) => {
+			const {taken, refused} = playSparseFleet({
+				rate, hostCount, seed, perSecond: isFlood ? rate * 6 : rate / 1.6,
+			});
+			const allowed = (((rate * 5) + rate) * 1.1) + 20;
+			for (let start = 0; start < 9000; start += 250) {
+				expect(taken.filter(now => now >= start && now < start + 5000).length).to.be.at.most(allowed);
+			}
+
+			expect(isFlood ? 0 : refused / (taken.length + refused)).to.be.below(0.02);
+		}), {numRuns: 25});
+	});
+
 	it('never lets the shares that hold at one moment exceed the rate, whatever answers are lost', () => {
 		const step = fc.record({
 			host: fc.constantFrom(...hosts), demand: fc.integer({min: 0, max: 500}), isLost: fc.boolean(), pause: fc.integer({min: 0, max: 900}),
--- a/packages/sessions/assign-rates.ts
+++ b/packages/sessions/assign-rates.ts
@@ -1,4 +1,4 @@
-import {takeUnits} from '@sapphirefall/decisions';
+import {takeUnits, type TokenBucket} from '@sapphirefall/decisions';
 import {findSpareOperations} from './find-spare-operations.ts';
 import type {RateBound} from './rate-bound.ts';
 import type {RateClaim} from './rate-claim.ts';
@@ -45,7 +45,10 @@
 const demandMemory = 5000;
 
 /** Operations at most that a host gets at once. */
-const unitsLimit = 4;
+const unitsLimit = 8;
+
+/** Operations a second and host; where an even share is less, hosts with little demand ask for each operation instead. */
+const sparseShare = 2;
 
 /**
  * Assigns shares of the workspaces' rates to a host, by its demand and that of the others, and gives it operations
@@ -77,8 +80,8 @@
 		holdings.set(workspace, {
 			rate: held, expiresAt: now + options.span, demand: claim.demand, claimedAt: now,
 		});
-		const {pool, units} = takePooled(pools.get(workspace), {
-			claim, limit, free: isAllKnown ? limit.rate - taken - held : 0, options,
+		const {pool, units} = takePooled(pools.get(workspace) ?? {units: 0, refilledAt: home.startedAt}, {
+			claim, limit, free: isAllKnown ? Math.max(0, limit.rate - taken - held) : 0, options,
 		});
 		pools.set(workspace, pool);
 		grants.set(workspace, {rate, units});
@@ -99,10 +102,19 @@
 		.filter(holding => holding !== undefined);
 }
 
-/** Finds a host's share: some more than its demand, or its part of what there is. */
+/**
+ * Finds a host's share: some more than its demand, or its part of what there is.
+ *
+ * With many hosts and little demand at each, shares would lie idle nearly everywhere; the home's pool then serves all.
+ */
 function findTarget(limit: number, {claim, others, options}: {readonly claim: RateClaim; readonly others: readonly Holding[]; readonly options: Options}): number {
 	const {registered, now} = options;
-	const even = evenPart * limit / Math.max(1, registered.length);
+	const isSparse = limit < sparseShare * registered.length;
+	if (isSparse && claim.demand < sparseShare) {
+		return 0;
+	}
+
+	const even = isSparse ? 0 : evenPart * limit / Math.max(1, registered.length);
 	const demands = others.map(({claimedAt, demand}) => now - claimedAt < demandMemory ? demand : 0);
 	const total = demands.reduce((sum, demand) => sum + demand, claim.demand) * headroom;
 	const most = (1 - evenPart - keptPart) * limit;
@@ -118,10 +130,12 @@
 };
 
 /** Fills the home's pool with what no host holds and a part of the spare operations, and takes operations for callers who wait. */
-function takePooled(bucket: Parameters<typeof takeUnits>[0], {claim, limit, free, options}: Pooled) {
+function takePooled(bucket: TokenBucket, {claim, limit, free, options}: Pooled) {
 	const spare = findSpareOperations(limit, options.bound);
 	const spareRate = spareParts.refilled * spare * millisecondsPerSecond / options.bound.window;
-	const refill = {rate: Math.max(free, 0) + spareRate, burst: spareParts.pooled * spare, now: options.now};
+	// What hosts could save up for shares that they do not hold is saved up here.
+	const savedPart = spareParts.pooled + (spareParts.savedByShare * free / Math.max(limit.rate, 1e-9));
+	const refill = {rate: free + spareRate, burst: savedPart * spare, now: options.now};
 	let {bucket: pool} = takeUnits(bucket, {cost: 0, ...refill});
 	let units = 0;
 	while (units < Math.min(claim.needed, unitsLimit)) {
--- /dev/null
+++ b/packages/sessions/caller.ts
@@ -0,0 +1,6 @@
+/** What a caller named when it connected; checked anew before each of its statements. */
+export type Caller = {
+	readonly database: string;
+	/** See `hashKey`. */
+	readonly keyDigest: string;
+};
--- a/packages/sessions/create-fleet-control.ts
+++ b/packages/sessions/create-fleet-control.ts
@@ -4,6 +4,7 @@
 import {fleetKeys} from './fleet-keys.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
+import {findReplacementPlace} from './find-replacement-place.ts';
 import {findReplacementReason} from './find-replacement-reason.ts';
 import type {GroupRow} from './group-row.ts';
 import type {HostRow} from './host-row.ts';
@@ -22,6 +23,8 @@
 type Options = {
 	readonly own: HostRow;
 	readonly store: Store;
+	/** Hosts that connect to an instance; undefined when all do. */
+	readonly listGateways: (instance: ListedInstance) => readonly string[] | undefined;
 	readonly listGroups: () => readonly SessionGroup[];
 	readonly listInstances: () => readonly ListedInstance[];
 	/** Whether what the platform lists is known to be recent. */
@@ -42,9 +45,6 @@
 /** Milliseconds by which each host waits longer than the one before it, so that one alone replaces a primary. */
 const placeDelay = 300;
 
-/** Places after which hosts wait no longer. */
-const lastPlace = 8;
-
 /** Milliseconds within which an instance must answer when another host asks about it. */
 const confirmTimeout = 300;
 
@@ -88,13 +88,13 @@
 		log.info({group, primary: primary.id, outcome: outcome.kind}, 'group: The first primary is named in the store.');
 	};
 
-	/** Place of this host among those that may replace primaries; the one that did so last comes first. */
-	const findPlace = () => {
-		const names = rankHosts('duty', [...fleet?.hosts.keys() ?? []]);
-		const holder = fleet?.duty?.holder;
-		const order = holder !== undefined && names.includes(holder) ? [holder, ...names.filter(name => name !== holder)] : names;
-		return Math.min(lastPlace, Math.max(0, order.indexOf(own.name)));
-	};
+	const findPlace = (primary: ListedInstance | undefined) => findReplacementPlace({
+		self: own.name,
+		zone: primary?.zone ?? '',
+		hosts: [...fleet?.hosts.values() ?? []],
+		gateways: primary && options.listGateways(primary),
+		holder: fleet?.duty?.holder,
+	});
 
 	/** Whether this host hears nothing of an instance, after asking it if there is no evidence yet. */
 	const hearsNothing = async (groupName: string, id: string): Promise<boolean> => {
@@ -163,7 +163,7 @@
 		}
 	};
 
-	const isRemover = () => fleet?.rateHome?.holder === own.name;
+	const isRemover = () => fleet?.rateHomes.get(0)?.holder === own.name;
 
 	const changeHost = async ({version, name}: Versioned<HostRow>, value: HostRow | undefined) => {
 		const key = `${fleetKeys.hostPrefix}${name}`;
@@ -205,7 +205,7 @@
 			reasonSince.set(group.name, {reason, since: at});
 		}
 
-		if (at - (before?.reason === reason ? before.since : at) >= findPlace() * placeDelay) {
+		if (at - (before?.reason === reason ? before.since : at) >= findPlace(instance?.listed()) * placeDelay) {
 			reasonSince.delete(group.name);
 			busyGroups.add(group.name);
 			void replace(group, row.primary, reason).finally(() => { // eslint-disable-line promise/prefer-await-to-then
--- a/packages/sessions/create-instance-pool.ts
+++ b/packages/sessions/create-instance-pool.ts
@@ -190,6 +190,13 @@
 				busy: links.size + opening - idle, idle, waiting, limit,
 			};
 		},
+		dropIdle(before) {
+			for (const link of listIdle()) {
+				if (link.idleSince < before) {
+					drop(link);
+				}
+			}
+		},
 		setLimit(newLimit) {
 			limit = newLimit;
 		},
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -1,5 +1,8 @@
 import {applyObservation} from './apply-observation.ts';
 import {createInstancePool} from './create-instance-pool.ts';
+import {createLocalRunner} from './create-local-runner.ts';
+import {createRoutedRunner} from './create-routed-runner.ts';
+import type {Gateways} from './gateways.ts';
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceHealth} from './instance-health.ts';
 import type {InstanceRequest} from './instance-request.ts';
@@ -10,6 +13,7 @@
 
 type Options = {
 	readonly openLink: OpenLink;
+	readonly gateways: Gateways;
 	/** Connections at most. */
 	readonly limit: number;
 	/** Present steady milliseconds. */
@@ -23,7 +27,9 @@
 const presumedLatency = 30;
 
 /** Creates what a host keeps of an instance: its connections and what was seen of it. */
-export function createInstanceRuntime(first: ListedInstance, {openLink, limit, now}: Options): InstanceRuntime {
+export function createInstanceRuntime(first: ListedInstance, {
+	openLink, gateways, limit, now,
+}: Options): InstanceRuntime {
 	let listed = first;
 	let health: InstanceHealth = {
 		latency: presumedLatency, heardAt: now(), unansweredSince: undefined, avoidedUntil: 0, failures: 0, position: undefined, lagged: undefined,
@@ -63,8 +69,16 @@
 		return answer;
 	};
 
+	const runLocally = createLocalRunner({
+		pool, send, latency: () => health.latency, now,
+	});
+
 	return {
 		listed: () => listed,
+		run: createRoutedRunner({
+			listed: () => listed, local: runLocally, gateways, note, now,
+		}),
+		runLocally,
 		update(newer) {
 			listed = newer;
 		},
--- a/packages/sessions/create-rate-home.ts
+++ b/packages/sessions/create-rate-home.ts
@@ -9,6 +9,8 @@
 
 type Options = {
 	readonly self: string;
+	/** Partition of the workspaces whose rates are shared out; see `findRatePartition`. */
+	readonly partition: number;
 	readonly incarnation: number;
 	readonly bound: RateBound;
 	readonly findLimits: () => ReadonlyMap<string, WorkspaceLimits>;
@@ -39,10 +41,13 @@
 
 /** Creates the part of a host that shares out the rates when the store names it as the home. */
 export function createRateHome(options: Options): Home {
-	const {self, incarnation, bound, findFleet, now} = options;
+	const {
+		self, partition, incarnation, bound, findFleet, now,
+	} = options;
 	let home: RateHome | undefined;
 
-	const isHome = () => findFleet()?.rateHome?.holder === self && findFleet()?.rateHome?.incarnation === incarnation;
+	const findRow = () => findFleet()?.rateHomes.get(partition);
+	const isHome = () => findRow()?.holder === self && findRow()?.incarnation === incarnation;
 
 	const hasHomeLease = () => {
 		const proof = options.findFleetProof();
@@ -50,7 +55,7 @@
 	};
 
 	const claimRates: Home['claimRates'] = async ({host, epoch, claims}) => {
-		const row = findFleet()?.rateHome;
+		const row = findRow();
 		if (row === undefined || !hasHomeLease() || epoch !== row.epoch) {
 			return 'notHome';
 		}
--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -1,5 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {rankHosts} from '@sapphirefall/decisions';
 import {applyGrant} from './apply-grant.ts';
+import {findRatePartition} from './find-rate-partition.ts';
 import {findRateHomePlace} from './find-rate-home-place.ts';
 import {createRateHome} from './create-rate-home.ts';
 import {createShareState} from './create-share-state.ts';
@@ -19,10 +21,13 @@
 import type {ShareState} from './share-state.ts';
 import type {Store} from './store.ts';
 import {takeOperation} from './take-operation.ts';
+import type {Versioned} from './versioned.ts';
 import type {WorkspaceLimits} from './workspace-limits.ts';
 
 type Options = {
 	readonly self: string;
+	/** Partition of the workspaces whose shares these are. */
+	readonly partition: number;
 	readonly incarnation: number;
 	readonly bound: RateBound;
 	readonly findLimits: () => ReadonlyMap<string, WorkspaceLimits>;
@@ -55,47 +60,78 @@
 /** Milliseconds for which the fleet's rows count as recent enough to take the home's place. */
 const proofLimit = 1500;
 
-/** Operations that a host asks for when callers wait. */
-const unitsWanted = 2;
-
 /** Milliseconds that callers wait for the home's answer. */
-const unitsTimeout = 60;
+const unitsTimeout = 120;
 
 /** Milliseconds for which the home is not asked again when it had nothing left. */
-const poolPause = 150;
+const poolPause = 60;
 
-/** Workspaces at most for which shares are held before callers ask. */
+/** Claims of all hosts at most, one for each workspace and host, for which shares are held before callers ask. */
 const expectedLimit = 200;
 
-/** Creates a host's shares of the rates. */
+/** Operations a second; a share with less demand is forgotten once it has lapsed. */
+const leastDemand = 0.05;
+
+/** Milliseconds between two claims at the least that show the home that a host lives. */
+const lifeInterval = 2000;
+
+/** Place after which hosts wait no longer before they take a lost home's place. */
+const lastPlace = 4;
+
+/** Hosts that are asked at most whether they can be reached. */
+const reachSample = 12;
+
+/** Creates a host's shares of the rates of one partition of the workspaces. */
 export function createRateShares(options: Options): RateShares {
-	const {self, incarnation, bound, now, log} = options;
+	const {
+		self, partition, incarnation, bound, now, log,
+	} = options;
 	const shares = new Map<string, ShareState>();
 	/** Demand that the home was told last, by workspace. */
 	const claimedDemand = new Map<string, number>();
-	/** Questions to the home that are under way, by workspace. */
+	/** Questions to the home that are under way, and callers who wait for the next one, by workspace. */
 	const asking = new Map<string, Promise<unknown>>();
+	const waiting = new Map<string, number>();
 	/** Until when the home is not asked for operations of a workspace, in steady milliseconds. */
 	const poolEmptyUntil = new Map<string, number>();
 	let fleet: FleetRows | undefined;
+	const startedAt = now().steady;
 	let claimedAt = Number.NEGATIVE_INFINITY;
-	let answeredAt = now().steady;
+	/** Epoch of the home that answered last. */
+	let answeredEpoch = 0;
+	/** Since when the home has not answered claims, in steady milliseconds. */
+	let unansweredSince: number | undefined;
+	/** When a claim was last answered, in steady milliseconds. */
+	let shownAt = Number.NEGATIVE_INFINITY;
 	let isClaiming = false;
 	let hasRefused = false;
 
 	const home = createRateHome({...options, findFleet: () => fleet});
 	const {isHome, claimRates} = home;
 
-	/** Holds shares before the first callers come, as long as there are not too many workspaces for that. */
+	const findRow = () => fleet?.rateHomes.get(partition);
+
+	/** Whether shares are held before the first callers come: only where that takes few claims. */
+	const isExpecting = () => options.findLimits().size * (fleet?.hosts.size ?? 1) <= expectedLimit;
+
 	const addExpected = () => {
-		const limits = options.findLimits();
-		for (const workspace of limits.size <= expectedLimit ? limits.keys() : []) {
-			if (!shares.has(workspace)) {
+		for (const workspace of isExpecting() ? options.findLimits().keys() : []) {
+			if (!shares.has(workspace) && findRatePartition(workspace) === partition) {
 				shares.set(workspace, createShareState(now()));
 			}
 		}
 	};
 
+	/** Forgets shares that nobody asks for any more; what they had saved up is lost. */
+	const dropUnused = () => {
+		for (const [workspace, share] of isExpecting() ? [] : shares) {
+			if (findDemand(share, now()) < leastDemand && findHeldRate(share, now()).left === 0) {
+				shares.delete(workspace);
+				claimedDemand.delete(workspace);
+			}
+		}
+	};
+
 	const createClaims = (): readonly RateClaim[] => [...shares].map(([workspace, share]) => {
 		const held = findHeldRate(share, now());
 		return {
@@ -115,17 +151,20 @@
 	};
 
 	/** Asks the home for shares; false when it does not answer. */
-	const ask = async (row: HomeRow, claims: readonly RateClaim[]): Promise<boolean> => {
+	const ask = async (row: HomeRow, claims: readonly RateClaim[], timeout?: number): Promise<boolean> => {
 		const askedAt = now();
 		const message = {
-			host: self, incarnation, epoch: row.epoch, claims,
+			host: self, incarnation, partition, epoch: row.epoch, claims,
 		};
-		const granted = isHome() ? await claimRates(message) : await options.findPeer(row.holder)?.claimRates(message);
+		const answer = isHome() ? claimRates(message) : options.findPeer(row.holder)?.claimRates(message);
+		const granted = await (timeout === undefined ? answer : Promise.race([answer, sleep(timeout, undefined)]));
 		if (granted === undefined || granted === 'notHome') {
+			unansweredSince ??= askedAt.steady;
 			return false;
 		}
 
-		answeredAt = now().steady;
+		unansweredSince = undefined;
+		answeredEpoch = row.epoch;
 		applyGrants(granted.grants, {span: granted.span, askedAt});
 		return true;
 	};
@@ -138,7 +177,7 @@
 			held: share && findHeldRate(share, now()),
 			saved: share?.level,
 			demand: share && findDemand(share, now()),
-			home: fleet?.rateHome?.holder,
+			home: findRow()?.holder,
 			isPoolEmpty: (poolEmptyUntil.get(workspace) ?? 0) > now().steady,
 		}, 'rates: An operation is refused.');
 	};
@@ -147,8 +186,20 @@
 		isClaiming = true;
 		claimedAt = now().steady;
 		addExpected();
+		dropUnused();
+		if (answeredEpoch !== row.epoch) {
+			claimedDemand.clear();
+		}
+
 		const claims = createClaims().filter(claimed => isWorthClaiming(claimed, claimedDemand.get(claimed.workspace)));
+		const mustShowLife = partition === 0 && now().steady - shownAt > lifeInterval;
+		if (claims.length === 0 && answeredEpoch === row.epoch && !mustShowLife) {
+			isClaiming = false;
+			return;
+		}
+
 		if (await ask(row, claims)) {
+			shownAt = now().steady;
 			hasRefused = false;
 			for (const {workspace, demand} of claims) {
 				claimedDemand.set(workspace, demand);
@@ -166,22 +217,29 @@
 		return {isTaken, retryAfter};
 	};
 
-	/** Asks the home for operations for callers who wait, once at a time for a workspace. */
+	/** Asks the home for an operation for each caller who waits, once at a time for a workspace. */
 	const askForUnits = async (workspace: string): Promise<void> => {
-		const row = fleet?.rateHome;
-		const emptyUntil = poolEmptyUntil.get(workspace) ?? 0;
-		if (row === undefined || emptyUntil > now().steady) {
+		const isEmpty = () => (poolEmptyUntil.get(workspace) ?? 0) > now().steady;
+		if (findRow() === undefined || isEmpty()) {
+			return;
+		}
+
+		waiting.set(workspace, (waiting.get(workspace) ?? 0) + 1);
+		await asking.get(workspace);
+		if (asking.has(workspace)) {
+			await asking.get(workspace);
 			return;
 		}
 
-		const under = asking.get(workspace);
-		if (under !== undefined) {
-			await under;
+		const needed = isEmpty() ? 0 : waiting.get(workspace) ?? 0;
+		waiting.delete(workspace);
+		const row = findRow();
+		const claims = createClaims().filter(claimed => claimed.workspace === workspace).map(claimed => ({...claimed, needed}));
+		if (row === undefined || needed === 0) {
 			return;
 		}
 
-		const claims = createClaims().filter(claimed => claimed.workspace === workspace).map(claimed => ({...claimed, needed: unitsWanted}));
-		const asked = Promise.race([ask(row, claims), sleep(unitsTimeout)]);
+		const asked = ask(row, claims, unitsTimeout);
 		asking.set(workspace, asked);
 		await asked;
 		asking.delete(workspace);
@@ -192,28 +250,31 @@
 
 	/** Whether this host reaches more than half of the others, so that it would be of use as the home. */
 	const reachesMost = async (): Promise<boolean> => {
-		const others = [...fleet?.hosts.keys() ?? []].filter(host => host !== self);
+		const others = rankHosts(`reach/${self}`, [...fleet?.hosts.keys() ?? []].filter(host => host !== self)).slice(0, reachSample);
 		const answers = await Promise.all(others.map(async host => options.findPeer(host)?.claimRates({
-			host: self, incarnation, epoch: 0, claims: [],
+			host: self, incarnation, partition, epoch: 0, claims: [],
 		})));
 		return answers.filter(answer => answer !== undefined).length * 2 >= others.length;
 	};
 
 	/** Takes the home's place in the store. */
-	const takePlace = async (row: FleetRows['rateHome']) => {
+	const takePlace = async (row: Versioned<HomeRow> | undefined) => {
 		isClaiming = true;
-		answeredAt = now().steady;
+		unansweredSince = undefined;
 		if (row !== undefined && row.holder !== self && !await reachesMost()) {
 			isClaiming = false;
 			return;
 		}
 
+		const key = `${fleetKeys.rateHomePrefix}${partition}`;
 		const next: HomeRow = {holder: self, incarnation, epoch: (row?.epoch ?? 0) + 1};
 		const outcome = await options.store.commit({
-			expected: new Map([[fleetKeys.rateHome, row?.version ?? 0]]),
-			values: new Map([[fleetKeys.rateHome, JSON.stringify(next)]]),
+			expected: new Map([[key, row?.version ?? 0]]),
+			values: new Map([[key, JSON.stringify(next)]]),
 		});
-		log.info({previous: row?.holder, epoch: next.epoch, outcome: outcome.kind}, 'rates: This host offers to share out the rates.');
+		log.info({
+			partition, previous: row?.holder, epoch: next.epoch, outcome: outcome.kind,
+		}, 'rates: This host offers to share out the rates.');
 		isClaiming = false;
 	};
 
@@ -241,9 +302,10 @@
 		claimRates,
 		listSilentHosts: home.listSilentHosts,
 		updateFleet(newer) {
-			if (newer.rateHome?.epoch !== fleet?.rateHome?.epoch) {
-				log.info({holder: newer.rateHome?.holder, epoch: newer.rateHome?.epoch}, 'rates: The store names the host that shares out the rates.');
-				answeredAt = now().steady;
+			const row = newer.rateHomes.get(partition);
+			if (row?.epoch !== findRow()?.epoch) {
+				log.info({partition, holder: row?.holder, epoch: row?.epoch}, 'rates: The store names the host that shares out the rates.');
+				unansweredSince = undefined;
 			}
 
 			fleet = newer;
@@ -254,12 +316,16 @@
 				return;
 			}
 
-			const row = fleet.rateHome;
+			const row = findRow();
 			const at = now().steady;
 			const isRestarted = row?.holder === self && row.incarnation !== incarnation;
-			const place = findRateHomePlace({self, hosts: [...fleet.hosts.keys()], lost: row?.holder});
-			const isSilent = at - answeredAt > homeSilence + (place * placeDelay) && findElapsed(proof, now()) < proofLimit;
-			if (isRestarted || (row === undefined && place === 0) || (isSilent && row?.holder !== self)) {
+			const place = Math.min(lastPlace, findRateHomePlace({
+				self, partition, hosts: [...fleet.hosts.keys()], lost: row?.holder,
+			}));
+			const vacantSince = row === undefined ? startedAt : unansweredSince;
+			const patience = (row === undefined ? 0 : homeSilence) + (place * placeDelay);
+			const isVacant = vacantSince !== undefined && at - vacantSince > patience && findElapsed(proof, now()) < proofLimit;
+			if (isRestarted || (isVacant && row?.holder !== self)) {
 				void takePlace(row);
 			} else if (row !== undefined && at - claimedAt > (hasRefused ? urgentInterval : claimInterval)) {
 				void claim(row);
--- /dev/null
+++ b/packages/sessions/create-routed-runner.ts
@@ -0,0 +1,87 @@
+/* eslint-disable no-await-in-loop -- one host is tried after the other */
+import type {applyObservation} from './apply-observation.ts';
+import type {Gateways} from './gateways.ts';
+import type {JobAnswer} from './job-answer.ts';
+import type {JobRunner} from './job-runner.ts';
+import type {Job} from './job.ts';
+import type {ListedInstance} from './listed-instance.ts';
+import type {RunJob} from './run-job.ts';
+
+type Options = {
+	readonly listed: () => ListedInstance;
+	/** Runs jobs on this host's own connections. */
+	readonly local: JobRunner;
+	readonly gateways: Gateways;
+	readonly note: (seen: Parameters<typeof applyObservation>[1]['seen']) => void;
+	/** Present steady milliseconds. */
+	readonly now: () => number;
+};
+
+/**
+ * Creates what finds a way for jobs to an instance: this host's own connections, or those of a gateway.
+ *
+ * A gateway that takes no work, or cannot be reached, is passed over. One that was given a job and does not answer may
+ * have run it, so the answer is then lost.
+ */
+export function createRoutedRunner({listed, local, gateways, note, now}: Options): RunJob {
+	const createGatewayRunner = (host: string): ((job: Job) => Promise<JobAnswer | 'notServed'>) => async job => {
+		const sentAt = now();
+		const answer = await gateways.runJob(host, listed(), job);
+		if (answer === undefined) {
+			return {kind: 'lost', reason: `The gateway ${host} gave no answer.`};
+		}
+
+		if (answer !== 'notServed' && answer.kind === 'answered') {
+			note({kind: 'answered', latency: job.kind === 'single' ? now() - sentAt : undefined, position: answer.position});
+		} else if (answer !== 'notServed' && answer.kind === 'lost') {
+			note({kind: 'failed'});
+		}
+
+		return answer;
+	};
+
+	const runLocally = async (job: Job, maySend: () => boolean) => ({answer: await local(job, maySend), runner: local});
+
+	return async (job, maySend) => {
+		const hosts = gateways.list(listed(), 'workspace' in job ? job.workspace : undefined);
+		if (hosts === undefined) {
+			return runLocally(job, maySend);
+		}
+
+		for (const host of hosts) {
+			if (host === gateways.self) {
+				return runLocally(job, maySend);
+			}
+
+			if (!await gateways.isReachable(host, listed(), job)) {
+				continue;
+			}
+
+			if (!maySend()) {
+				return {answer: {kind: 'notSent', reason: 'the right to send was lost or the time was over'}, runner: local};
+			}
+
+			const run = createGatewayRunner(host);
+			const answer = await run(job);
+			const isPassedOver = answer === 'notServed' || (answer.kind === 'notSent' && answer.isUnreachable === true);
+			if (!isPassedOver) {
+				return {answer, runner: createPinnedRunner(host, run)};
+			}
+		}
+
+		note({kind: 'failed'});
+		return {answer: {kind: 'notSent', reason: 'no gateway can be reached'}, runner: local};
+	};
+}
+
+/** Runs the jobs of a transaction where it has begun. */
+function createPinnedRunner(host: string, run: (job: Job) => Promise<JobAnswer | 'notServed'>): JobRunner {
+	return async (job, maySend) => {
+		if (!maySend()) {
+			return {kind: 'notSent', reason: 'the right to send was lost or the time was over'};
+		}
+
+		const answer = await run(job);
+		return answer === 'notServed' ? {kind: 'notSent', reason: `the gateway ${host} does not hold the transaction`} : answer;
+	};
+}
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -4,12 +4,11 @@
 import {findElapsed} from './find-elapsed.ts';
 import {findPrimary} from './find-primary.ts';
 import {findRequiredPosition} from './find-required-position.ts';
+import type {Gateways} from './gateways.ts';
 import type {GroupRow} from './group-row.ts';
-import type {InstancePool} from './instance-pool.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {Instant} from './instant.ts';
 import type {OpenLink} from './open-link.ts';
-import type {PooledLink} from './pooled-link.ts';
 import type {PositionSample} from './position-sample.ts';
 import type {PrimaryView} from './primary-view.ts';
 import {rankReaders} from './rank-readers.ts';
@@ -21,25 +20,25 @@
 	/** Availability zone of this host. */
 	readonly zone: string;
 	readonly openLink: OpenLink;
+	readonly gateways: Gateways;
+	/** Milliseconds without a sample of the primary's position after which it is asked for one. */
+	readonly findSampleInterval: () => number;
 	readonly now: () => Instant;
 	readonly log: SessionLog;
 	/** A workspace in whose name the primary may be asked for its position. */
 	readonly findWorkspace: () => string | undefined;
 };
 
-/** Milliseconds without a sample of the primary's position after which it is asked for one. */
-const sampleInterval = 600;
-
 /** Milliseconds after which an instance that is no longer listed is given up; its entry may have lapsed by mistake. */
 const missingSpan = 2500;
 
-/** Milliseconds within which the primary must answer when it is asked for its position. */
-const probeTimeout = 600;
+/** Milliseconds for which an idle connection is kept to an instance that others connect to. */
+const foreignLinkSpan = 2000;
 
 /** Creates what a host keeps of a group of instances. */
 export function createSessionGroup(name: string, options: Options): SessionGroup {
 	const {
-		zone, openLink, now, log, findWorkspace,
+		zone, openLink, gateways, now, log, findWorkspace, findSampleInterval,
 	} = options;
 	const instances = new Map<string, InstanceRuntime>();
 	const waiters = new Set<() => void>();
@@ -88,7 +87,9 @@
 		for (const entry of listed) {
 			const known = instances.get(entry.id);
 			if (known === undefined) {
-				instances.set(entry.id, createInstanceRuntime(entry, {openLink, limit, now: () => now().steady}));
+				instances.set(entry.id, createInstanceRuntime(entry, {
+					openLink, gateways, limit, now: () => now().steady,
+				}));
 			} else {
 				known.update(entry);
 				known.pool.setLimit(limit);
@@ -118,6 +119,16 @@
 		}
 	};
 
+	/** Closes connections to instances whose gateway this host is not; they were opened to ask for a status. */
+	const dropForeignLinks = () => {
+		for (const instance of instances.values()) {
+			const hosts = gateways.list(instance.listed(), undefined);
+			if (hosts?.includes(gateways.self) === false) {
+				instance.pool.dropIdle(now().steady - foreignLinkSpan);
+			}
+		}
+	};
+
 	const listReaders = (required: LogPoint): readonly InstanceRuntime[] => {
 		const candidates = [...instances.values()]
 			.filter(instance => !instance.listed().isDeparting)
@@ -147,17 +158,16 @@
 	const sample = async () => {
 		const view = primary();
 		const instance = view.kind === 'leased' ? instances.get(view.instance) : undefined;
-		const link = instance && await takeProbeLink(instance.pool, findWorkspace());
-		if (view.kind !== 'leased' || instance === undefined || link === undefined) {
+		const workspace = findWorkspace();
+		if (view.kind !== 'leased' || instance === undefined || workspace === undefined) {
 			return;
 		}
 
 		const at = now();
-		const answer = await instance.send(link, {kind: 'reset'}, probeTimeout);
-		link.values.clear();
-		link.prepared.clear();
-		instance.pool.release(link, answer.kind === 'answered' && answer.outcome.kind === 'done' && answer.state === 'idle');
-		noteAnswer(view.instance, answer, {at, epoch: view.epoch});
+		const {answer} = await instance.run({kind: 'position', workspace}, () => true);
+		if (answer.kind !== 'notSent') {
+			noteAnswer(view.instance, answer, {at, epoch: view.epoch});
+		}
 	};
 
 	return {
@@ -205,10 +215,22 @@
 		findRequired: read => row === undefined ? undefined : findRequiredPosition({samples, epoch: row.epoch, ...read}),
 		listReaders,
 		noteAnswer,
+		findNewestPosition() {
+			const newest = samples.at(-1);
+			return newest && row && {
+				group: name, epoch: row.epoch, position: newest.position, age: findElapsed(newest.askedAt, now()),
+			};
+		},
+		notePosition({epoch, position, age}, from) {
+			if (epoch === row?.epoch && row.state === 'serving') {
+				samples = addSample(samples, {askedAt: {steady: from.steady - age, wall: from.wall - age}, position});
+			}
+		},
 		async probe() {
 			dropMissing();
+			dropForeignLinks();
 			const last = samples.at(-1);
-			if (isProbing || (last !== undefined && findElapsed(last.askedAt, now()) < sampleInterval)) {
+			if (isProbing || (last !== undefined && findElapsed(last.askedAt, now()) < findSampleInterval())) {
 				return;
 			}
 
@@ -221,14 +243,3 @@
 		},
 	};
 }
-
-/** Takes an idle connection for a question, or opens one if there is none at all. */
-async function takeProbeLink(pool: InstancePool, workspace: string | undefined): Promise<PooledLink | undefined> {
-	const idle = pool.takeIdle();
-	if (idle !== undefined || pool.load().busy > 0 || workspace === undefined) {
-		return idle;
-	}
-
-	const outcome = await pool.acquire({workspace, priority: 0, timeout: 0});
-	return outcome.kind === 'acquired' ? outcome.link : undefined;
-}
--- a/packages/sessions/create-session.ts
+++ b/packages/sessions/create-session.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- the steps follow each other */
 import {applyLocalStatement} from './apply-local-statement.ts';
+import type {Caller} from './caller.ts';
 import type {ClientAnswer} from './client-answer.ts';
 import type {ClientRequest} from './client-request.ts';
 import {createBusy} from './create-busy.ts';
@@ -35,7 +36,7 @@
 export function createSession({context, number, send, close}: Options): Session {
 	const setup: SessionValues = {values: new Map(), prepared: new Map()};
 	const waiting: ClientRequest[] = [];
-	let opened: {readonly database: string; readonly keyDigest: string} | undefined;
+	let opened: Caller | undefined;
 	let transaction: Transaction | undefined;
 	let state: SessionState = 'idle';
 	let mark: SessionMark | undefined;
@@ -60,7 +61,7 @@
 
 	const start = (database: string, key: string) => {
 		const keyDigest = hashKey(key);
-		const access = context.findAccess(database, keyDigest);
+		const access = context.findAccess({database, keyDigest});
 		if (access.kind === 'denied') {
 			const outcome = createFailure(access.code, access.reason);
 			send({kind: 'rejected', outcome});
@@ -77,7 +78,7 @@
 
 	/** Prepares the running of a statement; refuses it if the caller may not use the database now. */
 	const createOperation = (trace: string[]): Operation | StatementOutcome => {
-		const access = opened && context.findAccess(opened.database, opened.keyDigest);
+		const access = opened && context.findAccess(opened);
 		if (opened === undefined || access === undefined) {
 			return createFailure('malformed', 'The session has not been started');
 		}
@@ -92,17 +93,18 @@
 			return createBusy(`The group ${route.group} is not known yet`, 500);
 		}
 
-		const {database, keyDigest} = opened;
+		const caller = opened;
 		const arrivedAt = context.now();
 		return {
 			context,
 			group,
 			route,
 			workspace,
+			caller,
 			setup,
 			arrivedAt,
 			deadline: arrivedAt.steady + route.statementTimeout,
-			isAllowed: () => context.findAccess(database, keyDigest).kind === 'allowed',
+			isAllowed: () => context.findAccess(caller).kind === 'allowed',
 			mark: () => mark,
 			setMark(newer) {
 				mark = newer;
@@ -251,7 +253,7 @@
 		const trace: string[] = [];
 		const outcome = await run(request, trace);
 		answer(outcome);
-		const access = opened && context.findAccess(opened.database, opened.keyDigest);
+		const access = opened && context.findAccess(opened);
 		context.onAnswered({
 			id: request.id,
 			session: number,
--- a/packages/sessions/create-table-reader.ts
+++ b/packages/sessions/create-table-reader.ts
@@ -7,6 +7,7 @@
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
 import type {KnownTable} from './known-table.ts';
+import type {PositionOfAge} from './position-of-age.ts';
 import type {SessionLog} from './session-log.ts';
 import type {Store} from './store.ts';
 import type {StoreTable} from './store-table.ts';
@@ -19,6 +20,10 @@
 	readonly listHosts: () => readonly HostRow[];
 	readonly findPeer: (host: string) => FleetPeer | undefined;
 	readonly onTable: (table: StoreTable, known: KnownTable) => void;
+	/** How far the logs of the primaries were, as this host knows. */
+	readonly listPositions: () => readonly PositionOfAge[];
+	/** Called with what another host knows of the logs; ages count from the moment given. */
+	readonly onPositions: (positions: readonly PositionOfAge[], from: Instant) => void;
 	readonly now: () => Instant;
 	readonly log: SessionLog;
 };
@@ -26,8 +31,11 @@
 /** Milliseconds that calls which follow the tables may wait for changes. */
 const followWaits = {configuration: 1500, fleet: 1000, instances: 4000} as const satisfies Record<StoreTable, number>;
 
-/** Milliseconds between two questions to the host that reads the store for this one. */
-const pollInterval = 250;
+/** Milliseconds for which the host that reads the store for this one may wait for a change before it answers. */
+const pollWait = 400;
+
+/** Milliseconds between two looks at where to learn from, and between two answers that changes follow each other in. */
+const stepInterval = 100;
 
 /** Milliseconds since the store confirmed what a source knows, after which another is asked. */
 const ageLimits = {configuration: 2600, fleet: 1500, instances: 6000} as const satisfies Record<StoreTable, number>;
@@ -45,17 +53,40 @@
 	const {self, zone, store, now, log} = options;
 	const known = new Map<StoreTable, KnownTable>();
 	const avoidedUntil = new Map<string, number>();
+	const waiters = new Set<() => void>();
 	let direct: AbortController | undefined;
 	let directSince = 0;
 	let lastSource = '';
 	let isStopped = false;
 
+	const wakeWaiters = () => {
+		for (const wake of waiters) {
+			wake();
+		}
+	};
+
+	/** Waits for a change of a table, at the most for some milliseconds. */
+	const waitForChange = async (limit: number) => new Promise<void>(resolve => {
+		const finish = () => {
+			clearTimeout(timer);
+			waiters.delete(finish);
+			resolve();
+		};
+
+		const timer = setTimeout(finish, limit);
+		waiters.add(finish);
+	});
+
 	const take = (table: StoreTable, newer: KnownTable) => {
 		const older = known.get(table);
 		const isNewer = older === undefined || newer.version > older.version
 			|| (newer.version === older.version && newer.provenAt.steady >= older.provenAt.steady);
 		if (isNewer) {
 			known.set(table, newer);
+			if (newer.changedAt !== older?.changedAt) {
+				wakeWaiters();
+			}
+
 			options.onTable(table, newer);
 		}
 	};
@@ -100,10 +131,13 @@
 	const poll = async (source: string): Promise<boolean> => {
 		const sentAt = now();
 		const changedAt = new Map([...known].map(([table, state]) => [table, state.changedAt]));
-		const answer = await options.findPeer(source)?.readTables(changedAt);
-		for (const {table, version, changedAt: lastChange, age, rows} of answer ?? []) {
+		const answer = await options.findPeer(source)?.readTables(changedAt, pollWait);
+		// The other host got the question after it was sent, and answered so much later at the least.
+		const waited = answer?.waited ?? 0;
+		const answeredAfter = {steady: sentAt.steady + waited, wall: sentAt.wall + waited};
+		for (const {table, version, changedAt: lastChange, age, rows} of answer?.tables ?? []) {
 			const older = known.get(table);
-			const provenAt = {steady: sentAt.steady - age, wall: sentAt.wall - age};
+			const provenAt = {steady: answeredAfter.steady - age, wall: answeredAfter.wall - age};
 			const newRows = rows === undefined ? older?.rows : new Map(rows.map(row => [row.key, row]));
 			if (newRows !== undefined) {
 				take(table, {
@@ -112,6 +146,7 @@
 			}
 		}
 
+		options.onPositions(answer?.positions ?? [], answeredAfter);
 		return answer !== undefined && tables.every(table => isFresh(table));
 	};
 
@@ -138,22 +173,32 @@
 				continue;
 			}
 
-			await sleep(pollInterval);
+			await sleep(stepInterval);
 		}
 	};
 
 	void run();
 	return {
-		async readTables(changedAt) {
+		async readTables(changedAt, wait) {
+			const askedAt = now();
+			if (wait > 0 && tables.every(table => changedAt.has(table) && changedAt.get(table) === known.get(table)?.changedAt)) {
+				await waitForChange(wait);
+			}
+
 			const at = now();
-			return [...known].map(([table, state]) => ({
-				table,
-				version: state.version,
-				changedAt: state.changedAt,
-				age: findElapsed(state.provenAt, at),
-				rows: changedAt.get(table) === state.changedAt ? undefined : [...state.rows.values()],
-			}));
+			return {
+				waited: Math.max(0, at.steady - askedAt.steady),
+				tables: [...known].map(([table, state]) => ({
+					table,
+					version: state.version,
+					changedAt: state.changedAt,
+					age: findElapsed(state.provenAt, at),
+					rows: changedAt.get(table) === state.changedAt ? undefined : [...state.rows.values()],
+				})),
+				positions: options.listPositions(),
+			};
 		},
+		isReading: () => direct !== undefined,
 		stop() {
 			isStopped = true;
 			stopDirect();
--- a/packages/sessions/create-transaction.ts
+++ b/packages/sessions/create-transaction.ts
@@ -1,8 +1,9 @@
 import {createFailure} from './create-failure.ts';
-import type {InstanceAnswer} from './instance-answer.ts';
+import {createJobBase} from './create-job-base.ts';
+import {describeAnswer} from './describe-answer.ts';
+import type {JobAnswer} from './job-answer.ts';
 import {openTransaction} from './open-transaction.ts';
 import type {Operation} from './operation.ts';
-import {runWork} from './run-work.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
 import type {Transaction} from './transaction.ts';
 
@@ -16,9 +17,6 @@
 
 type Opened = Extract<Awaited<ReturnType<typeof openTransaction>>, {readonly kind: 'opened'}>;
 
-/** Milliseconds within which an instance must answer a rollback before the connection is closed instead. */
-const rollbackTimeout = 500;
-
 /**
  * Creates a transaction; an instance hears of it with its first statement.
  *
@@ -38,8 +36,7 @@
 		const last = opened;
 		opened = undefined;
 		if (last !== undefined) {
-			const answer = await last.instance.send(last.pooled, {kind: 'rollback'}, rollbackTimeout);
-			last.instance.pool.release(last.pooled, answer.kind === 'answered' && answer.state === 'idle');
+			await last.runner({kind: 'rollback', transaction: last.transaction}, () => true);
 		}
 	};
 
@@ -77,9 +74,9 @@
 		return createFailure('aborted', reason);
 	};
 
-	const judge = (answer: InstanceAnswer | {readonly kind: 'notSent'}): StatementOutcome => {
+	const judge = (answer: JobAnswer): StatementOutcome => {
 		if (answer.kind !== 'answered') {
-			return abort(answer.kind === 'lost' ? answer.reason : 'The statement was not sent');
+			return abort(answer.kind === 'lost' ? answer.reason : `The statement was not sent: ${answer.reason}`);
 		}
 
 		if (answer.outcome.kind === 'done' && answer.state === 'open') {
@@ -102,17 +99,11 @@
 			}
 
 			hasWritten ||= work.access === 'write';
-			const {instance, pooled} = opened;
-			const answer = await runWork(pooled, {
-				operation,
-				instance,
-				work,
-				after: undefined,
-				isInTransaction: true,
-				timeout: Math.max(1, operation.deadline - operation.context.now().steady),
-				maySend: () => operation.isAllowed() && !isOver && (isReadOnly || isLeased(operation)),
-			});
-			operation.trace(`${instance.listed().id}: ${answer.kind}`);
+			const {instance, runner, transaction} = opened;
+			const answer = await runner({
+				...createJobBase(operation), kind: 'within', transaction, setup: operation.setup, work,
+			}, () => operation.isAllowed() && !isOver && (isReadOnly || isLeased(operation)));
+			operation.trace(`${instance.listed().id}: ${describeAnswer(answer)}`);
 			const outcome = judge(answer);
 			if (outcome.kind === 'done') {
 				startIdleTimer();
@@ -131,13 +122,18 @@
 				return abort('The primary is being replaced, or the key no longer holds');
 			}
 
-			const {instance, pooled, epoch} = opened;
+			const {instance, runner, transaction, epoch} = opened;
 			const askedAt = operation.context.now();
-			const answer = await instance.send(pooled, {kind: 'forward', id, text}, Math.max(1, operation.deadline - askedAt.steady));
-			operation.trace(`${instance.listed().id}: commit ${answer.kind}`);
+			const answer = await runner({
+				...createJobBase(operation), kind: 'commit', transaction, id, text,
+			}, operation.isAllowed);
+			operation.trace(`${instance.listed().id}: commit ${describeAnswer(answer)}`);
+			if (answer.kind === 'notSent') {
+				return abort(`The commit was not sent: ${answer.reason}`);
+			}
+
 			isOver = true;
 			opened = undefined;
-			instance.pool.release(pooled, answer.kind === 'answered' && answer.state === 'idle');
 			if (answer.kind === 'lost') {
 				return hasWritten
 					? createFailure('unknown', `The commit may have run: ${answer.reason}`)
--- a/packages/sessions/find-access.ts
+++ b/packages/sessions/find-access.ts
@@ -1,11 +1,10 @@
 import type {Access} from './access.ts';
+import type {Caller} from './caller.ts';
 import {findElapsed} from './find-elapsed.ts';
 import type {Instant} from './instant.ts';
 import type {KnownDirectory} from './known-directory.ts';
 
-type Caller = {
-	readonly database: string;
-	readonly keyDigest: string;
+type Question = Caller & {
 	/** Milliseconds after which a withdrawn key must have stopped working. */
 	readonly revocationLimit: number;
 	readonly now: Instant;
@@ -23,7 +22,7 @@
  * A key counts only while the host knows that no newer configuration was accepted so long ago that the key must
  * have stopped working.
  */
-export function findAccess(known: KnownDirectory | undefined, {database, keyDigest, revocationLimit, now}: Caller): Access {
+export function findAccess(known: KnownDirectory | undefined, {database, keyDigest, revocationLimit, now}: Question): Access {
 	if (known === undefined) {
 		return {kind: 'denied', code: 'busy', reason: 'The configuration has not been read yet; retry after 500 ms'};
 	}
--- a/packages/sessions/fleet-keys.ts
+++ b/packages/sessions/fleet-keys.ts
@@ -1,7 +1,7 @@
 /** Keys of the fleet's rows in the store. */
 export const fleetKeys = {
 	duty: 'duty',
-	rateHome: 'rate-home',
+	rateHomePrefix: 'rate-home/',
 	groupPrefix: 'group/',
 	hostPrefix: 'host/',
 } as const;
--- a/packages/sessions/fleet-peer.ts
+++ b/packages/sessions/fleet-peer.ts
@@ -1,3 +1,6 @@
+import type {JobAnswer} from './job-answer.ts';
+import type {Job} from './job.ts';
+import type {PositionOfAge} from './position-of-age.ts';
 import type {RateClaim} from './rate-claim.ts';
 import type {RateGrant} from './rate-grant.ts';
 import type {StoreRow} from './store-row.ts';
@@ -16,10 +19,20 @@
 	readonly rows: readonly StoreRow[] | undefined;
 };
 
+/** What another host knows of the store and of the groups' primaries. */
+type PeerKnowledge = {
+	readonly tables: readonly PeerTable[];
+	readonly positions: readonly PositionOfAge[];
+	/** Milliseconds that the other host waited for a change before it answered; ages count from then. */
+	readonly waited: number;
+};
+
 /** Claims of a host to shares of the rates. */
 type Claims = {
 	readonly host: string;
 	readonly incarnation: number;
+	/** Partition of the workspaces that the claims are for. */
+	readonly partition: number;
 	/** Epoch of the home that is asked. */
 	readonly epoch: number;
 	readonly claims: readonly RateClaim[];
@@ -34,10 +47,15 @@
 
 /** What hosts ask each other. Each call is undefined when no answer came. */
 export type FleetPeer = {
-	readonly readTables: (changedAt: ReadonlyMap<StoreTable, number>) => Promise<readonly PeerTable[] | undefined>;
+	/** Asks for the tables, given the last changes that are known; the answer may wait for another change, in milliseconds. */
+	readonly readTables: (changedAt: ReadonlyMap<StoreTable, number>, wait: number) => Promise<PeerKnowledge | undefined>;
 	readonly claimRates: (claims: Claims) => Promise<Shares | 'notHome' | undefined>;
 	/** Asks the host to give up the primary of a group before an epoch; true once it has. */
 	readonly fenceGroup: (group: string, epoch: number) => Promise<boolean | undefined>;
 	/** Whether the host hears nothing of an instance either. */
 	readonly confirmSilence: (group: string, instance: string) => Promise<boolean | undefined>;
+	/** Runs a job on one of the host's connections; `notServed` when the host takes no such work now. */
+	readonly runJob: (instance: {readonly group: string; readonly id: string}, job: Job) => Promise<JobAnswer | 'notServed' | undefined>;
+	/** Whether the host answers at all. */
+	readonly ping: () => Promise<boolean | undefined>;
 };
--- a/packages/sessions/fleet-rows.ts
+++ b/packages/sessions/fleet-rows.ts
@@ -12,5 +12,6 @@
 	/** Hosts that were not heard of for long; they may hold leases for a little while. */
 	readonly goneHosts: ReadonlyMap<string, Versioned<HostRow>>;
 	readonly duty: Versioned<DutyRow> | undefined;
-	readonly rateHome: Versioned<HomeRow> | undefined;
+	/** Hosts that share out the rates, by partition of the workspaces; see `findRatePartition`. */
+	readonly rateHomes: ReadonlyMap<number, Versioned<HomeRow>>;
 };
--- a/packages/sessions/follow-table.ts
+++ b/packages/sessions/follow-table.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- the steps follow each other */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {findElapsed} from './find-elapsed.ts';
 import {findProof} from './find-proof.ts';
 import type {KnownTable} from './known-table.ts';
 import type {SessionLog} from './session-log.ts';
@@ -21,6 +22,9 @@
 	readonly signal: AbortSignal;
 };
 
+/** Milliseconds between two calls at the least: rows that change one after the other are fetched together. */
+const callSpacing = 120;
+
 /** Milliseconds between two tries while the store does not answer, at the least and at the most. */
 const retryDelay = {first: 100, last: 400};
 
@@ -72,6 +76,7 @@
 		};
 		isWhole = true;
 		onTable(known);
+		await sleep(Math.max(0, callSpacing - findElapsed(outcome.value.sentAt, outcome.value.answeredAt)));
 	}
 }
 
--- /dev/null
+++ b/packages/sessions/gateways.ts
@@ -0,0 +1,15 @@
+import type {JobAnswer} from './job-answer.ts';
+import type {Job} from './job.ts';
+import type {ListedInstance} from './listed-instance.ts';
+
+/** The hosts through which this one reaches instances. */
+export type Gateways = {
+	/** Hosts through which work of a workspace may reach an instance, best first; undefined when this host connects itself. */
+	readonly list: (instance: ListedInstance, workspace: string | undefined) => readonly string[] | undefined;
+	/** Name of this host. */
+	readonly self: string;
+	/** Whether a host answers now, and may be tried for an instance; asks it if it has not been heard of lately. */
+	readonly isReachable: (host: string, instance: ListedInstance, job: Job) => Promise<boolean>;
+	/** Has a host run a job; undefined when no answer came. */
+	readonly runJob: (host: string, instance: ListedInstance, job: Job) => Promise<JobAnswer | 'notServed' | undefined>;
+};
--- a/packages/sessions/instance-runtime.ts
+++ b/packages/sessions/instance-runtime.ts
@@ -3,17 +3,24 @@
 import type {InstanceHealth} from './instance-health.ts';
 import type {InstancePool} from './instance-pool.ts';
 import type {InstanceRequest} from './instance-request.ts';
+import type {JobRunner} from './job-runner.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {PooledLink} from './pooled-link.ts';
+import type {RunJob} from './run-job.ts';
 
 /** An instance as a host uses it. */
 export type InstanceRuntime = {
 	readonly listed: () => ListedInstance;
 	readonly update: (listed: ListedInstance) => void;
 	readonly health: () => InstanceHealth;
+	/** This host's own connections. */
 	readonly pool: InstancePool;
-	/** Sends a request and gives it up after `timeout` milliseconds, which closes the connection. */
+	/** Sends a request on an own connection and gives it up after `timeout` milliseconds, which closes the connection. */
 	readonly send: (link: PooledLink, request: InstanceRequest, timeout: number) => Promise<InstanceAnswer>;
+	/** Runs a job on an own connection or through a gateway. */
+	readonly run: RunJob;
+	/** Runs a job on an own connection. */
+	readonly runLocally: JobRunner;
 	/** Takes note that the instance said it lacks a position. */
 	readonly noteLag: (lacks: LogPoint) => void;
 };
--- /dev/null
+++ b/packages/sessions/job-answer.ts
@@ -0,0 +1,15 @@
+import type {InstanceAnswer} from './instance-answer.ts';
+
+/** The answer to a job. */
+export type JobAnswer =
+	| InstanceAnswer & {
+		/** Number of the transaction that has begun. */
+		readonly transaction?: number | undefined;
+	}
+	/** Nothing of the job was sent to the instance, and nothing will be. */
+	| {
+		readonly kind: 'notSent';
+		readonly reason: string;
+		/** Whether the instance cannot be reached from where the job was tried. */
+		readonly isUnreachable?: boolean;
+	};
--- a/packages/sessions/open-transaction.ts
+++ b/packages/sessions/open-transaction.ts
@@ -1,20 +1,24 @@
 /* eslint-disable no-await-in-loop -- the steps follow each other */
-import {applySetup} from './apply-setup.ts';
 import {chooseTarget} from './choose-target.ts';
 import {createBusy} from './create-busy.ts';
-import {hasNotRun} from './has-not-run.ts';
+import {createJobBase} from './create-job-base.ts';
+import {describeAnswer} from './describe-answer.ts';
+import {hasLease} from './has-lease.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {Instant} from './instant.ts';
+import type {JobRunner} from './job-runner.ts';
 import type {Operation} from './operation.ts';
-import type {PooledLink} from './pooled-link.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
 import type {Target} from './target.ts';
 
-/** The connection of a transaction that has begun. */
+/** A transaction that has begun. */
 type Opened = {
 	readonly kind: 'opened';
 	readonly instance: InstanceRuntime;
-	readonly pooled: PooledLink;
+	/** Number of the transaction where it was begun. */
+	readonly transaction: number;
+	/** Runs the jobs of the transaction. */
+	readonly runner: JobRunner;
 	/** Epoch of the primary that it relies on; undefined on a replica. */
 	readonly epoch: number | undefined;
 };
@@ -22,9 +26,6 @@
 /** Times that a transaction is begun on instances at most. */
 const attemptsLimit = 5;
 
-/** Milliseconds within which an instance must answer the beginning of a transaction. */
-const beginTimeout = 600;
-
 /** Begins a transaction on an instance that may serve it; one that only reads may go to a replica. */
 export async function openTransaction(operation: Operation, isReadOnly: boolean): Promise<Opened | {readonly kind: 'failed'; readonly outcome: StatementOutcome}> {
 	const {context, deadline} = operation;
@@ -53,43 +54,27 @@
 }
 
 async function tryTarget(operation: Operation, target: Target, isReadOnly: boolean): Promise<Opened | {readonly kind: 'failed'; readonly outcome: StatementOutcome}> {
-	const {context, group, route, workspace, deadline} = operation;
+	const {context, group} = operation;
 	const {instance, after, epoch} = target;
 	const {id} = instance.listed();
-	const acquired = await instance.pool.acquire({workspace, priority: route.priority, timeout: deadline - context.now().steady});
-	if (acquired.kind !== 'acquired') {
-		operation.trace(`${id}: no connection (${acquired.kind})`);
-		return {kind: 'failed', outcome: createBusy(`Instance ${id} takes no connection`, 100)};
-	}
-
-	const {link: pooled} = acquired;
-	const isReady = await applySetup(pooled, {
-		setup: operation.setup, prepared: undefined, isInTransaction: false, send: async request => instance.send(pooled, request, beginTimeout),
-	});
-	if (!isReady) {
-		instance.pool.release(pooled, false);
-		return {kind: 'failed', outcome: createBusy(`Instance ${id} did not take the session's values`, 100)};
-	}
-
 	const askedAt: Instant = context.now();
-	const answer = await instance.send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeout, deadline - askedAt.steady)));
-	if (answer.kind === 'answered' && answer.outcome.kind === 'done' && answer.state === 'open') {
+	const {answer, runner} = await instance.run({
+		...createJobBase(operation), kind: 'begin', setup: operation.setup, isReadOnly, after, idleLimit: context.transactionIdle(),
+	}, () => operation.isAllowed() && (epoch === undefined || hasLease(group, epoch)));
+	operation.trace(`${id}: begin ${describeAnswer(answer)}`);
+	if (answer.kind === 'answered' && answer.transaction !== undefined) {
 		if (epoch !== undefined) {
 			group.noteAnswer(id, answer, {at: askedAt, epoch});
 		}
 
-		operation.trace(`${id}: transaction begun`);
 		return {
-			kind: 'opened', instance, pooled, epoch,
+			kind: 'opened', instance, transaction: answer.transaction, runner, epoch,
 		};
 	}
 
-	instance.pool.release(pooled, answer.kind === 'answered' && answer.state === 'idle');
-	const code = answer.kind === 'answered' && answer.outcome.kind === 'failed' ? answer.outcome.code : 'lost';
-	operation.trace(`${id}: transaction not begun (${code})`);
-	if (code === 'lagging' && after !== undefined) {
+	if (after !== undefined && answer.kind === 'answered' && answer.outcome.kind === 'failed' && answer.outcome.code === 'lagging') {
 		instance.noteLag(after);
 	}
 
-	return {kind: 'failed', outcome: createBusy(`Instance ${id} did not begin the transaction (${code !== 'lost' && hasNotRun(code) ? code : 'no answer'})`, 100)};
+	return {kind: 'failed', outcome: createBusy(`Instance ${id} did not begin the transaction: ${describeAnswer(answer)}`, 100)};
 }
--- a/packages/sessions/operation.ts
+++ b/packages/sessions/operation.ts
@@ -1,3 +1,4 @@
+import type {Caller} from './caller.ts';
 import type {Instant} from './instant.ts';
 import type {Route} from './route.ts';
 import type {SessionContext} from './session-context.ts';
@@ -11,6 +12,7 @@
 	readonly group: SessionGroup;
 	readonly route: Route;
 	readonly workspace: string;
+	readonly caller: Caller;
 	readonly setup: SessionValues;
 	/** When the statement, or the beginning of the transaction, arrived. */
 	readonly arrivedAt: Instant;
--- a/packages/sessions/parse-fleet-rows.ts
+++ b/packages/sessions/parse-fleet-rows.ts
@@ -14,13 +14,13 @@
 	const hosts = new Map<string, Versioned<HostRow>>();
 	const goneHosts = new Map<string, Versioned<HostRow>>();
 	let duty: Versioned<DutyRow> | undefined;
-	let rateHome: Versioned<HomeRow> | undefined;
+	const rateHomes = new Map<number, Versioned<HomeRow>>();
 	for (const {key, value = '', version} of rows) {
 		try {
 			if (key === fleetKeys.duty) {
 				duty = {...JSON.parse(value) as DutyRow, version};
-			} else if (key === fleetKeys.rateHome) {
-				rateHome = {...JSON.parse(value) as HomeRow, version};
+			} else if (key.startsWith(fleetKeys.rateHomePrefix)) {
+				rateHomes.set(Number(key.slice(fleetKeys.rateHomePrefix.length)), {...JSON.parse(value) as HomeRow, version});
 			} else if (key.startsWith(fleetKeys.groupPrefix)) {
 				groups.set(key.slice(fleetKeys.groupPrefix.length), {...JSON.parse(value) as GroupRow, version});
 			} else if (key.startsWith(fleetKeys.hostPrefix)) {
@@ -33,6 +33,6 @@
 	}
 
 	return {
-		groups, hosts, goneHosts, duty, rateHome,
+		groups, hosts, goneHosts, duty, rateHomes,
 	};
 }
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -45,10 +45,17 @@
 			load: () => ({
 				busy: 0, idle: 0, waiting: 0, limit: 1,
 			}),
+			dropIdle: () => undefined,
 			setLimit: () => undefined,
 			close: () => undefined,
 		},
 		send: async () => answer(),
+		run() {
+			throw new Error('No job is run');
+		},
+		runLocally() {
+			throw new Error('No job is run');
+		},
 		noteLag: () => undefined,
 	};
 }
--- a/packages/sessions/run-write.ts
+++ b/packages/sessions/run-write.ts
@@ -2,11 +2,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createBusy} from './create-busy.ts';
 import {createFailure} from './create-failure.ts';
+import {createJobBase} from './create-job-base.ts';
+import {describeAnswer} from './describe-answer.ts';
 import {hasLease} from './has-lease.ts';
 import {hasNotRun} from './has-not-run.ts';
 import type {Operation} from './operation.ts';
 import type {PrimaryView} from './primary-view.ts';
-import {runWork} from './run-work.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
 import {waitForUsefulPrimary} from './wait-for-useful-primary.ts';
 import type {Work} from './work.ts';
@@ -53,33 +54,19 @@
 type Tried = {readonly outcome: StatementOutcome; readonly isFinal: boolean};
 
 async function tryPrimary(work: Work, operation: Operation, {instance: id, epoch}: PrimaryView & {readonly kind: 'leased'}): Promise<Tried> {
-	const {context, group, route, workspace, deadline} = operation;
+	const {context, group} = operation;
 	const instance = group.findInstance(id);
 	if (instance === undefined) {
 		return {outcome: createBusy(`The primary ${id} is not listed`, 200), isFinal: false};
 	}
 
-	const acquired = await instance.pool.acquire({workspace, priority: route.priority, timeout: deadline - context.now().steady});
-	if (acquired.kind !== 'acquired') {
-		operation.trace(`${id}: no connection (${acquired.kind})`);
-		return {outcome: createBusy(`The primary ${id} takes no connection`, 100), isFinal: false};
-	}
-
 	const askedAt = context.now();
-	const answer = await runWork(acquired.link, {
-		operation,
-		instance,
-		work,
-		after: undefined,
-		isInTransaction: false,
-		timeout: Math.max(1, deadline - askedAt.steady),
-		maySend: () => operation.isAllowed() && hasLease(group, epoch),
-	});
-	const isClean = answer.kind === 'notSent' ? !acquired.link.link.isClosed() : answer.kind === 'answered' && answer.state === 'idle';
-	instance.pool.release(acquired.link, isClean);
-	operation.trace(`${id}: ${answer.kind === 'answered' ? (answer.outcome.kind === 'done' ? 'done' : answer.outcome.code) : answer.kind}`);
+	const {answer} = await instance.run({
+		...createJobBase(operation), kind: 'single', setup: operation.setup, work, after: undefined,
+	}, () => operation.isAllowed() && hasLease(group, epoch));
+	operation.trace(`${id}: ${describeAnswer(answer)}`);
 	if (answer.kind === 'notSent') {
-		return {outcome: createBusy('The write was not sent', 100), isFinal: !operation.isAllowed()};
+		return {outcome: createBusy(`The write was not sent to the primary ${id}: ${answer.reason}`, 100), isFinal: !operation.isAllowed()};
 	}
 
 	if (answer.kind === 'lost') {
@@ -88,10 +75,6 @@
 
 	group.noteAnswer(id, answer, {at: askedAt, epoch});
 	if (answer.outcome.kind === 'failed') {
-		if (answer.outcome.code === 'unknownStatement') {
-			acquired.link.link.close();
-		}
-
 		return hasNotRun(answer.outcome.code)
 			? {outcome: createBusy(`The primary ${id} answered ${answer.outcome.code}`, 100), isFinal: false}
 			: {outcome: answer.outcome, isFinal: true};
--- a/packages/sessions/session-context.ts
+++ b/packages/sessions/session-context.ts
@@ -1,4 +1,5 @@
 import type {Access} from './access.ts';
+import type {Caller} from './caller.ts';
 import type {Instant} from './instant.ts';
 import type {SessionGroup} from './session-group.ts';
 import type {SessionLog} from './session-log.ts';
@@ -22,7 +23,7 @@
 export type SessionContext = {
 	readonly now: () => Instant;
 	/** Checks the route and the key by the newest configuration, if that is known to be fresh enough. */
-	readonly findAccess: (database: string, keyDigest: string) => Access;
+	readonly findAccess: (caller: Caller) => Access;
 	/** Milliseconds for which a transaction may stand idle. */
 	readonly transactionIdle: () => number;
 	readonly findGroup: (name: string) => SessionGroup | undefined;
--- a/packages/sessions/spare-parts.ts
+++ b/packages/sessions/spare-parts.ts
@@ -3,8 +3,10 @@
  * clocks and counts that differ between hosts.
  */
 export const spareParts = {
-	/** Saved up by all hosts together. */
-	saved: 0.25,
+	/** Saved up by all hosts together, evenly. */
+	savedEvenly: 0.125,
+	/** Saved up by the hosts that hold shares, as far as they do. */
+	savedByShare: 0.125,
 	/** Kept by the home, for hosts that run short. */
 	pooled: 0.1,
 	/** Added to what the home keeps, over a window. */
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -1,7 +1,10 @@
 /* eslint-disable no-await-in-loop -- the host looks again after a pause */
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {Caller} from './caller.ts';
 import {createFleetControl} from './create-fleet-control.ts';
-import {createRateShares} from './create-rate-shares.ts';
+import {createGateway} from './create-gateway.ts';
+import {createGateways} from './create-gateways.ts';
+import {createRatePartitions} from './create-rate-partitions.ts';
 import {createSession} from './create-session.ts';
 import {createSessionGroup} from './create-session-group.ts';
 import {createTableReader} from './create-table-reader.ts';
@@ -9,6 +12,7 @@
 import {findAccess} from './find-access.ts';
 import {findConnectionLimit} from './find-connection-limit.ts';
 import {findElapsed} from './find-elapsed.ts';
+import {findGatewayCount} from './find-gateway-count.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {HostProfile} from './host-profile.ts';
@@ -47,6 +51,9 @@
 /** Milliseconds between two rounds of small tasks. */
 const tickInterval = 100;
 
+/** Milliseconds between two samples of a primary's position, for a host that tells others and for one that is told. */
+const sampleIntervals = {reading: 300, told: 900};
+
 /** Milliseconds for which what the platform lists counts as recent. */
 const listFreshness = 6500;
 
@@ -91,6 +98,7 @@
 	const control = createFleetControl({
 		own,
 		store,
+		listGateways: instance => gateways.list(instance, undefined),
 		listGroups: () => [...groups.values()],
 		listInstances: () => listed,
 		isListFresh() {
@@ -105,7 +113,7 @@
 		log,
 	});
 
-	const rates = createRateShares({
+	const rates = createRatePartitions({
 		self: own.name,
 		incarnation: own.incarnation,
 		bound: profile.rateBound,
@@ -117,13 +125,29 @@
 		log,
 	});
 
+	const gateways = createGateways({
+		own, findFleet: () => fleet, findDirectory: () => known?.directory, findPeer, now: () => now().steady,
+	});
+
+	const findLimit = (connectionCap: number) => {
+		const hostCount = fleet?.hosts.size ?? 1;
+		const gatewayCount = findGatewayCount({connectionCap, hostCount, workspaceCount: known?.directory.limits.size ?? 1});
+		return findConnectionLimit({connectionCap, hostCount, gatewayCount});
+	};
+
 	const updateGroups = () => {
 		for (const [name, cap] of known?.directory.connectionCaps ?? []) {
 			const group = groups.get(name) ?? createSessionGroup(name, {
-				zone: profile.zone, openLink: options.openLink, now, log, findWorkspace,
+				zone: profile.zone,
+				openLink: options.openLink,
+				gateways,
+				now,
+				log,
+				findWorkspace,
+				findSampleInterval: () => reader.isReading() ? sampleIntervals.reading : sampleIntervals.told,
 			});
 			groups.set(name, group);
-			group.updateInstances(listed.filter(entry => entry.group === name), findConnectionLimit(cap, fleet?.hosts.size ?? 1));
+			group.updateInstances(listed.filter(entry => entry.group === name), findLimit(cap));
 			if (control.isRegistered()) {
 				group.setRegistered();
 			}
@@ -189,6 +213,12 @@
 		listHosts: () => [...fleet?.hosts.values() ?? []],
 		findPeer,
 		onTable: takeTable,
+		listPositions: () => [...groups.values()].map(group => group.findNewestPosition()).filter(position => position !== undefined),
+		onPositions(positions, from) {
+			for (const position of positions) {
+				groups.get(position.group)?.notePosition(position, from);
+			}
+		},
 		now,
 		log,
 	});
@@ -203,11 +233,16 @@
 
 	const timer = setInterval(tick, tickInterval);
 
+	const findCallerAccess = (caller: Caller) => findAccess(known, {...caller, revocationLimit: profile.revocationLimit, now: now()});
+
+	const gateway = createGateway({
+		findInstance: (group, id) => groups.get(group)?.findInstance(id),
+		findAccess: findCallerAccess,
+	});
+
 	const context: SessionContext = {
 		now,
-		findAccess: (database, keyDigest) => findAccess(known, {
-			database, keyDigest, revocationLimit: profile.revocationLimit, now: now(),
-		}),
+		findAccess: findCallerAccess,
 		transactionIdle: () => known?.directory.transactionIdle ?? 0,
 		findGroup: name => groups.get(name),
 		takeOperation: rates.takeOperation,
@@ -248,9 +283,12 @@
 			claimRates: rates.claimRates,
 			fenceGroup: control.fenceGroup,
 			confirmSilence: control.confirmSilence,
+			runJob: gateway.runJob,
+			ping: async () => true,
 		},
 		async stop(closeDoor) {
 			isStopping = true;
+			gateway.close();
 			log.info({sessions: sessions.size}, 'host: The host stops; it takes no new callers.');
 			await sleep(sessionGrace);
 			closeDoor();
@@ -260,7 +298,7 @@
 			}
 
 			const until = now().steady + profile.graceSpan - sessionGrace - exitMargin;
-			while (sessions.size > 0 && now().steady < until) {
+			while (sessions.size + gateway.countOpen() > 0 && now().steady < until) {
 				await sleep(tickInterval);
 			}
 
--- a/packages/sessions/table-reader.ts
+++ b/packages/sessions/table-reader.ts
@@ -4,5 +4,7 @@
 export type TableReader = {
 	/** Answers another host of the zone. */
 	readonly readTables: FleetPeer['readTables'];
+	/** Whether this host reads the store, for itself or for its zone. */
+	readonly isReading: () => boolean;
 	readonly stop: () => void;
 };
--- a/packages/sessions/take-operation.ts
+++ b/packages/sessions/take-operation.ts
@@ -52,7 +52,7 @@
 	const held = findHeldRate(old, now).rate;
 	const unasked = spareParts.unasked * spare * millisecondsPerSecond / bound.window / hostCount;
 	const rate = held + unasked;
-	const capacity = spareParts.saved * spare * ((0.5 / hostCount) + (0.5 * held / Math.max(limits.rate, 1e-9)));
+	const capacity = spare * ((spareParts.savedEvenly / hostCount) + (spareParts.savedByShare * held / Math.max(limits.rate, 1e-9)));
 	const elapsed = Math.max(0, now.steady - old.refilledAt);
 	const ceiling = Math.max(capacity, Math.min(old.level, unitsKept));
 	const level = Math.min(ceiling, old.level + (elapsed * rate / millisecondsPerSecond));
--- a/packages/wire/open-channel.ts
+++ b/packages/wire/open-channel.ts
@@ -35,7 +35,11 @@
 		options.onClosed();
 	};
 
-	const beat = ({createPing, silenceLimit}: Heartbeat<Request>) => {
+	const beat = ({createPing, silenceLimit, isOnlyWhilePending}: Heartbeat<Request>) => {
+		if (isOnlyWhilePending === true && pending.size === 0) {
+			return;
+		}
+
 		if (options.now() - heardAt > silenceLimit) {
 			close();
 		} else {
@@ -81,6 +85,8 @@
 
 			lastId++;
 			sentAt = options.now();
+			// Silence counts from the first request that waits.
+			heardAt = pending.size === 0 && heartbeat?.isOnlyWhilePending === true ? sentAt : heardAt;
 			const id = lastId;
 			return new Promise(resolve => {
 				const cancel = () => {
