Use gateways on every site, and let few hosts write while a fleet starts

Cause: 1,473 calls to the store in the first 26 s at 89 hosts: every host named every first primary (89 x 6 commits, most of them conflicts), and followed the three tables by itself until it had seen the others register.

Change: a host reads the fleet's rows first and, when nothing has begun, waits for the others to register; the host that ranks first names a group's primary. Rates: shares only where a host asks for five operations a second, single operations for the rest.

--- a/packages/sessions/assign-rates.ts
+++ b/packages/sessions/assign-rates.ts
@@ -48,7 +48,7 @@
 const unitsLimit = 8;
 
 /** Operations a second and host; where an even share is less, hosts with little demand ask for each operation instead. */
-const sparseShare = 2;
+const sparseShare = 5;
 
 /**
  * Assigns shares of the workspaces' rates to a host, by its demand and that of the others, and gives it operations
--- a/packages/sessions/create-fleet-control.ts
+++ b/packages/sessions/create-fleet-control.ts
@@ -17,14 +17,15 @@
 import type {ReplacementReason} from './replacement-reason.ts';
 import type {SessionGroup} from './session-group.ts';
 import type {SessionLog} from './session-log.ts';
+import {settleSpan} from './settle-span.ts';
 import type {Store} from './store.ts';
 import type {Versioned} from './versioned.ts';
 
 type Options = {
 	readonly own: HostRow;
 	readonly store: Store;
-	/** Hosts that connect to an instance; undefined when all do. */
-	readonly listGateways: (instance: ListedInstance) => readonly string[] | undefined;
+	/** Hosts that connect to an instance, best first. */
+	readonly listGateways: (instance: ListedInstance) => readonly string[];
 	readonly listGroups: () => readonly SessionGroup[];
 	readonly listInstances: () => readonly ListedInstance[];
 	/** Whether what the platform lists is known to be recent. */
@@ -63,8 +64,16 @@
 	let fleet: FleetRows | undefined;
 	/** Hosts that are marked as gone, and since when in steady milliseconds. */
 	const marked = new Map<string, number>();
+	/** Since when the fleet's rows are known, in steady milliseconds. */
+	let knownSince = Number.POSITIVE_INFINITY;
 	let triedAt = Number.NEGATIVE_INFINITY;
 
+	/** Milliseconds for which this host leaves it to others to name a group's first primary. */
+	const findFirstDelay = (group: string) => {
+		const place = rankHosts(`first/${group}`, [...fleet?.hosts.keys() ?? []]).indexOf(own.name);
+		return settleSpan + (Math.max(0, place) * placeDelay);
+	};
+
 	const isRegistered = () => fleet?.hosts.get(own.name)?.incarnation === own.incarnation;
 
 	const register = async () => {
@@ -92,8 +101,7 @@
 		self: own.name,
 		zone: primary?.zone ?? '',
 		hosts: [...fleet?.hosts.values() ?? []],
-		gateways: primary && options.listGateways(primary),
-		holder: fleet?.duty?.holder,
+		gateways: primary === undefined ? [] : options.listGateways(primary),
 	});
 
 	/** Whether this host hears nothing of an instance, after asking it if there is no evidence yet. */
@@ -216,6 +224,7 @@
 
 	return {
 		updateFleet(newer) {
+			knownSince = Math.min(knownSince, now().steady);
 			fleet = newer;
 			for (const row of newer.hosts.values()) {
 				recent.set(row.name, {row, seenAt: now().steady});
@@ -231,7 +240,7 @@
 				}
 
 				for (const group of options.listGroups()) {
-					if (!fleet.groups.has(group.name)) {
+					if (!fleet.groups.has(group.name) && at - knownSince > findFirstDelay(group.name)) {
 						void nameFirstPrimary(group.name);
 					}
 				}
--- /dev/null
+++ b/packages/sessions/create-gateway.test.ts
@@ -0,0 +1,63 @@
+import {expect} from 'chai';
+import type {Access} from './access.ts';
+import {createGateway} from './create-gateway.ts';
+import type {InstanceRuntime} from './instance-runtime.ts';
+import type {JobAnswer} from './job-answer.ts';
+import type {Job} from './job.ts';
+
+const base = {
+	workspace: 'upper', priority: 1, caller: {database: 'ponds', keyDigest: ''}, timeout: 500, setup: {values: new Map(), prepared: new Map()},
+};
+const work = {
+	id: '1', text: 'READ a', access: 'read', execute: undefined,
+} as const;
+const single: Job = {
+	...base, kind: 'single', work, after: undefined,
+};
+const begin: Job = {
+	...base, kind: 'begin', isReadOnly: false, after: undefined, idleLimit: 1000,
+};
+const within: Job = {
+	...base, kind: 'within', transaction: 5, work,
+};
+const done: JobAnswer = {
+	kind: 'answered', outcome: {kind: 'done', rows: [], signature: '7'}, state: 'idle', position: undefined,
+};
+const denied: Access = {kind: 'denied', code: 'badKey', reason: ''};
+
+/** Creates a gateway before an instance that runs whatever it may. */
+function createCase(access: Access | undefined) {
+	const instance = {
+		runLocally: async (job: Job, maySend: () => boolean): Promise<JobAnswer> =>
+			maySend() ? {...done, ...job.kind === 'begin' && {transaction: 5}} : {kind: 'notSent', reason: ''},
+	} as unknown as InstanceRuntime;
+	return createGateway({
+		findInstance: (_, id) => id === 'known' ? instance : undefined,
+		findAccess: () => access ?? {
+			kind: 'allowed', workspace: 'upper', version: 1, route: {} as Extract<Access, {readonly kind: 'allowed'}>['route'],
+		},
+	});
+}
+
+describe('createGateway', () => {
+	it('runs jobs for an instance that it knows, and no others', async () => {
+		const gateway = createCase(undefined);
+		expect(await gateway.runJob({group: 'g', id: 'known'}, single)).to.deep.equal(done);
+		expect(await gateway.runJob({group: 'g', id: 'other'}, single)).to.equal('notServed');
+	});
+
+	it('sends nothing for a key that was withdrawn while the job was on its way', async () => {
+		expect(await createCase(denied).runJob({group: 'g', id: 'known'}, single)).to.include({kind: 'notSent'});
+	});
+
+	it('lets open transactions end after it is closed, and begins nothing', async () => {
+		const gateway = createCase(undefined);
+		await gateway.runJob({group: 'g', id: 'known'}, begin);
+		gateway.close();
+		expect(await gateway.runJob({group: 'g', id: 'known'}, single)).to.equal('notServed');
+		expect(await gateway.runJob({group: 'g', id: 'known'}, within)).to.include({kind: 'answered'});
+		expect(gateway.countOpen()).to.equal(1);
+		await gateway.runJob({group: 'g', id: 'known'}, {kind: 'rollback', transaction: 5});
+		expect(gateway.countOpen()).to.equal(0);
+	});
+});
--- a/packages/sessions/create-gateways.ts
+++ b/packages/sessions/create-gateways.ts
@@ -1,16 +1,13 @@
-import {findGatewayCount} from './find-gateway-count.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {Gateways} from './gateways.ts';
 import type {HostRow} from './host-row.ts';
-import type {KnownDirectory} from './known-directory.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import {rankGateways} from './rank-gateways.ts';
 
 type Options = {
 	readonly own: HostRow;
 	readonly findFleet: () => FleetRows | undefined;
-	readonly findDirectory: () => KnownDirectory['directory'] | undefined;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
 	/** Present steady milliseconds. */
 	readonly now: () => number;
@@ -33,7 +30,7 @@
 const avoidance = 1000;
 
 /** Creates the ways to instances through other hosts. */
-export function createGateways({own, findFleet, findDirectory, findPeer, now}: Options): Gateways {
+export function createGateways({own, findFleet, findPeer, now}: Options): Gateways {
 	const reaches = new Map<string, Reach>();
 	/** Until when a host is not used for an instance, because it cannot reach that. */
 	const cutUntil = new Map<string, number>();
@@ -46,7 +43,7 @@
 		return known;
 	};
 
-	const rank = (instance: ListedInstance, workspace: string | undefined, count: number) => {
+	const list: Gateways['list'] = (instance, workspace) => {
 		const fleet = findFleet();
 		if (fleet !== rankedFleet) {
 			ranks.clear();
@@ -55,7 +52,7 @@
 
 		const key = `${instance.id} ${instance.zone} ${workspace ?? ''}`;
 		const known = ranks.get(key) ?? rankGateways({
-			instance, workspace, zone: own.zone, hosts: [...fleet?.hosts.values() ?? []], count,
+			instance, workspace, zone: own.zone, hosts: [...fleet?.hosts.values() ?? []],
 		});
 		ranks.set(key, known);
 		return known;
@@ -81,15 +78,7 @@
 
 	return {
 		self: own.name,
-		list(instance, workspace) {
-			const directory = findDirectory();
-			const count = findGatewayCount({
-				connectionCap: directory?.connectionCaps.get(instance.group) ?? 1,
-				hostCount: findFleet()?.hosts.size ?? 1,
-				workspaceCount: directory?.limits.size ?? 1,
-			});
-			return count === undefined ? undefined : rank(instance, workspace, count);
-		},
+		list,
 		async isReachable(host, instance, job) {
 			const reach = findReach(host);
 			if (Math.max(reach.avoidedUntil, cutUntil.get(findPair(host, instance)) ?? 0) > now()) {
--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -20,6 +20,7 @@
 import type {SessionLog} from './session-log.ts';
 import type {ShareState} from './share-state.ts';
 import type {Store} from './store.ts';
+import {settleSpan} from './settle-span.ts';
 import {takeOperation} from './take-operation.ts';
 import type {Versioned} from './versioned.ts';
 import type {WorkspaceLimits} from './workspace-limits.ts';
@@ -322,7 +323,7 @@
 			const place = Math.min(lastPlace, findRateHomePlace({
 				self, partition, hosts: [...fleet.hosts.keys()], lost: row?.holder,
 			}));
-			const vacantSince = row === undefined ? startedAt : unansweredSince;
+			const vacantSince = row === undefined ? startedAt + settleSpan : unansweredSince;
 			const patience = (row === undefined ? 0 : homeSilence) + (place * placeDelay);
 			const isVacant = vacantSince !== undefined && at - vacantSince > patience && findElapsed(proof, now()) < proofLimit;
 			if (isRestarted || (isVacant && row?.holder !== self)) {
--- a/packages/sessions/create-routed-runner.ts
+++ b/packages/sessions/create-routed-runner.ts
@@ -44,10 +44,6 @@
 
 	return async (job, maySend) => {
 		const hosts = gateways.list(listed(), 'workspace' in job ? job.workspace : undefined);
-		if (hosts === undefined) {
-			return runLocally(job, maySend);
-		}
-
 		for (const host of hosts) {
 			if (host === gateways.self) {
 				return runLocally(job, maySend);
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -122,8 +122,7 @@
 	/** Closes connections to instances whose gateway this host is not; they were opened to ask for a status. */
 	const dropForeignLinks = () => {
 		for (const instance of instances.values()) {
-			const hosts = gateways.list(instance.listed(), undefined);
-			if (hosts?.includes(gateways.self) === false) {
+			if (!gateways.list(instance.listed(), undefined).includes(gateways.self)) {
 				instance.pool.dropIdle(now().steady - foreignLinkSpan);
 			}
 		}
--- a/packages/sessions/create-table-reader.ts
+++ b/packages/sessions/create-table-reader.ts
@@ -9,6 +9,7 @@
 import type {KnownTable} from './known-table.ts';
 import type {PositionOfAge} from './position-of-age.ts';
 import type {SessionLog} from './session-log.ts';
+import {settleSpan} from './settle-span.ts';
 import type {Store} from './store.ts';
 import type {StoreTable} from './store-table.ts';
 import type {TableReader} from './table-reader.ts';
@@ -19,6 +20,8 @@
 	readonly store: Store;
 	readonly listHosts: () => readonly HostRow[];
 	readonly findPeer: (host: string) => FleetPeer | undefined;
+	/** Whether the fleet has begun nothing yet, as far as its rows tell. */
+	readonly isFleetNew: () => boolean;
 	readonly onTable: (table: StoreTable, known: KnownTable) => void;
 	/** How far the logs of the primaries were, as this host knows. */
 	readonly listPositions: () => readonly PositionOfAge[];
@@ -40,6 +43,9 @@
 /** Milliseconds since the store confirmed what a source knows, after which another is asked. */
 const ageLimits = {configuration: 2600, fleet: 1500, instances: 6000} as const satisfies Record<StoreTable, number>;
 
+/** Answers that tell too little, or that do not come, after which a source is not asked for a while. */
+const poorAnswersLimit = 2;
+
 /** Milliseconds for which a source that does not know enough is not asked. */
 const avoidance = 2000;
 
@@ -57,6 +63,8 @@
 	let direct: AbortController | undefined;
 	let directSince = 0;
 	let lastSource = '';
+	/** Answers of the present source in a row that told too little. */
+	let poorAnswers = 0;
 	let isStopped = false;
 
 	const wakeWaiters = () => {
@@ -150,7 +158,27 @@
 		return answer !== undefined && tables.every(table => isFresh(table));
 	};
 
+	/** Reads the fleet's rows; when there are none yet all hosts are just starting, and those that register are waited for. */
+	const startUp = async () => {
+		await readFleet();
+		if (options.isFleetNew()) {
+			await sleep(settleSpan);
+			await readFleet();
+		}
+	};
+
+	const readFleet = async () => {
+		const outcome = await store.read('fleet');
+		if (outcome.kind === 'done') {
+			const {rows, version, sentAt} = outcome.value;
+			take('fleet', {
+				rows: new Map(rows.map(row => [row.key, row])), version, changedAt: version, provenAt: sentAt,
+			});
+		}
+	};
+
 	const run = async () => {
+		await startUp();
 		while (!isStopped) { // eslint-disable-line no-unmodified-loop-condition -- `stop` sets it
 			const source = chooseSource({
 				self, zone, hosts: options.listHosts(), avoidedUntil, now: now().steady,
@@ -167,10 +195,16 @@
 					avoid(self);
 				}
 			} else if (await poll(source)) {
+				poorAnswers = 0;
 				stopDirect();
 			} else {
-				avoid(source);
-				continue;
+				// The source may be about to learn more, as after a start.
+				poorAnswers++;
+				if (poorAnswers >= poorAnswersLimit) {
+					poorAnswers = 0;
+					avoid(source);
+					continue;
+				}
 			}
 
 			await sleep(stepInterval);
@@ -181,7 +215,7 @@
 	return {
 		async readTables(changedAt, wait) {
 			const askedAt = now();
-			if (wait > 0 && tables.every(table => changedAt.has(table) && changedAt.get(table) === known.get(table)?.changedAt)) {
+			if (wait > 0 && tables.every(table => changedAt.get(table) === known.get(table)?.changedAt || !known.has(table))) {
 				await waitForChange(wait);
 			}
 
--- a/packages/sessions/find-replacement-place.ts
+++ b/packages/sessions/find-replacement-place.ts
@@ -1,4 +1,3 @@
-import {rankHosts} from '@sapphirefall/decisions';
 import type {HostRow} from './host-row.ts';
 
 type Options = {
@@ -6,10 +5,8 @@
 	/** Availability zone of the primary. */
 	readonly zone: string;
 	readonly hosts: ReadonlyArray<Pick<HostRow, 'name' | 'zone'>>;
-	/** Hosts that connect to the primary, best first; undefined when all do. */
-	readonly gateways: readonly string[] | undefined;
-	/** Host that replaced a primary last; it keeps the duty if it can. */
-	readonly holder: string | undefined;
+	/** Hosts that connect to the primary, best first. */
+	readonly gateways: readonly string[];
 };
 
 /** Place after which hosts wait no longer. */
@@ -21,15 +18,9 @@
 /**
  * Finds a host's place among those that may replace a primary; 0 acts first.
  *
- * Only hosts that connect to a primary notice that it is silent, so they come first where not all do.
+ * Only hosts that connect to a primary notice that it is silent, so they come first.
  */
-export function findReplacementPlace({self, zone, hosts, gateways, holder}: Options): number {
-	if (gateways === undefined) {
-		const names = rankHosts('duty', hosts.map(({name}) => name));
-		const order = holder !== undefined && names.includes(holder) ? [holder, ...names.filter(name => name !== holder)] : names;
-		return Math.min(lastPlace, Math.max(0, order.indexOf(self)));
-	}
-
+export function findReplacementPlace({self, zone, hosts, gateways}: Options): number {
 	const isElsewhere = hosts.find(({name}) => name === self)?.zone !== zone;
 	const place = gateways.indexOf(self);
 	if (place === -1) {
--- a/packages/sessions/gateways.ts
+++ b/packages/sessions/gateways.ts
@@ -4,8 +4,8 @@
 
 /** The hosts through which this one reaches instances. */
 export type Gateways = {
-	/** Hosts through which work of a workspace may reach an instance, best first; undefined when this host connects itself. */
-	readonly list: (instance: ListedInstance, workspace: string | undefined) => readonly string[] | undefined;
+	/** Hosts through which work of a workspace may reach an instance, best first. */
+	readonly list: (instance: ListedInstance, workspace: string | undefined) => readonly string[];
 	/** Name of this host. */
 	readonly self: string;
 	/** Whether a host answers now, and may be tried for an instance; asks it if it has not been heard of lately. */
--- a/packages/sessions/rank-gateways.ts
+++ b/packages/sessions/rank-gateways.ts
@@ -1,4 +1,5 @@
 import {rankHosts} from '@sapphirefall/decisions';
+import {gatewayCount} from './gateway-count.ts';
 import type {HostRow} from './host-row.ts';
 import type {ListedInstance} from './listed-instance.ts';
 
@@ -9,8 +10,6 @@
 	/** Availability zone of the host that asks. */
 	readonly zone: string;
 	readonly hosts: ReadonlyArray<Pick<HostRow, 'name' | 'zone'>>;
-	/** Hosts that connect to the instance. */
-	readonly count: number;
 };
 
 /** Hosts of the asking zone that connect to an instance of another zone when its gateways cannot be reached. */
@@ -26,12 +25,12 @@
  * of them, so that its connections are used again. When none of them can be reached, a host of the asking zone tries
  * the instance itself: only then does anybody outside the zone know whether the instance or its zone is lost.
  */
-export function rankGateways({instance, workspace, zone, hosts, count}: Options): readonly string[] {
+export function rankGateways({instance, workspace, zone, hosts}: Options): readonly string[] {
 	const local = listZone(hosts, instance.zone);
 	const ranked = rankHosts(`gateway/${instance.id}`, local);
-	const gateways = ranked.slice(0, count);
+	const gateways = ranked.slice(0, gatewayCount);
 	const ordered = workspace === undefined ? gateways : rankHosts(`workspace/${workspace}`, gateways);
-	const spares = ranked.slice(count, count + spareCount);
+	const spares = ranked.slice(gatewayCount, gatewayCount + spareCount);
 	const backups = zone === instance.zone ? [] : rankHosts(`gateway/${instance.id}`, listZone(hosts, zone)).slice(0, backupCount);
 	return [...ordered, ...spares, ...backups];
 }
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -12,7 +12,6 @@
 import {findAccess} from './find-access.ts';
 import {findConnectionLimit} from './find-connection-limit.ts';
 import {findElapsed} from './find-elapsed.ts';
-import {findGatewayCount} from './find-gateway-count.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {HostProfile} from './host-profile.ts';
@@ -126,15 +125,9 @@
 	});
 
 	const gateways = createGateways({
-		own, findFleet: () => fleet, findDirectory: () => known?.directory, findPeer, now: () => now().steady,
+		own, findFleet: () => fleet, findPeer, now: () => now().steady,
 	});
 
-	const findLimit = (connectionCap: number) => {
-		const hostCount = fleet?.hosts.size ?? 1;
-		const gatewayCount = findGatewayCount({connectionCap, hostCount, workspaceCount: known?.directory.limits.size ?? 1});
-		return findConnectionLimit({connectionCap, hostCount, gatewayCount});
-	};
-
 	const updateGroups = () => {
 		for (const [name, cap] of known?.directory.connectionCaps ?? []) {
 			const group = groups.get(name) ?? createSessionGroup(name, {
@@ -147,7 +140,7 @@
 				findSampleInterval: () => reader.isReading() ? sampleIntervals.reading : sampleIntervals.told,
 			});
 			groups.set(name, group);
-			group.updateInstances(listed.filter(entry => entry.group === name), findLimit(cap));
+			group.updateInstances(listed.filter(entry => entry.group === name), findConnectionLimit(cap));
 			if (control.isRegistered()) {
 				group.setRegistered();
 			}
@@ -212,6 +205,7 @@
 		store,
 		listHosts: () => [...fleet?.hosts.values() ?? []],
 		findPeer,
+		isFleetNew: () => fleet?.groups.size === 0,
 		onTable: takeTable,
 		listPositions: () => [...groups.values()].map(group => group.findNewestPosition()).filter(position => position !== undefined),
 		onPositions(positions, from) {
