Read what a host needs at once at a restart, and claim from a new home without delay

Change: a host reads its three tables itself at a restart; a host claims in the next tick when the store names another home.

--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -307,6 +307,8 @@
 			if (row?.epoch !== findRow()?.epoch) {
 				log.info({partition, holder: row?.holder, epoch: row?.epoch}, 'rates: The store names the host that shares out the rates.');
 				unansweredSince = undefined;
+				// A new home gives little until it has heard of all hosts.
+				claimedAt = Number.NEGATIVE_INFINITY;
 			}
 
 			fleet = newer;
--- a/packages/sessions/create-table-reader.ts
+++ b/packages/sessions/create-table-reader.ts
@@ -195,22 +195,29 @@
 		return answer !== undefined && isWhole();
 	};
 
-	/** Reads the fleet's rows; when there are none yet all hosts are just starting, and those that register are waited for. */
+	/**
+	 * Reads what a host needs to serve, so that it does not wait for others that may have restarted as well. When the
+	 * fleet has no rows yet all hosts are just starting, and those that register are waited for.
+	 */
 	const startUp = async () => {
-		await readFleet();
+		await readWhole('fleet');
 		if (options.isFleetNew()) {
 			await sleep(settleSpan);
-			await readFleet();
+			await readWhole('fleet');
+		} else {
+			await Promise.all([readWhole('configuration'), readWhole('instances')]);
 		}
 	};
 
-	const readFleet = async () => {
-		const outcome = await store.read('fleet');
+	const readWhole = async (table: StoreTable) => {
+		const outcome = await store.read(table);
 		if (outcome.kind === 'done') {
 			const {rows, version, sentAt} = outcome.value;
-			take('fleet', {
+			take(table, {
 				rows: new Map(rows.map(row => [row.key, row])), version, changedAt: version, provenAt: sentAt,
 			});
+		} else {
+			log.warn({table, outcome: outcome.kind}, 'store: The table cannot be read at the start.');
 		}
 	};
 
