--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -1,27 +1,22 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {rankHosts} from '@sapphirefall/decisions';
-import {applyGrant} from './apply-grant.ts';
-import {findRatePartition} from './find-rate-partition.ts';
-import {findRateHomePlace} from './find-rate-home-place.ts';
 import {createRateHome} from './create-rate-home.ts';
-import {createShareState} from './create-share-state.ts';
+import {createShareBook} from './create-share-book.ts';
+import {createUnitQueue} from './create-unit-queue.ts';
 import {findDemand} from './find-demand.ts';
 import {findElapsed} from './find-elapsed.ts';
 import {findHeldRate} from './find-held-rate.ts';
-import {fleetKeys} from './fleet-keys.ts';
+import {findRateHomePlace} from './find-rate-home-place.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {HomeRow} from './home-row.ts';
 import type {Instant} from './instant.ts';
 import type {RateBound} from './rate-bound.ts';
 import type {RateClaim} from './rate-claim.ts';
-import type {RateGrant} from './rate-grant.ts';
 import type {RateShares} from './rate-shares.ts';
 import type {SessionLog} from './session-log.ts';
-import type {ShareState} from './share-state.ts';
-import type {Store} from './store.ts';
 import {settleSpan} from './settle-span.ts';
-import {takeOperation} from './take-operation.ts';
+import type {Store} from './store.ts';
+import {takeRateHome} from './take-rate-home.ts';
 import type {Versioned} from './versioned.ts';
 import type {WorkspaceLimits} from './workspace-limits.ts';
 
@@ -40,12 +35,6 @@
 	readonly log: SessionLog;
 };
 
-/** Milliseconds that a share still holds when it is claimed again, though nothing has changed. */
-const renewalSpan = 1300;
-
-/** Share by which demand must have changed to be told. */
-const demandChange = 0.2;
-
 /** Milliseconds between two claims of a host. */
 const claimInterval = 800;
 
@@ -58,43 +47,21 @@
 /** Milliseconds by which each host waits longer than the one before it to take the home's place. */
 const placeDelay = 300;
 
+/** Place after which hosts wait no longer before they take a lost home's place. */
+const lastPlace = 4;
+
 /** Milliseconds for which the fleet's rows count as recent enough to take the home's place. */
 const proofLimit = 1500;
 
 /** Milliseconds that callers wait for the home's answer. */
 const unitsTimeout = 120;
 
-/** Milliseconds for which the home is not asked again when it had nothing left. */
-const poolPause = 60;
-
-/** Claims of all hosts at most, one for each workspace and host, for which shares are held before callers ask. */
-const expectedLimit = 200;
-
-/** Operations a second; a share with less demand is forgotten once it has lapsed. */
-const leastDemand = 0.05;
-
 /** Milliseconds between two claims at the least that show the home that a host lives. */
 const lifeInterval = 2000;
 
-/** Place after which hosts wait no longer before they take a lost home's place. */
-const lastPlace = 4;
-
-/** Hosts that are asked at most whether they can be reached. */
-const reachSample = 12;
-
 /** Creates a host's shares of the rates of one partition of the workspaces. */
 export function createRateShares(options: Options): RateShares {
-	const {
-		self, partition, incarnation, bound, now, log,
-	} = options;
-	const shares = new Map<string, ShareState>();
-	/** Demand that the home was told last, by workspace. */
-	const claimedDemand = new Map<string, number>();
-	/** Questions to the home that are under way, and callers who wait for the next one, by workspace. */
-	const asking = new Map<string, Promise<unknown>>();
-	const waiting = new Map<string, number>();
-	/** Until when the home is not asked for operations of a workspace, in steady milliseconds. */
-	const poolEmptyUntil = new Map<string, number>();
+	const {self, partition, incarnation, now, log} = options;
 	let fleet: FleetRows | undefined;
 	const startedAt = now().steady;
 	let claimedAt = Number.NEGATIVE_INFINITY;
@@ -104,60 +71,20 @@
 	let unansweredSince: number | undefined;
 	/** When a claim was last answered, in steady milliseconds. */
 	let shownAt = Number.NEGATIVE_INFINITY;
-	let isClaiming = false;
+	let isBusy = false;
 	let hasRefused = false;
 
+	const book = createShareBook({...options, countHosts: () => Math.max(1, fleet?.hosts.size ?? 1)});
 	const home = createRateHome({...options, findFleet: () => fleet});
-	const {isHome, claimRates} = home;
-
 	const findRow = () => fleet?.rateHomes.get(partition);
 
-	/** Whether shares are held before the first callers come: only where that takes few claims. */
-	const isExpecting = () => options.findLimits().size * (fleet?.hosts.size ?? 1) <= expectedLimit;
-
-	const addExpected = () => {
-		for (const workspace of isExpecting() ? options.findLimits().keys() : []) {
-			if (!shares.has(workspace) && findRatePartition(workspace) === partition) {
-				shares.set(workspace, createShareState(now()));
-			}
-		}
-	};
-
-	/** Forgets shares that nobody asks for any more; what they had saved up is lost. */
-	const dropUnused = () => {
-		for (const [workspace, share] of isExpecting() ? [] : shares) {
-			if (findDemand(share, now()) < leastDemand && findHeldRate(share, now()).left === 0) {
-				shares.delete(workspace);
-				claimedDemand.delete(workspace);
-			}
-		}
-	};
-
-	const createClaims = (): readonly RateClaim[] => [...shares].map(([workspace, share]) => {
-		const held = findHeldRate(share, now());
-		return {
-			workspace, demand: findDemand(share, now()), held: held.rate, heldFor: held.left, needed: 0,
-		};
-	});
-
-	const applyGrants = (grants: ReadonlyMap<string, RateGrant>, {span, askedAt}: {readonly span: number; readonly askedAt: Instant}) => {
-		for (const [workspace, grant] of grants) {
-			const share = shares.get(workspace);
-			if (share !== undefined) {
-				shares.set(workspace, applyGrant(share, {
-					...grant, span, askedAt, now: now().steady,
-				}));
-			}
-		}
-	};
-
 	/** Asks the home for shares; false when it does not answer. */
 	const ask = async (row: HomeRow, claims: readonly RateClaim[], timeout?: number): Promise<boolean> => {
 		const askedAt = now();
 		const message = {
 			host: self, incarnation, partition, epoch: row.epoch, claims,
 		};
-		const answer = isHome() ? claimRates(message) : options.findPeer(row.holder)?.claimRates(message);
+		const answer = home.isHome() ? home.claimRates(message) : options.findPeer(row.holder)?.claimRates(message);
 		const granted = await (timeout === undefined ? answer : Promise.race([answer, sleep(timeout, undefined)]));
 		if (granted === undefined || granted === 'notHome') {
 			unansweredSince ??= askedAt.steady;
@@ -166,117 +93,83 @@
 
 		unansweredSince = undefined;
 		answeredEpoch = row.epoch;
-		applyGrants(granted.grants, {span: granted.span, askedAt});
+		book.applyGrants(granted.grants, {span: granted.span, askedAt});
 		return true;
 	};
 
-	const logRefusal = (workspace: string, limits: WorkspaceLimits) => {
-		const share = shares.get(workspace);
-		log.debug({
-			workspace,
-			...limits,
-			held: share && findHeldRate(share, now()),
-			saved: share?.level,
-			demand: share && findDemand(share, now()),
-			home: findRow()?.holder,
-			isPoolEmpty: (poolEmptyUntil.get(workspace) ?? 0) > now().steady,
-		}, 'rates: An operation is refused.');
-	};
+	const units = createUnitQueue({
+		hasHome: () => findRow() !== undefined,
+		async ask(workspace, needed) {
+			const row = findRow();
+			const claim = book.createClaim(workspace, needed);
+			if (row !== undefined && claim !== undefined) {
+				await ask(row, [claim], unitsTimeout);
+			}
+
+			return (book.findShare(workspace)?.level ?? 0) >= 1;
+		},
+		now,
+	});
 
 	const claim = async (row: HomeRow) => {
-		isClaiming = true;
 		claimedAt = now().steady;
-		addExpected();
-		dropUnused();
 		if (answeredEpoch !== row.epoch) {
-			claimedDemand.clear();
+			book.forgetClaimed();
 		}
 
-		const claims = createClaims().filter(claimed => isWorthClaiming(claimed, claimedDemand.get(claimed.workspace)));
+		const claims = book.listClaims();
 		const mustShowLife = partition === 0 && now().steady - shownAt > lifeInterval;
 		if (claims.length === 0 && answeredEpoch === row.epoch && !mustShowLife) {
-			isClaiming = false;
 			return;
 		}
 
 		if (await ask(row, claims)) {
 			shownAt = now().steady;
 			hasRefused = false;
-			for (const {workspace, demand} of claims) {
-				claimedDemand.set(workspace, demand);
-			}
+			book.noteClaimed(claims);
 		}
-
-		isClaiming = false;
 	};
 
-	const take = (workspace: string, limits: WorkspaceLimits, isFirst: boolean) => {
-		const {share, isTaken, retryAfter} = takeOperation(shares.get(workspace), {
-			limits, bound, hostCount: Math.max(1, fleet?.hosts.size ?? 1), now: now(), isFirst,
-		});
-		shares.set(workspace, share);
-		return {isTaken, retryAfter};
+	const takePlace = async (row: Versioned<HomeRow> | undefined) => {
+		unansweredSince = undefined;
+		await takeRateHome(row, {...options, hosts: [...fleet?.hosts.keys() ?? []]});
 	};
 
-	/** Asks the home for an operation for each caller who waits, once at a time for a workspace. */
-	const askForUnits = async (workspace: string): Promise<void> => {
-		const isEmpty = () => (poolEmptyUntil.get(workspace) ?? 0) > now().steady;
-		if (findRow() === undefined || isEmpty()) {
-			return;
-		}
-
-		waiting.set(workspace, (waiting.get(workspace) ?? 0) + 1);
-		await asking.get(workspace);
-		if (asking.has(workspace)) {
-			await asking.get(workspace);
-			return;
-		}
-
-		const needed = isEmpty() ? 0 : waiting.get(workspace) ?? 0;
-		waiting.delete(workspace);
-		const row = findRow();
-		const claims = createClaims().filter(claimed => claimed.workspace === workspace).map(claimed => ({...claimed, needed}));
-		if (row === undefined || needed === 0) {
-			return;
+	/** Runs one task at a time. */
+	const runAlone = async (task: Promise<void>) => {
+		isBusy = true;
+		try {
+			await task;
+		} finally {
+			isBusy = false;
 		}
+	};
 
-		const asked = ask(row, claims, unitsTimeout);
-		asking.set(workspace, asked);
-		await asked;
-		asking.delete(workspace);
-		if ((shares.get(workspace)?.level ?? 0) < 1) {
-			poolEmptyUntil.set(workspace, now().steady + poolPause);
+	/** Whether it is this host's turn to take a place that is empty or whose holder is silent. */
+	const isVacant = (row: HomeRow | undefined, rows: FleetRows): boolean => {
+		const proof = options.findFleetProof();
+		const since = row === undefined ? startedAt + settleSpan : unansweredSince;
+		if (since === undefined || proof === undefined || findElapsed(proof, now()) >= proofLimit || row?.holder === self) {
+			return false;
 		}
-	};
 
-	/** Whether this host reaches more than half of the others, so that it would be of use as the home. */
-	const reachesMost = async (): Promise<boolean> => {
-		const others = rankHosts(`reach/${self}`, [...fleet?.hosts.keys() ?? []].filter(host => host !== self)).slice(0, reachSample);
-		const answers = await Promise.all(others.map(async host => options.findPeer(host)?.claimRates({
-			host: self, incarnation, partition, epoch: 0, claims: [],
-		})));
-		return answers.filter(answer => answer !== undefined).length * 2 >= others.length;
+		const place = Math.min(lastPlace, findRateHomePlace({
+			self, partition, hosts: [...rows.hosts.keys()], lost: row?.holder,
+		}));
+		return now().steady - since > (row === undefined ? 0 : homeSilence) + (place * placeDelay);
 	};
 
-	/** Takes the home's place in the store. */
-	const takePlace = async (row: Versioned<HomeRow> | undefined) => {
-		isClaiming = true;
-		unansweredSince = undefined;
-		if (row !== undefined && row.holder !== self && !await reachesMost()) {
-			isClaiming = false;
-			return;
-		}
-
-		const key = `${fleetKeys.rateHomePrefix}${partition}`;
-		const next: HomeRow = {holder: self, incarnation, epoch: (row?.epoch ?? 0) + 1};
-		const outcome = await options.store.commit({
-			expected: new Map([[key, row?.version ?? 0]]),
-			values: new Map([[key, JSON.stringify(next)]]),
-		});
-		log.info({
-			partition, previous: row?.holder, epoch: next.epoch, outcome: outcome.kind,
-		}, 'rates: This host offers to share out the rates.');
-		isClaiming = false;
+	const logRefusal = (workspace: string, limits: WorkspaceLimits) => {
+		const share = book.findShare(workspace);
+		log.debug({
+			workspace,
+			...limits,
+			held: share && findHeldRate(share, now()),
+			saved: share?.level,
+			demand: share && findDemand(share, now()),
+			home: findRow()?.holder,
+			isPoolEmpty: units.isPoolEmpty(workspace),
+		}, 'rates: An operation is refused.');
 	};
 
 	return {
@@ -286,13 +179,13 @@
 				return {isTaken: true, retryAfter: 0};
 			}
 
-			const first = take(workspace, limits, true);
+			const first = book.take(workspace, limits, true);
 			if (first.isTaken) {
 				return first;
 			}
 
-			await askForUnits(workspace);
-			const second = take(workspace, limits, false);
+			await units.wait(workspace);
+			const second = book.take(workspace, limits, false);
 			if (!second.isTaken) {
 				hasRefused = true;
 				logRefusal(workspace, limits);
@@ -300,7 +193,7 @@
 
 			return second;
 		},
-		claimRates,
+		claimRates: home.claimRates,
 		listSilentHosts: home.listSilentHosts,
 		updateFleet(newer) {
 			const row = newer.rateHomes.get(partition);
@@ -314,30 +207,17 @@
 			fleet = newer;
 		},
 		step() {
-			const proof = options.findFleetProof();
-			if (fleet === undefined || proof === undefined || isClaiming || !fleet.hosts.has(self)) {
+			if (fleet === undefined || options.findFleetProof() === undefined || isBusy || !fleet.hosts.has(self)) {
 				return;
 			}
 
 			const row = findRow();
-			const at = now().steady;
 			const isRestarted = row?.holder === self && row.incarnation !== incarnation;
-			const place = Math.min(lastPlace, findRateHomePlace({
-				self, partition, hosts: [...fleet.hosts.keys()], lost: row?.holder,
-			}));
-			const vacantSince = row === undefined ? startedAt + settleSpan : unansweredSince;
-			const patience = (row === undefined ? 0 : homeSilence) + (place * placeDelay);
-			const isVacant = vacantSince !== undefined && at - vacantSince > patience && findElapsed(proof, now()) < proofLimit;
-			if (isRestarted || (isVacant && row?.holder !== self)) {
-				void takePlace(row);
-			} else if (row !== undefined && at - claimedAt > (hasRefused ? urgentInterval : claimInterval)) {
-				void claim(row);
+			if (isRestarted || isVacant(row, fleet)) {
+				void runAlone(takePlace(row));
+			} else if (row !== undefined && now().steady - claimedAt > (hasRefused ? urgentInterval : claimInterval)) {
+				void runAlone(claim(row));
 			}
 		},
 	};
 }
-
-/** Whether a claim tells the home something new, or keeps a share from lapsing. */
-function isWorthClaiming({demand, heldFor}: RateClaim, told: number | undefined): boolean {
-	return told === undefined || heldFor < renewalSpan || Math.abs(demand - told) > (demandChange * told) + 0.5;
-}
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -1,29 +1,25 @@
-/* eslint-disable no-await-in-loop -- the host looks again after a pause */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Caller} from './caller.ts';
 import {createFleetControl} from './create-fleet-control.ts';
 import {createGateway} from './create-gateway.ts';
 import {createGateways} from './create-gateways.ts';
+import {createHostKnowledge} from './create-host-knowledge.ts';
 import {createRatePartitions} from './create-rate-partitions.ts';
-import {createSession} from './create-session.ts';
 import {createSessionGroup} from './create-session-group.ts';
+import {createSessionRegistry} from './create-session-registry.ts';
 import {createTableReader} from './create-table-reader.ts';
 import type {Directory} from './directory.ts';
 import {findAccess} from './find-access.ts';
 import {findConnectionLimit} from './find-connection-limit.ts';
 import {findElapsed} from './find-elapsed.ts';
 import type {FleetPeer} from './fleet-peer.ts';
-import type {FleetRows} from './fleet-rows.ts';
 import type {HostProfile} from './host-profile.ts';
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
-import type {KnownDirectory} from './known-directory.ts';
 import type {KnownTable} from './known-table.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenLink} from './open-link.ts';
 import type {OrderPromotion} from './order-promotion.ts';
-import {parseFleetRows} from './parse-fleet-rows.ts';
-import type {Session} from './session.ts';
 import type {SessionContext} from './session-context.ts';
 import type {SessionGroup} from './session-group.ts';
 import type {SessionHost} from './session-host.ts';
@@ -56,34 +52,33 @@
 /** Milliseconds for which what the platform lists counts as recent. */
 const listFreshness = 6500;
 
-/** Milliseconds for which sessions may go on idle after the request to stop, so that callers are sent elsewhere first. */
-const sessionGrace = 2200;
-
-/** Milliseconds left between the last session and the end of the process. */
-const exitMargin = 1200;
+/** Milliseconds that taking the registration back may last when the host stops. */
+const leaveLimit = 600;
 
 /** Starts a host that serves sessions: it learns what the store holds, and takes callers once it knows enough. */
 export function startSessionHost(options: Options): SessionHost {
 	const {profile, store, now, log} = options;
 	const groups = new Map<string, SessionGroup>();
-	const sessions = new Set<Session>();
 	const peers = new Map<string, {readonly address: string; readonly peer: FleetPeer}>();
-	const tables = new Map<StoreTable, KnownTable>();
 	const own: HostRow = {
 		name: profile.name, zone: profile.zone, address: `${profile.listen.hosts.host}:${profile.listen.hosts.port}`, incarnation: Math.trunc(now().wall),
 	};
-	let known: KnownDirectory | undefined;
-	let directoryRowVersion = -1;
-	let listed: readonly ListedInstance[] = [];
-	let fleet: FleetRows | undefined;
-	let sessionCount = 0;
 	let isStopping = false;
-	let isDoorClosed = false;
 
-	const findWorkspace = () => known?.directory.limits.keys().next().value;
+	const knowledge = createHostKnowledge({
+		decodeDirectory: options.decodeDirectory,
+		decodeInstance: options.decodeInstance,
+		onFleet(fleet) {
+			control.updateFleet(fleet);
+			rates.updateFleet(fleet);
+		},
+		log,
+	});
+	const {findDirectory, findFleet, listInstances, findProof} = knowledge;
+	const findWorkspace = () => findDirectory()?.directory.limits.keys().next().value;
 
 	const findPeer = (name: string): FleetPeer | undefined => {
-		const address = fleet?.hosts.get(name)?.address;
+		const address = findFleet()?.hosts.get(name)?.address;
 		const before = peers.get(name);
 		if (address === undefined || before?.address === address) {
 			return before?.peer;
@@ -99,10 +94,10 @@
 		store,
 		listGateways: instance => gateways.list(instance, undefined),
 		listGroups: () => [...groups.values()],
-		listInstances: () => listed,
+		listInstances,
 		isListFresh() {
-			const table = tables.get('instances');
-			return table !== undefined && findElapsed(table.provenAt, now()) < listFreshness;
+			const proof = findProof('instances');
+			return proof !== undefined && findElapsed(proof, now()) < listFreshness;
 		},
 		findPeer,
 		listSilentHosts: () => rates.listSilentHosts(),
@@ -116,20 +111,20 @@
 		self: own.name,
 		incarnation: own.incarnation,
 		bound: profile.rateBound,
-		findLimits: () => known?.directory.limits ?? new Map(),
+		findLimits: () => findDirectory()?.directory.limits ?? new Map(),
 		findPeer,
-		findFleetProof: () => tables.get('fleet')?.provenAt,
+		findFleetProof: () => findProof('fleet'),
 		store,
 		now,
 		log,
 	});
 
 	const gateways = createGateways({
-		own, findFleet: () => fleet, findPeer, now: () => now().steady,
+		own, findFleet, findPeer, now: () => now().steady,
 	});
 
 	const updateGroups = () => {
-		for (const [name, cap] of known?.directory.connectionCaps ?? []) {
+		for (const [name, cap] of findDirectory()?.directory.connectionCaps ?? []) {
 			const group = groups.get(name) ?? createSessionGroup(name, {
 				zone: profile.zone,
 				openLink: options.openLink,
@@ -140,62 +135,20 @@
 				findSampleInterval: () => reader.isReading() ? sampleIntervals.reading : sampleIntervals.told,
 			});
 			groups.set(name, group);
-			group.updateInstances(listed.filter(entry => entry.group === name), findConnectionLimit(cap));
+			group.updateInstances(listInstances().filter(entry => entry.group === name), findConnectionLimit(cap));
 			if (control.isRegistered()) {
 				group.setRegistered();
 			}
 
-			const fleetTable = tables.get('fleet');
-			if (fleetTable !== undefined) {
-				group.updateRow(fleet?.groups.get(name), fleetTable.provenAt);
+			const proof = findProof('fleet');
+			if (proof !== undefined) {
+				group.updateRow(findFleet()?.groups.get(name), proof);
 			}
 		}
 	};
 
-	const takeConfiguration = ({rows, provenAt}: KnownTable) => {
-		const row = rows.get('config');
-		if (row?.value === undefined) {
-			return;
-		}
-
-		if (known !== undefined && row.version === directoryRowVersion) {
-			known = {...known, provenAt};
-			return;
-		}
-
-		try {
-			const directory = options.decodeDirectory(row.value);
-			if (known === undefined || directory.version >= known.directory.version) {
-				directoryRowVersion = row.version;
-				known = {directory, provenAt};
-				log.info({version: directory.version, routes: directory.routes.size, workspaces: directory.limits.size}, 'configuration: A version is in force.');
-			}
-		} catch (error) {
-			log.warn({version: row.version, error: (error as Error).message}, 'configuration: A version cannot be read; the older one stays.');
-		}
-	};
-
-	const takeInstances = ({rows}: KnownTable) => {
-		listed = [...rows]
-			.map(([id, row]) => options.decodeInstance(id, row.value ?? ''))
-			.filter(entry => entry !== undefined);
-	};
-
-	const takeFleet = ({rows}: KnownTable) => {
-		fleet = parseFleetRows(rows.values(), log);
-		control.updateFleet(fleet);
-		rates.updateFleet(fleet);
-	};
-
 	const takeTable = (table: StoreTable, newer: KnownTable) => {
-		const before = tables.get(table);
-		tables.set(table, newer);
-		if (table === 'configuration') {
-			takeConfiguration(newer);
-		} else if (before?.rows !== newer.rows) {
-			(table === 'instances' ? takeInstances : takeFleet)(newer);
-		}
-
+		knowledge.takeTable(table, newer);
 		updateGroups();
 	};
 
@@ -203,9 +156,9 @@
 		self: own.name,
 		zone: own.zone,
 		store,
-		listHosts: () => [...fleet?.hosts.values() ?? []],
+		listHosts: () => [...findFleet()?.hosts.values() ?? []],
 		findPeer,
-		isFleetNew: () => fleet?.groups.size === 0,
+		isFleetNew: () => findFleet()?.groups.size === 0,
 		onTable: takeTable,
 		listPositions: () => [...groups.values()].map(group => group.findNewestPosition()).filter(position => position !== undefined),
 		onPositions(positions, from) {
@@ -227,7 +180,7 @@
 
 	const timer = setInterval(tick, tickInterval);
 
-	const findCallerAccess = (caller: Caller) => findAccess(known, {
+	const findCallerAccess = (caller: Caller) => findAccess(findDirectory(), {
 		...caller, revocationLimit: profile.revocationLimit, newsLimit: profile.configurationLimit, now: now(),
 	});
 
@@ -239,41 +192,20 @@
 	const context: SessionContext = {
 		now,
 		findAccess: findCallerAccess,
-		transactionIdle: () => known?.directory.transactionIdle ?? 0,
+		transactionIdle: () => findDirectory()?.directory.transactionIdle ?? 0,
 		findGroup: name => groups.get(name),
 		takeOperation: rates.takeOperation,
 		onAnswered: options.onAnswered,
 		log,
 	};
 
-	return {
-		openSession(connection) {
-			sessionCount++;
-			const session = createSession({
-				context,
-				number: sessionCount,
-				send: connection.send,
-				close() {
-					sessions.delete(session);
-					connection.close();
-				},
-			});
-			sessions.add(session);
-			options.onSessions(sessions.size);
-			if (isDoorClosed) {
-				session.stop();
-			}
+	const registry = createSessionRegistry({
+		context, onSessions: options.onSessions, countForeign: gateway.countOpen, graceSpan: profile.graceSpan, now,
+	});
 
-			return {
-				...session,
-				end() {
-					sessions.delete(session);
-					options.onSessions(sessions.size);
-					session.end();
-				},
-			};
-		},
-		isReady: () => !isStopping && known !== undefined && listed.length > 0 && control.isRegistered(),
+	return {
+		openSession: registry.openSession,
+		isReady: () => !isStopping && findDirectory() !== undefined && listInstances().length > 0 && control.isRegistered(),
 		peer: {
 			readTables: reader.readTables,
 			claimRates: rates.claimRates,
@@ -285,26 +217,9 @@
 		async stop(closeDoor) {
 			isStopping = true;
 			gateway.close();
-			log.info({sessions: sessions.size}, 'host: The host stops; it takes no new callers.');
-			await sleep(sessionGrace);
-			closeDoor();
-			isDoorClosed = true;
-			for (const session of sessions) {
-				session.stop();
-			}
-
-			const until = now().steady + profile.graceSpan - sessionGrace - exitMargin;
-			while (sessions.size + gateway.countOpen() > 0 && now().steady < until) {
-				await sleep(tickInterval);
-			}
-
-			for (const session of sessions) {
-				session.abort();
-			}
-
-			// The last answers are written out meanwhile.
-			await sleep(tickInterval);
-			await Promise.race([control.leave(), sleep(exitMargin / 2)]);
+			log.info({sessions: registry.count(), foreign: gateway.countOpen()}, 'host: The host stops; it takes no new callers.');
+			await registry.stop(closeDoor);
+			await Promise.race([control.leave(), sleep(leaveLimit)]);
 			clearInterval(timer);
 			reader.stop();
 			log.info({}, 'host: The host has stopped.');
