--- /dev/null
+++ b/packages/sessions/create-statement-runner.ts
@@ -0,0 +1,218 @@
+import {applyLocalStatement} from './apply-local-statement.ts';
+import type {Caller} from './caller.ts';
+import type {ClientRequest} from './client-request.ts';
+import {createBusy} from './create-busy.ts';
+import {createFailure} from './create-failure.ts';
+import {createTransaction} from './create-transaction.ts';
+import {createWork} from './create-work.ts';
+import {localResult} from './local-result.ts';
+import type {Operation} from './operation.ts';
+import {runRead} from './run-read.ts';
+import {runWrite} from './run-write.ts';
+import type {SessionContext} from './session-context.ts';
+import type {SessionMark} from './session-mark.ts';
+import type {SessionState} from './session-state.ts';
+import type {SessionValues} from './session-values.ts';
+import type {StatementOutcome} from './statement-outcome.ts';
+import type {Transaction} from './transaction.ts';
+import type {Work} from './work.ts';
+
+type Options = {
+	readonly context: SessionContext;
+	/** What the caller named when it started the session; undefined before. */
+	readonly findCaller: () => Caller | undefined;
+};
+
+/** What runs the statements of one session, one after the other. */
+type StatementRunner = {
+	readonly run: (request: StatementRequest, trace: string[]) => Promise<StatementOutcome>;
+	readonly state: () => SessionState;
+	/** Rolls back what is open, since the session is over. */
+	readonly end: () => void;
+};
+
+type StatementRequest = Extract<ClientRequest, {readonly kind: 'statement'}>;
+
+/** Creates what runs the statements of a session: single ones, and those of its transactions. */
+export function createStatementRunner({context, findCaller}: Options): StatementRunner {
+	const setup: SessionValues = {values: new Map(), prepared: new Map()};
+	let transaction: Transaction | undefined;
+	let state: SessionState = 'idle';
+	let mark: SessionMark | undefined;
+
+	/** Prepares the running of a statement; refuses it if the caller may not use the database now. */
+	const createOperation = (trace: string[]): Operation | StatementOutcome => {
+		const caller = findCaller();
+		const access = caller && context.findAccess(caller);
+		if (caller === undefined || access === undefined) {
+			return createFailure('malformed', 'The session has not been started');
+		}
+
+		if (access.kind === 'denied') {
+			return createFailure(access.code, access.reason);
+		}
+
+		const {route, workspace} = access;
+		const group = context.findGroup(route.group);
+		if (group === undefined) {
+			return createBusy(`The group ${route.group} is not known yet`, 500);
+		}
+
+		const arrivedAt = context.now();
+		return {
+			context,
+			group,
+			route,
+			workspace,
+			caller,
+			setup,
+			arrivedAt,
+			deadline: arrivedAt.steady + route.statementTimeout,
+			isAllowed: () => context.findAccess(caller).kind === 'allowed',
+			mark: () => mark,
+			setMark(newer) {
+				mark = newer;
+			},
+			trace(step) {
+				trace.push(step);
+			},
+		};
+	};
+
+	/** Ends a failed transaction, as the caller has asked for. */
+	const leaveFailed = (kind: 'commit' | 'rollback'): StatementOutcome => {
+		state = 'idle';
+		return kind === 'rollback' ? localResult : createFailure('aborted', 'The transaction had failed and is rolled back');
+	};
+
+	/** Prepares a new operation, which counts against the workspace's rate; a refusal if it may not run now. */
+	const admitOperation = async (trace: string[]): Promise<Operation | StatementOutcome> => {
+		const operation = createOperation(trace);
+		if (!('group' in operation)) {
+			return operation;
+		}
+
+		const {isTaken, retryAfter} = await context.takeOperation(operation.workspace);
+		return isTaken ? operation : createBusy('The workspace has used up its rate', retryAfter);
+	};
+
+	const begin = async (isReadOnly: boolean, trace: string[]): Promise<StatementOutcome> => {
+		if (state !== 'idle') {
+			return createFailure('malformed', 'A transaction is open already');
+		}
+
+		const operation = await admitOperation(trace);
+		if (!('group' in operation)) {
+			return operation;
+		}
+
+		transaction = createTransaction({
+			isReadOnly,
+			idleLimit: context.transactionIdle(),
+			onIdle() {
+				state = 'failed';
+			},
+		});
+		state = 'open';
+		return localResult;
+	};
+
+	const runInTransaction = async (open: Transaction, work: Work, trace: string[]): Promise<StatementOutcome> => {
+		const operation = createOperation(trace);
+		const outcome = 'group' in operation ? await open.run(work, operation) : operation;
+		if (outcome.kind === 'failed') {
+			open.rollBack();
+			state = 'failed';
+		}
+
+		return outcome;
+	};
+
+	const runSingle = async (work: Work, trace: string[]): Promise<StatementOutcome> => {
+		const operation = await admitOperation(trace);
+		if (!('group' in operation)) {
+			return operation;
+		}
+
+		return work.access === 'read' ? runRead(work, operation) : runWrite(work, operation);
+	};
+
+	const commit = async (open: Transaction, {id, text}: StatementRequest, trace: string[]): Promise<StatementOutcome> => {
+		const operation = createOperation(trace);
+		if (!('group' in operation)) {
+			open.rollBack();
+		}
+
+		const outcome = 'group' in operation ? await open.commit({id, text}, operation) : operation;
+		transaction = undefined;
+		state = 'idle';
+		return outcome;
+	};
+
+	const run = async (request: StatementRequest, trace: string[]): Promise<StatementOutcome> => {
+		const {statement} = request;
+		if (findCaller() === undefined) {
+			return createFailure('malformed', 'The session has not been started');
+		}
+
+		if (state === 'failed') {
+			if (statement.kind === 'commit' || statement.kind === 'rollback') {
+				transaction = undefined;
+				return leaveFailed(statement.kind);
+			}
+
+			const reason = transaction?.endedBecause();
+			return reason === undefined ? createFailure('malformed', 'The transaction has failed; end it first') : createFailure('aborted', reason);
+		}
+
+		const local = applyLocalStatement(statement, setup);
+		if (local !== undefined) {
+			return local;
+		}
+
+		switch (statement.kind) {
+			case 'begin': {
+				return begin(statement.isReadOnly, trace);
+			}
+
+			case 'commit': {
+				return transaction === undefined ? createFailure('malformed', 'No transaction is open') : commit(transaction, request, trace);
+			}
+
+			case 'rollback': {
+				if (transaction === undefined) {
+					return createFailure('malformed', 'No transaction is open');
+				}
+
+				transaction.rollBack();
+				transaction = undefined;
+				state = 'idle';
+				return localResult;
+			}
+
+			case 'execute':
+			case 'read':
+			case 'write': {
+				const work = createWork(request, setup);
+				if (work === undefined) {
+					return createFailure('unknownStatement', 'No statement of this name is prepared');
+				}
+
+				return transaction === undefined ? runSingle(work, trace) : runInTransaction(transaction, work, trace);
+			}
+
+			default: {
+				return createFailure('malformed', 'The statement is not known');
+			}
+		}
+	};
+
+	return {
+		run,
+		state: () => state,
+		end() {
+			transaction?.rollBack();
+			transaction = undefined;
+		},
+	};
+}
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -38,6 +38,7 @@
 export * from './create-session.ts';
 export * from './create-share-book.ts';
 export * from './create-share-state.ts';
+export * from './create-statement-runner.ts';
 export * from './create-table-reader.ts';
 export * from './create-transaction.ts';
 export * from './create-unit-queue.ts';
