--- a/packages/hosts/create-fleet-peer.ts
+++ b/packages/hosts/create-fleet-peer.ts
@@ -2,7 +2,7 @@
 import type {FleetPeer, StoreTable} from '@sapphirefall/sessions';
 import {
 	decodePoint, FleetRequestSchema, runWithTimeout, SessionHostService, type FleetRequest, type FleetResponse,
-	type ReadTablesResponse,
+	type Heartbeat, type ReadTablesResponse,
 } from '@sapphirefall/wire';
 import {createHostChannel} from './create-host-channel.ts';
 import {decodeJobAnswer} from './decode-job-answer.ts';
@@ -40,37 +40,31 @@
  * @param address URL of the host.
  */
 export function createFleetPeer(address: string, {timeout, idleSpan, now}: Options): FleetPeer {
-	const channel = createHostChannel<typeof SessionHostService, FleetRequest, FleetResponse>(address, {
-		service: SessionHostService,
-		open: (client, requests, signal) => client.call(requests, {signal}),
-		heartbeat: undefined,
-		idleSpan,
-		now,
-	});
-	const work = createHostChannel<typeof SessionHostService, FleetRequest, FleetResponse>(address, {
-		service: SessionHostService,
-		open: (client, requests, signal) => client.call(requests, {signal}),
-		heartbeat: {
-			createPing: id => create(FleetRequestSchema, {id, call: {case: 'ping', value: {}}}),
-			interval: workBeat,
-			silenceLimit: workSilence,
-			isOnlyWhilePending: true,
-		},
-		idleSpan,
-		now,
-	});
-	const sendWork = async (call: Call, options: {readonly timeout: number; readonly closesOnAbort: boolean}) => {
-		const response = await runWithTimeout(options.timeout, async signal =>
-			work(id => create(FleetRequestSchema, {id, call}), {signal, closesOnAbort: options.closesOnAbort}));
-		return response?.answer;
+	const openChannel = (heartbeat: Heartbeat<FleetRequest> | undefined) => {
+		const channel = createHostChannel<typeof SessionHostService, FleetRequest, FleetResponse>(address, {
+			service: SessionHostService,
+			open: (client, requests, signal) => client.call(requests, {signal}),
+			heartbeat,
+			idleSpan,
+			now,
+		});
+		return async (call: Call, options: {readonly timeout: number; readonly closesOnAbort: boolean}) => {
+			const response = await runWithTimeout(options.timeout, async signal =>
+				channel(id => create(FleetRequestSchema, {id, call}), {signal, closesOnAbort: options.closesOnAbort}));
+			return response?.answer;
+		};
 	};
 
+	const sendControl = openChannel(undefined);
+	const sendWork = openChannel({
+		createPing: id => create(FleetRequestSchema, {id, call: {case: 'ping', value: {}}}),
+		interval: workBeat,
+		silenceLimit: workSilence,
+		isOnlyWhilePending: true,
+	});
+
 	/** Sends a call that may wait for some milliseconds at the other host. */
-	const send = async (call: Call, wait = 0) => {
-		const response = await runWithTimeout(timeout + wait, async signal =>
-			channel(id => create(FleetRequestSchema, {id, call}), {signal, closesOnAbort: true}));
-		return response?.answer;
-	};
+	const send = async (call: Call, wait = 0) => sendControl(call, {timeout: timeout + wait, closesOnAbort: true});
 
 	return {
 		async readTables(changedAt, wait) {
--- a/packages/sessions/create-local-runner.ts
+++ b/packages/sessions/create-local-runner.ts
@@ -4,6 +4,7 @@
 import type {JobAnswer} from './job-answer.ts';
 import type {JobRunner} from './job-runner.ts';
 import type {Job} from './job.ts';
+import {notSent} from './not-sent.ts';
 import type {PooledLink} from './pooled-link.ts';
 import {runWork} from './run-work.ts';
 
@@ -95,7 +96,7 @@
 		});
 		if (!isReady || !maySend() || now() >= deadline) {
 			pool.release(pooled, isReady);
-			return {kind: 'notSent', reason: isReady ? 'the right to send was lost or the time was over' : 'the connection did not take the session\'s values'};
+			return isReady ? notSent : {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
 		}
 
 		const answer = await send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeout, deadline - now())));
@@ -145,7 +146,7 @@
 	const commit = async ({transaction, id, text, timeout}: JobOf<'commit'>, maySend: () => boolean): Promise<JobAnswer> => {
 		if (!maySend()) {
 			await rollBack(transaction);
-			return {kind: 'notSent', reason: 'the right to send was lost or the time was over'};
+			return notSent;
 		}
 
 		const pooled = takeTransaction(transaction);
--- a/packages/sessions/create-routed-runner.ts
+++ b/packages/sessions/create-routed-runner.ts
@@ -5,6 +5,7 @@
 import type {JobRunner} from './job-runner.ts';
 import type {Job} from './job.ts';
 import type {ListedInstance} from './listed-instance.ts';
+import {notSent} from './not-sent.ts';
 import type {RunJob} from './run-job.ts';
 
 type Options = {
@@ -54,7 +55,7 @@
 			}
 
 			if (!maySend()) {
-				return {answer: {kind: 'notSent', reason: 'the right to send was lost or the time was over'}, runner: local};
+				return {answer: notSent, runner: local};
 			}
 
 			const run = createGatewayRunner(host);
@@ -74,7 +75,7 @@
 function createPinnedRunner(host: string, run: (job: Job) => Promise<JobAnswer | 'notServed'>): JobRunner {
 	return async (job, maySend) => {
 		if (!maySend()) {
-			return {kind: 'notSent', reason: 'the right to send was lost or the time was over'};
+			return notSent;
 		}
 
 		const answer = await run(job);
--- a/packages/sessions/create-transaction.ts
+++ b/packages/sessions/create-transaction.ts
@@ -1,6 +1,7 @@
 import {createFailure} from './create-failure.ts';
 import {createJobBase} from './create-job-base.ts';
 import {describeAnswer} from './describe-answer.ts';
+import {hasLease} from './has-lease.ts';
 import type {JobAnswer} from './job-answer.ts';
 import {openTransaction} from './open-transaction.ts';
 import type {Operation} from './operation.ts';
@@ -64,10 +65,7 @@
 		return undefined;
 	};
 
-	const isLeased = ({group}: Operation) => {
-		const view = group.primary();
-		return opened?.epoch === undefined || (view.kind === 'leased' && view.epoch === opened.epoch);
-	};
+	const isLeased = ({group}: Operation) => opened?.epoch === undefined || hasLease(group, opened.epoch);
 
 	const abort = (reason: string) => {
 		void finish();
@@ -148,8 +146,7 @@
 				return answer.outcome;
 			}
 
-			const view = operation.group.primary();
-			if (epoch === undefined || answer.position === undefined || view.kind !== 'leased' || view.epoch !== epoch) {
+			if (epoch === undefined || answer.position === undefined || !hasLease(operation.group, epoch)) {
 				return createFailure('unknown', 'The primary was replaced while the commit ran');
 			}
 
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -99,6 +99,7 @@
 export type * from './link-outcome.ts';
 export type * from './listed-instance.ts';
 export * from './local-result.ts';
+export * from './not-sent.ts';
 export type * from './open-link.ts';
 export * from './open-transaction.ts';
 export type * from './operation.ts';
