Carry calls between hosts on framed TCP connections in place of Connect streams

Cause: a job there and back between two hosts cost 0.5 ms of processor on a Connect stream, most of it in HTTP/2, abort controllers and chains of promises of each call; on hosts of 0.12 to 0.32 of a core that is the time callers wait.

Messages stay protobuf. Under them is one TCP connection a pair of hosts in place of two streams, a length of four bytes in front of each message, all messages of a turn in one write, one timer a connection for deadlines and silence. A call that cannot leave the host says so, so a write that never left is not 'unknown'. A connection that leaves a call unanswered gets a successor at once, while calls that are open on it may still be answered.

Ruled out: two connections for control and jobs (a slow control call closed only its own, but silence was found twice); closing a doubtful connection at once (loses jobs of a host that was merely slow).

--- /dev/null
+++ b/packages/hosts/create-call-channel.test.ts
@@ -0,0 +1,237 @@
+/* eslint-disable unicorn/no-await-expression-member -- a call a line */
+import {Buffer} from 'node:buffer';
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createCallChannel} from './create-call-channel.ts';
+import {serveCalls} from './serve-calls.ts';
+
+/** A call or its answer: a number and a text; the text of a call says how it is answered. */
+type Message = {readonly id: number; readonly text: string};
+
+/** Milliseconds within which a silent connection must be found. */
+const silenceBound = 1100;
+
+const encode = ({id, text}: Message): Uint8Array => {
+	const bytes = Buffer.alloc(4 + Buffer.byteLength(text));
+	bytes.writeUInt32BE(id);
+	bytes.write(text, 4);
+	return bytes;
+};
+
+const decode = (message: Uint8Array): Message => {
+	const bytes = Buffer.from(message);
+	if (bytes.length < 4 || bytes.toString('utf8', 4).includes('\u{FFFD}')) {
+		throw new Error('the message cannot be decoded');
+	}
+
+	return {id: bytes.readUInt32BE(), text: bytes.toString('utf8', 4)};
+};
+
+/** Puts the length in front of a message. */
+const createFrame = (message: Uint8Array): Buffer => {
+	const header = Buffer.alloc(4);
+	header.writeUInt32BE(message.length);
+	return Buffer.concat([header, message]);
+};
+
+/** Starts a host that answers `wait N` after so many milliseconds, `never` not at all, and all else at once. */
+async function startHost() {
+	const broken: string[] = [];
+	const server = serveCalls<Message>({host: '127.0.0.1', port: 0}, {
+		decode,
+		async answer({id, text}) {
+			if (text === 'never') {
+				await sleep(60_000, undefined, {ref: false});
+			}
+
+			await sleep(text.startsWith('wait ') ? Number(text.slice('wait '.length)) : 0);
+			return encode({id, text: `re: ${text}`});
+		},
+		onBroken(reason) {
+			broken.push(reason);
+		},
+	});
+	return {...await waitForPort(server), broken};
+}
+
+/** Starts a server of bare sockets. */
+async function startSocketServer(serve: (socket: Socket) => void) {
+	return waitForPort(createServer(socket => {
+		socket.on('error', () => undefined);
+		serve(socket);
+	}).listen(0, '127.0.0.1'));
+}
+
+async function waitForPort(server: Server): Promise<{readonly server: Server; readonly port: number}> {
+	if (!server.listening) {
+		await new Promise(resolve => {
+			server.once('listening', resolve);
+		});
+	}
+
+	return {server, port: (server.address() as AddressInfo).port};
+}
+
+const writeAnswer = (socket: Socket, id: number) => {
+	socket.write(createFrame(encode({id, text: 'late'})));
+};
+
+/** Opens a channel to a port, and counts its connections. */
+function openChannel(port: number) {
+	const broken: string[] = [];
+	let connections = 0;
+	const call = createCallChannel<Message>({
+		connect() {
+			connections++;
+			return connect({host: '127.0.0.1', port});
+		},
+		decode,
+		encodePing: id => encode({id, text: 'ping'}),
+		idleSpan: 1000,
+		now: () => performance.now(),
+		onBroken(reason) {
+			broken.push(reason);
+		},
+	});
+	return {
+		send: async (text: string, timeout = 1000) => call(id => encode({id, text}), timeout),
+		countConnections: () => connections,
+		broken,
+	};
+}
+
+describe('createCallChannel', () => {
+	it('matches answers with calls, whatever their order', async () => {
+		const {server, port} = await startHost();
+		const {send, countConnections} = openChannel(port);
+		const order: string[] = [];
+		const texts = ['wait 60', 'wait 30', 'wait 0'];
+		const outcomes = await Promise.all(texts.map(async text => {
+			const outcome = await send(text);
+			order.push(text);
+			return outcome.kind === 'answered' ? outcome.response.text : outcome.kind;
+		}));
+		server.close();
+		expect(outcomes).to.deep.equal(texts.map(text => `re: ${text}`));
+		expect(order).to.deep.equal(texts.toReversed());
+		expect(countConnections()).to.equal(1);
+	});
+
+	it('says that nothing was sent when no host takes the connection', async () => {
+		const {server, port} = await startSocketServer(() => undefined);
+		server.close();
+		expect(await openChannel(port).send('a')).to.deep.equal({kind: 'notSent'});
+	});
+
+	it('gives up a call at its deadline while the host answers others, on the same connection', async () => {
+		const {server, port} = await startHost();
+		const {send, countConnections} = openChannel(port);
+		const late = send('wait 300', 100);
+		await sleep(50);
+		expect((await send('b')).kind).to.equal('answered');
+		expect(await late).to.deep.equal({kind: 'lost'});
+		await sleep(300);
+		expect((await send('c')).kind).to.equal('answered');
+		server.close();
+		expect(countConnections()).to.equal(1);
+	});
+
+	it('opens another connection when one left a call unanswered, and still takes answers from the old one', async () => {
+		let accepted = 0;
+		const {server, port} = await startSocketServer(socket => {
+			accepted++;
+			const delay = accepted === 1 ? 500 : 0;
+			let id = 0;
+			socket.on('data', () => {
+				id++;
+				setTimeout(writeAnswer, delay, socket, id);
+			});
+		});
+		const {send} = openChannel(port);
+		const patient = send('a', 800);
+		await sleep(10);
+		expect(await send('b', 100)).to.deep.equal({kind: 'lost'});
+		expect((await send('c', 100)).kind).to.equal('answered');
+		expect((await patient).kind).to.equal('answered');
+		server.close();
+	});
+
+	it('finds a connection that has gone silent long before the deadline of a call', async () => {
+		const {server, port} = await startSocketServer(() => undefined);
+		const startedAt = performance.now();
+		expect(await openChannel(port).send('a', 30_000)).to.deep.equal({kind: 'lost'});
+		server.close();
+		expect(performance.now() - startedAt).to.be.below(silenceBound);
+	});
+
+	it('keeps a call open while the host shows life', async () => {
+		const {server, port} = await startHost();
+		expect((await openChannel(port).send('wait 1500', 3000)).kind).to.equal('answered');
+		server.close();
+	});
+
+	const answers = [
+		{name: 'an answer to a call that was never made', bytes: createFrame(encode({id: 99, text: 'x'}))},
+		{name: 'an answer without a number', bytes: createFrame(Buffer.from([1]))},
+		{name: 'an answer that cannot be decoded', bytes: createFrame(Buffer.from([0, 0, 0, 1, 0xFF, 0xFE]))},
+		{name: 'an answer over the limit', bytes: Buffer.from([0xFF, 0, 0, 0])},
+	];
+	for (const {name, bytes} of answers) {
+		it(`closes the connection on ${name}, and says so`, async () => {
+			const {server, port} = await startSocketServer(socket => {
+				socket.on('data', () => {
+					socket.write(bytes);
+				});
+			});
+			const {send, broken} = openChannel(port);
+			expect(await send('a')).to.deep.equal({kind: 'lost'});
+			server.close();
+			expect(broken).to.have.length(1);
+		});
+	}
+});
+
+describe('serveCalls', () => {
+	const calls = [
+		{name: 'a call over the limit', bytes: Buffer.from([0xFF, 0, 0, 0])},
+		{name: 'a call that cannot be decoded', bytes: createFrame(Buffer.from([1]))},
+		{name: 'a call numbered like one before', bytes: Buffer.concat([createFrame(encode({id: 1, text: 'a'})), createFrame(encode({id: 1, text: 'a'}))])},
+		{name: 'calls out of order', bytes: Buffer.concat([createFrame(encode({id: 5, text: 'a'})), createFrame(encode({id: 4, text: 'a'}))])},
+	];
+	for (const {name, bytes} of calls) {
+		it(`closes the connection on ${name}, and harms no other`, async () => {
+			const {server, port, broken} = await startHost();
+			const {send} = openChannel(port);
+			const other = send('wait 100');
+			const socket = connect({host: '127.0.0.1', port});
+			socket.on('error', () => undefined);
+			socket.write(bytes);
+			await new Promise(resolve => {
+				socket.once('close', resolve);
+				socket.resume();
+			});
+			expect((await other).kind).to.equal('answered');
+			server.close();
+			expect(broken).to.have.length(1);
+		});
+	}
+
+	it('goes on serving others whatever bytes a connection brings', async () => {
+		const {server, port} = await startHost();
+		const {send, countConnections} = openChannel(port);
+		const property = fc.asyncProperty(fc.uint8Array({maxLength: 64}), async bytes => {
+			const socket = connect({host: '127.0.0.1', port});
+			socket.on('error', () => undefined);
+			socket.end(bytes);
+			expect((await send('a')).kind).to.equal('answered');
+			socket.destroy();
+		});
+		await fc.assert(property, {numRuns: 200});
+		server.close();
+		expect(countConnections()).to.equal(1);
+	});
+});
--- a/packages/hosts/create-fleet-peer.ts
+++ b/packages/hosts/create-fleet-peer.ts
@@ -1,26 +1,25 @@
-import {create, type MessageInitShape} from '@bufbuild/protobuf';
-import type {FleetPeer, StoreTable} from '@sapphirefall/sessions';
+import {connect} from 'node:net';
 import {
-	decodePoint, FleetRequestSchema, runWithTimeout, SessionHostService, type FleetRequest, type FleetResponse,
-	type Heartbeat, type ReadTablesResponse,
+	create, fromBinary, toBinary, type MessageInitShape,
+} from '@bufbuild/protobuf';
+import type {FleetPeer, SessionLog, StoreTable} from '@sapphirefall/sessions';
+import {
+	decodePoint, FleetRequestSchema, FleetResponseSchema, type FleetResponse, type ReadTablesResponse,
 } from '@sapphirefall/wire';
-import {createHostChannel} from './create-host-channel.ts';
+import {createCallChannel} from './create-call-channel.ts';
 import {decodeJobAnswer} from './decode-job-answer.ts';
 import {encodeJob} from './encode-job.ts';
 
 type Options = {
 	/** Milliseconds to wait for an answer. */
 	readonly timeout: number;
-	/** Milliseconds without a call after which the channel is closed. */
+	/** Milliseconds without a call after which the connection is closed. */
 	readonly idleSpan: number;
 	/** Present monotonic milliseconds. */
 	readonly now: () => number;
+	readonly log: SessionLog;
 };
 
-/** Milliseconds between two signs of life of a host that runs work, and without any after which it counts as silent. */
-const workBeat = 250;
-const workSilence = 900;
-
 /** Milliseconds beyond the time that work may take, for the way there and back. */
 const wayMargin = 150;
 
@@ -35,36 +34,31 @@
 type Call = NonNullable<MessageInitShape<typeof FleetRequestSchema>['call']>;
 
 /**
- * Creates the client of another host that serves sessions. Calls share one stream; one without an answer closes it.
+ * Creates the client of another host that serves sessions. All calls share one connection.
  *
- * @param address URL of the host.
+ * @param address Where the host takes calls.
  */
-export function createFleetPeer(address: string, {timeout, idleSpan, now}: Options): FleetPeer {
-	const openChannel = (heartbeat: Heartbeat<FleetRequest> | undefined) => {
-		const channel = createHostChannel<typeof SessionHostService, FleetRequest, FleetResponse>(address, {
-			service: SessionHostService,
-			open: (client, requests, signal) => client.call(requests, {signal}),
-			heartbeat,
-			idleSpan,
-			now,
-		});
-		return async (call: Call, options: {readonly timeout: number; readonly closesOnAbort: boolean}) => {
-			const response = await runWithTimeout(options.timeout, async signal =>
-				channel(id => create(FleetRequestSchema, {id, call}), {signal, closesOnAbort: options.closesOnAbort}));
-			return response?.answer;
-		};
-	};
-
-	const sendControl = openChannel(undefined);
-	const sendWork = openChannel({
-		createPing: id => create(FleetRequestSchema, {id, call: {case: 'ping', value: {}}}),
-		interval: workBeat,
-		silenceLimit: workSilence,
-		isOnlyWhilePending: true,
+export function createFleetPeer(address: {readonly host: string; readonly port: number}, {
+	timeout, idleSpan, now, log,
+}: Options): FleetPeer {
+	const encode = (call: Call) => (id: number) => toBinary(FleetRequestSchema, create(FleetRequestSchema, {id, call}));
+	const encodePing = encode({case: 'ping', value: {}});
+	const channel = createCallChannel<FleetResponse>({
+		connect: () => connect({...address, noDelay: true}),
+		decode: message => fromBinary(FleetResponseSchema, message),
+		encodePing,
+		idleSpan,
+		now,
+		onBroken(reason) {
+			log.warn({...address, reason}, 'peer: Another host sent an answer that cannot be read; the connection is closed.');
+		},
 	});
 
 	/** Sends a call that may wait for some milliseconds at the other host. */
-	const send = async (call: Call, wait = 0) => sendControl(call, {timeout: timeout + wait, closesOnAbort: true});
+	const send = async (call: Call, wait = 0) => {
+		const outcome = await channel(encode(call), timeout + wait);
+		return outcome.kind === 'answered' ? outcome.response.answer : undefined;
+	};
 
 	return {
 		async readTables(changedAt, wait) {
@@ -105,13 +99,18 @@
 			return answer?.case === 'confirmSilence' ? answer.value.silent : undefined;
 		},
 		async runJob(instance, job) {
-			const timeout = ('timeout' in job ? job.timeout : usualJobTimeout) + wayMargin;
-			const answer = await sendWork({case: 'runJob', value: encodeJob(instance, job)}, {timeout, closesOnAbort: false});
-			return answer?.case === 'runJob' ? decodeJobAnswer(answer.value) : undefined;
+			const jobTimeout = ('timeout' in job ? job.timeout : usualJobTimeout) + wayMargin;
+			const outcome = await channel(encode({case: 'runJob', value: encodeJob(instance, job)}), jobTimeout);
+			if (outcome.kind !== 'answered') {
+				return outcome.kind === 'notSent' ? 'notServed' : undefined;
+			}
+
+			const {answer} = outcome.response;
+			return answer.case === 'runJob' ? decodeJobAnswer(answer.value) : undefined;
 		},
 		async ping() {
-			const answer = await sendWork({case: 'ping', value: {}}, {timeout: pingTimeout, closesOnAbort: true});
-			return answer?.case === 'ping';
+			const {kind} = await channel(encodePing, pingTimeout);
+			return kind === 'answered';
 		},
 	};
 }
--- a/packages/hosts/mod.ts
+++ b/packages/hosts/mod.ts
@@ -2,7 +2,6 @@
 export type * from './borrow-asked.ts';
 export type * from './borrow-granted.ts';
 export * from './create-fleet-peer.ts';
-export * from './create-fleet-service.ts';
 export * from './create-forwarder.ts';
 export * from './create-host-channel.ts';
 export * from './create-host-service.ts';
@@ -17,3 +16,4 @@
 export * from './execute-forward.ts';
 export type * from './handed-bucket.ts';
 export type * from './peer.ts';
+export * from './serve-fleet.ts';
--- /dev/null
+++ b/packages/hosts/open-call-connection.ts
@@ -0,0 +1,202 @@
+import type {Buffer} from 'node:buffer';
+import {createFrameSplitter, createFrameWriter} from '@sapphirefall/wire';
+import type {CallConnection} from './call-connection.ts';
+import type {CallOptions} from './call-options.ts';
+import type {CallOutcome} from './call-outcome.ts';
+
+type OpenCall<Response> = {
+	readonly deadline: number;
+	readonly sentAt: number;
+	readonly finish: (outcome: CallOutcome<Response>) => void;
+};
+
+/** Milliseconds without a message, while a call is open, after which a sign of life is asked for. */
+const beatInterval = 400;
+
+/** Milliseconds without a message, while a call is open, after which the connection counts as silent and is closed. */
+const silenceLimit = 900;
+
+/** Milliseconds between two looks at deadlines at the least; calls that time out may do so this much late. */
+const timerResolution = 25;
+
+/** Number of calls after which another connection is opened; their numbers have 32 bits. */
+const lastNumber = 2 ** 31;
+
+/** Bytes that may wait to be sent; a call beyond them is not sent, since the other host takes them too slowly. */
+const waitingLimit = 4 * 1024 * 1024;
+
+/**
+ * Opens a connection for calls to another host. Calls are answered in any order.
+ *
+ * One timer serves all deadlines and finds out that the connection has gone silent.
+ */
+export function openCallConnection<Response extends {readonly id: number}>(options: CallOptions<Response>): CallConnection<Response> {
+	const {now, onBroken} = options;
+	const socket = options.connect();
+	const writer = createFrameWriter(socket);
+	const split = createFrameSplitter();
+	const open = new Map<number, OpenCall<Response>>();
+	let lastId = 0;
+	let heardAt = now();
+	let beatAt = heardAt;
+	let isConnected = false;
+	let isClosed = false;
+	let isRetired = false;
+	/** Whether a call got no answer in time, and nothing else came meanwhile. */
+	let isDoubtful = false;
+	let timer: NodeJS.Timeout | undefined;
+	let timerDue = Number.POSITIVE_INFINITY;
+
+	const close = () => {
+		if (isClosed) {
+			return;
+		}
+
+		isClosed = true;
+		clearTimeout(timer);
+		socket.destroy();
+		// What is written before the connection stands never leaves this host.
+		const outcome = isConnected ? {kind: 'lost'} as const : {kind: 'notSent'} as const;
+		for (const call of open.values()) {
+			call.finish(outcome);
+		}
+
+		open.clear();
+	};
+
+	const closeIfUnused = () => {
+		if (isRetired && open.size === 0) {
+			close();
+		}
+	};
+
+	const breakOff = (reason: string) => {
+		if (!isClosed) {
+			onBroken(reason);
+			close();
+		}
+	};
+
+	const receive = (message: Uint8Array) => {
+		const response = options.decode(message);
+		if (response.id === 0 || response.id > lastId) {
+			throw new Error(`call ${response.id} is answered, but was never made`);
+		}
+
+		// An answer that comes after its deadline finds no call any more.
+		const call = open.get(response.id);
+		open.delete(response.id);
+		call?.finish({kind: 'answered', response});
+	};
+
+	const read = (piece: Buffer) => {
+		heardAt = now();
+		isDoubtful = false;
+		const messages = split(piece);
+		if (messages === undefined) {
+			breakOff('a message is too long');
+			return;
+		}
+
+		try {
+			for (const message of messages) {
+				receive(message);
+			}
+		} catch (error) {
+			breakOff((error as Error).message);
+			return;
+		}
+
+		closeIfUnused();
+	};
+
+	/** Ends calls whose time is over; returns the earliest deadline of the others. */
+	const endLateCalls = (at: number): number => {
+		let earliest = Number.POSITIVE_INFINITY;
+		for (const [id, call] of open) {
+			if (call.deadline <= at) {
+				open.delete(id);
+				isDoubtful ||= heardAt <= call.sentAt;
+				call.finish({kind: 'lost'});
+			} else {
+				earliest = Math.min(earliest, call.deadline);
+			}
+		}
+
+		return earliest;
+	};
+
+	const askForLife = (at: number) => {
+		if (at - Math.max(heardAt, beatAt) >= beatInterval) {
+			beatAt = at;
+			lastId++;
+			writer.write(options.encodePing(lastId));
+		}
+	};
+
+	const check = () => {
+		timerDue = Number.POSITIVE_INFINITY;
+		const at = now();
+		const earliest = endLateCalls(at);
+		if (open.size === 0) {
+			closeIfUnused();
+			return;
+		}
+
+		if (at - heardAt >= silenceLimit) {
+			close();
+			return;
+		}
+
+		askForLife(at);
+		startTimer(Math.min(earliest, at + beatInterval, heardAt + silenceLimit), at);
+	};
+
+	const startTimer = (due: number, at: number) => {
+		if (due < timerDue) {
+			clearTimeout(timer);
+			timerDue = due;
+			timer = setTimeout(check, Math.max(timerResolution, due - at));
+		}
+	};
+
+	socket.on('connect', () => {
+		isConnected = true;
+	});
+	socket.on('data', read);
+	// The close that follows ends all calls.
+	socket.on('error', () => undefined);
+	socket.on('close', close);
+	socket.setTimeout(options.idleSpan, () => {
+		if (open.size === 0) {
+			close();
+		}
+	});
+
+	return {
+		async call(encode, timeout) {
+			if (isClosed || writer.waitingBytes() > waitingLimit) {
+				return {kind: 'notSent'};
+			}
+
+			const at = now();
+			if (open.size === 0) {
+				// Silence counts from the first call that waits.
+				heardAt = at;
+			}
+
+			lastId++;
+			const id = lastId;
+			writer.write(encode(id));
+			return new Promise(resolve => {
+				open.set(id, {deadline: at + timeout, sentAt: at, finish: resolve});
+				startTimer(Math.min(at + timeout, at + beatInterval), at);
+			});
+		},
+		isDoubtful: () => isClosed || isDoubtful || lastId >= lastNumber,
+		retire() {
+			isRetired = true;
+			closeIfUnused();
+		},
+	};
+}
--- a/packages/hosts/create-fleet-service.ts
+++ b/packages/hosts/serve-fleet.ts
@@ -1,29 +1,34 @@
-import {create} from '@bufbuild/protobuf';
-import type {ServiceImpl} from '@connectrpc/connect';
-import type {FleetPeer, StoreTable} from '@sapphirefall/sessions';
+import type {Server} from 'node:net';
+import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
+import type {FleetPeer, SessionLog, StoreTable} from '@sapphirefall/sessions';
 import {
-	FleetResponseSchema, serveMessages, type FleetRequest, type FleetResponse, type SessionHostService,
+	FleetRequestSchema, FleetResponseSchema, type FleetRequest, type FleetResponse,
 } from '@sapphirefall/wire';
 import {decodeJob} from './decode-job.ts';
 import {encodeJobAnswer} from './encode-job-answer.ts';
+import {serveCalls} from './serve-calls.ts';
 
 type Answer = FleetResponse['answer'];
 
-/** Creates the service that hosts which serve sessions offer to each other. */
-export function createFleetService(own: FleetPeer): ServiceImpl<typeof SessionHostService> {
-	return {
-		async * call(messages) {
-			yield * serveMessages(messages, async message => answerCall(message, own));
+/** Serves the calls that hosts which serve sessions make to each other. */
+export function serveFleet(address: {readonly host: string; readonly port: number}, {own, log}: {readonly own: FleetPeer; readonly log: SessionLog}): Server {
+	return serveCalls<FleetRequest>(address, {
+		decode: message => fromBinary(FleetRequestSchema, message),
+		answer: async request => answerCall(request, own, log),
+		onBroken(reason, from) {
+			log.warn({from, reason}, 'peer: Another host sent a call that cannot be read; the connection is closed.');
 		},
-	};
+	});
 }
 
-/** Answers a call; one that fails gets an empty answer. */
-async function answerCall({id, call}: FleetRequest, own: FleetPeer): Promise<FleetResponse> {
+/** Answers a call; one that fails, or that is not known here, gets an empty answer. */
+async function answerCall({id, call}: FleetRequest, own: FleetPeer, log: SessionLog): Promise<Uint8Array> {
 	try {
-		return create(FleetResponseSchema, {id, answer: await createAnswer(call, own) as Answer});
-	} catch {
-		return create(FleetResponseSchema, {id});
+		const answer = await createAnswer(call, own) as Answer;
+		return toBinary(FleetResponseSchema, create(FleetResponseSchema, {id, answer}));
+	} catch (error) {
+		log.warn({call: call.case, error: (error as Error).message}, 'peer: A call of another host failed; it gets an empty answer.');
+		return toBinary(FleetResponseSchema, create(FleetResponseSchema, {id}));
 	}
 }
 
--- /dev/null
+++ b/packages/wire/create-frame-writer.ts
@@ -0,0 +1,49 @@
+import {Buffer} from 'node:buffer';
+import type {Writable} from 'node:stream';
+import type {FrameWriter} from './frame-writer.ts';
+
+/** Bytes in front of a message that tell its length. */
+const headerLength = 4;
+
+/**
+ * Creates what writes messages as frames, all of a turn of the loop in one write.
+ *
+ * @param output Where the bytes go, such as a socket.
+ */
+export function createFrameWriter(output: Writable): FrameWriter {
+	let messages: Uint8Array[] = [];
+	let length = 0;
+
+	const flush = () => {
+		const bytes = joinFrames(messages, length);
+		messages = [];
+		length = 0;
+		if (output.writable) {
+			output.write(bytes);
+		}
+	};
+
+	return {
+		write(message) {
+			if (messages.length === 0) {
+				setImmediate(flush);
+			}
+
+			messages.push(message);
+			length += headerLength + message.length;
+		},
+		waitingBytes: () => length + output.writableLength,
+	};
+}
+
+function joinFrames(messages: readonly Uint8Array[], length: number): Buffer {
+	const bytes = Buffer.allocUnsafe(length);
+	let at = 0;
+	for (const message of messages) {
+		at = bytes.writeUInt32BE(message.length, at);
+		bytes.set(message, at);
+		at += message.length;
+	}
+
+	return bytes;
+}
--- a/packages/wire/mod.ts
+++ b/packages/wire/mod.ts
@@ -1,6 +1,8 @@
 /** Messages between processes: generated from the .proto files, and their conversion to the types of decisions. */
 export type * from './channel-options.ts';
 export type * from './channel.ts';
+export * from './create-frame-splitter.ts';
+export * from './create-frame-writer.ts';
 export * from './create-queue.ts';
 export * from './create-token-interceptor.ts';
 export * from './decode-point.ts';
@@ -12,6 +14,8 @@
 export * from './encode-statement.ts';
 export * from './encode-value.ts';
 export * from './format-results.ts';
+export * from './frame-limit.ts';
+export type * from './frame-writer.ts';
 export type * from './heartbeat.ts';
 export * from './open-channel.ts';
 export * from './parse-results.ts';
