Tell where a statement's time went: rate, way, queue, opening, values, instance

Cause: on small hosts a done statement's line had its whole time and not its parts, so what binds could not be told. A job's answer now carries the parts at its gateway; the line and a counter have them. Lines that are dropped are no longer built.

--- a/packages/hosts/decode-job-answer.ts
+++ b/packages/hosts/decode-job-answer.ts
@@ -35,10 +35,13 @@
 	}
 }
 
-function decodeEnd({state, position, transaction}: RunJobResponse): Omit<Extract<JobAnswer, {readonly kind: 'answered'}>, 'kind' | 'outcome'> {
+function decodeEnd({state, position, transaction, spans}: RunJobResponse): Omit<Extract<JobAnswer, {readonly kind: 'answered'}>, 'kind' | 'outcome'> {
 	return {
 		state: state === JobState.IDLE ? 'idle' : (state === JobState.OPEN ? 'open' : 'failed'),
 		position: position && decodePoint(position),
 		transaction: transaction === 0n ? undefined : Number(transaction),
+		spans: spans && {
+			way: 0, queue: spans.queue, open: spans.open, setup: spans.setup, instance: spans.instance,
+		},
 	};
 }
--- a/packages/hosts/encode-job-answer.ts
+++ b/packages/hosts/encode-job-answer.ts
@@ -24,13 +24,14 @@
 		}
 
 		case 'answered': {
-			const {outcome, state, position, transaction} = answer;
+			const {outcome, state, position, transaction, spans} = answer;
 			return {
 				...outcome.kind === 'done'
 					? {result: JobResult.DONE, rows: [...outcome.rows], signature: outcome.signature}
 					: {result: JobResult.FAILED, code: outcome.code, reason: outcome.reason},
 				state: states[state],
 				...position && {position},
+				...spans && {spans},
 				transaction: BigInt(transaction ?? 0),
 			};
 		}
--- a/packages/hosts/encode-job.test.ts
+++ b/packages/hosts/encode-job.test.ts
@@ -51,6 +51,9 @@
 		state: fc.constantFrom('idle' as const, 'open' as const, 'failed' as const),
 		position: after,
 		transaction: fc.option(fc.integer({min: 1, max: 2 ** 40}), {nil: undefined}),
+		spans: fc.option(fc.record({
+			way: fc.constant(0), queue: fc.nat(5000), open: fc.nat(5000), setup: fc.nat(5000), instance: fc.nat(5000),
+		}), {nil: undefined}),
 	}),
 );
 
--- a/packages/sessions/acquire-outcome.ts
+++ b/packages/sessions/acquire-outcome.ts
@@ -2,7 +2,12 @@
 
 /** Whether a connection of a pool could be had. */
 export type AcquireOutcome =
-	| {readonly kind: 'acquired'; readonly link: PooledLink}
+	| {
+		readonly kind: 'acquired';
+		readonly link: PooledLink;
+		/** Milliseconds that opening it took; 0 for one that was open. */
+		readonly openSpan: number;
+	}
 	/** All connections are in use, or the instance takes no more. */
 	| {readonly kind: 'busy'}
 	| {readonly kind: 'unreachable'};
--- a/packages/sessions/choose-target.ts
+++ b/packages/sessions/choose-target.ts
@@ -23,7 +23,7 @@
 		}
 	}
 
-	const view = await waitForUsefulPrimary(group, left);
+	const view = await waitForUsefulPrimary(operation, left);
 	const instance = view.kind === 'leased' ? group.findInstance(view.instance) : undefined;
 	return view.kind === 'leased' && instance !== undefined ? {instance, after: undefined, epoch: view.epoch} : undefined;
 }
--- a/packages/sessions/create-instance-pool.ts
+++ b/packages/sessions/create-instance-pool.ts
@@ -66,6 +66,7 @@
 
 	const open = async (workspace: string): Promise<AcquireOutcome> => {
 		opening++;
+		const startedAt = options.now();
 		const outcome = await options.open(workspace);
 		opening--;
 		if (outcome.kind !== 'opened') {
@@ -77,7 +78,7 @@
 			link: outcome.link, workspace, values: new Map(), prepared: new Map(), isBusy: true, idleSince: 0,
 		};
 		links.add(link);
-		return {kind: 'acquired', link};
+		return {kind: 'acquired', link, openSpan: options.now() - startedAt};
 	};
 
 	const take = (workspace: string): PooledLink | undefined => {
@@ -109,7 +110,7 @@
 			makePlace();
 			waiter.resolve(await open(waiter.workspace));
 		} else {
-			waiter.resolve({kind: 'acquired', link});
+			waiter.resolve({kind: 'acquired', link, openSpan: 0});
 		}
 	};
 
@@ -158,7 +159,7 @@
 		async acquire({workspace, priority, timeout}) {
 			const idle = waiting === 0 ? take(workspace) : undefined;
 			if (idle !== undefined) {
-				return {kind: 'acquired', link: idle};
+				return {kind: 'acquired', link: idle, openSpan: 0};
 			}
 
 			if (waiting === 0 && makePlace()) {
--- a/packages/sessions/create-local-runner.ts
+++ b/packages/sessions/create-local-runner.ts
@@ -1,4 +1,5 @@
 import {applySetup} from './apply-setup.ts';
+import {createJobClock} from './create-job-clock.ts';
 import type {InstancePool} from './instance-pool.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {JobAnswer} from './job-answer.ts';
@@ -19,6 +20,8 @@
 
 type JobOf<Kind extends Job['kind']> = Extract<Job, {readonly kind: Kind}>;
 
+type JobClock = ReturnType<typeof createJobClock>;
+
 type OpenTransaction = {
 	readonly pooled: PooledLink;
 	readonly idleLimit: number;
@@ -51,18 +54,22 @@
 	const transactions = new Map<number, OpenTransaction>();
 	let lastNumber = Math.floor(Math.random() * firstNumberLimit);
 
-	const acquire = async ({workspace, priority, timeout}: Pick<JobOf<'single' | 'begin'>, 'workspace' | 'priority' | 'timeout'>) => {
+	const acquire = async ({workspace, priority, timeout}: Pick<JobOf<'single' | 'begin'>, 'workspace' | 'priority' | 'timeout'>, clock: JobClock) => {
 		const acquired = await pool.acquire({workspace, priority, timeout});
-		return acquired.kind === 'acquired'
-			? acquired.link
-			: {
-				kind: 'notSent' as const, reason: `no connection (${acquired.kind})`, isUnreachable: acquired.kind === 'unreachable',
-			};
+		if (acquired.kind === 'acquired') {
+			clock.noteAcquired(acquired.openSpan);
+			return acquired.link;
+		}
+
+		return {
+			kind: 'notSent' as const, reason: `no connection (${acquired.kind})`, isUnreachable: acquired.kind === 'unreachable',
+		};
 	};
 
 	const runSingle = async (job: JobOf<'single'>, maySend: () => boolean): Promise<JobAnswer> => {
 		const deadline = now() + job.timeout;
-		const pooled = await acquire(job);
+		const clock = createJobClock(now);
+		const pooled = await acquire(job, clock);
 		if ('kind' in pooled) {
 			return pooled;
 		}
@@ -77,15 +84,19 @@
 			after,
 			isInTransaction: false,
 			timeout: work.access === 'read' ? Math.min(patience, left) : left,
-			maySend: () => maySend() && now() < deadline,
+			maySend() {
+				clock.noteSent();
+				return maySend() && now() < deadline;
+			},
 		});
 		pool.release(pooled, isClean(answer, pooled));
-		return answer;
+		return addSpans(answer, clock);
 	};
 
 	const begin = async (job: JobOf<'begin'>, maySend: () => boolean): Promise<JobAnswer> => {
 		const deadline = now() + job.timeout;
-		const pooled = await acquire(job);
+		const clock = createJobClock(now);
+		const pooled = await acquire(job, clock);
 		if ('kind' in pooled) {
 			return pooled;
 		}
@@ -99,6 +110,7 @@
 			return isReady ? notSent : {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
 		}
 
+		clock.noteSent();
 		const answer = await send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeout, deadline - now())));
 		if (answer.kind !== 'answered' || answer.outcome.kind !== 'done' || answer.state !== 'open') {
 			pool.release(pooled, isClean(answer, pooled));
@@ -109,7 +121,7 @@
 		const transaction = lastNumber;
 		transactions.set(transaction, {pooled, idleLimit});
 		startIdleTimer(transaction);
-		return {...answer, transaction};
+		return {...answer, transaction, spans: clock.finish()};
 	};
 
 	const startIdleTimer = (transaction: number) => {
@@ -136,11 +148,21 @@
 		}
 
 		clearTimeout(open.idleTimer);
+		const clock = createJobClock(now);
 		const answer = await runWork(open.pooled, {
-			send, setup, work, after: undefined, isInTransaction: true, timeout, maySend: () => maySend() && transactions.has(transaction),
+			send,
+			setup,
+			work,
+			after: undefined,
+			isInTransaction: true,
+			timeout,
+			maySend() {
+				clock.noteSent();
+				return maySend() && transactions.has(transaction);
+			},
 		});
 		startIdleTimer(transaction);
-		return answer;
+		return addSpans(answer, clock);
 	};
 
 	const commit = async ({transaction, id, text, timeout}: JobOf<'commit'>, maySend: () => boolean): Promise<JobAnswer> => {
@@ -154,9 +176,11 @@
 			return {kind: 'notSent', reason: 'the transaction is not open any more'};
 		}
 
+		const clock = createJobClock(now);
+		clock.noteSent();
 		const answer = await send(pooled, {kind: 'forward', id, text}, timeout);
 		pool.release(pooled, isClean(answer, pooled));
-		return answer;
+		return addSpans(answer, clock);
 	};
 
 	const rollBack = async (transaction: number): Promise<JobAnswer> => {
@@ -171,7 +195,7 @@
 	};
 
 	const askPosition = async (workspace: string): Promise<JobAnswer> => {
-		const pooled = pool.takeIdle() ?? await acquire({workspace, priority: 0, timeout: positionPatience});
+		const pooled = pool.takeIdle() ?? await acquire({workspace, priority: 0, timeout: positionPatience}, createJobClock(now));
 		if ('kind' in pooled) {
 			return pooled;
 		}
@@ -212,6 +236,10 @@
 	};
 }
 
+function addSpans(answer: JobAnswer, clock: JobClock): JobAnswer {
+	return answer.kind === 'answered' ? {...answer, spans: clock.finish()} : answer;
+}
+
 /** Whether a connection may be used by another session after an answer. */
 function isClean(answer: JobAnswer, {link}: PooledLink): boolean {
 	if (answer.kind === 'notSent') {
--- a/packages/sessions/create-routed-runner.ts
+++ b/packages/sessions/create-routed-runner.ts
@@ -3,6 +3,7 @@
 import type {Gateways} from './gateways.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {JobRunner} from './job-runner.ts';
+import type {JobSpans} from './job-spans.ts';
 import type {Job} from './job.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import {notSent} from './not-sent.ts';
@@ -33,8 +34,12 @@
 		}
 
 		if (answer !== 'notServed' && answer.kind === 'answered') {
-			note({kind: 'answered', latency: job.kind === 'single' ? now() - sentAt : undefined, position: answer.position});
-		} else if (answer !== 'notServed' && answer.kind === 'lost') {
+			const elapsed = now() - sentAt;
+			note({kind: 'answered', latency: job.kind === 'single' ? elapsed : undefined, position: answer.position});
+			return {...answer, spans: answer.spans && {...answer.spans, way: elapsed - countSpans(answer.spans)}};
+		}
+
+		if (answer !== 'notServed' && answer.kind === 'lost') {
 			note({kind: 'failed'});
 		}
 
@@ -71,6 +76,11 @@
 	};
 }
 
+/** Milliseconds that a job took at its gateway. */
+function countSpans({queue, open, setup, instance}: JobSpans): number {
+	return queue + open + setup + instance;
+}
+
 /** Runs the jobs of a transaction where it has begun. */
 function createPinnedRunner(host: string, run: (job: Job) => Promise<JobAnswer | 'notServed'>): JobRunner {
 	return async (job, maySend) => {
--- a/packages/sessions/create-session-log.ts
+++ b/packages/sessions/create-session-log.ts
@@ -22,7 +22,7 @@
 	const log = bunyan.createLogger({name: 'sapphirefall', host, streams: [{stream: output, level: 'debug'}]});
 	let budget: LineBudget = {startedAt: now(), written: 0, dropped: 0};
 
-	const write = (level: 'debug' | 'info' | 'warn', fields: object, line: string) => {
+	const write = (level: 'debug' | 'info' | 'warn', fields: Parameters<SessionLog['debug']>[0], line: string) => {
 		const admitted = admitLine(budget, {isOrdinary: level === 'debug', isBlocked: output.writableLength > waitingLimit, now: now()});
 		({budget} = admitted);
 		if (!admitted.isWritten) {
@@ -32,7 +32,8 @@
 
 		const {dropped} = budget;
 		budget = {...budget, dropped: 0};
-		log[level](dropped > 0 ? {...fields, dropped} : fields, line);
+		const content = typeof fields === 'function' ? fields() : fields;
+		log[level](dropped > 0 ? {...content, dropped} : content, line);
 	};
 
 	return {
--- a/packages/sessions/create-session-metrics.ts
+++ b/packages/sessions/create-session-metrics.ts
@@ -17,6 +17,9 @@
 		seconds: new Histogram({
 			name: 'sapphirefall_statement_seconds', help: 'Seconds from a statement to its answer, by kind.', labelNames: ['kind'], buckets: secondsBuckets, registers,
 		}),
+		partSeconds: new Counter({
+			name: 'sapphirefall_statement_part_seconds_total', help: 'Seconds of statements, by the part in which they went by.', labelNames: ['part'], registers,
+		}),
 		storeCalls: new Counter({
 			name: 'sapphirefall_store_calls_total', help: 'Calls to the platform\'s store, by kind and result.', labelNames: ['kind', 'result'], registers,
 		}),
--- a/packages/sessions/create-session.ts
+++ b/packages/sessions/create-session.ts
@@ -4,6 +4,7 @@
 import type {ClientRequest} from './client-request.ts';
 import {createFailure} from './create-failure.ts';
 import {createStatementRunner} from './create-statement-runner.ts';
+import {createStatementTrace} from './create-statement-trace.ts';
 import {hashKey} from './hash-key.ts';
 import type {Session} from './session.ts';
 import type {SessionContext} from './session-context.ts';
@@ -50,7 +51,7 @@
 			const outcome = createFailure(access.code, access.reason);
 			send({kind: 'rejected', outcome});
 			context.onAnswered({
-				id: '', session: number, kind: 'start', database, workspace: '', outcome, elapsed: 0, trace: [],
+				id: '', session: number, kind: 'start', database, workspace: '', outcome, elapsed: 0, trace: createStatementTrace(),
 			});
 			closeSession();
 			return;
@@ -62,7 +63,7 @@
 
 	const handleStatement = async (request: StatementRequest) => {
 		const startedAt = context.now().steady;
-		const trace: string[] = [];
+		const trace = createStatementTrace();
 		const outcome = await runner.run(request, trace);
 		answer(outcome);
 		const access = opened && context.findAccess(opened);
--- a/packages/sessions/create-statement-runner.ts
+++ b/packages/sessions/create-statement-runner.ts
@@ -14,6 +14,7 @@
 import type {SessionState} from './session-state.ts';
 import type {SessionValues} from './session-values.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
+import type {StatementTrace} from './statement-trace.ts';
 import type {Transaction} from './transaction.ts';
 import type {Work} from './work.ts';
 
@@ -25,7 +26,7 @@
 
 /** What runs the statements of one session, one after the other. */
 type StatementRunner = {
-	readonly run: (request: StatementRequest, trace: string[]) => Promise<StatementOutcome>;
+	readonly run: (request: StatementRequest, trace: StatementTrace) => Promise<StatementOutcome>;
 	readonly state: () => SessionState;
 	/** Rolls back what is open, since the session is over. */
 	readonly end: () => void;
@@ -41,7 +42,7 @@
 	let mark: SessionMark | undefined;
 
 	/** Prepares the running of a statement; refuses it if the caller may not use the database now. */
-	const createOperation = (trace: string[]): Operation | StatementOutcome => {
+	const createOperation = (trace: StatementTrace): Operation | StatementOutcome => {
 		const caller = findCaller();
 		const access = caller && context.findAccess(caller);
 		if (caller === undefined || access === undefined) {
@@ -73,9 +74,7 @@
 			setMark(newer) {
 				mark = newer;
 			},
-			trace(step) {
-				trace.push(step);
-			},
+			trace,
 		};
 	};
 
@@ -86,17 +85,18 @@
 	};
 
 	/** Prepares a new operation, which counts against the workspace's rate; a refusal if it may not run now. */
-	const admitOperation = async (trace: string[]): Promise<Operation | StatementOutcome> => {
+	const admitOperation = async (trace: StatementTrace): Promise<Operation | StatementOutcome> => {
 		const operation = createOperation(trace);
 		if (!('group' in operation)) {
 			return operation;
 		}
 
 		const {isTaken, retryAfter} = await context.takeOperation(operation.workspace);
+		trace.addSpan('rate', context.now().steady - operation.arrivedAt.steady);
 		return isTaken ? operation : createBusy('The workspace has used up its rate', retryAfter);
 	};
 
-	const begin = async (isReadOnly: boolean, trace: string[]): Promise<StatementOutcome> => {
+	const begin = async (isReadOnly: boolean, trace: StatementTrace): Promise<StatementOutcome> => {
 		if (state !== 'idle') {
 			return createFailure('malformed', 'A transaction is open already');
 		}
@@ -117,7 +117,7 @@
 		return localResult;
 	};
 
-	const runInTransaction = async (open: Transaction, work: Work, trace: string[]): Promise<StatementOutcome> => {
+	const runInTransaction = async (open: Transaction, work: Work, trace: StatementTrace): Promise<StatementOutcome> => {
 		const operation = createOperation(trace);
 		const outcome = 'group' in operation ? await open.run(work, operation) : operation;
 		if (outcome.kind === 'failed') {
@@ -128,7 +128,7 @@
 		return outcome;
 	};
 
-	const runSingle = async (work: Work, trace: string[]): Promise<StatementOutcome> => {
+	const runSingle = async (work: Work, trace: StatementTrace): Promise<StatementOutcome> => {
 		const operation = await admitOperation(trace);
 		if (!('group' in operation)) {
 			return operation;
@@ -137,7 +137,7 @@
 		return work.access === 'read' ? runRead(work, operation) : runWrite(work, operation);
 	};
 
-	const commit = async (open: Transaction, {id, text}: StatementRequest, trace: string[]): Promise<StatementOutcome> => {
+	const commit = async (open: Transaction, {id, text}: StatementRequest, trace: StatementTrace): Promise<StatementOutcome> => {
 		const operation = createOperation(trace);
 		if (!('group' in operation)) {
 			open.rollBack();
@@ -149,7 +149,7 @@
 		return outcome;
 	};
 
-	const run = async (request: StatementRequest, trace: string[]): Promise<StatementOutcome> => {
+	const run = async (request: StatementRequest, trace: StatementTrace): Promise<StatementOutcome> => {
 		const {statement} = request;
 		if (findCaller() === undefined) {
 			return createFailure('malformed', 'The session has not been started');
--- a/packages/sessions/create-transaction.ts
+++ b/packages/sessions/create-transaction.ts
@@ -101,7 +101,11 @@
 			const answer = await runner({
 				...createJobBase(operation), kind: 'within', transaction, setup: operation.setup, work,
 			}, () => operation.isAllowed() && !isOver && (isReadOnly || isLeased(operation)));
-			operation.trace(`${instance.listed().id}: ${describeAnswer(answer)}`);
+			operation.trace.addStep(`${instance.listed().id}: ${describeAnswer(answer)}`);
+			if (answer.kind === 'answered') {
+				operation.trace.addJob(answer.spans);
+			}
+
 			const outcome = judge(answer);
 			if (outcome.kind === 'done') {
 				startIdleTimer();
@@ -125,7 +129,7 @@
 			const answer = await runner({
 				...createJobBase(operation), kind: 'commit', transaction, id, text,
 			}, operation.isAllowed);
-			operation.trace(`${instance.listed().id}: commit ${describeAnswer(answer)}`);
+			operation.trace.addStep(`${instance.listed().id}: commit ${describeAnswer(answer)}`);
 			if (answer.kind === 'notSent') {
 				return abort(`The commit was not sent: ${answer.reason}`);
 			}
@@ -138,6 +142,7 @@
 					: createFailure('aborted', answer.reason);
 			}
 
+			operation.trace.addJob(answer.spans);
 			if (answer.outcome.kind === 'failed') {
 				return answer.outcome;
 			}
--- a/packages/sessions/job-answer.ts
+++ b/packages/sessions/job-answer.ts
@@ -1,10 +1,12 @@
 import type {InstanceAnswer} from './instance-answer.ts';
+import type {JobSpans} from './job-spans.ts';
 
 /** The answer to a job. */
 export type JobAnswer =
 	| InstanceAnswer & {
 		/** Number of the transaction that has begun. */
 		readonly transaction?: number | undefined;
+		readonly spans?: JobSpans | undefined;
 	}
 	/** Nothing of the job was sent to the instance, and nothing will be. */
 	| {
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -91,6 +91,7 @@
 export * from './is-answering.ts';
 export * from './is-majority-silent.ts';
 export type * from './job-answer.ts';
+export type * from './job-spans.ts';
 export type * from './job-runner.ts';
 export type * from './job.ts';
 export type * from './known-directory.ts';
--- a/packages/sessions/open-transaction.ts
+++ b/packages/sessions/open-transaction.ts
@@ -61,8 +61,9 @@
 	const {answer, runner} = await instance.run({
 		...createJobBase(operation), kind: 'begin', setup: operation.setup, isReadOnly, after, idleLimit: context.transactionIdle(),
 	}, () => operation.isAllowed() && (epoch === undefined || hasLease(group, epoch)));
-	operation.trace(`${id}: begin ${describeAnswer(answer)}`);
+	operation.trace.addStep(`${id}: begin ${describeAnswer(answer)}`);
 	if (answer.kind === 'answered' && answer.transaction !== undefined) {
+		operation.trace.addJob(answer.spans);
 		if (epoch !== undefined) {
 			group.noteAnswer(id, answer, {at: askedAt, epoch});
 		}
--- a/packages/sessions/operation.ts
+++ b/packages/sessions/operation.ts
@@ -5,6 +5,7 @@
 import type {SessionMark} from './session-mark.ts';
 import type {SessionGroup} from './session-group.ts';
 import type {SessionValues} from './session-values.ts';
+import type {StatementTrace} from './statement-trace.ts';
 
 /** A single statement or a transaction under way. */
 export type Operation = {
@@ -22,6 +23,5 @@
 	readonly isAllowed: () => boolean;
 	readonly mark: () => SessionMark | undefined;
 	readonly setMark: (mark: SessionMark) => void;
-	/** Adds a step to the trace of the statement. */
-	readonly trace: (step: string) => void;
+	readonly trace: StatementTrace;
 };
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -39,7 +39,7 @@
 			throw new Error('The health is not asked for');
 		},
 		pool: {
-			acquire: async () => says() === undefined ? {kind: 'unreachable'} : {kind: 'acquired', link},
+			acquire: async () => says() === undefined ? {kind: 'unreachable'} : {kind: 'acquired', link, openSpan: 0},
 			release: () => undefined,
 			takeIdle: () => undefined,
 			load: () => ({
--- a/packages/sessions/run-read.ts
+++ b/packages/sessions/run-read.ts
@@ -57,24 +57,25 @@
 		...createJobBase(operation), kind: 'single', setup: operation.setup, work, after,
 	}, () => operation.isAllowed() && (epoch === undefined || hasLease(group, epoch)));
 	if (answer.kind === 'notSent') {
-		operation.trace(`${id}: not sent (${answer.reason})`);
+		operation.trace.addStep(`${id}: not sent (${answer.reason})`);
 		return {kind: 'failed', outcome: createBusy(`The read was not sent to instance ${id}: ${answer.reason}`, 100), isFinal: !operation.isAllowed()};
 	}
 
 	if (answer.kind === 'lost') {
-		operation.trace(`${id}: answer lost (${answer.reason})`);
+		operation.trace.addStep(`${id}: answer lost (${answer.reason})`);
 		return {kind: 'failed', outcome: createFailure('timeout', answer.reason), isFinal: false};
 	}
 
+	operation.trace.addJob(answer.spans);
 	const view = group.primary();
 	group.noteAnswer(id, answer, {at: askedAt, epoch: epoch ?? (view.kind === 'leased' ? view.epoch : 0)});
 	if (answer.outcome.kind === 'done') {
-		operation.trace(`${id}: done`);
+		operation.trace.addStep(`${id}: done`);
 		return {kind: 'done', outcome: answer.outcome};
 	}
 
 	const {code} = answer.outcome;
-	operation.trace(`${id}: ${code}`);
+	operation.trace.addStep(`${id}: ${code}`);
 	if (code === 'lagging' && after !== undefined) {
 		instance.noteLag(after);
 	}
--- a/packages/sessions/run-write.ts
+++ b/packages/sessions/run-write.ts
@@ -33,9 +33,9 @@
 			break;
 		}
 
-		const view = await waitForUsefulPrimary(group, left);
+		const view = await waitForUsefulPrimary(operation, left);
 		if (view.kind !== 'leased') {
-			operation.trace(`no primary (${view.reason})`);
+			operation.trace.addStep(`no primary (${view.reason})`);
 			return createBusy(`The group has no primary now (${view.reason})`, view.retryAfter);
 		}
 
@@ -64,7 +64,7 @@
 	const {answer} = await instance.run({
 		...createJobBase(operation), kind: 'single', setup: operation.setup, work, after: undefined,
 	}, () => operation.isAllowed() && hasLease(group, epoch));
-	operation.trace(`${id}: ${describeAnswer(answer)}`);
+	operation.trace.addStep(`${id}: ${describeAnswer(answer)}`);
 	if (answer.kind === 'notSent') {
 		return {outcome: createBusy(`The write was not sent to the primary ${id}: ${answer.reason}`, 100), isFinal: !operation.isAllowed()};
 	}
@@ -73,6 +73,7 @@
 		return {outcome: createFailure('unknown', `The write may have run: ${answer.reason}`), isFinal: true};
 	}
 
+	operation.trace.addJob(answer.spans);
 	group.noteAnswer(id, answer, {at: askedAt, epoch});
 	if (answer.outcome.kind === 'failed') {
 		return hasNotRun(answer.outcome.code)
--- a/packages/sessions/session-context.ts
+++ b/packages/sessions/session-context.ts
@@ -4,6 +4,7 @@
 import type {SessionGroup} from './session-group.ts';
 import type {SessionLog} from './session-log.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
+import type {StatementTrace} from './statement-trace.ts';
 
 /** A statement that was answered, for logs and metrics. */
 type AnsweredStatement = {
@@ -15,8 +16,8 @@
 	readonly outcome: StatementOutcome;
 	/** Milliseconds. */
 	readonly elapsed: number;
-	/** What was decided on the way. */
-	readonly trace: readonly string[];
+	/** What was decided on the way, and where the time went. */
+	readonly trace: Pick<StatementTrace, 'steps' | 'spans'>;
 };
 
 /** What sessions use of their host. */
--- a/packages/sessions/session-metrics.ts
+++ b/packages/sessions/session-metrics.ts
@@ -9,6 +9,8 @@
 	readonly statements: Counter<'kind' | 'result'>;
 	/** Seconds from a statement to its answer, by kind. */
 	readonly seconds: Histogram<'kind'>;
+	/** Seconds of statements, by the part in which they went by; see `StatementTrace`. */
+	readonly partSeconds: Counter<'part'>;
 	/** Calls to the store, by kind and result. */
 	readonly storeCalls: Counter<'kind' | 'result'>;
 	readonly droppedLines: Counter;
--- a/packages/sessions/wait-for-useful-primary.ts
+++ b/packages/sessions/wait-for-useful-primary.ts
@@ -1,8 +1,15 @@
+import type {Operation} from './operation.ts';
 import type {PrimaryView} from './primary-view.ts';
-import type {SessionGroup} from './session-group.ts';
 
-/** Waits for the primary of a group only if it should be there within `limit` milliseconds. */
-export async function waitForUsefulPrimary(group: SessionGroup, limit: number): Promise<PrimaryView> {
+/** Waits for the primary of an operation's group only if it should be there within `limit` milliseconds. */
+export async function waitForUsefulPrimary({group, context, trace}: Pick<Operation, 'group' | 'context' | 'trace'>, limit: number): Promise<PrimaryView> {
 	const view = group.primary();
-	return view.kind === 'leased' || view.retryAfter > limit ? view : group.waitForPrimary(limit);
+	if (view.kind === 'leased' || view.retryAfter > limit) {
+		return view;
+	}
+
+	const startedAt = context.now().steady;
+	const later = await group.waitForPrimary(limit);
+	trace.addSpan('primary', context.now().steady - startedAt);
+	return later;
 }
