Let one host read the store for the fleet, and tell newer rows only

Cause: a reader in each zone made three calls a second for ever, and whole tables were told at each change. Now one host reads for the fleet, the first of each zone asks it, and reads for its zone when that way is cut, silent or late; hosts ask that one. Answers wait for renewed proofs, so that a proof reaches all hosts when it is made, and calls end at common moments. Rows are told that are newer than the asker's mark; a mark tells two states of a table apart whoever read them. Hosts register first and then read once. Who reads the store samples positions just before it tells.

Ruled out: second readers of the fleet behind the first (knowledge that goes in a circle); a shorter period (calls are the dearest price).

--- a/packages/hosts/create-fleet-peer.ts
+++ b/packages/hosts/create-fleet-peer.ts
@@ -8,7 +8,9 @@
 } from '@sapphirefall/wire';
 import {createCallChannel} from './create-call-channel.ts';
 import {decodeJobAnswer} from './decode-job-answer.ts';
+import {decodeMark} from './decode-mark.ts';
 import {encodeJob} from './encode-job.ts';
+import {encodeMark} from './encode-mark.ts';
 
 type Options = {
 	/** Milliseconds to wait for an answer. */
@@ -61,10 +63,10 @@
 	};
 
 	return {
-		async readTables(changedAt, wait) {
+		async readTables(asked, wait) {
 			const answer = await send({
 				case: 'readTables',
-				value: {changedAt: Object.fromEntries([...changedAt].map(([table, version]) => [table, BigInt(version)])), waitMs: wait},
+				value: {tables: [...asked].map(([table, {mark, age}]) => ({table, ageMs: age, ...mark && {mark: encodeMark(mark)}})), waitMs: wait},
 			}, wait);
 			return answer?.case === 'readTables'
 				? {tables: decodeTables(answer.value), positions: decodePositions(answer.value), waited: answer.value.waitedMs}
@@ -123,12 +125,14 @@
 
 function decodeTables({tables}: ReadTablesResponse): PeerKnowledge['tables'] {
 	return tables.map(({
-		table, version, changedAt, ageMs, changed, rows,
+		table, version, mark, ageMs, whole, rows, reader,
 	}) => ({
 		table: table as StoreTable,
 		version: Number(version),
-		changedAt: Number(changedAt),
+		mark: decodeMark(mark),
 		age: ageMs,
-		rows: changed ? rows.map(row => ({key: row.key, value: row.value, version: Number(row.version)})) : undefined,
+		reader,
+		isWhole: whole,
+		rows: rows.map(row => ({key: row.key, value: row.value, version: Number(row.version)})),
 	}));
 }
--- a/packages/hosts/serve-fleet.ts
+++ b/packages/hosts/serve-fleet.ts
@@ -5,7 +5,9 @@
 	FleetRequestSchema, FleetResponseSchema, type FleetRequest, type FleetResponse,
 } from '@sapphirefall/wire';
 import {decodeJob} from './decode-job.ts';
+import {decodeMark} from './decode-mark.ts';
 import {encodeJobAnswer} from './encode-job-answer.ts';
+import {encodeMark} from './encode-mark.ts';
 import {serveCalls} from './serve-calls.ts';
 
 type Answer = FleetResponse['answer'];
@@ -35,8 +37,8 @@
 async function createAnswer(call: FleetRequest['call'], own: FleetPeer): Promise<unknown> {
 	switch (call.case) {
 		case 'readTables': {
-			const known = new Map(Object.entries(call.value.changedAt).map(([table, version]) => [table as StoreTable, Number(version)]));
-			const {tables = [], positions = [], waited = 0} = await own.readTables(known, call.value.waitMs) ?? {};
+			const asked = new Map(call.value.tables.map(({table, mark, ageMs}) => [table as StoreTable, {mark: mark && decodeMark(mark), age: ageMs}]));
+			const {tables = [], positions = [], waited = 0} = await own.readTables(asked, call.value.waitMs) ?? {};
 			return {
 				case: call.case,
 				value: {
@@ -47,14 +49,15 @@
 						group, epoch: BigInt(epoch), position, ageMs: age,
 					})),
 					tables: tables.map(({
-						table, version, changedAt, age, rows,
+						table, version, mark, age, reader, isWhole, rows,
 					}) => ({
 						table,
 						version: BigInt(version),
-						changedAt: BigInt(changedAt),
+						mark: encodeMark(mark),
 						ageMs: age,
-						changed: rows !== undefined,
-						rows: rows?.map(row => ({key: row.key, value: row.value ?? '', version: BigInt(row.version)})) ?? [],
+						reader,
+						whole: isWhole,
+						rows: rows.map(row => ({key: row.key, value: row.value ?? '', version: BigInt(row.version)})),
 					})),
 				},
 			};
--- a/packages/sessions/choose-source.test.ts
+++ b/packages/sessions/choose-source.test.ts
@@ -1,30 +1,53 @@
+import {rankHosts} from '@sapphirefall/decisions';
 import {expect} from 'chai';
 import {chooseSource} from './choose-source.ts';
 
-const row = (name: string) => ({
-	name, zone: name.slice(0, 1), address: '', incarnation: 1,
-});
-const hosts = ['a1', 'a2', 'a3', 'b1', 'c1'].map(name => row(name));
+const names = ['a1', 'a2', 'a3', 'b1', 'b2', 'c1'];
+const hosts = names.map(name => ({name, zone: name.slice(0, 1)}));
 const choose = (self: string, avoided: readonly string[] = []) => chooseSource({
 	self, zone: self.slice(0, 1), hosts, avoidedUntil: new Map(avoided.map(name => [name, 100])), now: 50,
 });
+const [fleetReader = ''] = rankHosts('reader', names);
+const readersOf = (zone: string) => rankHosts(`reader/${zone}`, names.filter(name => name.startsWith(zone)));
+const zone = ['a', 'b'].find(name => !fleetReader.startsWith(name)) ?? '';
+const [zoneReader = '', next = ''] = readersOf(zone);
 
 describe('chooseSource', () => {
-	it('lets one host of a zone read for all of it', () => {
-		expect(new Set(['a1', 'a2', 'a3'].map(self => choose(self))).size).to.equal(1);
-	});
-
-	it('takes the next of the zone when the first does not know enough', () => {
-		const first = choose('a1');
-		expect(choose('a1', [first])).to.match(/^a/v).and.not.equal(first);
-	});
+	const cases = [
+		{
+			name: 'reads the store for the whole fleet', self: fleetReader, avoided: [], expected: fleetReader,
+		},
+		{
+			name: 'asks the reader of the fleet on behalf of a zone', self: zoneReader, avoided: [], expected: fleetReader,
+		},
+		{
+			name: 'asks the first host of its zone', self: next, avoided: [], expected: zoneReader,
+		},
+		{
+			name: 'reads for its zone when the reader of the fleet knows too little', self: zoneReader, avoided: [fleetReader], expected: zoneReader,
+		},
+		{
+			name: 'takes the place of the first of its zone when that knows too little', self: next, avoided: [zoneReader], expected: fleetReader,
+		},
+		{
+			name: 'reads for its zone when neither knows enough', self: next, avoided: [zoneReader, fleetReader], expected: next,
+		},
+		{
+			name: 'reads itself when nobody knows enough', self: zoneReader, avoided: names, expected: zoneReader,
+		},
+	];
+	for (const {name, self, avoided, expected} of cases) {
+		it(name, () => {
+			expect(choose(self, avoided)).to.equal(expected);
+		});
+	}
 
-	it('asks another zone when none of its own knows enough', () => {
-		expect(choose('a1', ['a1', 'a2', 'a3'])).to.match(/^[bc]/v);
+	it('asks another zone when none of its own knows enough, not even itself', () => {
+		const local = names.filter(name => name.startsWith(zone));
+		expect(choose(zoneReader, local)).to.not.match(new RegExp(`^${zone}`, 'v'));
 	});
 
-	it('reads itself when nobody knows enough, or nobody is known', () => {
-		expect(choose('a1', ['a1', 'a2', 'a3', 'b1', 'c1'])).to.equal('a1');
+	it('asks the store where no host is known', () => {
 		expect(chooseSource({
 			self: 'a1', zone: 'a', hosts: [], avoidedUntil: new Map(), now: 0,
 		})).to.equal('a1');
--- a/packages/sessions/create-fleet-control.ts
+++ b/packages/sessions/create-fleet-control.ts
@@ -252,6 +252,7 @@
 				}
 			}
 		},
+		register,
 		isRegistered,
 		listRecentHosts,
 		async fenceGroup(group, epoch) {
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -8,6 +8,7 @@
 import type {GroupRow} from './group-row.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {Instant} from './instant.ts';
+import {isSampleDue} from './is-sample-due.ts';
 import type {OpenLink} from './open-link.ts';
 import type {PositionSample} from './position-sample.ts';
 import type {PrimaryView} from './primary-view.ts';
@@ -21,8 +22,8 @@
 	readonly zone: string;
 	readonly openLink: OpenLink;
 	readonly gateways: Gateways;
-	/** Milliseconds without a sample of the primary's position after which it is asked for one. */
-	readonly findSampleInterval: () => number;
+	/** Whether this host reads the store, and tells others how far the primary's log is. */
+	readonly isReading: () => boolean;
 	readonly now: () => Instant;
 	readonly log: SessionLog;
 	/** A workspace in whose name the primary may be asked for its position. */
@@ -35,10 +36,13 @@
 /** Milliseconds for which an idle connection is kept to an instance that others connect to. */
 const foreignLinkSpan = 2000;
 
+/** Milliseconds after such a read for which positions are kept up to date. */
+const wantedSpan = 5000;
+
 /** Creates what a host keeps of a group of instances. */
 export function createSessionGroup(name: string, options: Options): SessionGroup {
 	const {
-		zone, openLink, gateways, now, log, findWorkspace, findSampleInterval,
+		zone, openLink, gateways, now, log, findWorkspace, isReading,
 	} = options;
 	const instances = new Map<string, InstanceRuntime>();
 	const waiters = new Set<() => void>();
@@ -52,6 +56,8 @@
 	let isRegistered = false;
 	let samples: readonly PositionSample[] = [];
 	let isProbing = false;
+	/** When a caller last wanted to read at a replica, in steady milliseconds. */
+	let wantedAt = Number.NEGATIVE_INFINITY;
 
 	const primary = () => findPrimary({
 		row: row !== undefined && row.epoch < fencedEpoch ? {...row, state: 'fencing'} : row, provenAt, fencedAt, isRegistered,
@@ -211,7 +217,10 @@
 		},
 		findInstance: id => instances.get(id),
 		listInstances: () => [...instances.values()],
-		findRequired: read => row === undefined ? undefined : findRequiredPosition({samples, epoch: row.epoch, ...read}),
+		findRequired(read) {
+			wantedAt = now().steady;
+			return row === undefined ? undefined : findRequiredPosition({samples, epoch: row.epoch, ...read});
+		},
 		listReaders,
 		noteAnswer,
 		findNewestPosition() {
@@ -229,7 +238,14 @@
 			dropMissing();
 			dropForeignLinks();
 			const last = samples.at(-1);
-			if (isProbing || (last !== undefined && findElapsed(last.askedAt, now()) < findSampleInterval())) {
+			const at = now();
+			const isDue = isSampleDue({
+				age: last === undefined ? Number.POSITIVE_INFINITY : findElapsed(last.askedAt, at),
+				isReading: isReading(),
+				isWanted: at.steady - wantedAt < wantedSpan,
+				now: at.steady,
+			});
+			if (isProbing || !isDue) {
 				return;
 			}
 
--- a/packages/sessions/create-table-reader.ts
+++ b/packages/sessions/create-table-reader.ts
@@ -1,13 +1,21 @@
 /* eslint-disable no-await-in-loop -- the steps follow each other */
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {AskedTable} from './asked-table.ts';
 import {chooseSource} from './choose-source.ts';
-import {findElapsed} from './find-elapsed.ts';
+import {createPeerTable} from './create-peer-table.ts';
+import {createTableKnowledge} from './create-table-knowledge.ts';
+import {findAlignedWait} from './find-aligned-wait.ts';
+import {findRenewal} from './find-renewal.ts';
+import {findTableMark} from './find-table-mark.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import {followTable} from './follow-table.ts';
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
+import {isSameMark} from './is-same-mark.ts';
 import type {KnownTable} from './known-table.ts';
+import {mergePeerTable} from './merge-peer-table.ts';
 import type {PositionOfAge} from './position-of-age.ts';
+import {proofPeriod} from './proof-period.ts';
 import type {SessionLog} from './session-log.ts';
 import {settleSpan} from './settle-span.ts';
 import type {Store} from './store.ts';
@@ -17,11 +25,13 @@
 type Options = {
 	readonly self: string;
 	readonly zone: string;
+	/** Whether the whole fleet starts for the first time. */
+	readonly isFirstStart: boolean;
 	readonly store: Store;
 	readonly listHosts: () => readonly HostRow[];
 	readonly findPeer: (host: string) => FleetPeer | undefined;
-	/** Whether the fleet has begun nothing yet, as far as its rows tell. */
-	readonly isFleetNew: () => boolean;
+	/** Registers this host in the store. */
+	readonly register: () => Promise<void>;
 	readonly onTable: (table: StoreTable, known: KnownTable) => void;
 	/** How far the logs of the primaries were, as this host knows. */
 	readonly listPositions: () => readonly PositionOfAge[];
@@ -32,104 +42,53 @@
 };
 
 /** Milliseconds that calls which follow the tables may wait for changes. */
-const followWaits = {configuration: 1500, fleet: 800, instances: 4000} as const satisfies Record<StoreTable, number>;
+const followWaits = {configuration: proofPeriod, fleet: proofPeriod, instances: 4 * proofPeriod} as const satisfies Record<StoreTable, number>;
 
-/** Milliseconds for which the host that reads the store for this one may wait for a change before it answers. */
-const pollWait = 400;
-
-/** Milliseconds between two looks at where to learn from, and between two answers that changes follow each other in. */
+/** Milliseconds between two questions to a source, and between two looks at where to learn from. */
 const stepInterval = 100;
 
+/** Milliseconds since the store confirmed what a host knows, after which it reads the store to answer others. */
+const answerLimits = {configuration: 1400, fleet: 1400, instances: 6000} as const satisfies Record<StoreTable, number>;
+
 /** Milliseconds since the store confirmed what a source knows, after which another is asked. */
-const ageLimits = {configuration: 2600, fleet: 1300, instances: 6000} as const satisfies Record<StoreTable, number>;
+const ageLimits = {configuration: 1700, fleet: 1700, instances: 6500} as const satisfies Record<StoreTable, number>;
+
+/** Milliseconds for which a source may wait for news before it answers, at the least and at the most. */
+const pollWaits = {least: 250, most: 1100};
 
-/** Answers that tell too little, or that do not come, after which a source is not asked for a while. */
-const poorAnswersLimit = 2;
+/** Milliseconds for which an answer waits for the other proofs when one is renewed. */
+const joinSpan = 40;
 
 /** Milliseconds for which a source that does not know enough is not asked: the first time, and at the most. */
 const avoidance = {first: 2000, last: 10_000};
 
-/** Milliseconds for which a host reads the store after another host has asked it. */
-const askedSpan = 2500;
+/** Milliseconds from the first start of the fleet in which a host waits for its source instead of taking its place. */
+const startPatience = 2500;
 
 /** Milliseconds after which reading the store must have told enough; a host that is asked then answers with what it has. */
 const readPatience = 250;
 
+type Asked = ReadonlyMap<StoreTable, AskedTable>;
+
 const tables: readonly StoreTable[] = ['configuration', 'fleet', 'instances'];
 
-/**
- * Creates what keeps a host's knowledge of the store: it reads the store itself, or asks the host of its zone
- * that does.
- */
+/** Creates what keeps a host's knowledge of the store: it reads the store itself, or asks another host; see `chooseSource`. */
 export function createTableReader(options: Options): TableReader {
 	const {self, zone, store, now, log} = options;
-	const known = new Map<StoreTable, KnownTable>();
 	const avoidedUntil = new Map<string, number>();
 	/** For how long sources were avoided last; forgotten once they know enough. */
 	const lastSpans = new Map<string, number>();
-	const waiters = new Set<() => void>();
-	let waitersForProof = 0;
+	/** Tables that a source must tell whole, since rows were dropped. */
+	const wantedWhole = new Set<StoreTable>();
 	let direct: AbortController | undefined;
 	let directSince = 0;
-	/** Until when this host reads the store because others ask it, in steady milliseconds. */
-	let readsUntil = 0;
 	let lastSource = '';
-	/** Answers of the present source in a row that told too little. */
-	let poorAnswers = 0;
 	let isStopped = false;
+	/** Whether enough was known once; before, hosts that start together are about to learn more. */
+	let hasLearned = false;
+	const startedAt = now().steady;
 
-	const wakeWaiters = () => {
-		for (const wake of waiters) {
-			wake();
-		}
-	};
-
-	/** Waits for a change of a table, or for a proof while too little is known, at the most for some milliseconds. */
-	const waitForNews = async (limit: number) => new Promise<void>(resolve => {
-		const wantsProof = isWhole() ? 0 : 1;
-		waitersForProof += wantsProof;
-		const finish = () => {
-			clearTimeout(timer);
-			waiters.delete(finish);
-			waitersForProof -= wantsProof;
-			resolve();
-		};
-
-		const timer = setTimeout(finish, limit);
-		waiters.add(finish);
-	});
-
-	/** Waits until there is something that an asking host does not know; reads the store if too little is known to answer. */
-	const waitForAsker = async (changedAt: ReadonlyMap<StoreTable, number>, wait: number) => {
-		const wasWhole = isWhole();
-		if (!wasWhole) {
-			startDirect();
-			if (now().steady - directSince > readPatience) {
-				return;
-			}
-		}
-
-		const until = now().steady + (wasWhole ? wait : Math.min(wait, readPatience));
-		const hasNews = () => wasWhole !== isWhole()
-			|| tables.some(table => known.has(table) && changedAt.get(table) !== known.get(table)?.changedAt);
-		while (!hasNews() && now().steady < until) {
-			await waitForNews(until - now().steady);
-		}
-	};
-
-	const take = (table: StoreTable, newer: KnownTable) => {
-		const older = known.get(table);
-		const isNewer = older === undefined || newer.version > older.version
-			|| (newer.version === older.version && newer.provenAt.steady >= older.provenAt.steady);
-		if (isNewer) {
-			known.set(table, newer);
-			if (newer.changedAt !== older?.changedAt || waitersForProof > 0) {
-				wakeWaiters();
-			}
-
-			options.onTable(table, newer);
-		}
-	};
+	const knowledge = createTableKnowledge({onTable: options.onTable, now});
 
 	const startDirect = () => {
 		if (direct !== undefined) {
@@ -142,10 +101,12 @@
 			void followTable({
 				store,
 				table,
-				wait: followWaits[table],
-				known: known.get(table),
+				reader: self,
+				findWait: at => findAlignedWait({period: proofPeriod, most: followWaits[table], now: at}),
+				now,
+				known: knowledge.findTable(table),
 				onTable(newer) {
-					take(table, newer);
+					knowledge.take(table, newer);
 				},
 				log,
 				signal: direct.signal,
@@ -153,16 +114,14 @@
 		}
 	};
 
+	/** Whether all hosts are only just starting, and those that are to read have not told anything yet. */
+	const isStarting = () => options.isFirstStart && !hasLearned && now().steady - startedAt < startPatience;
+
 	const stopDirect = () => {
 		direct?.abort();
 		direct = undefined;
 	};
 
-	const isFresh = (table: StoreTable) => {
-		const state = known.get(table);
-		return state !== undefined && findElapsed(state.provenAt, now()) <= ageLimits[table];
-	};
-
 	const avoid = (source: string) => {
 		const span = Math.min(avoidance.last, (lastSpans.get(source) ?? avoidance.first / 2) * 2);
 		lastSpans.set(source, span);
@@ -170,54 +129,123 @@
 		log.info({source, span}, 'store: A source that does not know enough is not asked for a while.');
 	};
 
-	const isWhole = () => tables.every(table => isFresh(table));
+	const hasNewRows = (asked: Asked) => knowledge.list().some(([table, {mark}]) => !isSameMark(asked.get(table)?.mark, mark));
+
+	/** Waits until an asking host can be told something; reads the store if too little is known. */
+	const waitForAsker = async (asked: Asked, wait: number) => {
+		const askedAt = now().steady;
+		let until = askedAt + wait;
+		while (!hasNewRows(asked)) {
+			const at = now().steady;
+			const renewal = findRenewal({asked, waited: at - askedAt, ages: knowledge.listAges()});
+			if (renewal === 'all') {
+				return;
+			}
+
+			if (renewal === 'some') {
+				until = Math.min(until, at + joinSpan);
+			}
+
+			const freshLeft = knowledge.findFreshLeft(answerLimits);
+			const mayRead = freshLeft <= 0 && !isStarting();
+			if (mayRead) {
+				startDirect();
+			}
+
+			const end = mayRead ? Math.min(until, directSince + readPatience) : until;
+			if (at >= end) {
+				return;
+			}
+
+			await knowledge.waitForNews(freshLeft > 0 ? Math.min(end - at, freshLeft) : end - at);
+		}
+	};
 
 	/** Asks another host; false when it does not know enough. */
 	const poll = async (source: string): Promise<boolean> => {
 		const sentAt = now();
-		const changedAt = new Map([...known].map(([table, state]) => [table, state.changedAt]));
-		const answer = await options.findPeer(source)?.readTables(changedAt, pollWait);
+		const ages = knowledge.listAges();
+		const asked: Asked = new Map(knowledge.list().map(([table, {mark}]) => [table, {mark: wantedWhole.has(table) ? undefined : mark, age: ages.get(table) ?? 0}]));
+		const wait = Math.max(pollWaits.least, Math.min(pollWaits.most, knowledge.findFreshLeft(answerLimits)));
+		const answer = await options.findPeer(source)?.readTables(asked, wait);
+		if (answer === undefined) {
+			return false;
+		}
+
 		// The other host got the question after it was sent, and answered so much later at the least.
-		const waited = answer?.waited ?? 0;
-		const answeredAfter = {steady: sentAt.steady + waited, wall: sentAt.wall + waited};
-		for (const {table, version, changedAt: lastChange, age, rows} of answer?.tables ?? []) {
-			const older = known.get(table);
-			const provenAt = {steady: answeredAfter.steady - age, wall: answeredAfter.wall - age};
-			const newRows = rows === undefined ? older?.rows : new Map(rows.map(row => [row.key, row]));
-			if (newRows !== undefined) {
-				take(table, {
-					rows: newRows, version, changedAt: lastChange, provenAt,
-				});
+		const answeredAfter = {steady: sentAt.steady + answer.waited, wall: sentAt.wall + answer.waited};
+		for (const told of answer.tables) {
+			const older = knowledge.findTable(told.table);
+			if (older !== undefined && told.version < older.version) {
+				continue;
+			}
+
+			const merged = mergePeerTable(told, {older, answeredAfter});
+			if (merged === undefined) {
+				wantedWhole.add(told.table);
+			} else {
+				wantedWhole.delete(told.table);
+				knowledge.take(told.table, merged);
 			}
 		}
 
-		options.onPositions(answer?.positions ?? [], answeredAfter);
-		return answer !== undefined && isWhole();
+		options.onPositions(answer.positions, answeredAfter);
+		// What this host itself has read is no news, though another tells it.
+		return tables.every(table => answer.tables.some(told => told.table === table && told.reader !== self && told.age <= ageLimits[table]));
+	};
+
+	const readWhole = async (table: StoreTable) => {
+		const outcome = await store.read(table);
+		if (outcome.kind === 'done') {
+			const {rows: list, version, sentAt} = outcome.value;
+			const rows = new Map(list.map(row => [row.key, row]));
+			knowledge.take(table, {
+				rows, version, mark: findTableMark(rows), provenAt: sentAt, reader: self,
+			});
+		} else {
+			log.warn({table, outcome: outcome.kind}, 'store: The table cannot be read at the start.');
+		}
 	};
 
 	/**
-	 * Reads what a host needs to serve, so that it does not wait for others that may have restarted as well. When the
-	 * fleet has no rows yet all hosts are just starting, and those that register are waited for.
+	 * Registers and reads what a host needs to serve, so that it does not wait for others that may have restarted as well.
+	 * When the fleet starts for the first time the other hosts are waited for, and one of them reads the rest.
 	 */
 	const startUp = async () => {
-		await readWhole('fleet');
-		if (options.isFleetNew()) {
+		await options.register();
+		if (options.isFirstStart) {
 			await sleep(settleSpan);
 			await readWhole('fleet');
 		} else {
-			await Promise.all([readWhole('configuration'), readWhole('instances')]);
+			await Promise.all(tables.map(async table => readWhole(table)));
 		}
 	};
 
-	const readWhole = async (table: StoreTable) => {
-		const outcome = await store.read(table);
-		if (outcome.kind === 'done') {
-			const {rows, version, sentAt} = outcome.value;
-			take(table, {
-				rows: new Map(rows.map(row => [row.key, row])), version, changedAt: version, provenAt: sentAt,
-			});
+	/** Learns from the store; gives it up for a while when it does not answer. */
+	const stepDirect = async () => {
+		startDirect();
+		if (now().steady - directSince > readPatience) {
+			if (knowledge.findFreshLeft(ageLimits) <= 0) {
+				avoid(self);
+			} else {
+				hasLearned = true;
+				lastSpans.delete(self);
+			}
+		}
+
+		await sleep(stepInterval);
+	};
+
+	const stepPolled = async (source: string) => {
+		if (await poll(source)) {
+			hasLearned = true;
+			lastSpans.delete(source);
+			stopDirect();
+			await sleep(stepInterval);
+		} else if (isStarting()) {
+			await sleep(stepInterval);
 		} else {
-			log.warn({table, outcome: outcome.kind}, 'store: The table cannot be read at the start.');
+			avoid(source);
 		}
 	};
 
@@ -232,53 +260,19 @@
 				lastSource = source;
 			}
 
-			if (source === self) {
-				startDirect();
-				const isSettled = now().steady - directSince > readPatience;
-				if (isSettled && !(isFresh('fleet') && isFresh('configuration'))) {
-					avoid(self);
-				} else if (isSettled) {
-					lastSpans.delete(self);
-				}
-			} else if (await poll(source)) {
-				poorAnswers = 0;
-				lastSpans.delete(source);
-				if (now().steady > readsUntil) {
-					stopDirect();
-				}
-			} else if (known.size === tables.length) {
-				avoid(source);
-				continue;
-			} else {
-				// The source may be about to learn more, as after a start.
-				poorAnswers++;
-				if (poorAnswers >= poorAnswersLimit) {
-					poorAnswers = 0;
-					avoid(source);
-					continue;
-				}
-			}
-
-			await sleep(stepInterval);
+			await (source === self ? stepDirect() : stepPolled(source));
 		}
 	};
 
 	void run();
 	return {
-		async readTables(changedAt, wait) {
+		async readTables(asked, wait) {
 			const askedAt = now();
-			readsUntil = askedAt.steady + askedSpan;
-			await waitForAsker(changedAt, wait);
+			await waitForAsker(asked, wait);
 			const at = now();
 			return {
 				waited: Math.max(0, at.steady - askedAt.steady),
-				tables: [...known].map(([table, state]) => ({
-					table,
-					version: state.version,
-					changedAt: state.changedAt,
-					age: findElapsed(state.provenAt, at),
-					rows: changedAt.get(table) === state.changedAt ? undefined : [...state.rows.values()],
-				})),
+				tables: knowledge.list().map(([table, known]) => createPeerTable(table, {known, asked: asked.get(table), now: at})),
 				positions: options.listPositions(),
 			};
 		},
--- a/packages/sessions/fleet-control.ts
+++ b/packages/sessions/fleet-control.ts
@@ -7,6 +7,8 @@
 	readonly updateFleet: (fleet: FleetRows) => void;
 	/** Looks for what is to be done. */
 	readonly step: () => void;
+	/** Registers this host in the store, which others see at once. */
+	readonly register: () => Promise<void>;
 	readonly isRegistered: () => boolean;
 	/** Hosts that are registered, or were a short while ago. */
 	readonly listRecentHosts: () => readonly HostRow[];
--- a/packages/sessions/fleet-peer.ts
+++ b/packages/sessions/fleet-peer.ts
@@ -1,24 +1,12 @@
+import type {AskedTable} from './asked-table.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
+import type {PeerTable} from './peer-table.ts';
 import type {PositionOfAge} from './position-of-age.ts';
 import type {RateClaim} from './rate-claim.ts';
 import type {RateGrant} from './rate-grant.ts';
-import type {StoreRow} from './store-row.ts';
 import type {StoreTable} from './store-table.ts';
 
-/** A table as another host knows it. */
-type PeerTable = {
-	readonly table: StoreTable;
-	/** Version of the store as of which the rows are known. */
-	readonly version: number;
-	/** Version of the last change that is among them. */
-	readonly changedAt: number;
-	/** Milliseconds since the store confirmed this. */
-	readonly age: number;
-	/** Undefined when the asking host knows the last change. */
-	readonly rows: readonly StoreRow[] | undefined;
-};
-
 /** What another host knows of the store and of the groups' primaries. */
 type PeerKnowledge = {
 	readonly tables: readonly PeerTable[];
@@ -47,8 +35,12 @@
 
 /** What hosts ask each other. Each call is undefined when no answer came. */
 export type FleetPeer = {
-	/** Asks for the tables, given the last changes that are known; the answer may wait for another change, in milliseconds. */
-	readonly readTables: (changedAt: ReadonlyMap<StoreTable, number>, wait: number) => Promise<PeerKnowledge | undefined>;
+	/**
+	 * Asks for the tables, given what is known of them.
+	 *
+	 * The answer comes when rows change or proofs are renewed, and after `wait` milliseconds at the latest.
+	 */
+	readonly readTables: (asked: ReadonlyMap<StoreTable, AskedTable>, wait: number) => Promise<PeerKnowledge | undefined>;
 	readonly claimRates: (claims: Claims) => Promise<Shares | 'notHome' | undefined>;
 	/** Asks the host to give up the primary of a group before an epoch; true once it has. */
 	readonly fenceGroup: (group: string, epoch: number) => Promise<boolean | undefined>;
--- a/packages/sessions/follow-table.ts
+++ b/packages/sessions/follow-table.ts
@@ -2,6 +2,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {findElapsed} from './find-elapsed.ts';
 import {findProof} from './find-proof.ts';
+import {findTableMark} from './find-table-mark.ts';
+import type {Instant} from './instant.ts';
 import type {KnownTable} from './known-table.ts';
 import type {SessionLog} from './session-log.ts';
 import type {Store} from './store.ts';
@@ -12,8 +14,11 @@
 type Options = {
 	readonly store: Store;
 	readonly table: StoreTable;
-	/** Milliseconds that a call may wait for changes. */
-	readonly wait: number;
+	/** Name of this host. */
+	readonly reader: string;
+	/** Milliseconds that a call may wait for changes, given the present steady milliseconds. */
+	readonly findWait: (now: number) => number;
+	readonly now: () => Instant;
 	/** What is known already, to go on from. */
 	readonly known: KnownTable | undefined;
 	readonly onTable: (known: KnownTable) => void;
@@ -34,7 +39,9 @@
  * Whenever a call fails or the store has forgotten the history, the table is read whole again.
  */
 export async function followTable(options: Options): Promise<void> {
-	const {store, table, wait, onTable, log, signal} = options;
+	const {
+		store, table, reader, findWait, now, onTable, log, signal,
+	} = options;
 	let {known} = options;
 	let isWhole = known !== undefined;
 	let clock: StoreClock | undefined;
@@ -43,7 +50,7 @@
 		const outcome = known === undefined || !isWhole
 			? await store.read(table)
 			// Only a short call tells how the store's clock runs, without which a long one proves little.
-			: await store.follow(table, {after: known.version, wait: clock === undefined ? 0 : wait});
+			: await store.follow(table, {after: known.version, wait: clock === undefined ? 0 : findWait(now().steady)});
 		if (signal.aborted) {
 			return;
 		}
@@ -69,11 +76,13 @@
 		const {rows, version} = outcome.value;
 		const proof = findProof(clock, outcome.value);
 		({clock} = proof);
+		const merged = known !== undefined && isWhole && rows.length === 0 ? known.rows : applyRows(isWhole ? known?.rows : undefined, rows);
 		known = {
-			rows: applyRows(isWhole ? known?.rows : undefined, rows),
+			rows: merged,
 			version,
-			changedAt: known === undefined || !isWhole || rows.length > 0 ? version : known.changedAt,
+			mark: merged === known?.rows ? known.mark : findTableMark(merged),
 			provenAt: proof.provenAt,
+			reader,
 		};
 		isWhole = true;
 		onTable(known);
--- a/packages/sessions/host-profile.ts
+++ b/packages/sessions/host-profile.ts
@@ -10,6 +10,8 @@
 export type HostProfile = {
 	readonly name: string;
 	readonly zone: string;
+	/** Whether the whole fleet starts for the first time; false at every later start of a process. */
+	readonly isFirstStart: boolean;
 	readonly listen: {
 		/** Sessions of callers. */
 		readonly callers: Address;
--- /dev/null
+++ b/packages/sessions/proof-period.ts
@@ -0,0 +1,2 @@
+/** Milliseconds between two moments at which the store confirms to the host that reads it that nothing has changed. */
+export const proofPeriod = 1000;
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -46,9 +46,6 @@
 /** Milliseconds between two rounds of small tasks. */
 const tickInterval = 100;
 
-/** Milliseconds between two samples of a primary's position, for a host that tells others and for one that is told. */
-const sampleIntervals = {reading: 300, told: 900};
-
 /** Milliseconds for which what the platform lists counts as recent. */
 const listFreshness = 6500;
 
@@ -132,7 +129,7 @@
 				now,
 				log,
 				findWorkspace,
-				findSampleInterval: () => reader.isReading() ? sampleIntervals.reading : sampleIntervals.told,
+				isReading: () => reader.isReading(),
 			});
 			groups.set(name, group);
 			group.updateInstances(listInstances().filter(entry => entry.group === name), findConnectionLimit(cap));
@@ -158,7 +155,8 @@
 		store,
 		listHosts: () => [...findFleet()?.hosts.values() ?? []],
 		findPeer,
-		isFleetNew: () => findFleet()?.groups.size === 0,
+		isFirstStart: profile.isFirstStart,
+		register: control.register,
 		onTable: takeTable,
 		listPositions: () => [...groups.values()].map(group => group.findNewestPosition()).filter(position => position !== undefined),
 		onPositions(positions, from) {
--- a/stand-ins/wire/start-store-stand-in.ts
+++ b/stand-ins/wire/start-store-stand-in.ts
@@ -87,7 +87,9 @@
 					}
 				};
 
-				const timer = setTimeout(finish, Number(query.get('wait_ms')));
+				const wait = Number(query.get('wait_ms'));
+				// The platform takes whole milliseconds only, and else does not wait.
+				const timer = setTimeout(finish, Number.isInteger(wait) ? wait : 0);
 				waiting.add(check);
 			});
 		}
--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -20,6 +20,18 @@
 	readonly hostCount: number;
 	/** Milliseconds that replicas are behind the primary. */
 	readonly lag: number;
+	/** Checkout whose hosts run; this one unless it is named. */
+	readonly checkout?: string;
+	/** Arguments of Node for the hosts. */
+	readonly nodeArguments?: readonly string[];
+	/** Whether the hosts are told that the fleet starts for the first time. */
+	readonly isFirstStart?: boolean;
+};
+
+type HostOptions = Pick<Options, 'checkout' | 'nodeArguments' | 'isFirstStart'> & {
+	readonly store: StoreStandIn;
+	/** Port at which promotions are ordered. */
+	readonly cloudPort: number;
 };
 
 const root = path.join(import.meta.dirname, '../..');
@@ -33,7 +45,7 @@
 const entryDelay = 50;
 
 /** Starts hosts as processes, with a store, three instances of one group, and promotions as stand-ins. */
-export async function startWireDeployment({hostCount, lag}: Options): Promise<WireDeployment> {
+export async function startWireDeployment({hostCount, lag, ...hostOptions}: Options): Promise<WireDeployment> {
 	const store = await startStoreStandIn();
 	const instances: InstanceStandIn[] = [];
 	const replicate = (entry: LogEntry, from: string) => {
@@ -101,7 +113,7 @@
 
 	configure({keys: ['good', 'other']});
 	list();
-	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => startHost(index, {store, cloudPort: (cloud.address() as AddressInfo).port})));
+	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => startHost(index, {...hostOptions, store, cloudPort: (cloud.address() as AddressInfo).port})));
 	return {
 		store,
 		instances,
@@ -159,13 +171,16 @@
 	};
 }
 
-async function startHost(index: number, {store, cloudPort}: {readonly store: StoreStandIn; readonly cloudPort: number}): Promise<WireDeployment['hosts'][number]> {
+async function startHost(index: number, {
+	store, cloudPort, checkout = root, nodeArguments = [], isFirstStart = false,
+}: HostOptions): Promise<WireDeployment['hosts'][number]> {
 	const name = `host-${index + 1}`;
 	const [port = 0, readyPort = 0, hostPort = 0] = await findFreePorts(3);
 	const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'sapphirefall-wire-')), 'local.conf');
 	writeFileSync(file, `node_name=${name}
 ip=127.0.0.1
 zone=${zones[index % zones.length]}
+bootstrap=${String(isFirstStart)}
 listen_addrs.front=127.0.0.1:${port}
 listen_addrs.ready=127.0.0.1:${readyPort}
 port_range=${hostPort},${hostPort + 2}
@@ -178,8 +193,8 @@
 platform.address=127.0.0.1:${store.address().port}
 cloud_api.address=127.0.0.1:${cloudPort}
 `);
-	const child = spawn(process.execPath, ['--import=tsx', 'platform/main.ts'], {
-		cwd: root, env: {...process.env, SAPPHIREFALL_BOOT: file}, stdio: ['ignore', 'pipe', 'inherit'],
+	const child = spawn(process.execPath, ['--import=tsx', ...nodeArguments, 'platform/main.ts'], {
+		cwd: checkout, env: {...process.env, SAPPHIREFALL_BOOT: file}, stdio: ['ignore', 'pipe', 'inherit'],
 	});
 	let output = '';
 	child.stdout.on('data', (piece: unknown) => {
