Claim nothing where the home grants no share, and let work follow what prepares it

Cause: a host that is given no share of a workspace's rate, and asks the home for each operation, still claimed over and over: with 20 hosts about a hundred claims a second, most of them between zones. Preparing a statement took a round trip of its own before each first execute of a shape (median 4.8 ms on the small twin of the large site).

--- a/packages/sessions/apply-setup.test.ts
+++ b/packages/sessions/apply-setup.test.ts
@@ -1,5 +1,7 @@
+import {setImmediate as waitForTurn} from 'node:timers/promises';
 import {expect} from 'chai';
 import {applySetup} from './apply-setup.ts';
+import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRequest} from './instance-request.ts';
 import type {PooledLink} from './pooled-link.ts';
 
@@ -7,7 +9,26 @@
 
 const read = {access: 'read', shape: 'q1'} as const;
 
+/** Milliseconds within which work may follow a statement that is being prepared. */
+const soon = 50;
+
 describe('applySetup', () => {
+	it('lets work follow a statement that is being prepared, and forgets one that failed', async () => {
+		const answer = new Promise<InstanceAnswer>(resolve => {
+			setTimeout(resolve, 2 * soon, {kind: 'lost', reason: ''});
+		});
+		const pooled = {values: new Map(), prepared: new Map<string, string>()} as unknown as PooledLink;
+		const startedAt = performance.now();
+		expect(await applySetup(pooled, {
+			setup: {values: new Map(), prepared: new Map([['s', read]])}, prepared: 's', isInTransaction: false, send: async () => answer,
+		})).to.equal(true);
+		expect(performance.now() - startedAt).to.be.below(soon);
+		expect(pooled.prepared.size).to.equal(1);
+		await answer;
+		await waitForTurn();
+		expect(pooled.prepared.size).to.equal(0);
+	});
+
 	const cases = [
 		{
 			name: 'does nothing when all fits', held: [['a', '1']], wanted: [['a', '1']], sent: [],
--- a/packages/sessions/apply-setup.ts
+++ b/packages/sessions/apply-setup.ts
@@ -3,6 +3,8 @@
 import type {PooledLink} from './pooled-link.ts';
 import type {SessionValues} from './session-values.ts';
 
+type PreparedStatement = SessionValues['prepared'] extends ReadonlyMap<string, infer Value> ? Value : never;
+
 type Options = {
 	readonly setup: SessionValues;
 	/** Name of the prepared statement that is to run, if any. */
@@ -13,7 +15,7 @@
 };
 
 /**
- * Brings a connection to the values of a session, and prepares the statement that is to run.
+ * Brings a connection to the values of a session, and begins to prepare the statement that is to run.
  *
  * @returns Whether the connection now holds just what the session set.
  */
@@ -41,7 +43,7 @@
 	return prepared === undefined || applyPrepared(pooled, {setup, prepared, send});
 }
 
-async function applyPrepared(pooled: PooledLink, {setup, prepared, send}: Pick<Options, 'setup' | 'send'> & {readonly prepared: string}): Promise<boolean> {
+function applyPrepared(pooled: PooledLink, {setup, prepared, send}: Pick<Options, 'setup' | 'send'> & {readonly prepared: string}): boolean {
 	const statement = setup.prepared.get(prepared);
 	if (statement === undefined) {
 		return false;
@@ -52,13 +54,21 @@
 		return true;
 	}
 
-	const name = `p${pooled.prepared.size + 1}`;
-	if (!isDone(await send({kind: 'prepare', name, prepared: statement}))) {
-		return false;
-	}
+	void prepare(pooled, {statement, shape, send});
+	return true;
+}
 
+/**
+ * Prepares a statement on a connection. What runs it may follow at once: where the preparing fails the instance answers
+ * that it knows no such name, and has run nothing.
+ */
+async function prepare(pooled: PooledLink, {statement, shape, send}: Pick<Options, 'send'> & {readonly statement: PreparedStatement; readonly shape: string}): Promise<void> {
+	const name = `p${pooled.prepared.size + 1}`;
 	pooled.prepared.set(shape, name);
-	return true;
+	const answer = await send({kind: 'prepare', name, prepared: statement});
+	if (!isDone(answer)) {
+		pooled.prepared.delete(shape);
+	}
 }
 
 function isDone(answer: InstanceAnswer): boolean {
--- a/packages/sessions/assign-rates.ts
+++ b/packages/sessions/assign-rates.ts
@@ -1,5 +1,6 @@
 import {takeUnits, type TokenBucket} from '@sapphirefall/decisions';
 import {findSpareOperations} from './find-spare-operations.ts';
+import {isServedSingly} from './is-served-singly.ts';
 import type {RateBound} from './rate-bound.ts';
 import type {RateClaim} from './rate-claim.ts';
 import type {RateGrant} from './rate-grant.ts';
@@ -47,9 +48,6 @@
 /** Operations at most that a host gets at once. */
 const unitsLimit = 8;
 
-/** Operations a second and host; where an even share is less, hosts with little demand ask for each operation instead. */
-const sparseShare = 5;
-
 /**
  * Assigns shares of the workspaces' rates to a host, by its demand and that of the others, and gives it operations
  * of the home's pool when callers wait.
@@ -102,19 +100,16 @@
 		.filter(holding => holding !== undefined);
 }
 
-/**
- * Finds a host's share: some more than its demand, or its part of what there is.
- *
- * With many hosts and little demand at each, shares would lie idle nearly everywhere; the home's pool then serves all.
- */
+/** Finds a host's share: some more than its demand, or its part of what there is. */
 function findTarget(limit: number, {claim, others, options}: {readonly claim: RateClaim; readonly others: readonly Holding[]; readonly options: Options}): number {
 	const {registered, now} = options;
-	const isSparse = limit < sparseShare * registered.length;
-	if (isSparse && claim.demand < sparseShare) {
+	const hostCount = registered.length;
+	if (isServedSingly({limit, hostCount, demand: claim.demand})) {
 		return 0;
 	}
 
-	const even = isSparse ? 0 : evenPart * limit / Math.max(1, registered.length);
+	// Where hosts without demand would be served singly, none of them gets an even part.
+	const even = isServedSingly({limit, hostCount, demand: 0}) ? 0 : evenPart * limit / Math.max(1, hostCount);
 	const demands = others.map(({claimedAt, demand}) => now - claimedAt < demandMemory ? demand : 0);
 	const total = demands.reduce((sum, demand) => sum + demand, claim.demand) * headroom;
 	const most = (1 - evenPart - keptPart) * limit;
--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -57,7 +57,7 @@
 const unitsTimeout = 120;
 
 /** Milliseconds between two claims at the least that show the home that a host lives. */
-const lifeInterval = 2000;
+const lifeInterval = 3000;
 
 /** Creates a host's shares of the rates of one partition of the workspaces. */
 export function createRateShares(options: Options): RateShares {
--- a/packages/sessions/create-share-book.ts
+++ b/packages/sessions/create-share-book.ts
@@ -4,6 +4,7 @@
 import {findHeldRate} from './find-held-rate.ts';
 import {findRatePartition} from './find-rate-partition.ts';
 import type {Instant} from './instant.ts';
+import {isServedSingly} from './is-served-singly.ts';
 import type {RateBound} from './rate-bound.ts';
 import type {RateClaim} from './rate-claim.ts';
 import type {RateGrant} from './rate-grant.ts';
@@ -42,6 +43,9 @@
 /** Share by which demand must have changed to be told. */
 const demandChange = 0.2;
 
+/** Operations a second by which it must have changed besides. */
+const leastChange = 0.5;
+
 /** Claims of all hosts at most, one for each workspace and host, for which shares are held before callers ask. */
 const expectedLimit = 200;
 
@@ -83,6 +87,12 @@
 		};
 	};
 
+	/** Whether the home grants a share that must be renewed; else the host asks it for each operation. */
+	const holdsShare = ({workspace, demand}: RateClaim) => {
+		const limit = findLimits().get(workspace)?.rate ?? 0;
+		return !isServedSingly({limit, hostCount: countHosts(), demand});
+	};
+
 	return {
 		take(workspace, limits, isFirst) {
 			const {share, isTaken, retryAfter} = takeOperation(shares.get(workspace), {
@@ -98,7 +108,7 @@
 			return [...shares.keys()]
 				.map(workspace => createClaim(workspace, 0))
 				.filter(claim => claim !== undefined)
-				.filter(claim => isWorthClaiming(claim, claimedDemand.get(claim.workspace)));
+				.filter(claim => isWorthClaiming(claim, {told: claimedDemand.get(claim.workspace), isHeld: holdsShare(claim)}));
 		},
 		createClaim,
 		noteClaimed(claims) {
@@ -123,6 +133,6 @@
 }
 
 /** Whether a claim tells the home something new, or keeps a share from lapsing. */
-function isWorthClaiming({demand, heldFor}: RateClaim, told: number | undefined): boolean {
-	return told === undefined || heldFor < renewalSpan || Math.abs(demand - told) > (demandChange * told) + 0.5;
+function isWorthClaiming({demand, heldFor}: RateClaim, {told, isHeld}: {readonly told: number | undefined; readonly isHeld: boolean}): boolean {
+	return told === undefined || (isHeld && heldFor < renewalSpan) || Math.abs(demand - told) > (demandChange * told) + leastChange;
 }
