Run work of own callers at a gateway that has room, and name what is missing by one host

Cause: where each gateway of an instance can hold a connection for every workspace, sending work of a gateway's own callers to another gateway only costs a way.

--- a/packages/sessions/create-fleet-control.ts
+++ b/packages/sessions/create-fleet-control.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- the steps follow each other */
 import {rankHosts} from '@sapphirefall/decisions';
+import {firstDelay} from './first-delay.ts';
 import type {FleetControl} from './fleet-control.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {FleetPeer} from './fleet-peer.ts';
@@ -71,7 +72,7 @@
 	/** Milliseconds for which this host leaves it to others to name a group's first primary. */
 	const findFirstDelay = (group: string) => {
 		const place = rankHosts(`first/${group}`, [...fleet?.hosts.keys() ?? []]).indexOf(own.name);
-		return settleSpan + (Math.max(0, place) * placeDelay);
+		return settleSpan + (Math.max(0, place) * firstDelay);
 	};
 
 	const isRegistered = () => fleet?.hosts.get(own.name)?.incarnation === own.incarnation;
--- a/packages/sessions/create-gateways.ts
+++ b/packages/sessions/create-gateways.ts
@@ -9,6 +9,8 @@
 	readonly own: HostRow;
 	readonly findFleet: () => FleetRows | undefined;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
+	/** Whether each gateway of a group's instances may hold a connection for every workspace. */
+	readonly isRoomy: (group: string) => boolean;
 	/** Present steady milliseconds. */
 	readonly now: () => number;
 };
@@ -30,7 +32,9 @@
 const avoidance = 1000;
 
 /** Creates the ways to instances through other hosts. */
-export function createGateways({own, findFleet, findPeer, now}: Options): Gateways {
+export function createGateways({
+	own, findFleet, findPeer, isRoomy, now,
+}: Options): Gateways {
 	const reaches = new Map<string, Reach>();
 	/** Until when a host is not used for an instance, because it cannot reach that. */
 	const cutUntil = new Map<string, number>();
@@ -50,9 +54,10 @@
 			rankedFleet = fleet;
 		}
 
-		const key = `${instance.id} ${instance.zone} ${workspace ?? ''}`;
+		const hasRoom = isRoomy(instance.group);
+		const key = `${instance.id} ${instance.zone} ${workspace ?? ''} ${String(hasRoom)}`;
 		const known = ranks.get(key) ?? rankGateways({
-			instance, workspace, zone: own.zone, hosts: [...fleet?.hosts.values() ?? []],
+			instance, workspace, self: own.name, zone: own.zone, isRoomy: hasRoom, hosts: [...fleet?.hosts.values() ?? []],
 		});
 		ranks.set(key, known);
 		return known;
--- a/packages/sessions/create-rate-shares.ts
+++ b/packages/sessions/create-rate-shares.ts
@@ -6,6 +6,7 @@
 import {findElapsed} from './find-elapsed.ts';
 import {findHeldRate} from './find-held-rate.ts';
 import {findRateHomePlace} from './find-rate-home-place.ts';
+import {firstDelay} from './first-delay.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {HomeRow} from './home-row.ts';
@@ -14,7 +15,6 @@
 import type {RateClaim} from './rate-claim.ts';
 import type {RateShares} from './rate-shares.ts';
 import type {SessionLog} from './session-log.ts';
-import {settleSpan} from './settle-span.ts';
 import type {Store} from './store.ts';
 import {takeRateHome} from './take-rate-home.ts';
 import type {Versioned} from './versioned.ts';
@@ -63,7 +63,8 @@
 export function createRateShares(options: Options): RateShares {
 	const {self, partition, incarnation, now, log} = options;
 	let fleet: FleetRows | undefined;
-	const startedAt = now().steady;
+	/** When the fleet's rows were first known, in steady milliseconds. */
+	let knownSince: number | undefined;
 	let claimedAt = Number.NEGATIVE_INFINITY;
 	/** Epoch of the home that answered last. */
 	let answeredEpoch = 0;
@@ -148,7 +149,7 @@
 	/** Whether it is this host's turn to take a place that is empty or whose holder is silent. */
 	const isVacant = (row: HomeRow | undefined, rows: FleetRows): boolean => {
 		const proof = options.findFleetProof();
-		const since = row === undefined ? startedAt + settleSpan : unansweredSince;
+		const since = row === undefined ? knownSince : unansweredSince;
 		if (since === undefined || proof === undefined || findElapsed(proof, now()) >= proofLimit || row?.holder === self) {
 			return false;
 		}
@@ -156,7 +157,7 @@
 		const place = Math.min(lastPlace, findRateHomePlace({
 			self, partition, hosts: [...rows.hosts.keys()], lost: row?.holder,
 		}));
-		return now().steady - since > (row === undefined ? 0 : homeSilence) + (place * placeDelay);
+		return now().steady - since > (row === undefined ? place * firstDelay : homeSilence + (place * placeDelay));
 	};
 
 	const logRefusal = (workspace: string, limits: WorkspaceLimits) => {
@@ -205,6 +206,7 @@
 			}
 
 			fleet = newer;
+			knownSince ??= now().steady;
 		},
 		step() {
 			if (fleet === undefined || options.findFleetProof() === undefined || isBusy || !fleet.hosts.has(self)) {
--- a/packages/sessions/rank-gateways.ts
+++ b/packages/sessions/rank-gateways.ts
@@ -7,8 +7,11 @@
 	readonly instance: Pick<ListedInstance, 'id' | 'zone'>;
 	/** Undefined when no work is to be placed, but the gateways themselves are asked for. */
 	readonly workspace: string | undefined;
-	/** Availability zone of the host that asks. */
+	/** Host that asks, and its availability zone. */
+	readonly self: string;
 	readonly zone: string;
+	/** Whether each gateway may hold a connection for every workspace. */
+	readonly isRoomy: boolean;
 	readonly hosts: ReadonlyArray<Pick<HostRow, 'name' | 'zone'>>;
 };
 
@@ -22,17 +25,22 @@
  * Ranks the hosts through which work may reach an instance, best first.
  *
  * Gateways stand in the instance's zone, so that a request crosses zones once at the most. A workspace keeps to one
- * of them, so that its connections are used again. When none of them can be reached, a host of the asking zone tries
- * the instance itself: only then does anybody outside the zone know whether the instance or its zone is lost.
+ * of them, so that its connections are used again; only where each has room for all workspaces does a gateway run the
+ * work of its own callers itself, which spares the way to another host. When no gateway can be reached, a host of the
+ * asking zone tries the instance itself: only then does anybody outside the zone know whether the instance or its zone
+ * is lost.
  */
-export function rankGateways({instance, workspace, zone, hosts}: Options): readonly string[] {
+export function rankGateways({
+	instance, workspace, self, zone, isRoomy, hosts,
+}: Options): readonly string[] {
 	const local = listZone(hosts, instance.zone);
 	const ranked = rankHosts(`gateway/${instance.id}`, local);
 	const gateways = ranked.slice(0, gatewayCount);
 	const ordered = workspace === undefined ? gateways : rankHosts(`workspace/${workspace}`, gateways);
 	const spares = ranked.slice(gatewayCount, gatewayCount + spareCount);
 	const backups = zone === instance.zone ? [] : rankHosts(`gateway/${instance.id}`, listZone(hosts, zone)).slice(0, backupCount);
-	return [...ordered, ...spares, ...backups];
+	const own = isRoomy && workspace !== undefined ? ordered.filter(name => name === self) : [];
+	return [...new Set([...own, ...ordered, ...spares, ...backups])];
 }
 
 function listZone(hosts: Options['hosts'], zone: string): readonly string[] {
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -117,7 +117,14 @@
 	});
 
 	const gateways = createGateways({
-		own, findFleet, findPeer, now: () => now().steady,
+		own,
+		findFleet,
+		findPeer,
+		isRoomy(group) {
+			const directory = findDirectory()?.directory;
+			return findConnectionLimit(directory?.connectionCaps.get(group) ?? 0) >= (directory?.limits.size ?? Number.POSITIVE_INFINITY);
+		},
+		now: () => now().steady,
 	});
 
 	const updateGroups = () => {
