Send reads along with the question whether their gateway is there, and ask for writes early

A read, or the beginning of a transaction, may run again elsewhere and goes out at once; a write's question is asked while the workspace's share is.

--- a/packages/hosts/serve-calls.ts
+++ b/packages/hosts/serve-calls.ts
@@ -20,8 +20,8 @@
 /** Bytes of answers that may wait; a host that takes them no faster is not waited for. */
 const waitingLimit = 16 * 1024 * 1024;
 
-/** Milliseconds without any message after which a connection is closed, whose other end may be gone. */
-const idleSpan = 90_000;
+/** Milliseconds without any message after which a connection is closed, whose other end may be gone; longer than callers keep it. */
+const idleSpan = 360_000;
 
 /** Serves calls of other hosts, as made by `openCallConnection`. Answers go out as they are ready. */
 export function serveCalls<Request extends {readonly id: number}>(
--- a/packages/sessions/create-gateways.ts
+++ b/packages/sessions/create-gateways.ts
@@ -84,13 +84,9 @@
 	return {
 		self: own.name,
 		list,
-		async isReachable(host, instance, job) {
+		isAvoided: (host, instance) => Math.max(findReach(host).avoidedUntil, cutUntil.get(findPair(host, instance)) ?? 0) > now(),
+		async isAnswering(host, {isRepeatable}) {
 			const reach = findReach(host);
-			if (Math.max(reach.avoidedUntil, cutUntil.get(findPair(host, instance)) ?? 0) > now()) {
-				return false;
-			}
-
-			const isRepeatable = job.kind === 'position' || (job.kind === 'single' && job.work.access === 'read');
 			if (now() - reach.heardAt < (isRepeatable ? reachSpans.repeatable : reachSpans.other)) {
 				return true;
 			}
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -79,6 +79,12 @@
 			listed: () => listed, local: runLocally, gateways, note, now,
 		}),
 		runLocally,
+		reach(workspace) {
+			const [gateway = gateways.self] = gateways.list(listed, workspace);
+			if (gateway !== gateways.self && !gateways.isAvoided(gateway, listed)) {
+				void gateways.isAnswering(gateway, {isRepeatable: false});
+			}
+		},
 		update(newer) {
 			listed = newer;
 		},
--- a/packages/sessions/create-routed-runner.test.ts
+++ b/packages/sessions/create-routed-runner.test.ts
@@ -20,10 +20,19 @@
 	after: undefined,
 };
 
+const read: Job = {
+	...job,
+	work: {
+		id: '1', text: 'READ a', access: 'read', execute: undefined,
+	},
+};
+
 type Case = {
 	readonly name: string;
 	/** What each gateway says, in the order in which they are tried; `dark` does not answer whether it is there. */
-	readonly says: Readonly<Record<string, JobAnswer | 'notServed' | 'dark' | undefined>>;
+	readonly says: Readonly<Record<string, JobAnswer | 'notServed' | 'dark' | 'avoided' | undefined>>;
+	/** A write unless it is said. */
+	readonly work?: 'read';
 	readonly maySend?: boolean;
 	readonly expected: {readonly kind: JobAnswer['kind']; readonly asked: readonly string[]; readonly isLocal?: boolean};
 };
@@ -32,6 +41,15 @@
 	{
 		name: 'the first that can be reached runs the job', says: {b1: 'dark', b2: done, b3: done}, expected: {kind: 'answered', asked: ['b2']},
 	},
+	{
+		name: 'a read does not wait for the answer whether a gateway is there, and goes elsewhere when it is not',
+		work: 'read',
+		says: {b1: 'dark', b2: done},
+		expected: {kind: 'answered', asked: ['b1', 'b2']},
+	},
+	{
+		name: 'one that gave no answer a moment ago is not tried', work: 'read', says: {b1: 'avoided', b2: done}, expected: {kind: 'answered', asked: ['b2']},
+	},
 	{
 		name: 'one that takes no work is passed over', says: {b1: 'notServed', b2: done}, expected: {kind: 'answered', asked: ['b1', 'b2']},
 	},
@@ -58,18 +76,25 @@
 ];
 
 describe('createRoutedRunner', () => {
-	for (const {name, says, maySend = true, expected} of cases) {
+	for (const {
+		name, says, work, maySend = true, expected,
+	} of cases) {
 		it(name, async () => {
 			const asked: string[] = [];
 			let isLocal = false;
 			const gateways: Gateways = {
 				self: 'self',
 				list: () => Object.keys(says),
-				isReachable: async host => says[host] !== 'dark',
+				isAvoided: host => says[host] === 'avoided',
+				isAnswering: async host => says[host] !== 'dark',
 				async runJob(host) {
 					asked.push(host);
 					const answer = says[host];
-					return answer === 'dark' ? undefined : answer;
+					return new Promise(resolve => {
+						if (answer !== 'dark' && answer !== 'avoided') {
+							resolve(answer);
+						}
+					});
 				},
 			};
 			const run = createRoutedRunner({
@@ -84,7 +109,7 @@
 				note: () => undefined,
 				now: () => 0,
 			});
-			const {answer} = await run(job, () => maySend);
+			const {answer} = await run(work === 'read' ? read : job, () => maySend);
 			expect({kind: answer.kind, asked, isLocal}).to.deep.equal({isLocal: false, ...expected});
 		});
 	}
--- a/packages/sessions/create-routed-runner.ts
+++ b/packages/sessions/create-routed-runner.ts
@@ -1,6 +1,7 @@
 /* eslint-disable no-await-in-loop -- one host is tried after the other */
 import type {applyObservation} from './apply-observation.ts';
 import type {Gateways} from './gateways.ts';
+import {isRepeatable} from './is-repeatable.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {JobRunner} from './job-runner.ts';
 import type {JobSpans} from './job-spans.ts';
@@ -22,8 +23,8 @@
 /**
  * Creates what finds a way for jobs to an instance: this host's own connections, or those of a gateway.
  *
- * A gateway that takes no work, or cannot be reached, is passed over. One that was given a job and does not answer may
- * have run it, so the answer is then lost.
+ * A gateway that takes no work, or cannot be reached, is passed over. One that was given a job which must not run again,
+ * and does not answer, may have run it, so the answer is then lost.
  */
 export function createRoutedRunner({listed, local, gateways, note, now}: Options): RunJob {
 	const createGatewayRunner = (host: string): ((job: Job) => Promise<JobAnswer | 'notServed'>) => async job => {
@@ -55,7 +56,14 @@
 				return runLocally(job, maySend);
 			}
 
-			if (!await gateways.isReachable(host, listed(), job)) {
+			if (gateways.isAvoided(host, listed())) {
+				continue;
+			}
+
+			// Work that may run again elsewhere goes out with the question whether the host is there; a write after the answer.
+			const mayRepeat = isRepeatable(job);
+			const answering = gateways.isAnswering(host, {isRepeatable: mayRepeat});
+			if (!mayRepeat && !await answering) {
 				continue;
 			}
 
@@ -64,7 +72,7 @@
 			}
 
 			const run = createGatewayRunner(host);
-			const answer = await run(job);
+			const answer = await Promise.race([run(job), waitUntilAbsent(answering)]);
 			const isPassedOver = answer === 'notServed' || (answer.kind === 'notSent' && answer.isUnreachable === true);
 			if (!isPassedOver) {
 				return {answer, runner: createPinnedRunner(host, run)};
@@ -76,6 +84,16 @@
 	};
 }
 
+/** Waits until a host turns out not to answer; for ever if it does. */
+async function waitUntilAbsent(answering: Promise<boolean>): Promise<'notServed'> {
+	const isThere = await answering;
+	return new Promise(resolve => {
+		if (!isThere) {
+			resolve('notServed');
+		}
+	});
+}
+
 /** Milliseconds that a job took at its gateway. */
 function countSpans({queue, open, setup, instance}: JobSpans): number {
 	return queue + open + setup + instance;
--- a/packages/sessions/create-statement-runner.ts
+++ b/packages/sessions/create-statement-runner.ts
@@ -128,7 +128,22 @@
 		return outcome;
 	};
 
+	/** Has the way to the primary made sure while the workspace's share is asked for. */
+	const reachPrimary = () => {
+		const caller = findCaller();
+		const access = caller && context.findAccess(caller);
+		const group = access?.kind === 'allowed' ? context.findGroup(access.route.group) : undefined;
+		const view = group?.primary();
+		if (access?.kind === 'allowed' && view?.kind === 'leased') {
+			group?.findInstance(view.instance)?.reach(access.workspace);
+		}
+	};
+
 	const runSingle = async (work: Work, trace: StatementTrace): Promise<StatementOutcome> => {
+		if (work.access === 'write') {
+			reachPrimary();
+		}
+
 		const operation = await admitOperation(trace);
 		if (!('group' in operation)) {
 			return operation;
--- a/packages/sessions/instance-runtime.ts
+++ b/packages/sessions/instance-runtime.ts
@@ -19,6 +19,8 @@
 	readonly send: (link: PooledLink, request: InstanceRequest, timeout: number) => Promise<InstanceAnswer>;
 	/** Runs a job on an own connection or through a gateway. */
 	readonly run: RunJob;
+	/** Makes sure that the gateway of a workspace answers, before a write needs to know. */
+	readonly reach: (workspace: string) => void;
 	/** Runs a job on an own connection. */
 	readonly runLocally: JobRunner;
 	/** Takes note that the instance said it lacks a position. */
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -34,6 +34,7 @@
 		listed: () => ({
 			id, group: 'pondbook', host: '', port: 0, zone: 'a', slots: 5, isDeparting: false, role: 'replica',
 		}),
+		reach: () => undefined,
 		update: () => undefined,
 		health() {
 			throw new Error('The health is not asked for');
