--- a/bench/statements.ts
+++ b/bench/statements.ts
@@ -2,11 +2,15 @@
 import path from 'node:path';
 import process from 'node:process';
 import cac from 'cac';
+import {measureCalls} from './measure-calls.ts';
 import {measureStatements} from './measure-statements.ts';
 
 /** Checkouts that are measured, by name. */
 type Checkouts = ReadonlyMap<string, string>;
 
+/** Calls in flight for which a call is measured. */
+const callsInFlight = [1, 4, 32];
+
 const cli = cac('bench:statements');
 cli.command('', 'Measure what a statement and an idle host cost, with hosts as processes over stand-ins')
 	.option('--hosts <counts>', 'Numbers of hosts, joined by commas', {default: '3,9,30'})
@@ -15,11 +19,19 @@
 	.action(async ({hosts, base, parts = false}: {readonly hosts: string | number; readonly base?: string; readonly parts?: boolean}) => {
 		const own = path.join(import.meta.dirname, '..');
 		const checkouts = new Map([['this', own], ...base === undefined ? [] : [['base', path.resolve(base)] as const]]);
+		await printCallCosts();
 		await printCosts(String(hosts).split(',').map(Number), {checkouts, isProfiled: parts});
 	});
 cli.help();
 cli.parse();
 
+async function printCallCosts(): Promise<void> {
+	for (const inFlight of callsInFlight) {
+		const span = await measureCalls(inFlight);
+		process.stdout.write(`a call between hosts, ${inFlight} in flight: ${span.toFixed(0)} µs\n`);
+	}
+}
+
 async function printCosts(counts: readonly number[], {checkouts, isProfiled}: {readonly checkouts: Checkouts; readonly isProfiled: boolean}): Promise<void> {
 	for (const hostCount of counts) {
 		for (const [name, checkout] of checkouts) {
--- a/packages/sessions/follow-table.ts
+++ b/packages/sessions/follow-table.ts
@@ -27,8 +27,11 @@
 	readonly signal: AbortSignal;
 };
 
-/** Milliseconds between two calls at the least: rows that change one after the other are fetched together. */
-const callSpacing = 120;
+/**
+ * Milliseconds between two calls at the least: rows that change one after the other are fetched together. Instances tell
+ * small changes all the time, none of which must be known at once.
+ */
+const callSpacings = {configuration: 200, fleet: 120, instances: 600} as const satisfies Record<StoreTable, number>;
 
 /** Milliseconds between two tries while the store does not answer, at the least and at the most. */
 const retryDelay = {first: 100, last: 400};
@@ -86,7 +89,7 @@
 		};
 		isWhole = true;
 		onTable(known);
-		await sleep(Math.max(0, callSpacing - findElapsed(outcome.value.sentAt, outcome.value.answeredAt)));
+		await sleep(Math.max(0, callSpacings[table] - findElapsed(outcome.value.sentAt, outcome.value.answeredAt)));
 	}
 }
 
