Make fewer pairs of hosts where a fleet is large, and ask for signs of life during jobs only

Cause: on 195 hosts three gateways an instance make 24,000 pairs of hosts that hear of each other every half minute, each with a connection; long questions for the tables were watched by two pings a second and host; every host looked ten times a second at what nothing asked for.

--- a/packages/hosts/create-call-channel.test.ts
+++ b/packages/hosts/create-call-channel.test.ts
@@ -98,7 +98,7 @@
 		},
 	});
 	return {
-		send: async (text: string, timeout = 1000) => call(id => encode({id, text}), timeout),
+		send: async (text: string, timeout = 1000, isWatched = true) => call(id => encode({id, text}), {timeout, isWatched}),
 		countConnections: () => connections,
 		broken,
 	};
@@ -168,6 +168,18 @@
 		expect(performance.now() - startedAt).to.be.below(silenceBound);
 	});
 
+	it('asks for no sign of life during a call that is not watched', async () => {
+		const lengths: number[] = [];
+		const {server, port} = await startSocketServer(socket => {
+			socket.on('data', piece => {
+				lengths.push(piece.length);
+			});
+		});
+		expect(await openChannel(port).send('a', 1200, false)).to.deep.equal({kind: 'lost'});
+		server.close();
+		expect(lengths).to.have.length(1);
+	});
+
 	it('keeps a call open while the host shows life', async () => {
 		const {server, port} = await startHost();
 		expect((await openChannel(port).send('wait 1500', 3000)).kind).to.equal('answered');
--- a/packages/hosts/create-call-channel.ts
+++ b/packages/hosts/create-call-channel.ts
@@ -10,12 +10,12 @@
  */
 export function createCallChannel<Response extends {readonly id: number}>(options: CallOptions<Response>): CallConnection<Response>['call'] {
 	let connection: CallConnection<Response> | undefined;
-	return async (encode, timeout) => {
+	return async (encode, limits) => {
 		if (connection === undefined || connection.isDoubtful()) {
 			connection?.retire();
 			connection = openCallConnection(options);
 		}
 
-		return connection.call(encode, timeout);
+		return connection.call(encode, limits);
 	};
 }
--- a/packages/hosts/create-fleet-peer.ts
+++ b/packages/hosts/create-fleet-peer.ts
@@ -58,7 +58,7 @@
 
 	/** Sends a call that may wait for some milliseconds at the other host. */
 	const send = async (call: Call, wait = 0) => {
-		const outcome = await channel(encode(call), timeout + wait);
+		const outcome = await channel(encode(call), {timeout: timeout + wait, isWatched: false});
 		return outcome.kind === 'answered' ? outcome.response.answer : undefined;
 	};
 
@@ -102,7 +102,7 @@
 		},
 		async runJob(instance, job) {
 			const jobTimeout = ('timeout' in job ? job.timeout : usualJobTimeout) + wayMargin;
-			const outcome = await channel(encode({case: 'runJob', value: encodeJob(instance, job)}), jobTimeout);
+			const outcome = await channel(encode({case: 'runJob', value: encodeJob(instance, job)}), {timeout: jobTimeout, isWatched: true});
 			if (outcome.kind !== 'answered') {
 				return outcome.kind === 'notSent' ? 'notServed' : undefined;
 			}
@@ -111,7 +111,7 @@
 			return answer.case === 'runJob' ? decodeJobAnswer(answer.value) : undefined;
 		},
 		async ping() {
-			const {kind} = await channel(encodePing, pingTimeout);
+			const {kind} = await channel(encodePing, {timeout: pingTimeout, isWatched: false});
 			return kind === 'answered';
 		},
 	};
--- a/packages/hosts/open-call-connection.ts
+++ b/packages/hosts/open-call-connection.ts
@@ -6,14 +6,15 @@
 
 type OpenCall<Response> = {
 	readonly deadline: number;
+	readonly isWatched: boolean;
 	readonly sentAt: number;
 	readonly finish: (outcome: CallOutcome<Response>) => void;
 };
 
-/** Milliseconds without a message, while a call is open, after which a sign of life is asked for. */
+/** Milliseconds without a message, while a watched call is open, after which a sign of life is asked for. */
 const beatInterval = 400;
 
-/** Milliseconds without a message, while a call is open, after which the connection counts as silent and is closed. */
+/** Milliseconds without a message, while a watched call is open, after which the connection counts as silent and is closed. */
 const silenceLimit = 900;
 
 /** Milliseconds between two looks at deadlines at the least; calls that time out may do so this much late. */
@@ -36,6 +37,8 @@
 	const writer = createFrameWriter(socket);
 	const split = createFrameSplitter();
 	const open = new Map<number, OpenCall<Response>>();
+	/** Open calls during which the other host must show life. */
+	let watched = 0;
 	let lastId = 0;
 	let heardAt = now();
 	let beatAt = heardAt;
@@ -77,6 +80,13 @@
 		}
 	};
 
+	const takeCall = (id: number) => {
+		const call = open.get(id);
+		open.delete(id);
+		watched -= call?.isWatched === true ? 1 : 0;
+		return call;
+	};
+
 	const receive = (message: Uint8Array) => {
 		const response = options.decode(message);
 		if (response.id === 0 || response.id > lastId) {
@@ -84,9 +94,7 @@
 		}
 
 		// An answer that comes after its deadline finds no call any more.
-		const call = open.get(response.id);
-		open.delete(response.id);
-		call?.finish({kind: 'answered', response});
+		takeCall(response.id)?.finish({kind: 'answered', response});
 	};
 
 	const read = (piece: Buffer) => {
@@ -115,7 +123,7 @@
 		let earliest = Number.POSITIVE_INFINITY;
 		for (const [id, call] of open) {
 			if (call.deadline <= at) {
-				open.delete(id);
+				takeCall(id);
 				isDoubtful ||= heardAt <= call.sentAt;
 				call.finish({kind: 'lost'});
 			} else {
@@ -143,6 +151,11 @@
 			return;
 		}
 
+		if (watched === 0) {
+			startTimer(earliest, at);
+			return;
+		}
+
 		if (at - heardAt >= silenceLimit) {
 			close();
 			return;
@@ -174,13 +187,13 @@
 	});
 
 	return {
-		async call(encode, timeout) {
+		async call(encode, {timeout, isWatched}) {
 			if (isClosed || writer.waitingBytes() > waitingLimit) {
 				return {kind: 'notSent'};
 			}
 
 			const at = now();
-			if (open.size === 0) {
+			if (isWatched && watched === 0) {
 				// Silence counts from the first call that waits.
 				heardAt = at;
 			}
@@ -189,8 +202,11 @@
 			const id = lastId;
 			writer.write(encode(id));
 			return new Promise(resolve => {
-				open.set(id, {deadline: at + timeout, sentAt: at, finish: resolve});
-				startTimer(Math.min(at + timeout, at + beatInterval), at);
+				open.set(id, {
+					deadline: at + timeout, isWatched, sentAt: at, finish: resolve,
+				});
+				watched += isWatched ? 1 : 0;
+				startTimer(isWatched ? Math.min(at + timeout, at + beatInterval) : at + timeout, at);
 			});
 		},
 		isDoubtful: () => isClosed || isDoubtful || lastId >= lastNumber,
--- a/packages/sessions/create-gateways.ts
+++ b/packages/sessions/create-gateways.ts
@@ -9,6 +9,8 @@
 	readonly own: HostRow;
 	readonly findFleet: () => FleetRows | undefined;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
+	/** Hosts that connect to each instance now. */
+	readonly findCount: () => number;
 	/** Whether each gateway of a group's instances may hold a connection for every workspace. */
 	readonly isRoomy: (group: string) => boolean;
 	/** Present steady milliseconds. */
@@ -33,7 +35,7 @@
 
 /** Creates the ways to instances through other hosts. */
 export function createGateways({
-	own, findFleet, findPeer, isRoomy, now,
+	own, findFleet, findPeer, findCount, isRoomy, now,
 }: Options): Gateways {
 	const reaches = new Map<string, Reach>();
 	/** Until when a host is not used for an instance, because it cannot reach that. */
@@ -55,9 +57,10 @@
 		}
 
 		const hasRoom = isRoomy(instance.group);
-		const key = `${instance.id} ${instance.zone} ${workspace ?? ''} ${String(hasRoom)}`;
+		const count = findCount();
+		const key = `${instance.id} ${instance.zone} ${workspace ?? ''} ${count} ${String(hasRoom)}`;
 		const known = ranks.get(key) ?? rankGateways({
-			instance, workspace, self: own.name, zone: own.zone, isRoomy: hasRoom, hosts: [...fleet?.hosts.values() ?? []],
+			instance, workspace, self: own.name, zone: own.zone, count, isRoomy: hasRoom, hosts: [...fleet?.hosts.values() ?? []],
 		});
 		ranks.set(key, known);
 		return known;
--- a/packages/sessions/find-connection-limit.ts
+++ b/packages/sessions/find-connection-limit.ts
@@ -1,5 +1,3 @@
-import {gatewayCount} from './gateway-count.ts';
-
 /** Share of an instance's connections that is left to questions of hosts that are no gateways. */
 const sparePart = 0.03;
 
@@ -8,7 +6,8 @@
  * whose connections may linger.
  *
  * @param cap Connections that the instance takes from all hosts together.
+ * @param gatewayCount Hosts that connect to the instance; see `findGatewayCount`.
  */
-export function findConnectionLimit(cap: number): number {
+export function findConnectionLimit(cap: number, gatewayCount: number): number {
 	return Math.max(1, Math.floor(cap * (1 - sparePart) / (gatewayCount + 1)));
 }
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -74,7 +74,6 @@
 export type * from './table-mark.ts';
 export type * from './fleet-rows.ts';
 export * from './follow-table.ts';
-export * from './gateway-count.ts';
 export type * from './gateways.ts';
 export type * from './group-row.ts';
 export * from './has-lease.ts';
--- a/packages/sessions/rank-gateways.test.ts
+++ b/packages/sessions/rank-gateways.test.ts
@@ -4,7 +4,9 @@
 
 const hosts = ['a', 'b', 'c'].flatMap(zone => Array.from({length: 8}, (_, index) => ({name: `${zone}${index}`, zone})));
 const instance = {id: 'i-1', zone: 'b'};
-const shared = {instance, self: 'none', isRoomy: false} as const;
+const shared = {
+	instance, self: 'none', count: 3, isRoomy: false,
+} as const;
 
 describe('rankGateways', () => {
 	it('places work of a workspace on a host of the instance\'s zone, whichever host asks', () => {
--- a/packages/sessions/rank-gateways.ts
+++ b/packages/sessions/rank-gateways.ts
@@ -1,5 +1,4 @@
 import {rankHosts} from '@sapphirefall/decisions';
-import {gatewayCount} from './gateway-count.ts';
 import type {HostRow} from './host-row.ts';
 import type {ListedInstance} from './listed-instance.ts';
 
@@ -10,6 +9,8 @@
 	/** Host that asks, and its availability zone. */
 	readonly self: string;
 	readonly zone: string;
+	/** Hosts that connect to the instance; see `findGatewayCount`. */
+	readonly count: number;
 	/** Whether each gateway may hold a connection for every workspace. */
 	readonly isRoomy: boolean;
 	readonly hosts: ReadonlyArray<Pick<HostRow, 'name' | 'zone'>>;
@@ -31,13 +32,13 @@
  * is lost.
  */
 export function rankGateways({
-	instance, workspace, self, zone, isRoomy, hosts,
+	instance, workspace, self, zone, count, isRoomy, hosts,
 }: Options): readonly string[] {
 	const local = listZone(hosts, instance.zone);
 	const ranked = rankHosts(`gateway/${instance.id}`, local);
-	const gateways = ranked.slice(0, gatewayCount);
+	const gateways = ranked.slice(0, count);
 	const ordered = workspace === undefined ? gateways : rankHosts(`workspace/${workspace}`, gateways);
-	const spares = ranked.slice(gatewayCount, gatewayCount + spareCount);
+	const spares = ranked.slice(count, count + spareCount);
 	const backups = zone === instance.zone ? [] : rankHosts(`gateway/${instance.id}`, listZone(hosts, zone)).slice(0, backupCount);
 	const own = isRoomy && workspace !== undefined ? ordered.filter(name => name === self) : [];
 	return [...new Set([...own, ...ordered, ...spares, ...backups])];
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -12,6 +12,7 @@
 import {findAccess} from './find-access.ts';
 import {findConnectionLimit} from './find-connection-limit.ts';
 import {findElapsed} from './find-elapsed.ts';
+import {findGatewayCount} from './find-gateway-count.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {HostProfile} from './host-profile.ts';
 import type {HostRow} from './host-row.ts';
@@ -44,7 +45,7 @@
 };
 
 /** Milliseconds between two rounds of small tasks. */
-const tickInterval = 100;
+const tickInterval = 200;
 
 /** Milliseconds for which what the platform lists counts as recent. */
 const listFreshness = 6500;
@@ -116,13 +117,16 @@
 		log,
 	});
 
+	const findGateways = () => findGatewayCount({hosts: findFleet()?.hosts.size ?? 0, instances: listInstances().length});
+
 	const gateways = createGateways({
 		own,
 		findFleet,
 		findPeer,
+		findCount: findGateways,
 		isRoomy(group) {
 			const directory = findDirectory()?.directory;
-			return findConnectionLimit(directory?.connectionCaps.get(group) ?? 0) >= (directory?.limits.size ?? Number.POSITIVE_INFINITY);
+			return findConnectionLimit(directory?.connectionCaps.get(group) ?? 0, findGateways()) >= (directory?.limits.size ?? Number.POSITIVE_INFINITY);
 		},
 		now: () => now().steady,
 	});
@@ -139,7 +143,7 @@
 				isReading: () => reader.isReading(),
 			});
 			groups.set(name, group);
-			group.updateInstances(listInstances().filter(entry => entry.group === name), findConnectionLimit(cap));
+			group.updateInstances(listInstances().filter(entry => entry.group === name), findConnectionLimit(cap, findGateways()));
 			if (control.isRegistered()) {
 				group.setRegistered();
 			}
