--- a/packages/hosts/open-call-connection.ts
+++ b/packages/hosts/open-call-connection.ts
@@ -1,5 +1,4 @@
-import type {Buffer} from 'node:buffer';
-import {createFrameSplitter, createFrameWriter} from '@sapphirefall/wire';
+import {createFrameWriter, readFrames} from '@sapphirefall/wire';
 import type {CallConnection} from './call-connection.ts';
 import type {CallOptions} from './call-options.ts';
 import type {CallOutcome} from './call-outcome.ts';
@@ -35,7 +34,6 @@
 	const {now, onBroken} = options;
 	const socket = options.connect();
 	const writer = createFrameWriter(socket);
-	const split = createFrameSplitter();
 	const open = new Map<number, OpenCall<Response>>();
 	/** Open calls during which the other host must show life. */
 	let watched = 0;
@@ -95,26 +93,6 @@
 
 		// An answer that comes after its deadline finds no call any more.
 		takeCall(response.id)?.finish({kind: 'answered', response});
-	};
-
-	const read = (piece: Buffer) => {
-		heardAt = now();
-		isDoubtful = false;
-		const messages = split(piece);
-		if (messages === undefined) {
-			breakOff('a message is too long');
-			return;
-		}
-
-		try {
-			for (const message of messages) {
-				receive(message);
-			}
-		} catch (error) {
-			breakOff((error as Error).message);
-			return;
-		}
-
 		closeIfUnused();
 	};
 
@@ -176,7 +154,11 @@
 	socket.on('connect', () => {
 		isConnected = true;
 	});
-	socket.on('data', read);
+	socket.on('data', () => {
+		heardAt = now();
+		isDoubtful = false;
+	});
+	readFrames(socket, {receive, onBroken: breakOff});
 	// The close that follows ends all calls.
 	socket.on('error', () => undefined);
 	socket.on('close', close);
--- a/packages/hosts/serve-calls.ts
+++ b/packages/hosts/serve-calls.ts
@@ -1,6 +1,5 @@
-import type {Buffer} from 'node:buffer';
 import {createServer, type Server, type Socket} from 'node:net';
-import {createFrameSplitter, createFrameWriter} from '@sapphirefall/wire';
+import {createFrameWriter, readFrames} from '@sapphirefall/wire';
 
 type Options<Request> = {
 	/** Decodes a call; throws when it cannot be read. */
@@ -36,7 +35,6 @@
 
 function serveSocket<Request extends {readonly id: number}>(socket: Socket, {decode, answer, onBroken}: Options<Request>): void {
 	const writer = createFrameWriter(socket);
-	const split = createFrameSplitter();
 	const from = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`;
 	let lastId = 0;
 	let running = 0;
@@ -76,21 +74,7 @@
 		void run(request);
 	};
 
-	socket.on('data', (piece: Buffer) => {
-		const messages = split(piece);
-		if (messages === undefined) {
-			breakOff('a message is too long');
-			return;
-		}
-
-		try {
-			for (const message of messages) {
-				receive(message);
-			}
-		} catch (error) {
-			breakOff((error as Error).message);
-		}
-	});
+	readFrames(socket, {receive, onBroken: breakOff});
 	// A reset is followed by the close; what runs goes on, and its answers are not written.
 	socket.on('error', () => undefined);
 	socket.setTimeout(idleSpan, () => {
--- a/packages/sessions/create-table-reader.ts
+++ b/packages/sessions/create-table-reader.ts
@@ -1,21 +1,19 @@
 /* eslint-disable no-await-in-loop -- the steps follow each other */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {AskedTable} from './asked-table.ts';
-import {chooseSource} from './choose-source.ts';
 import {createPeerTable} from './create-peer-table.ts';
+import {createSourceChoice} from './create-source-choice.ts';
+import {createStoreFollower} from './create-store-follower.ts';
 import {createTableKnowledge} from './create-table-knowledge.ts';
-import {findAlignedWait} from './find-aligned-wait.ts';
 import {findRenewal} from './find-renewal.ts';
 import {findTableMark} from './find-table-mark.ts';
 import type {FleetPeer} from './fleet-peer.ts';
-import {followTable} from './follow-table.ts';
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
 import {isSameMark} from './is-same-mark.ts';
 import type {KnownTable} from './known-table.ts';
 import {mergePeerTable} from './merge-peer-table.ts';
 import type {PositionOfAge} from './position-of-age.ts';
-import {proofPeriod} from './proof-period.ts';
 import type {SessionLog} from './session-log.ts';
 import {settleSpan} from './settle-span.ts';
 import type {Store} from './store.ts';
@@ -41,9 +39,6 @@
 	readonly log: SessionLog;
 };
 
-/** Milliseconds that calls which follow the tables may wait for changes. */
-const followWaits = {configuration: proofPeriod, fleet: proofPeriod, instances: 4 * proofPeriod} as const satisfies Record<StoreTable, number>;
-
 /** Milliseconds between two questions to a source, and between two looks at where to learn from. */
 const stepInterval = 100;
 
@@ -59,9 +54,6 @@
 /** Milliseconds for which an answer waits for the other proofs when one is renewed. */
 const joinSpan = 40;
 
-/** Milliseconds for which a source that does not know enough is not asked: the first time, and at the most. */
-const avoidance = {first: 2000, last: 10_000};
-
 /** Milliseconds from the first start of the fleet in which a host waits for its source instead of taking its place. */
 const startPatience = 2500;
 
@@ -74,15 +66,9 @@
 
 /** Creates what keeps a host's knowledge of the store: it reads the store itself, or asks another host; see `chooseSource`. */
 export function createTableReader(options: Options): TableReader {
-	const {self, zone, store, now, log} = options;
-	const avoidedUntil = new Map<string, number>();
-	/** For how long sources were avoided last; forgotten once they know enough. */
-	const lastSpans = new Map<string, number>();
+	const {self, store, now, log} = options;
 	/** Tables that a source must tell whole, since rows were dropped. */
 	const wantedWhole = new Set<StoreTable>();
-	let direct: AbortController | undefined;
-	let directSince = 0;
-	let lastSource = '';
 	let isStopped = false;
 	/** Whether enough was known once; before, hosts that start together are about to learn more. */
 	let hasLearned = false;
@@ -90,44 +76,16 @@
 
 	const knowledge = createTableKnowledge({onTable: options.onTable, now});
 
-	const startDirect = () => {
-		if (direct !== undefined) {
-			return;
-		}
-
-		direct = new AbortController();
-		directSince = now().steady;
-		for (const table of tables) {
-			void followTable({
-				store,
-				table,
-				reader: self,
-				findWait: at => findAlignedWait({period: proofPeriod, most: followWaits[table], now: at}),
-				now,
-				known: knowledge.findTable(table),
-				onTable(newer) {
-					knowledge.take(table, newer);
-				},
-				log,
-				signal: direct.signal,
-			});
-		}
-	};
+	const follower = createStoreFollower({
+		self, store, knowledge, now, log,
+	});
+	const sources = createSourceChoice(options);
 
 	/** Whether all hosts are only just starting, and those that are to read have not told anything yet. */
 	const isStarting = () => options.isFirstStart && !hasLearned && now().steady - startedAt < startPatience;
 
-	const stopDirect = () => {
-		direct?.abort();
-		direct = undefined;
-	};
-
-	const avoid = (source: string) => {
-		const span = Math.min(avoidance.last, (lastSpans.get(source) ?? avoidance.first / 2) * 2);
-		lastSpans.set(source, span);
-		avoidedUntil.set(source, now().steady + span);
-		log.info({source, span}, 'store: A source that does not know enough is not asked for a while.');
-	};
+	/** Steady milliseconds at which reading the store must have told enough. */
+	const findReadEnd = () => (follower.since() ?? now().steady) + readPatience;
 
 	const hasNewRows = (asked: Asked) => knowledge.list().some(([table, {mark}]) => !isSameMark(asked.get(table)?.mark, mark));
 
@@ -149,10 +107,10 @@
 			const freshLeft = knowledge.findFreshLeft(answerLimits);
 			const mayRead = freshLeft <= 0 && !isStarting();
 			if (mayRead) {
-				startDirect();
+				follower.start();
 			}
 
-			const end = mayRead ? Math.min(until, directSince + readPatience) : until;
+			const end = mayRead ? Math.min(until, findReadEnd()) : until;
 			if (at >= end) {
 				return;
 			}
@@ -223,13 +181,13 @@
 
 	/** Learns from the store; gives it up for a while when it does not answer. */
 	const stepDirect = async () => {
-		startDirect();
-		if (now().steady - directSince > readPatience) {
+		follower.start();
+		if (now().steady > findReadEnd()) {
 			if (knowledge.findFreshLeft(ageLimits) <= 0) {
-				avoid(self);
+				sources.avoid(self);
 			} else {
 				hasLearned = true;
-				lastSpans.delete(self);
+				sources.approve(self);
 			}
 		}
 
@@ -239,27 +197,20 @@
 	const stepPolled = async (source: string) => {
 		if (await poll(source)) {
 			hasLearned = true;
-			lastSpans.delete(source);
-			stopDirect();
+			sources.approve(source);
+			follower.stop();
 			await sleep(stepInterval);
 		} else if (isStarting()) {
 			await sleep(stepInterval);
 		} else {
-			avoid(source);
+			sources.avoid(source);
 		}
 	};
 
 	const run = async () => {
 		await startUp();
 		while (!isStopped) { // eslint-disable-line no-unmodified-loop-condition -- `stop` sets it
-			const source = chooseSource({
-				self, zone, hosts: options.listHosts(), avoidedUntil, now: now().steady,
-			});
-			if (source !== lastSource) {
-				log.info({source, previous: lastSource}, 'store: What the store holds is learned from another source.');
-				lastSource = source;
-			}
-
+			const source = sources.choose();
 			await (source === self ? stepDirect() : stepPolled(source));
 		}
 	};
@@ -276,10 +227,10 @@
 				positions: options.listPositions(),
 			};
 		},
-		isReading: () => direct !== undefined,
+		isReading: () => follower.since() !== undefined,
 		stop() {
 			isStopped = true;
-			stopDirect();
+			follower.stop();
 		},
 	};
 }
--- a/packages/wire/mod.ts
+++ b/packages/wire/mod.ts
@@ -19,6 +19,7 @@
 export type * from './heartbeat.ts';
 export * from './open-channel.ts';
 export * from './parse-results.ts';
+export * from './read-frames.ts';
 export * from './run-with-timeout.ts';
 export * from './serve-messages.ts';
 export * from './gen/caller_pb.ts';
--- /dev/null
+++ b/packages/wire/read-frames.ts
@@ -0,0 +1,30 @@
+import type {Buffer} from 'node:buffer';
+import type {Readable} from 'node:stream';
+import {createFrameSplitter} from './create-frame-splitter.ts';
+
+type Options = {
+	/** Takes a message; throws when it cannot be read. */
+	readonly receive: (message: Uint8Array) => void;
+	/** Called with what is wrong with the stream, which must not be read any further. */
+	readonly onBroken: (reason: string) => void;
+};
+
+/** Reads the messages of a stream of frames, such as a socket; see `createFrameSplitter`. */
+export function readFrames(input: Readable, {receive, onBroken}: Options): void {
+	const split = createFrameSplitter();
+	input.on('data', (piece: Buffer) => {
+		const messages = split(piece);
+		if (messages === undefined) {
+			onBroken('a message is too long');
+			return;
+		}
+
+		try {
+			for (const message of messages) {
+				receive(message);
+			}
+		} catch (error) {
+			onBroken((error as Error).message);
+		}
+	});
+}
