Let the host that replaces one primary replace the others that it finds lost at once

One host at a time holds the duty; while it replaced the first, three others tried the second in vain for 1.6 s, and the holder waited for its turn by rank until 2.5 s after its finding. It comes first now.

Ruled out: several holders at once (tokens that go down at the platform). The token of the holder is one for all of its replacements, as before.

--- a/packages/sessions/create-fleet-control.ts
+++ b/packages/sessions/create-fleet-control.ts
@@ -103,6 +103,7 @@
 		zone: primary?.zone ?? '',
 		hosts: [...fleet?.hosts.values() ?? []],
 		gateways: primary === undefined ? [] : options.listGateways(primary),
+		isHoldingDuty: [...fleet?.groups.values() ?? []].some(row => row.state === 'fencing' && row.holder === own.name && busyGroups.size > 0),
 	});
 
 	/** Whether this host hears nothing of an instance, after asking it if there is no evidence yet. */
--- a/packages/sessions/find-replacement-place.ts
+++ b/packages/sessions/find-replacement-place.ts
@@ -7,6 +7,8 @@
 	readonly hosts: ReadonlyArray<Pick<HostRow, 'name' | 'zone'>>;
 	/** Hosts that connect to the primary, best first. */
 	readonly gateways: readonly string[];
+	/** Whether this host is replacing the primary of another group. */
+	readonly isHoldingDuty: boolean;
 };
 
 /** Place after which hosts wait no longer. */
@@ -18,9 +20,16 @@
 /**
  * Finds a host's place among those that may replace a primary; 0 acts first.
  *
- * Only hosts that connect to a primary notice that it is silent, so they come first.
+ * Only hosts that connect to a primary notice that it is silent, so they come first. One host at a time may replace
+ * primaries: while it does, it replaces all that it finds lost, such as those of a zone.
  */
-export function findReplacementPlace({self, zone, hosts, gateways}: Options): number {
+export function findReplacementPlace({
+	self, zone, hosts, gateways, isHoldingDuty,
+}: Options): number {
+	if (isHoldingDuty) {
+		return 0;
+	}
+
 	const isElsewhere = hosts.find(({name}) => name === self)?.zone !== zone;
 	const place = gateways.indexOf(self);
 	if (place === -1) {
