Take out a kind of heartbeat that nothing uses any more, and name the frame's header once

Only the streams between hosts on the users' platform asked for heartbeats while a request waits; their calls go in frames now. The length of a frame's header stood in the splitter and in the writer.

--- a/packages/wire/create-frame-splitter.ts
+++ b/packages/wire/create-frame-splitter.ts
@@ -1,9 +1,7 @@
 import {Buffer} from 'node:buffer';
+import {frameHeaderLength} from './frame-header-length.ts';
 import {frameLimit} from './frame-limit.ts';
 
-/** Bytes in front of a message that tell its length. */
-const headerLength = 4;
-
 /**
  * Creates a function that takes pieces of a byte stream and returns the messages of the whole frames in them.
  *
@@ -20,7 +18,7 @@
 	let pieces: Buffer[] = [];
 	let length = 0;
 	/** Length at which the frame that has begun is whole, as far as that is known. */
-	let needed = headerLength;
+	let needed = frameHeaderLength;
 
 	return piece => {
 		pieces.push(piece);
@@ -32,21 +30,21 @@
 		const bytes = pieces.length === 1 ? piece : Buffer.concat(pieces, length);
 		const messages: Buffer[] = [];
 		let at = 0;
-		needed = headerLength;
-		while (bytes.length - at >= headerLength) {
+		needed = frameHeaderLength;
+		while (bytes.length - at >= frameHeaderLength) {
 			const messageLength = bytes.readUInt32BE(at);
 			if (messageLength > frameLimit) {
 				return undefined;
 			}
 
-			needed = headerLength + messageLength;
+			needed = frameHeaderLength + messageLength;
 			if (bytes.length - at < needed) {
 				break;
 			}
 
-			messages.push(bytes.subarray(at + headerLength, at + needed));
+			messages.push(bytes.subarray(at + frameHeaderLength, at + needed));
 			at += needed;
-			needed = headerLength;
+			needed = frameHeaderLength;
 		}
 
 		pieces = at < bytes.length ? [bytes.subarray(at)] : [];
--- a/packages/wire/create-frame-writer.ts
+++ b/packages/wire/create-frame-writer.ts
@@ -1,10 +1,8 @@
 import {Buffer} from 'node:buffer';
 import type {Writable} from 'node:stream';
+import {frameHeaderLength} from './frame-header-length.ts';
 import type {FrameWriter} from './frame-writer.ts';
 
-/** Bytes in front of a message that tell its length. */
-const headerLength = 4;
-
 /**
  * Creates what writes messages as frames, all of a turn of the loop in one write.
  *
@@ -30,7 +28,7 @@
 			}
 
 			messages.push(message);
-			length += headerLength + message.length;
+			length += frameHeaderLength + message.length;
 		},
 		waitingBytes: () => length + output.writableLength,
 	};
--- a/packages/wire/heartbeat.ts
+++ b/packages/wire/heartbeat.ts
@@ -5,6 +5,4 @@
 	readonly interval: number;
 	/** Milliseconds without any answer after which the channel counts as silent and is closed. */
 	readonly silenceLimit: number;
-	/** Whether heartbeats are sent only while a request waits for its answer. */
-	readonly isOnlyWhilePending?: boolean;
 };
--- a/packages/wire/open-channel.ts
+++ b/packages/wire/open-channel.ts
@@ -35,11 +35,7 @@
 		options.onClosed();
 	};
 
-	const beat = ({createPing, silenceLimit, isOnlyWhilePending}: Heartbeat<Request>) => {
-		if (isOnlyWhilePending === true && pending.size === 0) {
-			return;
-		}
-
+	const beat = ({createPing, silenceLimit}: Heartbeat<Request>) => {
 		if (options.now() - heardAt > silenceLimit) {
 			close();
 		} else {
@@ -85,8 +81,6 @@
 
 			lastId++;
 			sentAt = options.now();
-			// Silence counts from the first request that waits.
-			heardAt = pending.size === 0 && heartbeat?.isOnlyWhilePending === true ? sentAt : heardAt;
 			const id = lastId;
 			return new Promise(resolve => {
 				const cancel = () => {
