Count the time in the check of rates, and reserve all ports of a host of the wire tests

Cause: rate-holds counted no time, so a burst of calls that took 0.3 to 0.65 s earned what the rate gives meanwhile. A host of the wire tests served metrics on a port that nobody had reserved, and the tests waited for good for a host that had ended. The stand-in of the own interface gave a cluster 15 s to start, which is no check of the product and too short beside 32 busy processes.

Ports of a range are reserved together; the wait ends when a host ends. A cluster may take 60 s to start.

--- a/scenarios/scenario-context.ts
+++ b/scenarios/scenario-context.ts
@@ -20,6 +20,8 @@
 	readonly changes: Map<string, Promise<ChangeResponse>>;
 	/** Running and finished writes by the name of their step, with the key that they are sent with. */
 	readonly writes: Map<string, Promise<{readonly key: string; readonly writes: readonly WriteOutcome[]}>>;
+	/** Reads of the bursts so far that were done, by key, and when the first of these bursts began, in milliseconds of the monotonic clock. */
+	readonly bursts: Map<string, {readonly startedAt: number; readonly done: number}>;
 	/** Keys that changes have added so far. */
 	readonly keys: Set<string>;
 	/** Hosts that a `loseAcceptors` step has killed. */
--- a/stand-ins/cluster/start-cluster.ts
+++ b/stand-ins/cluster/start-cluster.ts
@@ -188,8 +188,11 @@
 	return createConnectTransport({baseUrl, httpVersion: '1.1', interceptors: [createTokenInterceptor(token)]});
 }
 
-/** Time limit for a cluster to start, and largest age of the configuration at which a host counts as started. */
-const startTimeoutMs = 15_000;
+/** Time limit for the processes of a cluster to start; start-up is checked nowhere, so a busy machine may take its time. */
+const startTimeoutMs = 60_000;
+
+/** Largest age of the configuration at which a host counts as started, in milliseconds. */
+const maxConfigAgeMs = 15_000;
 
 /** Waits until every host knows the configuration, all hosts and the primary of each group, and has its rate allocation. */
 async function waitUntilServing(cluster: Cluster): Promise<void> {
@@ -199,7 +202,7 @@
 		for (const host of pendingHosts) {
 			try {
 				const status = await cluster.operator(host).status({}); // eslint-disable-line no-await-in-loop
-				const isServing = status.configAgeMs < startTimeoutMs && status.groups.length > 0
+				const isServing = status.configAgeMs < maxConfigAgeMs && status.groups.length > 0
 					&& status.groups.every(({primary}) => primary !== '') && status.hosts.length === cluster.hosts.length && status.roster.length === cluster.hosts.length && status.ratesReady;
 				if (isServing) {
 					pendingHosts.delete(host);
--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -3,7 +3,7 @@
 import {spawn} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {createServer as createHttpServer} from 'node:http';
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer, type AddressInfo, type Server} from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -38,6 +38,9 @@
 const zones = ['a', 'b', 'c'];
 const group = 'pondbook';
 
+/** Ports that a host uses for other hosts and for its metrics. */
+const hostPortCount = 2;
+
 /** Delay between accepting a promotion and its effect. */
 const promotionDelayMs = 100;
 
@@ -120,8 +123,12 @@
 		hosts,
 		promotions: () => promotions,
 		async waitUntilReady() {
-			for (const {readyPort} of hosts) {
+			for (const {name, process: child, readyPort} of hosts) {
 				while (!await isReady(readyPort)) {
+					if (child.exitCode !== null) {
+						throw new Error(`Host "${name}" ended with exit code ${child.exitCode} before it was ready`);
+					}
+
 					await sleep(100);
 				}
 			}
@@ -175,7 +182,8 @@
 	store, cloudPort, checkout = defaultCheckout, nodeArguments = [], isFirstStart = false,
 }: HostOptions): Promise<WireDeployment['hosts'][number]> {
 	const name = `host-${index + 1}`;
-	const [port = 0, readyPort = 0, hostPort = 0] = await findFreePorts(3);
+	const [port, readyPort] = await Promise.all([findFreePorts(1), findFreePorts(1)]);
+	const hostPort = await findFreePorts(hostPortCount);
 	const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'sapphirefall-wire-')), 'local.conf');
 	writeFileSync(file, `node_name=${name}
 ip=127.0.0.1
@@ -183,7 +191,7 @@
 bootstrap=${String(isFirstStart)}
 listen_addrs.front=127.0.0.1:${port}
 listen_addrs.ready=127.0.0.1:${readyPort}
-port_range=${hostPort},${hostPort + 2}
+port_range=${hostPort},${hostPort + hostPortCount - 1}
 bounds.grace_s=4
 bounds.revoke_ms=5000
 bounds.config_apply_ms=3000
@@ -205,17 +213,30 @@
 	};
 }
 
-async function findFreePorts(count: number): Promise<readonly number[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
-		const server = createServer().listen(0, '127.0.0.1', () => {
+/** Finds the first of `count` consecutive ports that are free now. */
+async function findFreePorts(count: number): Promise<number> {
+	for (;;) {
+		const first = await listen(0);
+		const {port} = first.address() as AddressInfo;
+		const others = await Promise.allSettled(Array.from({length: count - 1}, async (_, index) => listen(port + index + 1)));
+		const servers = [first, ...others.filter(({status}) => status === 'fulfilled').map(other => (other as PromiseFulfilledResult<Server>).value)];
+		await Promise.all(servers.map(async server => new Promise(resolve => {
+			server.close(resolve);
+		})));
+		if (servers.length === count) {
+			return port;
+		}
+	}
+}
+
+/** Listens on a port of the loopback interface; rejects if the port is taken. */
+async function listen(port: number): Promise<Server> {
+	return new Promise((resolve, reject) => {
+		const server = createServer().once('error', reject);
+		server.listen(port, '127.0.0.1', () => {
 			resolve(server);
 		});
-	})));
-	const ports = servers.map(server => (server.address() as AddressInfo).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports;
+	});
 }
 
 async function isReady(port: number): Promise<boolean> {
