Let callers wait for rates that are being assigned, and replace a lost rate allocator while shares are held

Cause: after all hosts had started at once, hosts claimed at their next tick, got nothing until every host had claimed, and refused 520 callers for a rate that was not used up. After a silent cut of a zone, a lost rate allocator was replaced about 2.1 s later, when most shares had expired, and everything was refused until the old shares were certain to be over.

Change: an allocator says whether it knows the shares of all hosts. Until it does, callers wait, for at most half of the statement's time, and a refusal says that no rate is assigned. Claims and restarted allocators follow a new row at once. A silent allocator is replaced after 500 ms (1000 before), candidates 120 ms apart (300), and as soon as half of the others have answered. Its own lease ends 1.5 s after the last confirmation (2.5 s), and a successor counts that time as well as the lifetime of shares; the successor of an earlier process of the same host counts from its own start.

--- a/packages/hosts/create-fleet-peer.ts
+++ b/packages/hosts/create-fleet-peer.ts
@@ -89,8 +89,10 @@
 				return undefined;
 			}
 
-			const {home, shares, spanMs} = answer.value;
-			return home ? {grants: new Map(shares.map(({workspace, rate, units}) => [workspace, {rate, units}])), spanMs} : 'notAllocator';
+			const {home, shares, spanMs, unsettled} = answer.value;
+			return home
+				? {grants: new Map(shares.map(({workspace, rate, units}) => [workspace, {rate, units}])), spanMs, isSettled: !unsettled}
+				: 'notAllocator';
 		},
 		async fenceGroup(group, epoch) {
 			const answer = await send({case: 'fenceGroup', value: {group, epoch: BigInt(epoch)}});
--- a/packages/hosts/serve-fleet.ts
+++ b/packages/hosts/serve-fleet.ts
@@ -78,7 +78,9 @@
 				case: call.case,
 				value: shares === undefined || shares === 'notAllocator'
 					? {home: false}
-					: {home: true, shares: [...shares.grants].map(([workspace, grant]) => ({workspace, ...grant})), spanMs: shares.spanMs},
+					: {
+						home: true, shares: [...shares.grants].map(([workspace, grant]) => ({workspace, ...grant})), spanMs: shares.spanMs, unsettled: !shares.isSettled,
+					},
 			};
 		}
 
--- a/packages/sessions/assign-rates.test.ts
+++ b/packages/sessions/assign-rates.test.ts
@@ -13,7 +13,7 @@
 const bound = {window: 5000, overage: 0.1, slack: 20};
 const limits = new Map([['upper', {rate: 100, burst: 100}]]);
 const empty: RateAllocatorState = {
-	epoch: 1, startedAt: 0, hosts: new Map(), lastClaimAt: new Map(), pools: new Map(),
+	epoch: 1, startedAt: 0, handoverEndsAt: 3300, hosts: new Map(), lastClaimAt: new Map(), pools: new Map(),
 };
 
 const claim = (state: RateAllocatorState, {host, demand, held = 0, needed = 0, now}: {readonly host: string; readonly demand: number; readonly held?: number; readonly needed?: number; readonly now: number}) => {
@@ -26,7 +26,6 @@
 		bound,
 		registered: hosts,
 		spanMs: 3000,
-		handoverMs: 3300,
 		now,
 	});
 	return {state: next, rate: grants.get('upper')?.rate ?? 0, units: grants.get('upper')?.units ?? 0};
@@ -39,7 +38,7 @@
 	const shares = new Map<string, ShareState>();
 	const taken: number[] = [];
 	let refused = 0;
-	let state: RateAllocatorState = {...empty, startedAt: -15_000};
+	let state: RateAllocatorState = {...empty, startedAt: -15_000, handoverEndsAt: -12_200};
 	let random = seed;
 	const nextRandom = () => {
 		random = ((random * 1_103_515_245) + 12_345) % 2_147_483_648;
@@ -67,7 +66,6 @@
 			bound,
 			registered,
 			spanMs: 2800,
-			handoverMs: 2800,
 			now,
 		});
 		({state} = assigned);
@@ -170,7 +168,7 @@
 			host: fc.constantFrom(...hosts), demand: fc.integer({min: 0, max: 500}), isLost: fc.boolean(), pause: fc.integer({min: 0, max: 900}),
 		});
 		fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
-			let state: RateAllocatorState = {...empty, startedAt: -10_000};
+			let state: RateAllocatorState = {...empty, startedAt: -10_000, handoverEndsAt: -6700};
 			let now = 0;
 			const held = new Map<string, {readonly rate: number; readonly until: number}>();
 			for (const {host, demand, isLost, pause} of steps) {
--- a/packages/sessions/assign-rates.ts
+++ b/packages/sessions/assign-rates.ts
@@ -17,8 +17,6 @@
 	readonly registered: readonly string[];
 	/** Lifetime of granted shares, in milliseconds. */
 	readonly spanMs: number;
-	/** Milliseconds after which all shares that an earlier allocator granted have expired. */
-	readonly handoverMs: number;
 	/** Milliseconds of the steady clock. */
 	readonly now: number;
 };
@@ -27,6 +25,8 @@
 	readonly state: RateAllocatorState;
 	/** By workspace. */
 	readonly grants: ReadonlyMap<string, RateGrant>;
+	/** Whether the shares of all hosts are known. */
+	readonly isAllKnown: boolean;
 };
 
 type Holding = RateAllocatorState['hosts'] extends ReadonlyMap<string, ReadonlyMap<string, infer Value>> ? Value : never;
@@ -54,11 +54,11 @@
  *
  * The sum of the unexpired shares never exceeds the rate, and the pool is refilled only from the unassigned remainder
  * and the burst budget. After a change of allocator, the shares that an earlier one granted are known once every
- * registered host has claimed or `handoverMs` has passed; until then a host gets no more than it holds.
+ * registered host has claimed or they have expired (`handoverEndsAt`); until then a host gets no more than it holds.
  */
 export function assignRates(state: RateAllocatorState, options: Options): Assigned {
-	const {host, claims, limits, registered, handoverMs, now} = options;
-	const isAllKnown = now - state.startedAt > handoverMs || registered.every(name => name === host || state.hosts.has(name));
+	const {host, claims, limits, registered, now} = options;
+	const isAllKnown = now > state.handoverEndsAt || registered.every(name => name === host || state.hosts.has(name));
 	const holdings = new Map(state.hosts.get(host));
 	const pools = new Map(state.pools);
 	const grants = new Map<string, RateGrant>();
@@ -90,6 +90,7 @@
 			...state, pools, hosts: new Map(state.hosts).set(host, holdings), lastClaimAt: new Map(state.lastClaimAt).set(host, now),
 		},
 		grants,
+		isAllKnown,
 	};
 }
 
--- a/packages/sessions/create-partition-limiter.ts
+++ b/packages/sessions/create-partition-limiter.ts
@@ -6,11 +6,11 @@
 import {findElapsed} from './find-elapsed.ts';
 import {findHeldRate} from './find-held-rate.ts';
 import {findRateAllocatorRank} from './find-rate-allocator-rank.ts';
-import {bootstrapStaggerMs} from './bootstrap-stagger-ms.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {RateAllocatorRow} from './rate-allocator-row.ts';
 import type {Instant} from './instant.ts';
+import {isAllocatorLeaseDue} from './is-allocator-lease-due.ts';
 import type {RateBound} from './rate-bound.ts';
 import type {RateClaim} from './rate-claim.ts';
 import type {RateLimiter} from './rate-limiter.ts';
@@ -41,21 +41,18 @@
 /** Milliseconds between two claims while operations are refused. */
 const urgentClaimIntervalMs = 200;
 
-/** Milliseconds without an answer from the rate allocator after which another host takes its lease. */
-const allocatorTimeoutMs = 1000;
-
-/** Milliseconds that each candidate waits longer than the one ranked before it, so that they do not compete for the lease. */
-const rankDelayMs = 300;
-
-/** Rank from which on all candidates wait equally long. */
-const maxRank = 4;
-
 /** Maximum staleness in milliseconds of the fleet's rows at which a host may take the lease. */
 const maxFleetAgeMs = 1500;
 
 /** Milliseconds that callers wait for the rate allocator's answer. */
 const tokenRequestTimeoutMs = 120;
 
+/** Maximum milliseconds that a caller waits for a new rate allocator to learn the shares of all hosts. */
+const settlingTimeoutMs = 1000;
+
+/** Milliseconds between two attempts of a caller that waits for this. */
+const settlingPollMs = 40;
+
 /** Maximum milliseconds between two claims to the allocator of partition 0, which uses claims as heartbeats of the hosts. */
 const heartbeatIntervalMs = 3000;
 
@@ -77,21 +74,34 @@
 	let unansweredSince: number | undefined;
 	/** When a claim was last answered, in milliseconds of the steady clock. */
 	let lastAnswerAt = Number.NEGATIVE_INFINITY;
-	let isBusy = false;
+	/** Epoch of the allocator for which a claim or an attempt to take its lease is in flight; undefined while there is none. */
+	let busyEpoch: number | undefined;
 	let hasRefused = false;
+	/** Whether the allocator that answered last knew the shares of all hosts. */
+	let isSettled = false;
+	const createdAt = now().steady;
 
 	const shares = createLocalShares({...options, countHosts: () => Math.max(1, fleet?.hosts.size ?? 1)});
 	const allocator = createRateAllocator({...options, findFleet: () => fleet});
 	const findRow = () => fleet?.rateAllocators.get(partition);
 
-	/** Sends claims to the rate allocator and applies its grants; returns false if it does not answer in time or has lost the lease. */
-	const sendClaims = async (row: RateAllocatorRow, claims: readonly RateClaim[], timeout?: number): Promise<boolean> => {
+	/**
+	 * Sends claims to the rate allocator and applies its grants; returns false if it does not answer in time or has lost
+	 * the lease. The first claims of an epoch cover all shares of this host, since the allocator takes what it is not told
+	 * for unassigned.
+	 */
+	const sendClaims = async (row: RateAllocatorRow, claimed: readonly RateClaim[], timeout?: number): Promise<boolean> => {
 		const requestedAt = now();
+		const claims = answeredEpoch === row.epoch ? claimed : [...claimed, ...listOtherClaims(claimed)];
 		const message = {
 			host: self, incarnation, partition, epoch: row.epoch, claims,
 		};
 		const answer = allocator.isAllocator() ? allocator.claimRates(message) : options.findPeer(row.holder)?.claimRates(message);
 		const granted = await (timeout === undefined ? answer : Promise.race([answer, sleep(timeout, undefined)]));
+		if (row.epoch !== findRow()?.epoch) {
+			return false;
+		}
+
 		if (granted === undefined || granted === 'notAllocator') {
 			unansweredSince ??= requestedAt.steady;
 			return false;
@@ -99,10 +109,18 @@
 
 		unansweredSince = undefined;
 		answeredEpoch = row.epoch;
+		({isSettled} = granted);
 		shares.applyGrants(granted.grants, {spanMs: granted.spanMs, requestedAt});
+		shares.recordClaimed(claims);
 		return true;
 	};
 
+	/** Lists the claims of all other shares of this host. */
+	const listOtherClaims = (claimed: readonly RateClaim[]) => {
+		shares.clearClaimed();
+		return shares.listClaims().filter(({workspace}) => claimed.every(claim => claim.workspace !== workspace));
+	};
+
 	const tokens = createTokenQueue({
 		hasAllocator: () => findRow() !== undefined,
 		async requestTokens(workspace, needed) {
@@ -119,10 +137,6 @@
 
 	const claim = async (row: RateAllocatorRow) => {
 		claimedAt = now().steady;
-		if (answeredEpoch !== row.epoch) {
-			shares.clearClaimed();
-		}
-
 		const claims = shares.listClaims();
 		const isHeartbeatDue = partition === 0 && now().steady - lastAnswerAt > heartbeatIntervalMs;
 		if (claims.length === 0 && answeredEpoch === row.epoch && !isHeartbeatDue) {
@@ -132,39 +146,63 @@
 		if (await sendClaims(row, claims)) {
 			lastAnswerAt = now().steady;
 			hasRefused = false;
-			shares.recordClaimed(claims);
 		}
 	};
 
 	const takeLease = async (row: Versioned<RateAllocatorRow> | undefined) => {
 		unansweredSince = undefined;
+		allocator.expectLease({
+			epoch: (row?.epoch ?? 0) + 1, previous: row?.holder === self ? {kind: 'ownProcess', endedBefore: createdAt} : {kind: 'otherHost'},
+		});
 		await takeRateAllocatorLease(row, {...options, hosts: [...fleet?.hosts.keys() ?? []]});
 	};
 
-	/** Runs a task and sets `isBusy` meanwhile, so that no other one starts. */
-	const runExclusive = async (task: Promise<void>) => {
-		isBusy = true;
+	/** Runs a task for the allocator of an epoch; no other one for the same epoch starts meanwhile. */
+	const runExclusive = async (epoch: number, task: Promise<void>) => {
+		busyEpoch = epoch;
 		try {
 			await task;
 		} finally {
-			isBusy = false;
+			if (busyEpoch === epoch) {
+				busyEpoch = undefined;
+			}
 		}
 	};
 
-	/** Whether this host, by its rank, is due to take a lease that nobody holds or whose holder does not answer. */
 	const isLeaseDue = (row: RateAllocatorRow | undefined, rows: FleetRows): boolean => {
 		const confirmedAt = options.findFleetConfirmedAt();
-		const since = row === undefined ? fleetKnownSince : unansweredSince;
-		if (since === undefined || confirmedAt === undefined || findElapsed(confirmedAt, now()) >= maxFleetAgeMs || row?.holder === self) {
+		if (confirmedAt === undefined || findElapsed(confirmedAt, now()) >= maxFleetAgeMs || row?.holder === self) {
 			return false;
 		}
 
-		const rank = Math.min(maxRank, findRateAllocatorRank({
-			self, partition, hosts: [...rows.hosts.keys()], lost: row?.holder,
-		}));
-		return now().steady - since > (row === undefined ? rank * bootstrapStaggerMs : allocatorTimeoutMs + (rank * rankDelayMs));
+		return isAllocatorLeaseDue({
+			rank: findRateAllocatorRank({
+				self, partition, hosts: [...rows.hosts.keys()], lost: row?.holder,
+			}),
+			hasHolder: row !== undefined,
+			since: row === undefined ? fleetKnownSince : unansweredSince,
+			now: now().steady,
+		});
 	};
 
+	const step = () => {
+		const epoch = findRow()?.epoch ?? 0;
+		if (fleet === undefined || options.findFleetConfirmedAt() === undefined || busyEpoch === epoch || !fleet.hosts.has(self)) {
+			return;
+		}
+
+		const row = findRow();
+		const isRestarted = row?.holder === self && row.incarnation !== incarnation;
+		if (isRestarted || isLeaseDue(row, fleet)) {
+			void runExclusive(epoch, takeLease(row));
+		} else if (row !== undefined && now().steady - claimedAt > (hasRefused || !isSettled ? urgentClaimIntervalMs : claimIntervalMs)) {
+			void runExclusive(epoch, claim(row));
+		}
+	};
+
+	/** Whether a refusal would show that the rate is used up: the present allocator has answered and knew the shares of all hosts. */
+	const isAssigned = () => isSettled && unansweredSince === undefined && answeredEpoch === findRow()?.epoch;
+
 	const logRefusal = (workspace: string, limits: WorkspaceLimits) => {
 		const share = shares.findShare(workspace);
 		log.debug({
@@ -179,52 +217,48 @@
 	};
 
 	return {
-		async takeOperation(workspace) {
+		async takeOperation(workspace, maxWaitMs) {
 			const limits = options.findLimits().get(workspace);
-			if (limits === undefined) {
-				return {isTaken: true, retryAfter: 0};
+			if (limits === undefined || shares.takeOperation(workspace, limits, true).isTaken) {
+				return {kind: 'taken'};
 			}
 
-			const first = shares.takeOperation(workspace, limits, true);
-			if (first.isTaken) {
-				return first;
-			}
+			const deadline = now().steady + Math.min(maxWaitMs, settlingTimeoutMs);
+			for (;;) {
+				await tokens.wait(workspace); // eslint-disable-line no-await-in-loop -- attempts run one after another
+				const {isTaken, retryAfter} = shares.takeOperation(workspace, limits, false);
+				if (isTaken) {
+					return {kind: 'taken'};
+				}
 
-			await tokens.wait(workspace);
-			const second = shares.takeOperation(workspace, limits, false);
-			if (!second.isTaken) {
-				hasRefused = true;
-				logRefusal(workspace, limits);
-			}
+				if (isAssigned() || now().steady + settlingPollMs > deadline) {
+					hasRefused = true;
+					logRefusal(workspace, limits);
+					return {kind: 'refused', reason: isAssigned() ? 'usedUp' : 'unassigned', retryAfter};
+				}
 
-			return second;
+				await sleep(settlingPollMs); // eslint-disable-line no-await-in-loop -- attempts run one after another
+			}
 		},
 		claimRates: allocator.claimRates,
 		listSilentHosts: allocator.listSilentHosts,
 		updateFleet(newer) {
 			const row = newer.rateAllocators.get(partition);
 			if (row?.epoch !== findRow()?.epoch) {
+				isSettled = false;
 				log.info({partition, holder: row?.holder, epoch: row?.epoch}, 'rates: The lease of the rate allocator changed its holder or epoch.');
 				unansweredSince = undefined;
 				// A new allocator grants little until all hosts have claimed, so this host claims immediately.
 				claimedAt = Number.NEGATIVE_INFINITY;
 			}
 
+			const isNew = row?.epoch !== findRow()?.epoch || fleet === undefined;
 			fleet = newer;
 			fleetKnownSince ??= now().steady;
-		},
-		step() {
-			if (fleet === undefined || options.findFleetConfirmedAt() === undefined || isBusy || !fleet.hosts.has(self)) {
-				return;
-			}
-
-			const row = findRow();
-			const isRestarted = row?.holder === self && row.incarnation !== incarnation;
-			if (isRestarted || isLeaseDue(row, fleet)) {
-				void runExclusive(takeLease(row));
-			} else if (row !== undefined && now().steady - claimedAt > (hasRefused ? urgentClaimIntervalMs : claimIntervalMs)) {
-				void runExclusive(claim(row));
+			if (isNew) {
+				step();
 			}
 		},
+		step,
 	};
 }
--- a/packages/sessions/create-rate-allocator.ts
+++ b/packages/sessions/create-rate-allocator.ts
@@ -1,5 +1,5 @@
 import {assignRates} from './assign-rates.ts';
-import {findLeaseRemaining} from './find-lease-remaining.ts';
+import {findElapsed} from './find-elapsed.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {Instant} from './instant.ts';
@@ -28,8 +28,27 @@
 	readonly claimRates: FleetPeer['claimRates'];
 	/** Registered hosts that have sent no claim for `hostSilenceMs`; empty unless this process holds the lease. */
 	readonly listSilentHosts: () => readonly string[];
+	/** Prepares for the lease of an epoch that this process tries to take, given who held the lease before. */
+	readonly expectLease: (expected: ExpectedLease) => void;
 };
 
+type ExpectedLease = {
+	readonly epoch: number;
+	readonly previous: PreviousHolder;
+};
+
+/**
+ * Holder of the lease before this process: an earlier process of this host, which ended before a moment in milliseconds
+ * of the steady clock, or another host, which may go on granting shares until its own confirmation of the lease is too old.
+ */
+type PreviousHolder = {readonly kind: 'ownProcess'; readonly endedBefore: number} | {readonly kind: 'otherHost'};
+
+/**
+ * Milliseconds after the store's last confirmation of the lease for which the allocator grants shares. Confirmations come
+ * about once a second; an allocator that is cut off from the store stops soon, so that its successor need not wait long.
+ */
+const allocatorLeaseMs = 1500;
+
 /** Lifetime of shares in milliseconds: long enough to outlast a short network partition, short enough to reclaim a lost host's share soon. */
 const shareSpanMs = 2500;
 
@@ -45,13 +64,14 @@
 		self, partition, incarnation, bound, findFleet, now,
 	} = options;
 	let state: RateAllocatorState | undefined;
+	let expected: ExpectedLease | undefined;
 
 	const findRow = () => findFleet()?.rateAllocators.get(partition);
 	const isAllocator = () => findRow()?.holder === self && findRow()?.incarnation === incarnation;
 
 	const hasLease = () => {
 		const confirmedAt = options.findFleetConfirmedAt();
-		return isAllocator() && confirmedAt !== undefined && findLeaseRemaining(confirmedAt, now()) > 0;
+		return isAllocator() && confirmedAt !== undefined && findElapsed(confirmedAt, now()) < allocatorLeaseMs;
 	};
 
 	const claimRates: RateAllocator['claimRates'] = async ({host, epoch, claims}) => {
@@ -62,7 +82,7 @@
 
 		if (state?.epoch !== row.epoch) {
 			state = {
-				epoch: row.epoch, startedAt: now().steady, hosts: new Map(), lastClaimAt: new Map(), pools: new Map(),
+				epoch: row.epoch, startedAt: now().steady, handoverEndsAt: findHandoverEnd(row.epoch), hosts: new Map(), lastClaimAt: new Map(), pools: new Map(),
 			};
 		}
 
@@ -73,16 +93,25 @@
 			bound,
 			registered: [...findFleet()?.hosts.keys() ?? []],
 			spanMs: shareSpanMs + expiryMarginMs,
-			handoverMs: shareSpanMs + expiryMarginMs,
 			now: now().steady,
 		});
 		({state} = assigned);
-		return {grants: assigned.grants, spanMs: shareSpanMs};
+		return {grants: assigned.grants, spanMs: shareSpanMs, isSettled: assigned.isAllKnown};
+	};
+
+	/** Finds when the shares that earlier holders of the lease granted have expired, in milliseconds of the steady clock. */
+	const findHandoverEnd = (epoch: number) => {
+		const previous = expected?.epoch === epoch ? expected.previous : undefined;
+		const lastGrantAt = previous?.kind === 'ownProcess' ? previous.endedBefore : now().steady + allocatorLeaseMs;
+		return lastGrantAt + shareSpanMs + expiryMarginMs;
 	};
 
 	return {
 		isAllocator,
 		claimRates,
+		expectLease(lease) {
+			expected = lease;
+		},
 		listSilentHosts() {
 			const at = now().steady;
 			const current = state;
--- a/packages/sessions/create-rate-limiter.ts
+++ b/packages/sessions/create-rate-limiter.ts
@@ -7,7 +7,7 @@
 export function createRateLimiter(options: Omit<Parameters<typeof createPartitionLimiter>[0], 'partition'>): RateLimiter {
 	const limiters = Array.from({length: ratePartitionCount}, (_, partition) => createPartitionLimiter({...options, partition}));
 	return {
-		takeOperation: async workspace => limiters[findRatePartition(workspace)]!.takeOperation(workspace),
+		takeOperation: async (workspace, maxWaitMs) => limiters[findRatePartition(workspace)]!.takeOperation(workspace, maxWaitMs),
 		claimRates: async claims => limiters[claims.partition]?.claimRates(claims) ?? 'notAllocator',
 		// Every host sends claims to the rate allocator of partition 0 as a heartbeat.
 		listSilentHosts: () => limiters[0]!.listSilentHosts(),
--- a/packages/sessions/create-statement-runner.ts
+++ b/packages/sessions/create-statement-runner.ts
@@ -34,6 +34,14 @@
 
 type StatementRequest = Extract<ClientRequest, {readonly kind: 'statement'}>;
 
+/** Largest fraction of a statement's time that it waits for the rates to be assigned; the rest is left to run it. */
+const maxRateWaitFraction = 0.5;
+
+const refusalReasons = {
+	usedUp: 'The workspace has used up its rate',
+	unassigned: 'No rate allocator has assigned the workspace\'s rate to this host lately',
+} as const;
+
 /** Creates the runner for the statements of a session, both single statements and those in transactions. */
 export function createStatementRunner({context, findCaller}: Options): StatementRunner {
 	const setup: SessionSetup = {variables: new Map(), prepared: new Map()};
@@ -91,9 +99,10 @@
 			return operation;
 		}
 
-		const {isTaken, retryAfter} = await context.takeOperation(operation.workspace);
+		const maxWaitMs = (operation.deadline - context.now().steady) * maxRateWaitFraction;
+		const taken = await context.takeOperation(operation.workspace, maxWaitMs);
 		trace.addSpan('rate', context.now().steady - operation.arrivedAt.steady);
-		return isTaken ? operation : createBusyFailure('The workspace has used up its rate', retryAfter);
+		return taken.kind === 'taken' ? operation : createBusyFailure(refusalReasons[taken.reason], taken.retryAfter);
 	};
 
 	const begin = async (isReadOnly: boolean, trace: StatementTrace): Promise<StatementOutcome> => {
--- a/packages/sessions/fleet-peer.ts
+++ b/packages/sessions/fleet-peer.ts
@@ -32,6 +32,8 @@
 	readonly grants: ReadonlyMap<string, RateGrant>;
 	/** Milliseconds for which the grants are valid, from when they were requested. */
 	readonly spanMs: number;
+	/** Whether the allocator knew the shares of all hosts. Until then it grants no more than what a host holds. */
+	readonly isSettled: boolean;
 };
 
 /** Calls from this host to another one. Each call resolves to undefined when no answer came. */
--- /dev/null
+++ b/packages/sessions/is-allocator-lease-due.ts
@@ -0,0 +1,32 @@
+type Options = {
+	/** Rank of this host among the candidates for the lease; 0 is the first. */
+	readonly rank: number;
+	/** Whether any host ever held the lease. */
+	readonly hasHolder: boolean;
+	/** Since when nobody holds the lease or its holder has left claims unanswered, in milliseconds of the steady clock. */
+	readonly since: number | undefined;
+	/** Milliseconds of the steady clock. */
+	readonly now: number;
+};
+
+/** Milliseconds by which each candidate waits longer than the one ranked before it to take a lease that nobody ever held. */
+const firstStaggerMs = 1000;
+
+/** Milliseconds without an answer from the rate allocator after which another host takes its lease; shares outlast it, so hosts keep what they hold. */
+const allocatorTimeoutMs = 500;
+
+/** Milliseconds that each candidate waits longer than the one ranked before it, so that they rarely compete for the lease. */
+const rankDelayMs = 120;
+
+/** Rank from which on all candidates wait equally long. */
+const maxRank = 4;
+
+/** Whether this host, by its rank, is due to take the lease of a rate allocator that is vacant or whose holder does not answer. */
+export function isAllocatorLeaseDue({rank, hasHolder, since, now}: Options): boolean {
+	if (since === undefined) {
+		return false;
+	}
+
+	const steps = Math.min(maxRank, rank);
+	return now - since > (hasHolder ? allocatorTimeoutMs + (steps * rankDelayMs) : steps * firstStaggerMs);
+}
--- a/packages/sessions/rate-allocator-state.ts
+++ b/packages/sessions/rate-allocator-state.ts
@@ -6,6 +6,8 @@
 	readonly epoch: number;
 	/** When this allocator handled its first claim of the epoch, in milliseconds of the steady clock. */
 	readonly startedAt: number;
+	/** When all shares that earlier allocators granted have expired, in milliseconds of the steady clock. */
+	readonly handoverEndsAt: number;
 	/** When each host last sent a claim, in milliseconds of the steady clock. */
 	readonly lastClaimAt: ReadonlyMap<string, number>;
 	/** Pools of unassigned operations, by workspace. */
--- a/packages/sessions/rate-limiter.ts
+++ b/packages/sessions/rate-limiter.ts
@@ -1,10 +1,11 @@
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
+import type {RateOutcome} from './rate-outcome.ts';
 
 /** Rate limiter of one host: its shares of the workspaces' rates, and the rate allocators whose leases it holds. */
 export type RateLimiter = {
-	/** Takes an operation from a workspace's rate, or returns the milliseconds after which to retry. */
-	readonly takeOperation: (workspace: string) => Promise<{readonly isTaken: boolean; readonly retryAfter: number}>;
+	/** Takes an operation from a workspace's rate; while the shares of the hosts are not assigned, waits for that, at most `maxWaitMs`. */
+	readonly takeOperation: (workspace: string, maxWaitMs: number) => Promise<RateOutcome>;
 	/** Answers the claims of a host if this host is the rate allocator, otherwise `notAllocator`. */
 	readonly claimRates: FleetPeer['claimRates'];
 	/** Registered hosts that have sent no claim for long; empty unless this host is the rate allocator of partition 0. */
--- a/packages/sessions/session-context.ts
+++ b/packages/sessions/session-context.ts
@@ -1,6 +1,7 @@
 import type {Access} from './access.ts';
 import type {Caller} from './caller.ts';
 import type {Instant} from './instant.ts';
+import type {RateLimiter} from './rate-limiter.ts';
 import type {SessionGroup} from './session-group.ts';
 import type {SessionLog} from './session-log.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
@@ -28,8 +29,8 @@
 	/** Returns the idle timeout of transactions in milliseconds. */
 	readonly transactionIdleLimit: () => number;
 	readonly findGroup: (name: string) => SessionGroup | undefined;
-	/** Takes one operation from the workspace's share of its rate; `retryAfter` is the delay in milliseconds if none is left. */
-	readonly takeOperation: (workspace: string) => Promise<{readonly isTaken: boolean; readonly retryAfter: number}>;
+	/** Takes one operation from a workspace's rate; see `RateLimiter`. */
+	readonly takeOperation: RateLimiter['takeOperation'];
 	readonly onAnswered: (answered: AnsweredStatement) => void;
 	readonly log: SessionLog;
 };
--- a/packages/sessions/take-rate-allocator-lease.ts
+++ b/packages/sessions/take-rate-allocator-lease.ts
@@ -44,13 +44,29 @@
 	}, 'rates: This host tried to take the rate allocator\'s lease.');
 }
 
-/** Whether this host reaches at least half of a sample of the others. */
+/** Whether this host reaches at least half of a sample of the others; does not wait for the rest once it does. */
 async function isReachingMost({
 	self, incarnation, partition, hosts, findPeer,
 }: Options): Promise<boolean> {
 	const others = rankHosts(`reach/${self}`, hosts.filter(host => host !== self)).slice(0, reachabilitySampleSize);
-	const answers = await Promise.all(others.map(async host => findPeer(host)?.claimRates({
-		host: self, incarnation, partition, epoch: 0, claims: [],
-	})));
-	return answers.filter(answer => answer !== undefined).length * 2 >= others.length;
+	const needed = Math.ceil(others.length / 2);
+	if (needed === 0) {
+		return true;
+	}
+
+	return new Promise(resolve => {
+		let answered = 0;
+		const calls = others.map(async host => {
+			const answer = await findPeer(host)?.claimRates({
+				host: self, incarnation, partition, epoch: 0, claims: [],
+			});
+			answered += answer === undefined ? 0 : 1;
+			if (answered >= needed) {
+				resolve(true);
+			}
+		});
+		void Promise.allSettled(calls).then(() => { // eslint-disable-line promise/prefer-await-to-then
+			resolve(false);
+		});
+	});
 }
