Notice a lost zone by its gateways, fence all of its groups at once, and resume a failover whose process ended

Cause: after the silent cut of a zone, only a fallback host that connects itself noticed the primary, after trying gateways one by one, and then waited for its rank: the vote came 3.3 s after the cut. Votes waited 500 ms for the lost hosts. Fences of several groups by one host conflicted on the failover lock, 0.3 to 0.8 s each. When all hosts lost power during a failover, nobody resumed it for 5 s. A jump of the wall clock of the fencing host could shorten its wait for leases.

Change: a job that is not answered for 150 ms pings all gateways of its instance. When none answers, hosts of other zones suspect the primary after 400 ms (700 before), in the same order for all groups of that zone; the vote is over when the rest cannot change it. commitFence tries again when only the lock has changed. A group's row names the process of its holder, so that a failover whose process has ended is resumed at once, counting leases from when its fence was first seen. The wait for leases counts the steady clock alone.

--- a/packages/sessions/commit-fence.ts
+++ b/packages/sessions/commit-fence.ts
@@ -4,6 +4,11 @@
 import type {GroupRow} from './group-row.ts';
 import {readFleetRows} from './read-fleet-rows.ts';
 import type {Failover} from './failover.ts';
+import type {Instant} from './instant.ts';
+import type {Versioned} from './versioned.ts';
+
+/** Maximum number of attempts. A commit conflicts when this host fences several groups at once, since each takes the lock. */
+const maxAttempts = 5;
 
 /**
  * Takes the failover lock and sets the fence in one commit, then reads the rows to see whether the commit was applied, as
@@ -12,28 +17,39 @@
  * @returns The fence; undefined when another host is first, or the store does not answer or has no row of the group.
  */
 export async function commitFence(failover: Failover): Promise<Fence | undefined> {
-	const {group, self, store, log, now} = failover;
-	const before = await readFleetRows(store, log);
-	const row = before?.groups.get(group.name);
-	if (before === undefined || row === undefined) {
-		return undefined;
-	}
+	const {group, store, log} = failover;
+	for (let attempt = 0; attempt < maxAttempts; attempt++) {
+		const rows = await readFleetRows(store, log); // eslint-disable-line no-await-in-loop -- attempts run one after another
+		const row = rows?.groups.get(group.name);
+		if (rows === undefined || row === undefined || isTakenByOtherHost(rows, failover)) {
+			return undefined;
+		}
 
-	if (isTakenByOtherHost(before, failover)) {
-		return undefined;
+		const outcome = await tryCommit(rows, row, failover); // eslint-disable-line no-await-in-loop -- attempts run one after another
+		if (outcome !== 'conflict') {
+			return outcome;
+		}
 	}
 
-	const {failoverLock} = before;
+	return undefined;
+}
+
+async function tryCommit({failoverLock}: FleetRows, row: Versioned<GroupRow>, failover: Failover): Promise<Fence | 'conflict' | undefined> {
+	const {group, self, incarnation, store, log, now} = failover;
 	const token = failoverLock?.holder === self ? failoverLock.token : (failoverLock?.token ?? 0) + 1;
 	const next: GroupRow = {
-		epoch: row.epoch + 1, state: 'fencing', primary: row.primary, successor: row.successor, holder: self, token,
+		epoch: row.epoch + 1, state: 'fencing', primary: row.primary, successor: row.successor, holder: self, holderIncarnation: incarnation, token,
 	};
 	const key = `${fleetKeys.groupPrefix}${group.name}`;
 	const outcome = await store.commit({
 		expected: new Map([[fleetKeys.failoverLock, failoverLock?.version ?? 0], [key, row.version]]),
 		values: new Map([[fleetKeys.failoverLock, JSON.stringify({holder: self, token})], [key, JSON.stringify(next)]]),
 	});
-	if (outcome.kind === 'conflict' || outcome.kind === 'refused') {
+	if (outcome.kind === 'conflict') {
+		return 'conflict';
+	}
+
+	if (outcome.kind === 'refused') {
 		return undefined;
 	}
 
@@ -41,10 +57,18 @@
 	const after = await readFleetRows(store, log);
 	const fenced = after?.groups.get(group.name);
 	return after !== undefined && fenced?.holder === self && fenced.epoch === next.epoch
-		? {row: fenced, hosts: [...after.hosts.values(), ...after.goneHosts.values()], at}
+		? {row: fenced, hosts: [...after.hosts.values(), ...after.goneHosts.values()], at: findFenceTime(row, failover, at)}
 		: undefined;
 }
 
+/**
+ * Finds since when no host has got a lease on the primary, in milliseconds of the steady clock. While an earlier failover
+ * left the row fenced, that is since this host first saw that fence.
+ */
+function findFenceTime({state, epoch}: GroupRow, {seenFence}: Failover, committedAt: Instant): number {
+	return state === 'fencing' && seenFence?.epoch === epoch ? Math.min(seenFence.at, committedAt.steady) : committedAt.steady;
+}
+
 /** Checks whether another host replaces this primary, or holds the failover lock while it replaces another one. */
 function isTakenByOtherHost({groups, failoverLock}: FleetRows, {group, self, reason}: Failover): boolean {
 	if (reason === 'abandoned') {
--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -1,6 +1,7 @@
 /* eslint-disable no-await-in-loop -- steps run one after another */
 import {rankHosts} from '@sapphirefall/decisions';
 import {bootstrapStaggerMs} from './bootstrap-stagger-ms.ts';
+import {collectVotes} from './collect-votes.ts';
 import type {FleetController} from './fleet-controller.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {FleetPeer} from './fleet-peer.ts';
@@ -11,7 +12,7 @@
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
 import {isAnswering} from './is-answering.ts';
-import {isMajoritySilent} from './is-majority-silent.ts';
+import type {Gateways} from './gateways.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OrderPromotion} from './order-promotion.ts';
 import {replacePrimary} from './replace-primary.ts';
@@ -26,8 +27,7 @@
 	/** Registration of this host. */
 	readonly own: HostRow;
 	readonly store: Store;
-	/** Hosts that connect to an instance, by rank. */
-	readonly listGateways: (instance: ListedInstance) => readonly string[];
+	readonly gateways: Pick<Gateways, 'list' | 'probe' | 'findSilentSince' | 'hasSilentHost'>;
 	readonly listGroups: () => readonly SessionGroup[];
 	readonly listInstances: () => readonly ListedInstance[];
 	/** Whether the platform's list of instances is recent enough to act on. */
@@ -46,7 +46,10 @@
 const unregisteredLeaseMs = 6000;
 
 /** Milliseconds by which each host waits longer than the host ranked before it, so that only one replaces a primary. */
-const rankDelayMs = 300;
+const rankDelayMs = 200;
+
+/** Number of hosts of other zones that check the gateways of a primary once a host of its zone is silent. */
+const proberCount = 4;
 
 /** Milliseconds within which an instance must answer when this host checks whether it is silent. */
 const confirmTimeoutMs = 300;
@@ -54,6 +57,9 @@
 /** Milliseconds between two attempts to register, to remove silent hosts, or to store a first primary. */
 const retryIntervalMs = 500;
 
+/** Milliseconds until the next vote on a primary after one that did not find it silent. */
+const voteIntervalMs = 500;
+
 /** Maximum number of other hosts that vote on whether a primary is silent. */
 const maxVoters = 12;
 
@@ -64,6 +70,8 @@
 	const seenHosts = new Map<string, {readonly row: HostRow; readonly seenAt: number}>();
 	/** Current reason to replace each group's primary, and since when, in milliseconds of the steady clock. */
 	const reasonSince = new Map<string, {readonly reason: FailoverReason; readonly since: number}>();
+	/** Until when this host does not start another vote on a group's primary, in milliseconds of the steady clock. */
+	const nextVoteAt = new Map<string, number>();
 	/** Groups whose primary this host is replacing. */
 	const busyGroups = new Set<string>();
 	let fleet: FleetRows | undefined;
@@ -98,7 +106,7 @@
 
 		const key = `${fleetKeys.groupPrefix}${group}`;
 		const row: GroupRow = {
-			epoch: 1, state: 'serving', primary: primary.id, successor: '', holder: own.name, token: 0,
+			epoch: 1, state: 'serving', primary: primary.id, successor: '', holder: own.name, holderIncarnation: own.incarnation, token: 0,
 		};
 		const outcome = await store.commit({expected: new Map([[key, 0]]), values: new Map([[key, JSON.stringify(row)]])});
 		log.info({group, primary: primary.id, outcome: outcome.kind}, 'group: The host tried to store the first primary.');
@@ -108,10 +116,29 @@
 		self: own.name,
 		zone: primary?.zone ?? '',
 		hosts: [...fleet?.hosts.values() ?? []],
-		gateways: primary === undefined ? [] : options.listGateways(primary),
-		hasFailoverLock: [...fleet?.groups.values() ?? []].some(row => row.state === 'fencing' && row.holder === own.name && busyGroups.size > 0),
+		gateways: primary === undefined ? [] : options.gateways.list(primary, undefined),
+		areGatewaysSilent: primary !== undefined && options.gateways.findSilentSince(primary) !== undefined,
+		hasFailoverLock: hasFailoverLock(),
 	});
 
+	/** Whether the process that last changed a group's row has ended. */
+	const hasHolderEnded = ({holder, holderIncarnation}: GroupRow) => holderIncarnation !== undefined
+		&& fleet !== undefined && !fleet.goneHosts.has(holder) && fleet.hosts.get(holder)?.incarnation !== holderIncarnation;
+
+	const hasFailoverLock = () => busyGroups.size > 0 && [...fleet?.groups.values() ?? []].some(row => row.state === 'fencing' && row.holder === own.name);
+
+	/** Pings the gateways of a primary in another zone of which a host is silent, since the whole zone may be lost. */
+	const probeGateways = (primary: ListedInstance) => {
+		if (primary.zone === own.zone || !options.gateways.hasSilentHost(primary.zone)) {
+			return;
+		}
+
+		const others = [...fleet?.hosts.values() ?? []].filter(({zone}) => zone !== primary.zone).map(({name}) => name);
+		if (hasFailoverLock() || rankHosts(`failover/${primary.zone}`, others).slice(0, proberCount).includes(own.name)) {
+			options.gateways.probe(primary);
+		}
+	};
+
 	/** Checks whether an instance is silent for this host; sends a request when the recent ones do not show it. */
 	const isInstanceSilent = async (groupName: string, id: string): Promise<boolean> => {
 		const instance = options.listGroups().find(({name}) => name === groupName)?.findInstance(id);
@@ -132,26 +159,31 @@
 	/** Checks by a vote of this host and others whether a primary is silent. */
 	const isConfirmed = async (group: string, primary: string): Promise<boolean> => {
 		const others = rankHosts(`vote/${group}`, [...fleet?.hosts.keys() ?? []]).filter(name => name !== own.name).slice(0, maxVoters);
-		const votes = await Promise.all([own.name, ...others].map(async name => {
-			const isSilent = name === own.name ? await isInstanceSilent(group, primary) : await options.findPeer(name)?.confirmSilence(group, primary);
-			return isSilent === undefined ? undefined : {zone: fleet?.hosts.get(name)?.zone ?? '', isSilent};
+		const {isSilent, votes} = await collectVotes([own.name, ...others].map(async name => {
+			const vote = name === own.name ? await isInstanceSilent(group, primary) : await options.findPeer(name)?.confirmSilence(group, primary);
+			return vote === undefined ? undefined : {zone: fleet?.hosts.get(name)?.zone ?? '', isSilent: vote};
 		}));
-		const answered = votes.filter(vote => vote !== undefined);
-		const isSilent = isMajoritySilent(answered);
 		log.info({
-			group, primary, answered: answered.length, silent: answered.filter(vote => vote.isSilent).length, isSilent,
+			group, primary, asked: others.length + 1, answered: votes.length, silent: votes.filter(vote => vote.isSilent).length, isSilent,
 		}, 'failover: The hosts voted on whether the primary is silent.');
 		return isSilent;
 	};
 
-	const replace = async (group: SessionGroup, primary: string, reason: FailoverReason) => {
+	const replace = async (group: SessionGroup, {primary, epoch}: GroupRow, reason: FailoverReason) => {
 		const workspace = options.findWorkspace();
-		if (workspace === undefined || (reason === 'silent' && !await isConfirmed(group.name, primary))) {
+		if (workspace === undefined) {
 			return;
 		}
 
+		if (reason === 'silent' && !await isConfirmed(group.name, primary)) {
+			nextVoteAt.set(group.name, now().steady + voteIntervalMs);
+			return;
+		}
+
+		const fencedAt = group.fencedAt();
+		const seenFence = fencedAt === undefined ? undefined : {epoch, at: fencedAt};
 		await replacePrimary({
-			group, reason, self: own.name, store, orderPromotion: options.orderPromotion, findPeer: options.findPeer, listRecentHosts, workspace, now, log,
+			group, reason, self: own.name, incarnation: own.incarnation, seenFence, store, orderPromotion: options.orderPromotion, findPeer: options.findPeer, listRecentHosts, workspace, now, log,
 		});
 	};
 
@@ -197,17 +229,24 @@
 
 	const stepGroup = (group: SessionGroup) => {
 		const row = fleet?.groups.get(group.name);
-		if (row === undefined || busyGroups.has(group.name)) {
+		if (row === undefined || busyGroups.has(group.name) || (nextVoteAt.get(group.name) ?? 0) > now().steady) {
 			return;
 		}
 
 		const instance = group.findInstance(row.primary);
+		const listed = instance?.listed();
+		if (listed !== undefined) {
+			probeGateways(listed);
+		}
+
 		const at = now().steady;
 		const reason = findFailoverReason({
 			row,
-			isDeparting: instance?.listed().isDeparting ?? false,
+			isDeparting: listed?.isDeparting ?? false,
 			missingSince: group.missingSince(row.primary),
 			health: instance?.health(),
+			gatewaysSilentSince: listed && options.gateways.findSilentSince(listed),
+			hasHolderEnded: hasHolderEnded(row),
 			fencedAt: group.fencedAt(),
 			isListFresh: options.isListFresh(),
 			now: at,
@@ -222,10 +261,10 @@
 			reasonSince.set(group.name, {reason, since: at});
 		}
 
-		if (at - (previous?.reason === reason ? previous.since : at) >= findRank(instance?.listed()) * rankDelayMs) {
+		if (at - (previous?.reason === reason ? previous.since : at) >= findRank(listed) * rankDelayMs) {
 			reasonSince.delete(group.name);
 			busyGroups.add(group.name);
-			void replace(group, row.primary, reason).finally(() => { // eslint-disable-line promise/prefer-await-to-then
+			void replace(group, row, reason).finally(() => { // eslint-disable-line promise/prefer-await-to-then
 				busyGroups.delete(group.name);
 			});
 		}
--- a/packages/sessions/create-gateways.ts
+++ b/packages/sessions/create-gateways.ts
@@ -22,6 +22,8 @@
 	lastAnswerAt: number;
 	/** Until when the host is skipped, see `backoffMs`. */
 	avoidedUntil: number;
+	/** When the first ping was sent that the host has left unanswered; undefined after an answer. */
+	silentSince: number | undefined;
 	/** The ping in flight, if any. */
 	ping: Promise<boolean> | undefined;
 };
@@ -35,6 +37,12 @@
 /** Milliseconds for which a host is skipped after it did not answer, did not serve a job or could not reach the instance. */
 const backoffMs = 1000;
 
+/** Milliseconds without an answer to a job after which the gateways of its instance are pinged, since their zone may be lost. */
+const slowAnswerMs = 150;
+
+/** Milliseconds after an answer for which a probe does not ping a host again. */
+const probeFreshMs = 150;
+
 /** Creates the access to instances through other hosts. */
 export function createGateways({
 	own, findFleet, findPeer, countGateways, hasConnectionPerWorkspace, now,
@@ -47,7 +55,9 @@
 	let rankedFleet: FleetRows | undefined;
 
 	const findReachability = (host: string): Reachability => {
-		const known = reachabilities.get(host) ?? {lastAnswerAt: Number.NEGATIVE_INFINITY, avoidedUntil: 0, ping: undefined};
+		const known = reachabilities.get(host) ?? {
+			lastAnswerAt: Number.NEGATIVE_INFINITY, avoidedUntil: 0, silentSince: undefined, ping: undefined,
+		};
 		reachabilities.set(host, known);
 		return known;
 	};
@@ -69,18 +79,40 @@
 		return known;
 	};
 
+	const recordAnswer = (reachability: Reachability) => {
+		reachability.lastAnswerAt = now();
+		reachability.silentSince = undefined;
+	};
+
 	const ping = async (host: string, reachability: Reachability) => {
+		const sentAt = now();
 		const isAnswering = await findPeer(host)?.ping() ?? false;
 		reachability.ping = undefined;
 		if (isAnswering) {
-			reachability.lastAnswerAt = now();
-		} else {
+			recordAnswer(reachability);
+		} else if (reachability.lastAnswerAt < sentAt) {
 			reachability.avoidedUntil = now() + backoffMs;
+			reachability.silentSince ??= sentAt;
 		}
 
 		return isAnswering;
 	};
 
+	/** Lists the other hosts of an instance's own zone that connect to it. */
+	const listLocalGateways = (instance: ListedInstance): readonly string[] => {
+		const hosts = findFleet()?.hosts;
+		return list(instance, undefined).filter(host => host !== own.name && hosts?.get(host)?.zone === instance.zone);
+	};
+
+	const probe = (instance: ListedInstance) => {
+		for (const host of listLocalGateways(instance)) {
+			const reachability = findReachability(host);
+			if (now() - reachability.lastAnswerAt > probeFreshMs) {
+				reachability.ping ??= ping(host, reachability);
+			}
+		}
+	};
+
 	const backOff = (host: string) => {
 		findReachability(host).avoidedUntil = now() + backoffMs;
 	};
@@ -100,12 +132,20 @@
 			reachability.ping ??= ping(host, reachability);
 			return reachability.ping;
 		},
+		probe,
+		findSilentSince(instance) {
+			const since = listLocalGateways(instance).map(host => reachabilities.get(host)?.silentSince);
+			return since.length === 0 || since.includes(undefined) ? undefined : Math.max(...since.filter(at => at !== undefined));
+		},
+		hasSilentHost: zone => [...reachabilities].some(([host, {silentSince}]) => silentSince !== undefined && findFleet()?.hosts.get(host)?.zone === zone),
 		async runJob(host, instance, job) {
+			const timer = setTimeout(probe, slowAnswerMs, instance);
 			const answer = await findPeer(host)?.runJob({group: instance.group, id: instance.id}, job);
+			clearTimeout(timer);
 			if (answer === undefined || answer === 'notServed') {
 				backOff(host);
 			} else {
-				findReachability(host).lastAnswerAt = now();
+				recordAnswer(findReachability(host));
 				if (answer.kind === 'notSent' && answer.isUnreachable === true) {
 					unreachableUntil.set(createPairKey(host, instance), now() + backoffMs);
 				}
--- a/packages/sessions/create-routed-runner.test.ts
+++ b/packages/sessions/create-routed-runner.test.ts
@@ -87,6 +87,9 @@
 				list: () => Object.keys(answers),
 				isAvoided: host => answers[host] === 'avoided',
 				isAnswering: async host => answers[host] !== 'unreachable',
+				probe: () => undefined,
+				findSilentSince: () => undefined,
+				hasSilentHost: () => false,
 				async runJob(host) {
 					requested.push(host);
 					const answer = answers[host];
--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -3,7 +3,6 @@
 import {comparePoints} from '@sapphirefall/decisions';
 import {chooseSuccessor} from './choose-successor.ts';
 import type {Fence} from './fence.ts';
-import {findElapsed} from './find-elapsed.ts';
 import type {GroupRow} from './group-row.ts';
 import type {InstanceStatus} from './instance-status.ts';
 import {commitGroupRow} from './commit-group-row.ts';
@@ -42,8 +41,9 @@
 		await waitForCatchUp(fence, failover);
 	}
 
+	const startedAt = now().steady;
 	let ordered: {readonly instance: string; readonly at: number} | undefined;
-	while (findElapsed(fence.at, now()) < failoverLimitMs) {
+	while (now().steady - startedAt < failoverLimitMs) {
 		// Once a successor is stored, the old primary may no longer lead, and waiting for its status would cost time if it is silent.
 		const answers = await readStatuses(failover, row.successor === '' ? undefined : fence.row.primary);
 		const leader = findLeader(answers, row, failover);
--- a/packages/sessions/failover.ts
+++ b/packages/sessions/failover.ts
@@ -13,6 +13,10 @@
 	readonly reason: FailoverReason;
 	/** Name of this host. */
 	readonly self: string;
+	/** Incarnation of this host's process. */
+	readonly incarnation: number;
+	/** Fence of an earlier failover that this host resumes, and when it first saw that, in milliseconds of the steady clock. */
+	readonly seenFence: {readonly epoch: number; readonly at: number} | undefined;
 	readonly store: Store;
 	readonly orderPromotion: OrderPromotion;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
--- a/packages/sessions/fence.ts
+++ b/packages/sessions/fence.ts
@@ -1,6 +1,5 @@
 import type {GroupRow} from './group-row.ts';
 import type {HostRow} from './host-row.ts';
-import type {Instant} from './instant.ts';
 import type {Versioned} from './versioned.ts';
 
 /** A fence on a group's primary, as the store holds it. */
@@ -8,6 +7,6 @@
 	readonly row: Versioned<GroupRow>;
 	/** Hosts that may hold a lease on the primary. */
 	readonly hosts: readonly HostRow[];
-	/** Latest moment at which the store can have applied the fence. */
-	readonly at: Instant;
+	/** Latest moment from which on no host can have got a lease on the primary, in milliseconds of the steady clock. */
+	readonly at: number;
 };
--- a/packages/sessions/find-failover-reason.ts
+++ b/packages/sessions/find-failover-reason.ts
@@ -9,6 +9,10 @@
 	/** When the platform stopped listing the primary, in milliseconds of the steady clock. */
 	readonly missingSince: number | undefined;
 	readonly health: InstanceHealth | undefined;
+	/** Since when no gateway in the primary's zone has answered this host, in milliseconds of the steady clock. */
+	readonly gatewaysSilentSince: number | undefined;
+	/** Whether the process that runs the failover has ended: its host has started again since, or is not registered any more. */
+	readonly hasHolderEnded: boolean;
 	/** When this host first saw the current fence, in milliseconds of the steady clock. */
 	readonly fencedAt: number | undefined;
 	/** Whether the platform's list of instances is recent enough to act on. */
@@ -17,8 +21,8 @@
 	readonly now: number;
 };
 
-/** Milliseconds that a request may stay unanswered before its instance counts as silent. */
-const silenceLimitMs = 700;
+/** Milliseconds that a request may stay unanswered before its instance counts as silent; a vote checks it before anything is done. */
+const silenceLimitMs = 400;
 
 /** Milliseconds that an instance must be unlisted before it counts as missing, since its entry may have expired by mistake. */
 const missingLimitMs = 2600;
@@ -29,10 +33,11 @@
 /** Finds why the primary of a group should be replaced, from what this host sees; undefined when it should not. */
 export function findFailoverReason(options: Options): FailoverReason | undefined {
 	const {
-		row, health, missingSince, fencedAt, now,
+		row, health, gatewaysSilentSince, missingSince, hasHolderEnded, fencedAt, now,
 	} = options;
 	if (row.state === 'fencing') {
-		return fencedAt !== undefined && now - fencedAt > abandonedLimitMs ? 'abandoned' : undefined;
+		const isAbandoned = hasHolderEnded || (fencedAt !== undefined && now - fencedAt > abandonedLimitMs);
+		return isAbandoned ? 'abandoned' : undefined;
 	}
 
 	if (options.isListFresh && options.isDeparting) {
@@ -43,6 +48,6 @@
 		return 'missing';
 	}
 
-	const isSilent = health?.unansweredSince !== undefined && now - health.unansweredSince > silenceLimitMs;
-	return isSilent ? 'silent' : undefined;
+	const silentSince = Math.min(health?.unansweredSince ?? Number.POSITIVE_INFINITY, gatewaysSilentSince ?? Number.POSITIVE_INFINITY);
+	return now - silentSince > silenceLimitMs ? 'silent' : undefined;
 }
--- a/packages/sessions/gateways.ts
+++ b/packages/sessions/gateways.ts
@@ -18,6 +18,15 @@
 	 * retried elsewhere.
 	 */
 	readonly isAnswering: (host: string, work: {readonly isRetryable: boolean}) => Promise<boolean>;
+	/** Pings the gateways in an instance's own zone that have not answered lately, all at once. */
+	readonly probe: (instance: ListedInstance) => void;
+	/**
+	 * Finds since when none of the gateways in an instance's own zone answers, in milliseconds of the steady clock;
+	 * undefined if one of them answers or was not asked since its last answer.
+	 */
+	readonly findSilentSince: (instance: ListedInstance) => number | undefined;
+	/** Whether a host of a zone did not answer the last time that it was asked. */
+	readonly hasSilentHost: (zone: string) => boolean;
 	/** Sends a job to a host; resolves to undefined when no answer came. */
 	readonly runJob: (host: string, instance: ListedInstance, job: Job) => Promise<JobAnswer | 'notServed' | undefined>;
 };
--- a/packages/sessions/group-row.ts
+++ b/packages/sessions/group-row.ts
@@ -10,6 +10,8 @@
 	readonly successor: string;
 	/** Host that last changed the row, and runs the failover while the state is `fencing`. */
 	readonly holder: string;
+	/** Incarnation of the holder's process; undefined in rows of versions that did not write it. */
+	readonly holderIncarnation?: number;
 	/** Fencing token with which the holder took the failover lock. */
 	readonly token: number;
 };
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -117,6 +117,8 @@
 		group: group as SessionGroup,
 		reason,
 		self: 'a1',
+		incarnation: 1,
+		seenFence: undefined,
 		store,
 		async orderPromotion({instance}) {
 			ordered.push(instance);
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -90,10 +90,24 @@
 		return peer;
 	};
 
+	const countGateways = () => findGatewayCount({hosts: findFleet()?.hosts.size ?? 0, instances: listInstances().length});
+
+	const gateways = createGateways({
+		own,
+		findFleet,
+		findPeer,
+		countGateways,
+		hasConnectionPerWorkspace(group) {
+			const configuration = findConfiguration()?.configuration;
+			return findConnectionLimit(configuration?.connectionLimits.get(group) ?? 0, countGateways()) >= (configuration?.limits.size ?? Number.POSITIVE_INFINITY);
+		},
+		now: () => now().steady,
+	});
+
 	const fleetController = createFleetController({
 		own,
 		store,
-		listGateways: instance => gateways.list(instance, undefined),
+		gateways,
 		listGroups: () => [...groups.values()],
 		listInstances,
 		isListFresh() {
@@ -120,20 +134,6 @@
 		log,
 	});
 
-	const countGateways = () => findGatewayCount({hosts: findFleet()?.hosts.size ?? 0, instances: listInstances().length});
-
-	const gateways = createGateways({
-		own,
-		findFleet,
-		findPeer,
-		countGateways,
-		hasConnectionPerWorkspace(group) {
-			const configuration = findConfiguration()?.configuration;
-			return findConnectionLimit(configuration?.connectionLimits.get(group) ?? 0, countGateways()) >= (configuration?.limits.size ?? Number.POSITIVE_INFINITY);
-		},
-		now: () => now().steady,
-	});
-
 	const updateGroups = () => {
 		for (const [name, cap] of findConfiguration()?.configuration.connectionLimits ?? []) {
 			const group = groups.get(name) ?? createSessionGroup(name, {
--- a/packages/sessions/wait-for-hosts.ts
+++ b/packages/sessions/wait-for-hosts.ts
@@ -17,7 +17,7 @@
 	group.fence(row.epoch);
 	const pending = new Set([...hosts, ...listRecentHosts()].map(({name}) => name));
 	pending.delete(self);
-	const findRemaining = () => findFenceRemaining({at, pending}, now());
+	const findRemaining = () => findFenceRemaining({at, pending}, now().steady);
 	while (findRemaining() > 0) {
 		const round = Promise.all([...pending].map(async name => {
 			const isFenced = await findPeer(name)?.fenceGroup(group.name, row.epoch);
