--- a/packages/sessions/assign-rates.ts
+++ b/packages/sessions/assign-rates.ts
@@ -1,5 +1,6 @@
 import {takeUnits, type TokenBucket} from '@sapphirefall/decisions';
 import {findBurstBudget} from './find-burst-budget.ts';
+import type {HostRow} from './host-row.ts';
 import {isAllocatedOnDemand} from './is-allocated-on-demand.ts';
 import type {RateBound} from './rate-bound.ts';
 import type {RateClaim} from './rate-claim.ts';
@@ -13,8 +14,8 @@
 	readonly claims: readonly RateClaim[];
 	readonly limits: ReadonlyMap<string, WorkspaceLimits>;
 	readonly bound: RateBound;
-	/** Names of the hosts that are registered. */
-	readonly registered: readonly string[];
+	/** Hosts that are registered. */
+	readonly registered: ReadonlyArray<Pick<HostRow, 'name' | 'zone'>>;
 	/** Lifetime of granted shares, in milliseconds. */
 	readonly spanMs: number;
 	/** Milliseconds of the steady clock. */
@@ -42,6 +43,13 @@
 /** Minimum fraction of the rate that stays in the allocator's pool, for hosts whose share is used up. */
 const reservedFraction = 0.05;
 
+/**
+ * Maximum fraction of the rate that shares of hosts in one availability zone add up to, in a fleet of several zones. While
+ * the hosts of one zone are unreachable, the rest of the rate is known to be free. Callers of one zone may use the whole
+ * rate, since operations from the pool do not count.
+ */
+const maxZoneFraction = 0.75;
+
 /** Milliseconds after which the demand that a host reported is ignored. */
 const demandTimeoutMs = 5000;
 
@@ -54,11 +62,14 @@
  *
  * The sum of the unexpired shares never exceeds the rate, and the pool is refilled only from the unassigned remainder
  * and the burst budget. After a change of allocator, the shares that an earlier one granted are known once every
- * registered host has claimed or they have expired (`handoverEndsAt`); until then a host gets no more than it holds.
+ * registered host has claimed or they have expired (`handoverEndsAt`). Until then a host gets no more than it holds, or
+ * than what the hosts of the only zone that is not known completely cannot hold.
  */
 export function assignRates(state: RateAllocatorState, options: Options): Assigned {
 	const {host, claims, limits, registered, now} = options;
-	const isAllKnown = now > state.handoverEndsAt || registered.every(name => name === host || state.hosts.has(name));
+	const unknownZones = now > state.handoverEndsAt ? new Set<string>() : listUnknownZones(state, options);
+	const isAllKnown = unknownZones.size === 0;
+	const zones = createZones(registered);
 	const holdings = new Map(state.hosts.get(host));
 	const pools = new Map(state.pools);
 	const grants = new Map<string, RateGrant>();
@@ -70,16 +81,18 @@
 		}
 
 		const others = listOthers(state, workspace, host);
-		const taken = others.reduce((sum, holding) => sum + (holding.expiresAt > now ? holding.rate : 0), 0);
-		const target = findTarget(limit.rate, {claim, others, options});
-		const rate = Math.min(target, Math.max(0, limit.rate - taken), isAllKnown ? limit.rate : claim.held);
+		const target = findTarget(limit.rate, {claim, others: others.map(({holding}) => holding), options});
+		const free = findFree(limit.rate, {
+			host, others, unknownZones, zones, now,
+		});
+		const rate = isAllKnown ? Math.min(target, free.share) : Math.min(target, Math.max(claim.held, free.share));
 		// If the answer is lost, the host keeps using the share it already holds.
 		const held = Math.max(rate, claim.held);
 		holdings.set(workspace, {
 			rate: held, expiresAt: now + options.spanMs, demand: claim.demand, claimedAt: now,
 		});
 		const {pool, units} = takePooled(pools.get(workspace) ?? {units: 0, refilledAt: state.startedAt}, {
-			claim, limit, free: isAllKnown ? Math.max(0, limit.rate - taken - held) : 0, options,
+			claim, limit, free: Math.max(0, free.total - held), options,
 		});
 		pools.set(workspace, pool);
 		grants.set(workspace, {rate, units});
@@ -94,11 +107,49 @@
 	};
 }
 
-function listOthers({hosts}: RateAllocatorState, workspace: string, host: string): readonly Holding[] {
+type OtherHolding = {readonly name: string; readonly holding: Holding};
+
+function listOthers({hosts}: RateAllocatorState, workspace: string, host: string): readonly OtherHolding[] {
 	return [...hosts]
 		.filter(([name]) => name !== host)
-		.map(([, holdings]) => holdings.get(workspace))
-		.filter(holding => holding !== undefined);
+		.map(([name, holdings]) => ({name, holding: holdings.get(workspace)}))
+		.filter((other): other is OtherHolding => other.holding !== undefined);
+}
+
+/** Lists the zones of registered hosts that have not claimed in this epoch. */
+function listUnknownZones({hosts}: RateAllocatorState, {host, registered}: Options): ReadonlySet<string> {
+	return new Set(registered.filter(({name}) => name !== host && !hosts.has(name)).map(({zone}) => zone));
+}
+
+function createZones(registered: Options['registered']): ReadonlyMap<string, string> {
+	return new Map(registered.map(({name, zone}) => [name, zone]));
+}
+
+type Holders = {
+	readonly host: string;
+	readonly others: readonly OtherHolding[];
+	/** Zones with hosts whose shares are not known. */
+	readonly unknownZones: ReadonlySet<string>;
+	/** Zones by host. */
+	readonly zones: ReadonlyMap<string, string>;
+	readonly now: number;
+};
+
+/** Finds the operations per second that no other host may hold, in all (`total`) and for the share of a host (`share`). */
+function findFree(limit: number, {host, others, unknownZones, zones, now}: Holders): {readonly total: number; readonly share: number} {
+	const zone = zones.get(host);
+	const sum = (isCounted: (name: string) => boolean) => others
+		.reduce((total, {name, holding}) => total + (isCounted(name) && holding.expiresAt > now ? holding.rate : 0), 0);
+	const zoneLimit = new Set(zones.values()).size > 1 ? limit * maxZoneFraction : limit;
+	if (unknownZones.size === 0) {
+		const total = Math.max(0, limit - sum(() => true));
+		return {total, share: Math.max(0, Math.min(total, zoneLimit - sum(name => zones.get(name) === zone)))};
+	}
+
+	// Hosts of the unknown zone may hold all that a zone may hold; nothing is free if another zone is unknown as well.
+	const isOutside = (name: string) => !unknownZones.has(zones.get(name) ?? '');
+	const total = unknownZones.size === 1 && isOutside(host) ? Math.max(0, limit - zoneLimit - sum(isOutside)) : 0;
+	return {total, share: total};
 }
 
 /** Finds the rate to grant a host: its demand plus headroom, scaled down when the total demand exceeds the rate. */
--- a/packages/sessions/commit-fence.ts
+++ b/packages/sessions/commit-fence.ts
@@ -70,12 +70,12 @@
 }
 
 /** Checks whether another host replaces this primary, or holds the failover lock while it replaces another one. */
-function isTakenByOtherHost({groups, failoverLock}: FleetRows, {group, self, reason}: Failover): boolean {
+function isTakenByOtherHost({groups, failoverLock}: FleetRows, {group, self, reason, seenFence}: Failover): boolean {
+	const row = groups.get(group.name);
 	if (reason === 'abandoned') {
-		return false;
+		return row?.epoch !== seenFence?.epoch;
 	}
 
-	const row = groups.get(group.name);
 	const isFencedByOther = row?.state === 'fencing' && row.holder !== self;
 	const isLockInUse = failoverLock !== undefined && failoverLock.holder !== self && [...groups]
 		.some(([name, other]) => name !== group.name && other.state === 'fencing' && other.holder === failoverLock.holder);
--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -48,6 +48,9 @@
 /** Milliseconds by which each host waits longer than the host ranked before it, so that only one replaces a primary. */
 const rankDelayMs = 200;
 
+/** Highest rank of a host that may resume an abandoned failover. */
+const maxResumeRank = 4;
+
 /** Number of hosts of other zones that check the gateways of a primary once a host of its zone is silent. */
 const proberCount = 4;
 
@@ -125,6 +128,12 @@
 	const hasHolderEnded = ({holder, holderIncarnation}: GroupRow) => holderIncarnation !== undefined
 		&& fleet !== undefined && !fleet.goneHosts.has(holder) && fleet.hosts.get(holder)?.incarnation !== holderIncarnation;
 
+	/** Finds this host's rank among those that may resume an abandoned failover. */
+	const findResumeRank = (group: string) => {
+		const reachable = [...fleet?.hosts.values() ?? []].filter(({zone}) => zone === own.zone || !options.gateways.hasSilentHost(zone));
+		return Math.min(maxResumeRank, rankHosts(`resume/${group}`, reachable.map(({name}) => name)).indexOf(own.name));
+	};
+
 	const hasFailoverLock = () => busyGroups.size > 0 && [...fleet?.groups.values() ?? []].some(row => row.state === 'fencing' && row.holder === own.name);
 
 	/** Pings the gateways of a primary in another zone of which a host is silent, since the whole zone may be lost. */
@@ -261,7 +270,7 @@
 			reasonSince.set(group.name, {reason, since: at});
 		}
 
-		if (at - (previous?.reason === reason ? previous.since : at) >= findRank(listed) * rankDelayMs) {
+		if (at - (previous?.reason === reason ? previous.since : at) >= (reason === 'abandoned' ? findResumeRank(group.name) : findRank(listed)) * rankDelayMs) {
 			reasonSince.delete(group.name);
 			busyGroups.add(group.name);
 			void replace(group, row, reason).finally(() => { // eslint-disable-line promise/prefer-await-to-then
--- a/packages/sessions/create-rate-allocator.ts
+++ b/packages/sessions/create-rate-allocator.ts
@@ -45,9 +45,9 @@
 
 /**
  * Milliseconds after the store's last confirmation of the lease for which the allocator grants shares. Confirmations come
- * about once a second; an allocator that is cut off from the store stops soon, so that its successor need not wait long.
+ * twice a second; an allocator that is cut off from the store stops soon, so that its successor need not wait long.
  */
-const allocatorLeaseMs = 1500;
+const allocatorLeaseMs = 1200;
 
 /** Lifetime of shares in milliseconds: long enough to outlast a short network partition, short enough to reclaim a lost host's share soon. */
 const shareSpanMs = 2500;
@@ -91,7 +91,7 @@
 			claims,
 			limits: options.findLimits(),
 			bound,
-			registered: [...findFleet()?.hosts.keys() ?? []],
+			registered: [...findFleet()?.hosts.values() ?? []],
 			spanMs: shareSpanMs + expiryMarginMs,
 			now: now().steady,
 		});
--- a/packages/sessions/create-store-follower.ts
+++ b/packages/sessions/create-store-follower.ts
@@ -25,7 +25,7 @@
 };
 
 /** Maximum milliseconds that a call to the store waits for changes, by table. */
-const maxFollowWaitsMs = {configuration: confirmIntervalMs, fleet: confirmIntervalMs, instances: 4 * confirmIntervalMs} as const satisfies Record<StoreTable, number>;
+const maxFollowWaitsMs = {configuration: confirmIntervalMs, fleet: confirmIntervalMs, instances: 8 * confirmIntervalMs} as const satisfies Record<StoreTable, number>;
 
 /** Creates the follower of the store's tables, which writes them to the table cache. */
 export function createStoreFollower({
--- a/packages/sessions/create-table-sync.ts
+++ b/packages/sessions/create-table-sync.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- steps run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {rankHosts} from '@sapphirefall/decisions';
 import type {RequestedTable} from './requested-table.ts';
 import {createTableUpdate} from './create-table-update.ts';
 import {createSourceSelector} from './create-source-selector.ts';
@@ -44,13 +45,13 @@
 const stepIntervalMs = 100;
 
 /** Staleness in milliseconds, by table, at which a host that another host requests tables from starts to read the store. */
-const readThresholdsMs = {configuration: 1400, fleet: 1400, instances: 6000} as const satisfies Record<StoreTable, number>;
+const readThresholdsMs = {configuration: 750, fleet: 750, instances: 6000} as const satisfies Record<StoreTable, number>;
 
 /** Maximum staleness in milliseconds, by table, of a source's tables; the host changes its source beyond it. */
-const maxSourceAgesMs = {configuration: 1700, fleet: 1700, instances: 6500} as const satisfies Record<StoreTable, number>;
+const maxSourceAgesMs = {configuration: 950, fleet: 950, instances: 6500} as const satisfies Record<StoreTable, number>;
 
 /** Minimum and maximum milliseconds for which a source may wait for changes before it answers. */
-const pollWaitsMs = {min: 250, max: 1100};
+const pollWaitsMs = {min: 150, max: 700};
 
 /** Milliseconds for which an answer waits for the other confirmations once one has been renewed, so that one answer carries all of them. */
 const batchDelayMs = 40;
@@ -167,7 +168,8 @@
 	};
 
 	/**
-	 * Registers the host and reads all tables, so that it does not depend on other hosts that may be restarting as well.
+	 * Registers the host and reads all tables, so that it does not depend on other hosts that may be restarting as well. The
+	 * zone reader goes on reading the store until its own source has answered.
 	 * On the first start of the fleet, the host waits for the other hosts to register and reads only the `fleet` table; the
 	 * store reader among the hosts reads the others.
 	 */
@@ -178,9 +180,18 @@
 			await readTable('fleet');
 		} else {
 			await Promise.all(tables.map(async table => readTable(table)));
+			if (isZoneReader()) {
+				follower.start();
+			}
 		}
 	};
 
+	/** Whether other hosts of the zone read from this host. */
+	const isZoneReader = () => {
+		const local = options.listHosts().filter(host => host.zone === options.zone).map(({name}) => name);
+		return rankHosts(`reader/${options.zone}`, local)[0] === self;
+	};
+
 	/** Reads the store; stops choosing it for a while if its tables become too stale. */
 	const stepDirect = async () => {
 		follower.start();
