Credit the pool of a restarted rate allocator with the time since its process started

Cause: after all hosts had started at once, hosts hold small shares, since they know no demand yet, and the pool, which serves the others, began empty once all had claimed. A workspace with 143 operations a second had 138 tries refused in 0.6 s.

Change: the pool is credited with what the unassigned rate amounts to since the process of the new allocator started, because the earlier process gave nothing in that time. Only when the shares of all hosts became known by their claims.

--- a/packages/sessions/assign-rates.test.ts
+++ b/packages/sessions/assign-rates.test.ts
@@ -14,7 +14,7 @@
 const bound = {window: 5000, overage: 0.1, slack: 20};
 const limits = new Map([['upper', {rate: 100, burst: 100}]]);
 const empty: RateAllocatorState = {
-	epoch: 1, startedAt: 0, handoverEndsAt: 3300, hosts: new Map(), lastClaimAt: new Map(), pools: new Map(),
+	epoch: 1, startedAt: 0, handoverEndsAt: 3300, creditFrom: 0, credited: new Set(), hosts: new Map(), lastClaimAt: new Map(), pools: new Map(),
 };
 
 const claim = (state: RateAllocatorState, {host, demand, held = 0, needed = 0, now}: {readonly host: string; readonly demand: number; readonly held?: number; readonly needed?: number; readonly now: number}) => {
@@ -157,6 +157,20 @@
 		expect(rates.reduce((sum, rate) => sum + rate, 0)).to.equal(25);
 	});
 
+	it('gives waiting callers what the rate amounts to since its process started, after all hosts have started at once', () => {
+		let state: RateAllocatorState = {...empty, startedAt: 400, creditFrom: 0};
+		for (const host of hosts) {
+			({state} = claim(state, {host, demand: 0, now: 400}));
+		}
+
+		expect(claim(state, {
+			host: 'a1', demand: 0, needed: 8, now: 401,
+		}).units).to.equal(8);
+		expect(claim({...state, creditFrom: 400, credited: new Set(), pools: new Map()}, {
+			host: 'a1', demand: 0, needed: 8, now: 401,
+		}).units).to.equal(0);
+	});
+
 	it('leaves a quarter of the rate to hosts of other zones, so that they can go on while a zone is cut off', () => {
 		let state: RateAllocatorState = {...empty, startedAt: -10_000, handoverEndsAt: -6700};
 		let sum = 0;
--- a/packages/sessions/assign-rates.ts
+++ b/packages/sessions/assign-rates.ts
@@ -72,6 +72,7 @@
 	const zones = createZones(registered);
 	const holdings = new Map(state.hosts.get(host));
 	const pools = new Map(state.pools);
+	const credited = new Set(state.credited);
 	const grants = new Map<string, RateGrant>();
 	for (const claim of claims) {
 		const {workspace} = claim;
@@ -91,16 +92,23 @@
 		holdings.set(workspace, {
 			rate: held, expiresAt: now + options.spanMs, demand: claim.demand, claimedAt: now,
 		});
-		const {pool, units} = takePooled(pools.get(workspace) ?? {units: 0, refilledAt: state.startedAt}, {
-			claim, limit, free: Math.max(0, free.total - held), options,
+		const poolRate = Math.max(0, free.total - held);
+		// Shares that were never known may have been in use until the handover ended, so there is no credit after that.
+		const credit = isAllKnown && now <= state.handoverEndsAt && !credited.has(workspace) ? poolRate : 0;
+		const {pool, units} = takePooled(creditPool(pools.get(workspace) ?? {units: 0, refilledAt: state.startedAt}, {rate: credit, since: state.creditFrom}), {
+			claim, limit, free: poolRate, options,
 		});
+		if (isAllKnown) {
+			credited.add(workspace);
+		}
+
 		pools.set(workspace, pool);
 		grants.set(workspace, {rate, units});
 	}
 
 	return {
 		state: {
-			...state, pools, hosts: new Map(state.hosts).set(host, holdings), lastClaimAt: new Map(state.lastClaimAt).set(host, now),
+			...state, pools, credited, hosts: new Map(state.hosts).set(host, holdings), lastClaimAt: new Map(state.lastClaimAt).set(host, now),
 		},
 		grants,
 		isAllKnown,
@@ -168,6 +176,11 @@
 	return even + (claim.demand * demandHeadroom * Math.min(1, assignable / Math.max(total, 1e-9)));
 }
 
+/** Adds what the unassigned rate amounts to between the end of the earlier allocator and the last refill; `rate` is in operations per second. */
+function creditPool(pool: TokenBucket, {rate, since}: {readonly rate: number; readonly since: number}): TokenBucket {
+	return {...pool, units: pool.units + (rate * Math.max(0, pool.refilledAt - since) / millisecondsPerSecond)};
+}
+
 type Pooled = {
 	readonly claim: RateClaim;
 	readonly limit: WorkspaceLimits;
--- a/packages/sessions/create-partition-limiter.test.ts
+++ b/packages/sessions/create-partition-limiter.test.ts
@@ -36,6 +36,7 @@
 		self: 'a1',
 		partition: 0,
 		incarnation: 1,
+		startedAt: performance.now(),
 		bound: {window: 5000, overage: 0.1, slack: 20},
 		findLimits: () => new Map([['upper', limits]]),
 		findPeer: () => ({claimRates: async (claims: Claims) => answer(claims)}) as unknown as FleetPeer,
--- a/packages/sessions/create-partition-limiter.ts
+++ b/packages/sessions/create-partition-limiter.ts
@@ -25,6 +25,8 @@
 	/** Partition of the workspaces whose rates are limited. */
 	readonly partition: number;
 	readonly incarnation: number;
+	/** When this process started, in milliseconds of the steady clock. */
+	readonly startedAt: number;
 	readonly bound: RateBound;
 	readonly findLimits: () => ReadonlyMap<string, WorkspaceLimits>;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
@@ -79,7 +81,6 @@
 	let hasRefused = false;
 	/** Whether the allocator that answered last knew the shares of all hosts. */
 	let isSettled = false;
-	const createdAt = now().steady;
 
 	const shares = createLocalShares({...options, countHosts: () => Math.max(1, fleet?.hosts.size ?? 1)});
 	const allocator = createRateAllocator({...options, findFleet: () => fleet});
@@ -152,7 +153,7 @@
 	const takeLease = async (row: Versioned<RateAllocatorRow> | undefined) => {
 		unansweredSince = undefined;
 		allocator.expectLease({
-			epoch: (row?.epoch ?? 0) + 1, previous: row?.holder === self ? {kind: 'ownProcess', endedBefore: createdAt} : {kind: 'otherHost'},
+			epoch: (row?.epoch ?? 0) + 1, previous: row?.holder === self ? {kind: 'ownProcess', endedBefore: options.startedAt} : {kind: 'otherHost'},
 		});
 		await takeRateAllocatorLease(row, {...options, hosts: [...fleet?.hosts.keys() ?? []]});
 	};
--- a/packages/sessions/create-rate-allocator.ts
+++ b/packages/sessions/create-rate-allocator.ts
@@ -82,7 +82,13 @@
 
 		if (state?.epoch !== row.epoch) {
 			state = {
-				epoch: row.epoch, startedAt: now().steady, handoverEndsAt: findHandoverEnd(row.epoch), hosts: new Map(), lastClaimAt: new Map(), pools: new Map(),
+				epoch: row.epoch,
+				startedAt: now().steady,
+				...findHandover(row.epoch),
+				credited: new Set(),
+				hosts: new Map(),
+				lastClaimAt: new Map(),
+				pools: new Map(),
 			};
 		}
 
@@ -99,11 +105,11 @@
 		return {grants: assigned.grants, spanMs: shareSpanMs, isSettled: assigned.isAllKnown};
 	};
 
-	/** Finds when the shares that earlier holders of the lease granted have expired, in milliseconds of the steady clock. */
-	const findHandoverEnd = (epoch: number) => {
+	/** Finds until when an earlier holder of the lease may have granted operations, and when the shares that it granted have expired. */
+	const findHandover = (epoch: number) => {
 		const previous = expected?.epoch === epoch ? expected.previous : undefined;
 		const lastGrantAt = previous?.kind === 'ownProcess' ? previous.endedBefore : now().steady + allocatorLeaseMs;
-		return lastGrantAt + shareSpanMs + expiryMarginMs;
+		return {creditFrom: lastGrantAt, handoverEndsAt: lastGrantAt + shareSpanMs + expiryMarginMs};
 	};
 
 	return {
--- a/packages/sessions/rate-allocator-state.ts
+++ b/packages/sessions/rate-allocator-state.ts
@@ -6,6 +6,13 @@
 	readonly epoch: number;
 	/** When this allocator handled its first claim of the epoch, in milliseconds of the steady clock. */
 	readonly startedAt: number;
+	/**
+	 * Moment since when no earlier allocator has given operations from its pool, in milliseconds of the steady clock. The pool
+	 * of this one is credited with that time once the shares of all hosts are known.
+	 */
+	readonly creditFrom: number;
+	/** Workspaces whose pool has been credited. */
+	readonly credited: ReadonlySet<string>;
 	/** When all shares that earlier allocators granted have expired, in milliseconds of the steady clock. */
 	readonly handoverEndsAt: number;
 	/** When each host last sent a claim, in milliseconds of the steady clock. */
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -38,6 +38,8 @@
 	readonly decodeConfiguration: (text: string) => SessionConfiguration;
 	readonly decodeInstance: (id: string, text: string) => ListedInstance | undefined;
 	readonly now: () => Instant;
+	/** When this process started, in milliseconds of the steady clock. */
+	readonly startedAt: number;
 	readonly log: SessionLog;
 	readonly onAnswered: SessionContext['onAnswered'];
 	/** Called with the number of open sessions when it changes. */
@@ -125,6 +127,7 @@
 	const rateLimiter = createRateLimiter({
 		self: own.name,
 		incarnation: own.incarnation,
+		startedAt: options.startedAt,
 		bound: profile.rateBound,
 		findLimits: () => findConfiguration()?.configuration.limits ?? new Map(),
 		findPeer,
