Let reads go on with samples of positions while a primary is replaced

Cause: a fence increases the epoch of a group, and all samples of positions were dropped with the old epoch. So replicas served nothing from the fence on, 1.2 s after a cut, though most routes accept data 1.5 or 2.5 s old. Once the leases were over, the status of the silent primary was waited for, 0.4 s.

Change: a sample carries its epoch and is used as long as it is young enough. It proves what was acknowledged before it was taken, also after a promotion: what that rolled back does not count. Samples of the newest epoch come first. A primary that was found silent has 60 ms more than the other instances to report its status.

--- a/packages/sessions/assign-rates.test.ts
+++ b/packages/sessions/assign-rates.test.ts
@@ -166,7 +166,9 @@
 		expect(claim(state, {
 			host: 'a1', demand: 0, needed: 8, now: 401,
 		}).units).to.equal(8);
-		expect(claim({...state, creditFrom: 400, credited: new Set(), pools: new Map()}, {
+		expect(claim({
+			...state, creditFrom: 400, credited: new Set(), pools: new Map(),
+		}, {
 			host: 'a1', demand: 0, needed: 8, now: 401,
 		}).units).to.equal(0);
 	});
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -84,9 +84,6 @@
 				group: name, epoch: newer.epoch, state: newer.state, primary: newer.primary, successor: newer.successor, version: newer.version,
 			}, 'group: The epoch or state of the primary changed in the store.');
 			fencedAt = newer.state === 'fencing' ? now().steady : undefined;
-			if (newer.epoch !== row?.epoch) {
-				samples = [];
-			}
 		}
 
 		row = newer;
@@ -161,7 +158,7 @@
 	const recordAnswer: SessionGroup['recordAnswer'] = (instance, answer, request) => {
 		const isSample = answer.kind === 'answered' && instance === row?.primary && request.epoch === row.epoch && row.state === 'serving';
 		if (isSample && answer.position !== undefined) {
-			samples = addPositionSample(samples, {requestedAt: request.at, position: answer.position});
+			samples = addPositionSample(samples, {requestedAt: request.at, position: answer.position, epoch: request.epoch});
 		}
 	};
 
@@ -225,25 +222,25 @@
 		listInstances: () => [...instances.values()],
 		findRequiredPosition(read) {
 			replicaReadAt = now().steady;
-			return row === undefined ? undefined : findRequiredPosition({samples, epoch: row.epoch, ...read});
+			return findRequiredPosition({samples, ...read});
 		},
 		listReaders,
 		recordAnswer,
 		findNewestPosition() {
 			const newest = samples.at(-1);
-			return newest && row && {
-				group: name, epoch: row.epoch, position: newest.position, age: findElapsed(newest.requestedAt, now()),
+			return newest && {
+				group: name, epoch: newest.epoch, position: newest.position, age: findElapsed(newest.requestedAt, now()),
 			};
 		},
 		recordPosition({epoch, position, age}, from) {
 			if (epoch === row?.epoch && row.state === 'serving') {
-				samples = addPositionSample(samples, {requestedAt: {steady: from.steady - age, wall: from.wall - age}, position});
+				samples = addPositionSample(samples, {requestedAt: {steady: from.steady - age, wall: from.wall - age}, position, epoch});
 			}
 		},
 		async step() {
 			dropMissing();
 			closeNonGatewayConnections();
-			const last = samples.at(-1);
+			const last = samples.findLast(({epoch}) => epoch === row?.epoch);
 			const at = now();
 			const isDue = isPositionSampleDue({
 				age: last === undefined ? Number.POSITIVE_INFINITY : findElapsed(last.requestedAt, at),
--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -4,6 +4,7 @@
 import {chooseSuccessor} from './choose-successor.ts';
 import type {Fence} from './fence.ts';
 import type {GroupRow} from './group-row.ts';
+import type {InstanceRuntime} from './instance-runtime.ts';
 import type {InstanceStatus} from './instance-status.ts';
 import {commitGroupRow} from './commit-group-row.ts';
 import {readStatus} from './read-status.ts';
@@ -16,6 +17,9 @@
 /** Milliseconds within which an instance must report its status. */
 const statusTimeoutMs = 400;
 
+/** Milliseconds for which a primary that was found silent may still answer after the other instances have. */
+const silentGraceMs = 60;
+
 /** Milliseconds within which a replica may catch up with the old primary; also the time before a promotion order is repeated. */
 const catchUpLimitMs = 1500;
 
@@ -45,7 +49,10 @@
 	let ordered: {readonly instance: string; readonly at: number} | undefined;
 	while (now().steady - startedAt < failoverLimitMs) {
 		// Once a successor is stored, the old primary may no longer lead, and waiting for its status would cost time if it is silent.
-		const answers = await readStatuses(failover, row.successor === '' ? undefined : fence.row.primary);
+		const answers = await readStatuses(failover, {
+			excluded: row.successor === '' ? undefined : fence.row.primary,
+			silent: failover.reason === 'silent' ? fence.row.primary : undefined,
+		});
 		const leader = findLeader(answers, row, failover);
 		if (leader !== undefined) {
 			return {row, instance: leader.id, status: leader.status};
@@ -87,14 +94,26 @@
 
 type Answer = {readonly id: string; readonly status: InstanceStatus; readonly isDeparting: boolean};
 
-async function readStatuses({group, workspace}: Failover, excluded?: string): Promise<readonly Answer[]> {
+/**
+ * Reads the status of all instances but one. Waits for one that was found silent only a little longer than for the others,
+ * because it rarely answers again just now.
+ */
+async function readStatuses({group, workspace}: Failover, {excluded, silent}: {readonly excluded?: string | undefined; readonly silent?: string | undefined}): Promise<readonly Answer[]> {
 	const instances = group.listInstances().filter(instance => instance.listed().id !== excluded);
-	const answers = await Promise.all(instances.map(async instance => {
+	const answers: Answer[] = [];
+	const read = async (instance: InstanceRuntime) => {
 		const {id, isDeparting} = instance.listed();
 		const status = await readStatus(instance, {workspace, timeout: statusTimeoutMs});
-		return status && {id, status, isDeparting};
-	}));
-	return answers.filter(answer => answer !== undefined);
+		if (status !== undefined) {
+			answers.push({id, status, isDeparting});
+		}
+	};
+
+	const others = Promise.all(instances.filter(instance => instance.listed().id !== silent).map(async instance => read(instance)));
+	const rest = Promise.all(instances.filter(instance => instance.listed().id === silent).map(async instance => read(instance)));
+	await others;
+	await Promise.race([rest, sleep(silentGraceMs)]);
+	return [...answers];
 }
 
 /**
@@ -125,7 +144,7 @@
 
 	const until = now().steady + catchUpLimitMs;
 	while (now().steady < until) {
-		const answers = await readStatuses(failover);
+		const answers = await readStatuses(failover, {});
 		const isCaughtUp = answers.some(answer => answer.id !== fence.row.primary && !answer.isDeparting && comparePoints(answer.status.received, status.received) >= 0);
 		if (isCaughtUp) {
 			return;
--- a/packages/sessions/position-sample.ts
+++ b/packages/sessions/position-sample.ts
@@ -10,4 +10,6 @@
 	/** When the host sent the request that the primary answered with the position. */
 	readonly requestedAt: Instant;
 	readonly position: LogPoint;
+	/** Epoch of the primary that answered. */
+	readonly epoch: number;
 };
