Let a slow rate allocator keep its lease, and callers wait only while rates are expected

Each new epoch began a handover, so rates stayed unassigned for 10 s after a restart, and callers were held for half of their time and then refused.

Change: a late answer shows that the allocator is alive; a candidate pings the holder before it takes the lease, and tries once for an epoch in 600 ms. Callers wait only in the first 800 ms after rates became unassigned; later they are refused at once.

--- a/packages/sessions/create-partition-limiter.ts
+++ b/packages/sessions/create-partition-limiter.ts
@@ -49,8 +49,14 @@
 /** Milliseconds that callers wait for the rate allocator's answer. */
 const tokenRequestTimeoutMs = 120;
 
-/** Maximum milliseconds that a caller waits for a new rate allocator to learn the shares of all hosts. */
-const settlingTimeoutMs = 1000;
+/**
+ * Milliseconds after the loss of a rate allocator or the start of a new one for which callers wait. Later than that the
+ * shares of some host are not known, and may stay unknown for seconds, so callers are refused at once.
+ */
+const settlingTimeoutMs = 800;
+
+/** Minimum milliseconds between two attempts to take the lease after the same epoch, so that this host sees the outcome of the first. */
+const leaseRetryIntervalMs = 600;
 
 /** Milliseconds between two attempts of a caller that waits for this. */
 const settlingPollMs = 40;
@@ -81,6 +87,10 @@
 	let hasRefused = false;
 	/** Whether the allocator that answered last knew the shares of all hosts. */
 	let isSettled = false;
+	/** Since when a refusal would not show that the rate is used up, in milliseconds of the steady clock; undefined while it would. */
+	let unassignedSince: number | undefined;
+	/** Last attempt to take the lease: the epoch before it, and when, in milliseconds of the steady clock. */
+	let leaseAttempt = {epoch: -1, at: Number.NEGATIVE_INFINITY};
 
 	const shares = createLocalShares({...options, countHosts: () => Math.max(1, fleet?.hosts.size ?? 1)});
 	const allocator = createRateAllocator({...options, findFleet: () => fleet});
@@ -99,6 +109,12 @@
 		};
 		const answer = allocator.isAllocator() ? allocator.claimRates(message) : options.findPeer(row.holder)?.claimRates(message);
 		const granted = await (timeout === undefined ? answer : Promise.race([answer, sleep(timeout, undefined)]));
+		if (granted === undefined) {
+			void answer?.then(late => { // eslint-disable-line promise/prefer-await-to-then -- a late answer shows that the allocator is slow, not lost
+				unansweredSince = late === undefined || late === 'notAllocator' ? unansweredSince : undefined;
+			});
+		}
+
 		if (row.epoch !== findRow()?.epoch) {
 			return false;
 		}
@@ -151,7 +167,14 @@
 	};
 
 	const takeLease = async (row: Versioned<RateAllocatorRow> | undefined) => {
+		const holder = row === undefined || row.holder === self ? undefined : options.findPeer(row.holder);
+		if (await holder?.ping() === true) {
+			unansweredSince = undefined;
+			return;
+		}
+
 		unansweredSince = undefined;
+		leaseAttempt = {epoch: row?.epoch ?? 0, at: now().steady};
 		allocator.expectLease({
 			epoch: (row?.epoch ?? 0) + 1, previous: row?.holder === self ? {kind: 'ownProcess', endedBefore: options.startedAt} : {kind: 'otherHost'},
 		});
@@ -194,7 +217,8 @@
 
 		const row = findRow();
 		const isRestarted = row?.holder === self && row.incarnation !== incarnation;
-		if (isRestarted || isLeaseDue(row, fleet)) {
+		const hasTried = leaseAttempt.epoch === epoch && now().steady - leaseAttempt.at < leaseRetryIntervalMs;
+		if (!hasTried && (isRestarted || isLeaseDue(row, fleet))) {
 			void runExclusive(epoch, takeLease(row));
 		} else if (row !== undefined && now().steady - claimedAt > (hasRefused || !isSettled ? urgentClaimIntervalMs : claimIntervalMs)) {
 			void runExclusive(epoch, claim(row));
@@ -204,6 +228,12 @@
 	/** Whether a refusal would show that the rate is used up: the present allocator has answered and knew the shares of all hosts. */
 	const isAssigned = () => isSettled && unansweredSince === undefined && answeredEpoch === findRow()?.epoch;
 
+	/** Whether the rates are expected to be assigned soon, so that callers wait. */
+	const isSettling = () => {
+		unassignedSince = isAssigned() ? undefined : unassignedSince ?? now().steady;
+		return unassignedSince !== undefined && now().steady - unassignedSince < settlingTimeoutMs;
+	};
+
 	const logRefusal = (workspace: string, limits: WorkspaceLimits) => {
 		const share = shares.findShare(workspace);
 		log.debug({
@@ -224,7 +254,7 @@
 				return {kind: 'taken'};
 			}
 
-			const deadline = now().steady + Math.min(maxWaitMs, settlingTimeoutMs);
+			const deadline = now().steady + maxWaitMs;
 			for (;;) {
 				await tokens.wait(workspace); // eslint-disable-line no-await-in-loop -- attempts run one after another
 				const {isTaken, retryAfter} = shares.takeOperation(workspace, limits, false);
@@ -232,7 +262,7 @@
 					return {kind: 'taken'};
 				}
 
-				if (isAssigned() || now().steady + settlingPollMs > deadline) {
+				if (!isSettling() || now().steady + settlingPollMs > deadline) {
 					hasRefused = true;
 					logRefusal(workspace, limits);
 					return {kind: 'refused', reason: isAssigned() ? 'usedUp' : 'unassigned', retryAfter};
