Forget since when rates were unassigned once they are assigned again

Cause: the time was reset only by a caller that was refused while rates were assigned, so in a later loss of the allocator callers might have been refused at once.

--- a/packages/sessions/create-partition-limiter.ts
+++ b/packages/sessions/create-partition-limiter.ts
@@ -127,6 +127,10 @@
 		unansweredSince = undefined;
 		answeredEpoch = row.epoch;
 		({isSettled} = granted);
+		if (isSettled) {
+			unassignedSince = undefined;
+		}
+
 		shares.applyGrants(granted.grants, {spanMs: granted.spanMs, requestedAt});
 		shares.recordClaimed(claims);
 		return true;
