Let callers wait for an operation that is due at their host while rates are not assigned

Cause: refusing at once after 800 ms turned away callers whom their host's share would have served in time, above all where a zone is cut off and rates are assigned in part.

Change: after 800 ms a caller waits if the operation after those of the callers before it is due within its wait. A new epoch begins the 800 ms anew.

--- a/packages/sessions/create-partition-limiter.ts
+++ b/packages/sessions/create-partition-limiter.ts
@@ -50,8 +50,9 @@
 const tokenRequestTimeoutMs = 120;
 
 /**
- * Milliseconds after the loss of a rate allocator or the start of a new one for which callers wait. Later than that the
- * shares of some host are not known, and may stay unknown for seconds, so callers are refused at once.
+ * Milliseconds after the loss of a rate allocator or the start of a new one for which callers wait in any case. Later than
+ * that the shares of some host are not known, and may stay unknown for seconds, so a caller waits only for an operation
+ * that is due at this host in time.
  */
 const settlingTimeoutMs = 800;
 
@@ -85,6 +86,8 @@
 	/** Epoch of the allocator for which a claim or an attempt to take its lease is in flight; undefined while there is none. */
 	let busyEpoch: number | undefined;
 	let hasRefused = false;
+	/** Number of callers that wait for an operation, by workspace. */
+	const waiting = new Map<string, number>();
 	/** Whether the allocator that answered last knew the shares of all hosts. */
 	let isSettled = false;
 	/** Since when a refusal would not show that the rate is used up, in milliseconds of the steady clock; undefined while it would. */
@@ -232,10 +235,11 @@
 	/** Whether a refusal would show that the rate is used up: the present allocator has answered and knew the shares of all hosts. */
 	const isAssigned = () => isSettled && unansweredSince === undefined && answeredEpoch === findRow()?.epoch;
 
-	/** Whether the rates are expected to be assigned soon, so that callers wait. */
-	const isSettling = () => {
+	/** Whether a caller waits for an operation: only while rates are not assigned, and if they or an operation are expected in time. */
+	const mayWait = ({remaining, dueAfter}: {readonly remaining: number; readonly dueAfter: number}) => {
 		unassignedSince = isAssigned() ? undefined : unassignedSince ?? now().steady;
-		return unassignedSince !== undefined && now().steady - unassignedSince < settlingTimeoutMs;
+		const isExpected = unassignedSince !== undefined && (now().steady - unassignedSince < settlingTimeoutMs || dueAfter <= remaining);
+		return isExpected && remaining >= settlingPollMs;
 	};
 
 	const logRefusal = (workspace: string, limits: WorkspaceLimits) => {
@@ -266,13 +270,16 @@
 					return {kind: 'taken'};
 				}
 
-				if (!isSettling() || now().steady + settlingPollMs > deadline) {
+				const before = waiting.get(workspace) ?? 0;
+				if (!mayWait({remaining: deadline - now().steady, dueAfter: retryAfter * (before + 1)})) {
 					hasRefused = true;
 					logRefusal(workspace, limits);
 					return {kind: 'refused', reason: isAssigned() ? 'usedUp' : 'unassigned', retryAfter};
 				}
 
+				waiting.set(workspace, before + 1);
 				await sleep(settlingPollMs); // eslint-disable-line no-await-in-loop -- attempts run one after another
+				waiting.set(workspace, (waiting.get(workspace) ?? 1) - 1);
 			}
 		},
 		claimRates: allocator.claimRates,
@@ -281,6 +288,7 @@
 			const row = newer.rateAllocators.get(partition);
 			if (row?.epoch !== findRow()?.epoch) {
 				isSettled = false;
+				unassignedSince = undefined;
 				log.info({partition, holder: row?.holder, epoch: row?.epoch}, 'rates: The lease of the rate allocator changed its holder or epoch.');
 				unansweredSince = undefined;
 				// A new allocator grants little until all hosts have claimed, so this host claims immediately.
