--- /dev/null
+++ b/bench/parse-day.ts
@@ -0,0 +1,54 @@
+/** A statement that was not served, as a host logged it. */
+type FailedStatement = {
+	/** Seconds from the start of the day. */
+	readonly at: number;
+	/** Outcome and reason without the names and figures that differ from one statement to the next. */
+	readonly cause: string;
+};
+
+/** A span of a played day in which requests were counted. */
+type DayWindow = {
+	/** Seconds from the start of the day. */
+	readonly from: number;
+	/** Requests that were to be served. */
+	readonly owed: number;
+	/** Share of the credit that was earned, 0 to 1. */
+	readonly worth: number;
+};
+
+/** Logs of all hosts and counts of a played day. */
+export type Day = {
+	readonly windows: readonly DayWindow[];
+	readonly failed: readonly FailedStatement[];
+};
+
+const logLine = /^\s*(?<at>-?[\d.]+) \S+ (?<fields>\{.*\})$/v;
+
+const windowLine = /^(?<from>\d+)\s+(?<asked>\d+)\s+\d+\s+\d+\s+\d+\s+\d+\s+(?<notOwed>\d+)\s+(?<worth>[\d.]+)\s/v;
+
+/** Names of instances, hosts and spans of time in a reason. */
+const variableParts = /\bi-[\da-f]+|\bfront-[\w\-]+|[\d.]+ ms/gv;
+
+/** Parses the output of a played day that includes the logs of all hosts; lines of other kinds are skipped. */
+export function parseDay(output: string): Day {
+	const lines = output.split('\n');
+	return {
+		windows: lines.map(line => parseWindow(line)).filter(window => window !== undefined),
+		failed: lines.map(line => parseFailed(line)).filter(statement => statement !== undefined),
+	};
+}
+
+function parseWindow(line: string): DayWindow | undefined {
+	const {from, asked, notOwed, worth} = windowLine.exec(line)?.groups ?? {};
+	return from === undefined ? undefined : {from: Number(from), owed: Number(asked) - Number(notOwed), worth: Number(worth)};
+}
+
+function parseFailed(line: string): FailedStatement | undefined {
+	const {at, fields} = logLine.exec(line)?.groups ?? {};
+	if (!fields?.includes('request: The statement failed.')) {
+		return undefined;
+	}
+
+	const {outcome, reason} = JSON.parse(fields) as {readonly outcome: string; readonly reason?: string};
+	return {at: Number(at), cause: `${outcome}: ${(reason ?? '').replaceAll(variableParts, '…')}`};
+}
