--- a/packages/sessions/create-partition-limiter.ts
+++ b/packages/sessions/create-partition-limiter.ts
@@ -6,6 +6,7 @@
 import {findElapsed} from './find-elapsed.ts';
 import {findHeldRate} from './find-held-rate.ts';
 import {findRateAllocatorRank} from './find-rate-allocator-rank.ts';
+import {isWorthWaiting} from './is-worth-waiting.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {RateAllocatorRow} from './rate-allocator-row.ts';
@@ -49,18 +50,11 @@
 /** Milliseconds that callers wait for the rate allocator's answer. */
 const tokenRequestTimeoutMs = 120;
 
-/**
- * Milliseconds after the loss of a rate allocator or the start of a new one for which callers wait in any case. Later than
- * that the shares of some host are not known, and may stay unknown for seconds, so a caller waits only for an operation
- * that is due at this host in time.
- */
-const settlingTimeoutMs = 800;
-
 /** Minimum milliseconds between two attempts to take the lease after the same epoch, so that this host sees the outcome of the first. */
 const leaseRetryIntervalMs = 600;
 
-/** Milliseconds between two attempts of a caller that waits for this. */
-const settlingPollMs = 40;
+/** Milliseconds between two attempts of a caller that waits for an operation. */
+const waitIntervalMs = 40;
 
 /** Maximum milliseconds between two claims to the allocator of partition 0, which uses claims as heartbeats of the hosts. */
 const heartbeatIntervalMs = 3000;
@@ -235,11 +229,10 @@
 	/** Whether a refusal would show that the rate is used up: the present allocator has answered and knew the shares of all hosts. */
 	const isAssigned = () => isSettled && unansweredSince === undefined && answeredEpoch === findRow()?.epoch;
 
-	/** Whether a caller waits for an operation: only while rates are not assigned, and if they or an operation are expected in time. */
-	const mayWait = ({remaining, dueAfter}: {readonly remaining: number; readonly dueAfter: number}) => {
+	/** Finds for how many milliseconds the rates have not been assigned; undefined while they are. */
+	const findUnassignedTime = (): number | undefined => {
 		unassignedSince = isAssigned() ? undefined : unassignedSince ?? now().steady;
-		const isExpected = unassignedSince !== undefined && (now().steady - unassignedSince < settlingTimeoutMs || dueAfter <= remaining);
-		return isExpected && remaining >= settlingPollMs;
+		return unassignedSince === undefined ? undefined : now().steady - unassignedSince;
 	};
 
 	const logRefusal = (workspace: string, limits: WorkspaceLimits) => {
@@ -271,14 +264,15 @@
 				}
 
 				const before = waiting.get(workspace) ?? 0;
-				if (!mayWait({remaining: deadline - now().steady, dueAfter: retryAfter * (before + 1)})) {
+				const remaining = deadline - now().steady - waitIntervalMs;
+				if (!isWorthWaiting({unassignedFor: findUnassignedTime(), dueAfter: retryAfter * (before + 1), remaining})) {
 					hasRefused = true;
 					logRefusal(workspace, limits);
 					return {kind: 'refused', reason: isAssigned() ? 'usedUp' : 'unassigned', retryAfter};
 				}
 
 				waiting.set(workspace, before + 1);
-				await sleep(settlingPollMs); // eslint-disable-line no-await-in-loop -- attempts run one after another
+				await sleep(waitIntervalMs); // eslint-disable-line no-await-in-loop -- attempts run one after another
 				waiting.set(workspace, (waiting.get(workspace) ?? 1) - 1);
 			}
 		},
--- a/packages/sessions/is-allocator-lease-due.ts
+++ b/packages/sessions/is-allocator-lease-due.ts
@@ -1,3 +1,5 @@
+import {bootstrapStaggerMs} from './bootstrap-stagger-ms.ts';
+
 type Options = {
 	/** Rank of this host among the candidates for the lease; 0 is the first. */
 	readonly rank: number;
@@ -9,9 +11,6 @@
 	readonly now: number;
 };
 
-/** Milliseconds by which each candidate waits longer than the one ranked before it to take a lease that nobody ever held. */
-const firstStaggerMs = 1000;
-
 /** Milliseconds without an answer from the rate allocator after which another host takes its lease; shares outlast it, so hosts keep what they hold. */
 const allocatorTimeoutMs = 500;
 
@@ -28,5 +27,5 @@
 	}
 
 	const steps = Math.min(maxRank, rank);
-	return now - since > (hasHolder ? allocatorTimeoutMs + (steps * rankDelayMs) : steps * firstStaggerMs);
+	return now - since > (hasHolder ? allocatorTimeoutMs + (steps * rankDelayMs) : steps * bootstrapStaggerMs);
 }
