Register the lifetime of a host's leases, and date a fence by the read when its commit got no answer

A commit of a fence without an answer may be applied as late as just before the rows are read, after the time from which leases were counted.

The fence of a commit without an answer counts from the read.

--- a/packages/sessions/commit-fence.ts
+++ b/packages/sessions/commit-fence.ts
@@ -53,8 +53,10 @@
 		return undefined;
 	}
 
-	const at = now();
+	const answeredAt = now();
 	const after = await readFleetRows(store, log);
+	// A commit without an answer may have been applied as late as just before the rows were read.
+	const at = outcome.kind === 'done' ? answeredAt : now();
 	const fenced = after?.groups.get(group.name);
 	return after !== undefined && fenced?.holder === self && fenced.epoch === next.epoch
 		? {row: fenced, hosts: [...after.hosts.values(), ...after.goneHosts.values()], at: findFenceTime(row, failover, at)}
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -18,6 +18,7 @@
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
 import type {CachedTable} from './cached-table.ts';
+import {leaseDurationMs} from './lease-duration-ms.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenConnection} from './open-connection.ts';
 import type {OrderPromotion} from './order-promotion.ts';
@@ -64,7 +65,7 @@
 	const groups = new Map<string, SessionGroup>();
 	const peers = new Map<string, {readonly address: string; readonly peer: FleetPeer}>();
 	const own: HostRow = {
-		name: profile.name, zone: profile.zone, address: `${profile.listen.hosts.host}:${profile.listen.hosts.port}`, incarnation: Math.trunc(now().wall),
+		name: profile.name, zone: profile.zone, address: `${profile.listen.hosts.host}:${profile.listen.hosts.port}`, incarnation: Math.trunc(now().wall), leaseMs: leaseDurationMs,
 	};
 	let isStopping = false;
 
--- a/packages/sessions/wait-for-hosts.ts
+++ b/packages/sessions/wait-for-hosts.ts
@@ -15,11 +15,11 @@
 export async function waitForHosts({row, hosts, at}: Fence, failover: Failover): Promise<readonly string[]> {
 	const {group, self, now, findPeer, listRecentHosts} = failover;
 	group.fence(row.epoch);
-	const pending = new Set([...hosts, ...listRecentHosts()].map(({name}) => name));
+	const pending = new Map([...listRecentHosts(), ...hosts].map(host => [host.name, host]));
 	pending.delete(self);
-	const findRemaining = () => findFenceRemaining({at, pending}, now().steady);
+	const findRemaining = () => findFenceRemaining({at, pending: [...pending.values()]}, now().steady);
 	while (findRemaining() > 0) {
-		const round = Promise.all([...pending].map(async name => {
+		const round = Promise.all([...pending.keys()].map(async name => {
 			const isFenced = await findPeer(name)?.fenceGroup(group.name, row.epoch);
 			if (isFenced === true) {
 				pending.delete(name);
@@ -31,5 +31,5 @@
 		}
 	}
 
-	return [...pending];
+	return [...pending.keys()];
 }
