--- a/bench/create-ledger.ts
+++ b/bench/create-ledger.ts
@@ -1,4 +1,4 @@
-import type {Day} from './parse-day.ts';
+import type {Day} from './day.ts';
 
 type LedgerEntry = {
 	/** Seconds from the start of the day. */
--- a/bench/parse-day.ts
+++ b/bench/parse-day.ts
@@ -1,26 +1,4 @@
-/** A statement that was not served, as a host logged it. */
-type FailedStatement = {
-	/** Seconds from the start of the day. */
-	readonly at: number;
-	/** Outcome and reason without the names and figures that differ from one statement to the next. */
-	readonly cause: string;
-};
-
-/** A span of a played day in which requests were counted. */
-type DayWindow = {
-	/** Seconds from the start of the day. */
-	readonly from: number;
-	/** Requests that were to be served. */
-	readonly owed: number;
-	/** Share of the credit that was earned, 0 to 1. */
-	readonly worth: number;
-};
-
-/** Logs of all hosts and counts of a played day. */
-export type Day = {
-	readonly windows: readonly DayWindow[];
-	readonly failed: readonly FailedStatement[];
-};
+import type {Day} from './day.ts';
 
 const logLine = /^\s*(?<at>-?[\d.]+) \S+ (?<fields>\{.*\})$/v;
 
@@ -38,12 +16,12 @@
 	};
 }
 
-function parseWindow(line: string): DayWindow | undefined {
+function parseWindow(line: string): Day['windows'][number] | undefined {
 	const {from, asked, notOwed, worth} = windowLine.exec(line)?.groups ?? {};
 	return from === undefined ? undefined : {from: Number(from), owed: Number(asked) - Number(notOwed), worth: Number(worth)};
 }
 
-function parseFailed(line: string): FailedStatement | undefined {
+function parseFailed(line: string): Day['failed'][number] | undefined {
 	const {at, fields} = logLine.exec(line)?.groups ?? {};
 	if (!fields?.includes('request: The statement failed.')) {
 		return undefined;
