Replace a primary only on the epoch that it was decided on, and split the fleet controller

Cause: a host that decided to replace a primary could fence its successor, since only the fence of an abandoned failover was compared with the epoch that was seen. A host that had been silent once counted as silent until it was asked again. The time to come back during a failover (2 s) was shorter than a lease and a promotion. Change: a failover carries the epoch it was decided on; silence of a host ends with the time for which it is avoided; callers are told 2.5 s.

--- /dev/null
+++ b/packages/sessions/commit-fence.test.ts
@@ -0,0 +1,133 @@
+import {expect} from 'chai';
+import {commitFence} from './commit-fence.ts';
+import type {Failover} from './failover.ts';
+import {fleetKeys} from './fleet-keys.ts';
+import type {GroupRow} from './group-row.ts';
+import type {Store} from './store.ts';
+import type {SessionGroup} from './session-group.ts';
+
+const groupKey = `${fleetKeys.groupPrefix}pondbook`;
+const serving: GroupRow = {
+	epoch: 4, state: 'serving', primary: 'i-old', successor: '', holder: 'b1', holderIncarnation: 2, token: 3,
+};
+const now = () => ({steady: performance.now(), wall: Date.now()});
+const ignore = () => undefined;
+
+type Plan = {
+	readonly row: GroupRow;
+	/** What other commits write just before the first commit of this host is applied. */
+	readonly between?: Readonly<Record<string, unknown>>;
+	/** Whether the answers to commits are lost. */
+	readonly isLosing?: boolean;
+};
+
+/** Creates a store with one group and the failover lock of another host that no longer uses it. */
+function createStore({row, between = {}, isLosing = false}: Plan) {
+	const rows = new Map([
+		[groupKey, {value: JSON.stringify(row), version: 1}],
+		[fleetKeys.failoverLock, {value: JSON.stringify({holder: 'c1', token: 3}), version: 2}],
+	]);
+	let version = 2;
+	let commits = 0;
+	const write = (key: string, value: string) => {
+		version++;
+		rows.set(key, {value, version});
+	};
+
+	const store: Store = {
+		async read() {
+			return {
+				kind: 'done', value: {
+					rows: [...rows].map(([key, held]) => ({key, ...held})), version, storeNow: 0, sentAt: now(), answeredAt: now(),
+				},
+			};
+		},
+		follow: async () => ({kind: 'refused', reason: ''}),
+		async commit({expected, values}) {
+			commits++;
+			for (const [key, value] of commits === 1 ? Object.entries(between) : []) {
+				write(key, JSON.stringify(value));
+			}
+
+			if ([...expected].some(([key, wanted]) => rows.get(key)?.version !== wanted)) {
+				return {kind: 'conflict'};
+			}
+
+			for (const [key, value] of values) {
+				write(key, value ?? '');
+			}
+
+			return isLosing ? {kind: 'lost', reason: ''} : {kind: 'done', value: undefined};
+		},
+	};
+	return {store, find: () => JSON.parse(rows.get(groupKey)?.value ?? '{}') as GroupRow};
+}
+
+const fence = async (plan: Plan, failover: Partial<Failover> = {}) => {
+	const {store, find} = createStore(plan);
+	const startedAt = performance.now();
+	const group: Partial<SessionGroup> = {name: 'pondbook'};
+	const committed = await commitFence({
+		group: group as SessionGroup,
+		reason: 'silent',
+		epoch: 4,
+		fencedAt: undefined,
+		self: 'a1',
+		incarnation: 9,
+		store,
+		orderPromotion: async () => 'accepted',
+		findPeer: ignore,
+		listRecentHosts: () => [],
+		workspace: 'upper',
+		now,
+		log: {debug: ignore, info: ignore, warn: ignore},
+		...failover,
+	});
+	return {isFenced: committed !== undefined, row: find(), leasesCountFrom: committed === undefined ? undefined : committed.at - startedAt};
+};
+
+describe(commitFence.name, () => {
+	const fencedByLostProcess: GroupRow = {
+		...serving, state: 'fencing', holder: 'c1',
+	};
+	const cases: ReadonlyArray<{readonly name: string; readonly plan: Plan; readonly failover?: Partial<Failover>; readonly isFenced: boolean; readonly row: Partial<GroupRow>}> = [
+		{
+			name: 'fences the primary and names its own process', plan: {row: serving}, isFenced: true, row: {epoch: 5, state: 'fencing', holderIncarnation: 9},
+		},
+		{
+			name: 'tries again when this host has just taken the lock for another group of a lost zone', plan: {row: serving, between: {[fleetKeys.failoverLock]: {holder: 'a1', token: 4}}}, isFenced: true, row: {epoch: 5, state: 'fencing', token: 4},
+		},
+		{
+			name: 'leaves a primary alone that another host has named since the vote', plan: {row: {...serving, epoch: 6, primary: 'i-new'}}, isFenced: false, row: {epoch: 6, state: 'serving', primary: 'i-new'},
+		},
+		{
+			name: 'leaves a primary alone that another host names while it commits', plan: {row: serving, between: {[groupKey]: {...serving, epoch: 6, primary: 'i-new'}}}, isFenced: false, row: {epoch: 6, state: 'serving', primary: 'i-new'},
+		},
+		{
+			name: 'resumes the failover of a process that has ended', plan: {row: fencedByLostProcess}, failover: {reason: 'abandoned', fencedAt: performance.now()}, isFenced: true, row: {epoch: 5, state: 'fencing', holder: 'a1'},
+		},
+		{
+			name: 'does not resume a failover that another host has resumed already', plan: {row: {...fencedByLostProcess, epoch: 5, holder: 'b1'}}, failover: {reason: 'abandoned', fencedAt: performance.now()}, isFenced: false, row: {epoch: 5, holder: 'b1'},
+		},
+		{
+			name: 'finds its fence though the answer to the commit is lost', plan: {row: serving, isLosing: true}, isFenced: true, row: {epoch: 5, state: 'fencing', holder: 'a1'},
+		},
+	];
+	for (const {name, plan, failover, isFenced, row} of cases) {
+		it(name, async () => {
+			const outcome = await fence(plan, failover);
+			expect(outcome.isFenced).to.equal(isFenced);
+			expect(outcome.row).to.include(row);
+		});
+	}
+
+	it('counts leases from when this host first saw the fence that it resumes', async () => {
+		const {leasesCountFrom} = await fence({row: fencedByLostProcess}, {reason: 'abandoned', fencedAt: performance.now() - 1500});
+		expect(leasesCountFrom).to.be.within(-1600, -1400);
+	});
+
+	it('does not count leases from an older fence', async () => {
+		const {leasesCountFrom} = await fence({row: serving}, {fencedAt: performance.now() - 1500});
+		expect(leasesCountFrom).to.be.at.least(0);
+	});
+});
--- a/packages/sessions/commit-fence.ts
+++ b/packages/sessions/commit-fence.ts
@@ -67,19 +67,24 @@
  * Finds since when no host has got a lease on the primary, in milliseconds of the steady clock. While an earlier failover
  * left the row fenced, that is since this host first saw that fence.
  */
-function findFenceTime({state, epoch}: GroupRow, {seenFence}: Failover, committedAt: Instant): number {
-	return state === 'fencing' && seenFence?.epoch === epoch ? Math.min(seenFence.at, committedAt.steady) : committedAt.steady;
+function findFenceTime(row: GroupRow, {epoch, fencedAt}: Failover, committedAt: Instant): number {
+	return row.state === 'fencing' && row.epoch === epoch ? Math.min(fencedAt ?? committedAt.steady, committedAt.steady) : committedAt.steady;
 }
 
-/** Checks whether another host replaces this primary, or holds the failover lock while it replaces another one. */
-function isTakenByOtherHost({groups, failoverLock}: FleetRows, {group, self, reason, seenFence}: Failover): boolean {
+/**
+ * Checks whether another host replaces this primary, has replaced it since this host decided to, or holds the failover
+ * lock while it replaces another one.
+ */
+function isTakenByOtherHost({groups, failoverLock}: FleetRows, {group, self, reason, epoch}: Failover): boolean {
 	const row = groups.get(group.name);
+	const isOtherEpoch = row?.epoch !== epoch;
 	if (reason === 'abandoned') {
-		return row?.epoch !== seenFence?.epoch;
+		return isOtherEpoch;
 	}
 
+	const isReplaced = row?.state === 'serving' && isOtherEpoch;
 	const isFencedByOther = row?.state === 'fencing' && row.holder !== self;
 	const isLockInUse = failoverLock !== undefined && failoverLock.holder !== self && [...groups]
 		.some(([name, other]) => name !== group.name && other.state === 'fencing' && other.holder === failoverLock.holder);
-	return isFencedByOther || isLockInUse;
+	return isReplaced || isFencedByOther || isLockInUse;
 }
--- /dev/null
+++ b/packages/sessions/create-gateways.test.ts
@@ -0,0 +1,87 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {createGateways} from './create-gateways.ts';
+import type {FleetPeer} from './fleet-peer.ts';
+import type {FleetRows} from './fleet-rows.ts';
+import type {HostRow} from './host-row.ts';
+import type {Job} from './job.ts';
+import type {JobAnswer} from './job-answer.ts';
+import type {ListedInstance} from './listed-instance.ts';
+
+const createRow = (name: string): HostRow & {readonly version: number} => ({
+	name, zone: name.slice(0, 1), address: name, incarnation: 1, version: 1,
+});
+const hosts = new Map(['a1', 'a2', 'a3', 'b1', 'b2'].map(name => [name, createRow(name)]));
+const instance: ListedInstance = {
+	id: 'i-1', group: 'pondbook', host: '', port: 0, zone: 'a', slots: 5, isDeparting: false, role: 'primary',
+};
+const job: Job = {kind: 'position', workspace: 'upper'};
+const answer: JobAnswer = {
+	kind: 'answered', outcome: {kind: 'done', rows: [], signature: '-'}, state: 'idle', position: undefined,
+};
+
+/** Milliseconds after which a ping to a lost host is given up. */
+const pingTimeoutMs = 50;
+
+/** Milliseconds after which a job at a lost host is given up. */
+const jobTimeoutMs = 600;
+
+/** Creates the gateways of host `b1`, for an instance in zone `a`, while some hosts are lost. */
+function createCase(lost: ReadonlySet<string>) {
+	const pinged: string[] = [];
+	const fleet: FleetRows = {
+		hosts, goneHosts: new Map(), groups: new Map(), rateAllocators: new Map(), failoverLock: undefined,
+	};
+	const findPeer = (host: string): FleetPeer => ({
+		async runJob() {
+			await sleep(lost.has(host) ? jobTimeoutMs : 1);
+			return lost.has(host) ? undefined : answer;
+		},
+		async ping() {
+			pinged.push(host);
+			await sleep(lost.has(host) ? pingTimeoutMs : 1);
+			return !lost.has(host);
+		},
+	}) as unknown as FleetPeer;
+	const gateways = createGateways({
+		own: createRow('b1'), findFleet: () => fleet, findPeer, countGateways: () => 3, hasConnectionPerWorkspace: () => false, now: () => performance.now(),
+	});
+	return {gateways, pinged};
+}
+
+describe('createGateways, when jobs are not answered', () => {
+	it('finds all gateways of a zone that goes silent with the first slow job, not one after the other', async () => {
+		const lost = new Set(['a1', 'a2', 'a3']);
+		const {gateways, pinged} = createCase(lost);
+		void gateways.runJob('a1', instance, job);
+		await sleep(300);
+		expect(pinged.toSorted((a, b) => a.localeCompare(b))).to.deep.equal(['a1', 'a2', 'a3']);
+		expect(gateways.findSilentSince(instance)).to.be.a('number');
+		expect(gateways.hasSilentHost('a')).to.equal(true);
+	});
+
+	it('does not take a zone for silent while one of its gateways answers', async () => {
+		const {gateways} = createCase(new Set(['a1', 'a2']));
+		void gateways.runJob('a1', instance, job);
+		await sleep(300);
+		expect(gateways.findSilentSince(instance)).to.equal(undefined);
+		expect(gateways.hasSilentHost('a')).to.equal(true);
+	});
+
+	it('pings nobody while jobs are answered soon', async () => {
+		const {gateways, pinged} = createCase(new Set());
+		await gateways.runJob('a1', instance, job);
+		await sleep(200);
+		expect(pinged).to.deep.equal([]);
+	});
+
+	it('does not hold hosts for silent for good that it no longer asks', async () => {
+		const {gateways} = createCase(new Set(['a1', 'a2', 'a3']));
+		gateways.probe(instance);
+		await sleep(100);
+		expect(gateways.hasSilentHost('a')).to.equal(true);
+		await sleep(1100);
+		expect(gateways.hasSilentHost('a')).to.equal(false);
+		expect(gateways.findSilentSince(instance)).to.equal(undefined);
+	});
+});
--- a/packages/sessions/create-gateways.ts
+++ b/packages/sessions/create-gateways.ts
@@ -98,6 +98,12 @@
 		return isAnswering;
 	};
 
+	/** Finds since when a host has been silent; undefined if it answered, or was last found silent so long ago that this may be over. */
+	const findHostSilentSince = (host: string): number | undefined => {
+		const known = reachabilities.get(host);
+		return known !== undefined && known.avoidedUntil > now() ? known.silentSince : undefined;
+	};
+
 	/** Lists the other hosts of an instance's own zone that connect to it. */
 	const listLocalGateways = (instance: ListedInstance): readonly string[] => {
 		const hosts = findFleet()?.hosts;
@@ -134,10 +140,10 @@
 		},
 		probe,
 		findSilentSince(instance) {
-			const since = listLocalGateways(instance).map(host => reachabilities.get(host)?.silentSince);
+			const since = listLocalGateways(instance).map(host => findHostSilentSince(host));
 			return since.length === 0 || since.includes(undefined) ? undefined : Math.max(...since.filter(at => at !== undefined));
 		},
-		hasSilentHost: zone => [...reachabilities].some(([host, {silentSince}]) => silentSince !== undefined && findFleet()?.hosts.get(host)?.zone === zone),
+		hasSilentHost: zone => [...reachabilities.keys()].some(host => findHostSilentSince(host) !== undefined && findFleet()?.hosts.get(host)?.zone === zone),
 		async runJob(host, instance, job) {
 			const timer = setTimeout(probe, slowAnswerMs, instance);
 			const answer = await findPeer(host)?.runJob({group: instance.group, id: instance.id}, job);
--- /dev/null
+++ b/packages/sessions/create-registration.ts
@@ -0,0 +1,113 @@
+/* eslint-disable no-await-in-loop -- changes run one after another */
+import {fleetKeys} from './fleet-keys.ts';
+import type {FleetRows} from './fleet-rows.ts';
+import type {HostRow} from './host-row.ts';
+import type {Instant} from './instant.ts';
+import type {SessionLog} from './session-log.ts';
+import type {Store} from './store.ts';
+import type {Versioned} from './versioned.ts';
+
+type Options = {
+	/** Registration of this host. */
+	readonly own: HostRow;
+	readonly store: Store;
+	/** Registered hosts that have been silent for long, of those that this host monitors. */
+	readonly listSilentHosts: () => readonly string[];
+	readonly now: () => Instant;
+	readonly log: SessionLog;
+};
+
+/** Registration of this host in the store, and of others that have been silent for long. */
+type Registration = {
+	/** Registers this process. */
+	readonly register: () => Promise<void>;
+	/** Whether the store holds the registration of this process, not that of an earlier start. */
+	readonly isRegistered: () => boolean;
+	/** Applies the fleet's rows. */
+	readonly updateFleet: (fleet: FleetRows) => void;
+	/** Hosts that are or lately were registered; they may hold leases though their rows are deleted. */
+	readonly listRecentHosts: () => readonly HostRow[];
+	/**
+	 * Removes silent hosts from the store in two steps: a host that is marked as gone gets no further leases, and its row
+	 * is deleted once the leases that it may still hold have expired.
+	 */
+	readonly removeSilentHosts: () => Promise<void>;
+	/** Deletes the registration of this process. */
+	readonly leave: () => Promise<void>;
+};
+
+/** Milliseconds for which a host that is no longer registered may still hold leases. */
+const unregisteredLeaseMs = 6000;
+
+/** Creates the registration of a host; see `Registration`. */
+export function createRegistration({own, store, listSilentHosts, now, log}: Options): Registration {
+	/** Hosts by name, and when each was last seen registered, in milliseconds of the steady clock. */
+	const seenHosts = new Map<string, {readonly row: HostRow; readonly seenAt: number}>();
+	/** Hosts that are marked as gone, and since when, in milliseconds of the steady clock. */
+	const markedSince = new Map<string, number>();
+	let fleet: FleetRows | undefined;
+
+	const isRegistered = () => fleet?.hosts.get(own.name)?.incarnation === own.incarnation;
+
+	const register = async () => {
+		const key = `${fleetKeys.hostPrefix}${own.name}`;
+		const outcome = await store.commit({expected: new Map(), values: new Map([[key, JSON.stringify(own)]])});
+		log.info({incarnation: own.incarnation, outcome: outcome.kind}, 'host: The host tried to register in the store.');
+	};
+
+	const removeSilentHosts = async () => {
+		const at = now().steady;
+		for (const name of listSilentHosts()) {
+			const row = fleet?.hosts.get(name);
+			if (row !== undefined) {
+				await changeHost(row, {...row, isGone: true});
+				markedSince.set(name, at);
+			}
+		}
+
+		for (const row of isRemover() ? fleet?.goneHosts.values() ?? [] : []) {
+			const markedAt = markedSince.get(row.name) ?? at;
+			markedSince.set(row.name, markedAt);
+			if (at - markedAt > unregisteredLeaseMs) {
+				await changeHost(row, undefined);
+				markedSince.delete(row.name);
+			}
+		}
+	};
+
+	/** Whether this host deletes the rows of gone hosts: the allocator of rate partition 0, so that only one host does. */
+	const isRemover = () => fleet?.rateAllocators.get(0)?.holder === own.name;
+
+	const changeHost = async ({version, name}: Versioned<HostRow>, value: HostRow | undefined) => {
+		const key = `${fleetKeys.hostPrefix}${name}`;
+		const outcome = await store.commit({
+			expected: new Map([[key, version]]),
+			values: new Map([[key, value && JSON.stringify({...value, version: undefined})]]),
+		});
+		log.info({name, isDropped: value === undefined, outcome: outcome.kind}, 'host: The host tried to mark a silent host as gone in the store, or to delete its row.');
+	};
+
+	const listRecentHosts = () => [...seenHosts.values()]
+		.filter(({seenAt}) => now().steady - seenAt < unregisteredLeaseMs)
+		.map(({row}) => row);
+
+	return {
+		register,
+		isRegistered,
+		updateFleet(newer) {
+			fleet = newer;
+			for (const row of newer.hosts.values()) {
+				seenHosts.set(row.name, {row, seenAt: now().steady});
+			}
+		},
+		listRecentHosts,
+		removeSilentHosts,
+		async leave() {
+			const key = `${fleetKeys.hostPrefix}${own.name}`;
+			const row = fleet?.hosts.get(own.name);
+			if (row?.incarnation === own.incarnation) {
+				await store.commit({expected: new Map([[key, row.version]]), values: new Map([[key, undefined]])});
+			}
+		},
+	};
+}
--- a/packages/sessions/create-table-sync.test.ts
+++ b/packages/sessions/create-table-sync.test.ts
@@ -66,15 +66,15 @@
 	};
 }
 
-/** Starts `count` hosts in each zone that synchronize their tables with each other. */
-function startFleet(zones: readonly string[], count: number) {
+/** Starts `count` hosts in each zone that synchronize their tables with each other; some of the hosts cannot be reached. */
+function startFleet(zones: readonly string[], {count, lost = []}: {readonly count: number; readonly lost?: readonly string[]}) {
 	const store = createStore();
 	const hosts = zones.flatMap(zone => Array.from({length: count}, (_, index) => ({
 		name: `${zone}${index}`, zone, address: '', incarnation: 1,
 	})));
 	const tableSyncs = new Map<string, TableSync>();
 	const confirmed = new Map<string, Map<StoreTable, number>>();
-	const unreachable = new Set<string>();
+	const unreachable = new Set(lost);
 	/** Zone that cannot reach the others. */
 	let isolatedZone: string | undefined;
 	const isReachable = (from: string, to: string) => !unreachable.has(to) && (from.startsWith(isolatedZone ?? '?') === to.startsWith(isolatedZone ?? '?'));
@@ -164,7 +164,7 @@
 	];
 	/** Injects the faults of a case into a running fleet, and returns the maximum staleness at the hosts that stay reachable. */
 	const findMaxAgeWithFaults = async ({refused, unreachable, isolated}: typeof cases[number]) => {
-		const fleet = startFleet(zones, 6);
+		const fleet = startFleet(zones, {count: 6});
 		await sleep(1500);
 		for (const host of refused) {
 			fleet.store.refused.add(host);
@@ -196,8 +196,16 @@
 		}).timeout(20_000);
 	}
 
+	it('keeps tables fresh on the hosts of a zone that start while the fleet reader is cut off', async () => {
+		const fleet = startFleet(zones, {count: 6, lost: [fleetReader]});
+		await sleep(200);
+		const age = await fleet.findMaxAge('fleet', {watched: [zoneReader], steps: 15});
+		fleet.stop();
+		expect(age).to.be.below(faultFreeAgeMs);
+	}).timeout(20_000);
+
 	it('reads the store from a single host and passes each confirmation on to all hosts', async () => {
-		const fleet = startFleet(zones, 6);
+		const fleet = startFleet(zones, {count: 6});
 		await sleep(2000);
 		fleet.store.calls.clear();
 		const ages = await Promise.all((['fleet', 'configuration'] as const).map(async table => fleet.findMaxAge(table, {watched: fleet.names, steps: 50})));
--- a/packages/sessions/failover.ts
+++ b/packages/sessions/failover.ts
@@ -15,8 +15,10 @@
 	readonly self: string;
 	/** Incarnation of this host's process. */
 	readonly incarnation: number;
-	/** Fence of an earlier failover that this host resumes, and when it first saw that, in milliseconds of the steady clock. */
-	readonly seenFence: {readonly epoch: number; readonly at: number} | undefined;
+	/** Epoch of the group's row on which this host decided to replace the primary. */
+	readonly epoch: number;
+	/** When this host first saw that row fenced, in milliseconds of the steady clock; undefined if it was not. */
+	readonly fencedAt: number | undefined;
 	readonly store: Store;
 	readonly orderPromotion: OrderPromotion;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
--- a/packages/sessions/find-fence-remaining.ts
+++ b/packages/sessions/find-fence-remaining.ts
@@ -11,7 +11,7 @@
 const leaseMarginMs = 150;
 
 /** Lifetime in milliseconds of the leases of hosts whose version does not register it. */
-const unregisteredLeaseMs = 2500;
+const defaultLeaseMs = 2500;
 
 /**
  * Finds the milliseconds until no host can use the old primary any more; 0 or less when none can.
@@ -23,6 +23,6 @@
  * @param now Current time in milliseconds of the steady clock.
  */
 export function findFenceRemaining({at, pending}: Options, now: number): number {
-	const leases = pending.map(({leaseMs}) => leaseMs ?? unregisteredLeaseMs);
+	const leases = pending.map(({leaseMs}) => leaseMs ?? defaultLeaseMs);
 	return leases.length === 0 ? 0 : at + Math.max(...leases) + leaseMarginMs - now;
 }
--- a/packages/sessions/find-primary.test.ts
+++ b/packages/sessions/find-primary.test.ts
@@ -1,5 +1,9 @@
 import {expect} from 'chai';
 import {findPrimary} from './find-primary.ts';
+import {leaseDurationMs} from './lease-duration-ms.ts';
+
+/** Milliseconds that a promotion takes until it shows on the hosts. */
+const promotionMs = 500;
 
 const at = (steady: number, wall = steady) => ({steady, wall});
 const row = {
@@ -14,6 +18,9 @@
 		{
 			name: 'lets the lease expire', known: {row}, now: at(2500), expected: 'lapsed',
 		},
+		{
+			name: 'lets the lease expire as early as it registers to other hosts', known: {row}, now: at(leaseDurationMs), expected: 'lapsed',
+		},
 		{
 			name: 'lets the lease expire by the wall clock when the steady clock stopped', known: {row}, now: at(100, 2500), expected: 'lapsed',
 		},
@@ -39,6 +46,13 @@
 		});
 	}
 
+	it('names the time that a failover takes whose leases have to expire, as after the silent cut of a zone', () => {
+		const view = findPrimary({
+			row: {...row, state: 'fencing'}, confirmedAt: at(0), fencedAt: 0, isRegistered: true,
+		}, at(0));
+		expect(view.kind === 'unavailable' ? view.retryAfter : 0).to.be.at.least(leaseDurationMs + promotionMs);
+	});
+
 	it('suggests a longer retry delay when the lease expired long ago', () => {
 		const view = findPrimary({
 			row, confirmedAt: at(0), fencedAt: undefined, isRegistered: true,
--- a/packages/sessions/find-primary.ts
+++ b/packages/sessions/find-primary.ts
@@ -14,7 +14,7 @@
 };
 
 /** Usual duration of a failover in milliseconds, from the fence to the new primary. */
-const usualFailoverMs = 2000;
+const usualFailoverMs = 2500;
 
 /** Milliseconds within which the store usually confirms the row again. */
 const usualConfirmMs = 500;
--- a/packages/sessions/gateways.ts
+++ b/packages/sessions/gateways.ts
@@ -22,10 +22,10 @@
 	readonly probe: (instance: ListedInstance) => void;
 	/**
 	 * Finds since when none of the gateways in an instance's own zone answers, in milliseconds of the steady clock;
-	 * undefined if one of them answers or was not asked since its last answer.
+	 * undefined if one of them answers or was not asked lately.
 	 */
 	readonly findSilentSince: (instance: ListedInstance) => number | undefined;
-	/** Whether a host of a zone did not answer the last time that it was asked. */
+	/** Whether a host of a zone was asked lately and did not answer. */
 	readonly hasSilentHost: (zone: string) => boolean;
 	/** Sends a job to a host; resolves to undefined when no answer came. */
 	readonly runJob: (host: string, instance: ListedInstance, job: Job) => Promise<JobAnswer | 'notServed' | undefined>;
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {fleetKeys} from './fleet-keys.ts';
 import type {GroupRow} from './group-row.ts';
@@ -14,6 +15,9 @@
 
 const now = () => ({steady: performance.now(), wall: Date.now()});
 
+/** Milliseconds after which a connection to an instance in a zone that is cut off is given up. */
+const unreachableAfterMs = 400;
+
 function createInstance(id: string, readStatus: () => string | undefined): InstanceRuntime {
 	const connection: PooledConnection = {
 		connection: {
@@ -40,7 +44,14 @@
 			throw new Error('The test reads no health');
 		},
 		pool: {
-			acquire: async () => readStatus() === undefined ? {kind: 'unreachable'} : {kind: 'acquired', connection, openMs: 0},
+			async acquire() {
+				if (readStatus() !== undefined) {
+					return {kind: 'acquired', connection, openMs: 0};
+				}
+
+				await sleep(unreachableAfterMs);
+				return {kind: 'unreachable'};
+			},
 			release: () => undefined,
 			takeIdle: () => undefined,
 			readLoad: () => ({
@@ -101,6 +112,8 @@
 
 async function runFailover({statuses, statusesAfter, reason = 'silent', isLosing = false}: Case) {
 	const ordered: string[] = [];
+	const startedAt = performance.now();
+	let orderedAt = Number.POSITIVE_INFINITY;
 	const find = (id: string) => (ordered.length > 0 ? statusesAfter : statuses)[id];
 	const instances = Object.keys(statuses).map(id => createInstance(id, () => find(id)));
 	const {store, find: findRow} = createStore({
@@ -118,10 +131,12 @@
 		reason,
 		self: 'a1',
 		incarnation: 1,
-		seenFence: undefined,
+		epoch: 1,
+		fencedAt: undefined,
 		store,
 		async orderPromotion({instance}) {
 			ordered.push(instance);
+			orderedAt = performance.now();
 			return 'accepted';
 		},
 		findPeer: () => undefined,
@@ -130,7 +145,7 @@
 		now,
 		log: {debug: quiet, info: quiet, warn: quiet},
 	});
-	return {row: findRow(), ordered};
+	return {row: findRow(), ordered, orderedAfter: orderedAt - startedAt};
 }
 
 describe('replacePrimary', () => {
@@ -185,4 +200,12 @@
 			expect(row).to.include({state: 'serving', epoch: 2, holder: 'a1'});
 		});
 	}
+
+	it('orders a promotion without waiting for a primary that was found silent', async () => {
+		const {orderedAfter} = await runFailover({
+			statuses: {'i-old': undefined, 'i-b': 'replica 1 1.7'},
+			statusesAfter: {'i-old': undefined, 'i-b': 'primary 2 1.7'},
+		});
+		expect(orderedAfter).to.be.below(unreachableAfterMs / 2);
+	});
 });
