Count what an earlier allocator may still grant, and split the partition limiter

Cause: while one zone is unknown, a new rate allocator granted what that zone cannot hold, although an earlier allocator might still give single operations from its pool, which no share shows. Change: nothing is granted of an unknown zone until the earlier allocator has stopped. The contact with an allocator and the choice of a refusal are modules of their own, in place of isWorthWaiting.

--- a/packages/sessions/assign-rates.test.ts
+++ b/packages/sessions/assign-rates.test.ts
@@ -173,6 +173,16 @@
 		}).units).to.equal(0);
 	});
 
+	it('grants nothing of a zone that is cut off while the allocator there may still give single operations', () => {
+		let state: RateAllocatorState = {...empty, creditFrom: 1200};
+		for (const host of ['a1', 'a2', 'b1']) {
+			({state} = claim(state, {host, demand: 20, now: 40}));
+		}
+
+		expect(claim(state, {host: 'a1', demand: 20, now: 1100}).rate).to.equal(0);
+		expect(claim(state, {host: 'a1', demand: 20, now: 1300}).rate).to.be.above(0);
+	});
+
 	it('leaves a quarter of the rate to hosts of other zones, so that they can go on while a zone is cut off', () => {
 		let state: RateAllocatorState = {...empty, startedAt: -10_000, handoverEndsAt: -6700};
 		let sum = 0;
--- a/packages/sessions/assign-rates.ts
+++ b/packages/sessions/assign-rates.ts
@@ -63,7 +63,7 @@
  * The sum of the unexpired shares never exceeds the rate, and the pool is refilled only from the unassigned remainder
  * and the burst budget. After a change of allocator, the shares that an earlier one granted are known once every
  * registered host has claimed or they have expired (`handoverEndsAt`). Until then a host gets no more than it holds, or
- * than what the hosts of the only zone that is not known completely cannot hold.
+ * than what the hosts of the only zone that is not known completely cannot hold once the earlier allocator has stopped.
  */
 export function assignRates(state: RateAllocatorState, options: Options): Assigned {
 	const {host, claims, limits, registered, now} = options;
@@ -84,7 +84,7 @@
 		const others = listOthers(state, workspace, host);
 		const target = findTarget(limit.rate, {claim, others: others.map(({holding}) => holding), options});
 		const free = findFree(limit.rate, {
-			host, others, unknownZones, zones, now,
+			host, others, unknownZones, zones, mayEarlierGrant: now < state.creditFrom, now,
 		});
 		const rate = isAllKnown ? Math.min(target, free.share) : Math.min(target, Math.max(claim.held, free.share));
 		// If the answer is lost, the host keeps using the share it already holds.
@@ -140,11 +140,15 @@
 	readonly unknownZones: ReadonlySet<string>;
 	/** Zones by host. */
 	readonly zones: ReadonlyMap<string, string>;
+	/** Whether an earlier allocator may still give operations from its pool, which no share shows. */
+	readonly mayEarlierGrant: boolean;
 	readonly now: number;
 };
 
 /** Finds the operations per second that no other host may hold, in all (`total`) and for the share of a host (`share`). */
-function findFree(limit: number, {host, others, unknownZones, zones, now}: Holders): {readonly total: number; readonly share: number} {
+function findFree(limit: number, {
+	host, others, unknownZones, zones, mayEarlierGrant, now,
+}: Holders): {readonly total: number; readonly share: number} {
 	const zone = zones.get(host);
 	const sum = (isCounted: (name: string) => boolean) => others
 		.reduce((total, {name, holding}) => total + (isCounted(name) && holding.expiresAt > now ? holding.rate : 0), 0);
@@ -156,7 +160,7 @@
 
 	// Hosts of the unknown zone may hold all that a zone may hold; nothing is free if another zone is unknown as well.
 	const isOutside = (name: string) => !unknownZones.has(zones.get(name) ?? '');
-	const total = unknownZones.size === 1 && isOutside(host) ? Math.max(0, limit - zoneLimit - sum(isOutside)) : 0;
+	const total = unknownZones.size === 1 && isOutside(host) && !mayEarlierGrant ? Math.max(0, limit - zoneLimit - sum(isOutside)) : 0;
 	return {total, share: total};
 }
 
--- a/packages/sessions/create-partition-limiter.test.ts
+++ b/packages/sessions/create-partition-limiter.test.ts
@@ -31,7 +31,7 @@
 const log = {debug: ignore, info: ignore, warn: ignore};
 
 /** Creates the limiter of host `a1`, whose claims the allocator on host `b1` answers. */
-function createLimiter(answer: (claims: Claims) => Answer) {
+function createLimiter(answer: (claims: Claims) => Answer, store = noStore) {
 	return createPartitionLimiter({
 		self: 'a1',
 		partition: 0,
@@ -41,7 +41,7 @@
 		findLimits: () => new Map([['upper', limits]]),
 		findPeer: () => ({claimRates: async (claims: Claims) => answer(claims)}) as unknown as FleetPeer,
 		findFleetConfirmedAt: now,
-		store: noStore,
+		store,
 		now,
 		log,
 	});
@@ -93,3 +93,43 @@
 		expect(first?.claims.map(({workspace, held}) => ({workspace, isHeld: held > 0}))).to.deep.equal([{workspace: 'upper', isHeld: true}]);
 	});
 });
+
+describe('createPartitionLimiter, when the rate allocator stops to answer', () => {
+	const cases: ReadonlyArray<{readonly name: string; readonly isLost: (elapsed: number) => boolean; readonly answer: Answer; readonly hasTaken: boolean}> = [
+		{
+			name: 'takes the lease of an allocator that is lost', isLost: () => true, answer: undefined, hasTaken: true,
+		},
+		{
+			name: 'takes the lease of a host that answers, but is not the allocator any more, as one that the store refuses', isLost: () => true, answer: 'notAllocator', hasTaken: true,
+		},
+		{
+			name: 'leaves the lease to an allocator that was only slow', isLost: elapsed => elapsed < 450, answer: undefined, hasTaken: false,
+		},
+	];
+	for (const {name, isLost, answer, hasTaken} of cases) {
+		it(name, async () => {
+			let commits = 0;
+			let lostAt = Number.POSITIVE_INFINITY;
+			const store = {
+				async commit() {
+					commits++;
+					return {kind: 'done'};
+				},
+			} as unknown as Store;
+			const limiter = createLimiter(claims => {
+				const elapsed = performance.now() - lostAt;
+				return claims.epoch !== 0 && elapsed >= 0 && isLost(elapsed) ? answer : grant(claims, true);
+			}, store);
+			limiter.updateFleet(createFleet(1));
+			await sleep(50);
+			lostAt = performance.now();
+			const timer = setInterval(() => {
+				limiter.step();
+				void limiter.takeOperation('upper', 0);
+			}, 50);
+			await sleep(1300);
+			clearInterval(timer);
+			expect(commits > 0).to.equal(hasTaken);
+		});
+	}
+});
--- a/packages/sessions/create-partition-limiter.ts
+++ b/packages/sessions/create-partition-limiter.ts
@@ -6,7 +6,8 @@
 import {findElapsed} from './find-elapsed.ts';
 import {findHeldRate} from './find-held-rate.ts';
 import {findRateAllocatorRank} from './find-rate-allocator-rank.ts';
-import {isWorthWaiting} from './is-worth-waiting.ts';
+import {createAllocatorContact} from './create-allocator-contact.ts';
+import {findRateRefusal} from './find-rate-refusal.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {RateAllocatorRow} from './rate-allocator-row.ts';
@@ -53,6 +54,9 @@
 /** Minimum milliseconds between two attempts to take the lease after the same epoch, so that this host sees the outcome of the first. */
 const leaseRetryIntervalMs = 600;
 
+/** Milliseconds within which an allocator must answer one more claim before another host takes its lease. */
+const checkTimeoutMs = 300;
+
 /** Milliseconds between two attempts of a caller that waits for an operation. */
 const waitIntervalMs = 40;
 
@@ -71,10 +75,6 @@
 	/** When the fleet's rows first became known, in milliseconds of the steady clock. */
 	let fleetKnownSince: number | undefined;
 	let claimedAt = Number.NEGATIVE_INFINITY;
-	/** Epoch of the rate allocator that answered last. */
-	let answeredEpoch = 0;
-	/** When the first unanswered claim was sent, in milliseconds of the steady clock; undefined after an answer. */
-	let unansweredSince: number | undefined;
 	/** When a claim was last answered, in milliseconds of the steady clock. */
 	let lastAnswerAt = Number.NEGATIVE_INFINITY;
 	/** Epoch of the allocator for which a claim or an attempt to take its lease is in flight; undefined while there is none. */
@@ -82,13 +82,10 @@
 	let hasRefused = false;
 	/** Number of callers that wait for an operation, by workspace. */
 	const waiting = new Map<string, number>();
-	/** Whether the allocator that answered last knew the shares of all hosts. */
-	let isSettled = false;
-	/** Since when a refusal would not show that the rate is used up, in milliseconds of the steady clock; undefined while it would. */
-	let unassignedSince: number | undefined;
 	/** Last attempt to take the lease: the epoch before it, and when, in milliseconds of the steady clock. */
 	let leaseAttempt = {epoch: -1, at: Number.NEGATIVE_INFINITY};
 
+	const contact = createAllocatorContact(now().steady);
 	const shares = createLocalShares({...options, countHosts: () => Math.max(1, fleet?.hosts.size ?? 1)});
 	const allocator = createRateAllocator({...options, findFleet: () => fleet});
 	const findRow = () => fleet?.rateAllocators.get(partition);
@@ -100,39 +97,36 @@
 	 */
 	const sendClaims = async (row: RateAllocatorRow, claimed: readonly RateClaim[], timeout?: number): Promise<boolean> => {
 		const requestedAt = now();
-		const claims = answeredEpoch === row.epoch ? claimed : [...claimed, ...listOtherClaims(claimed)];
+		const claims = contact.hasAnswered() ? claimed : [...claimed, ...listOtherClaims(claimed)];
 		const message = {
 			host: self, incarnation, partition, epoch: row.epoch, claims,
 		};
 		const answer = allocator.isAllocator() ? allocator.claimRates(message) : options.findPeer(row.holder)?.claimRates(message);
 		const granted = await (timeout === undefined ? answer : Promise.race([answer, sleep(timeout, undefined)]));
-		if (granted === undefined) {
-			void answer?.then(late => { // eslint-disable-line promise/prefer-await-to-then -- a late answer shows that the allocator is slow, not lost
-				unansweredSince = late === undefined || late === 'notAllocator' ? unansweredSince : undefined;
-			});
-		}
-
 		if (row.epoch !== findRow()?.epoch) {
 			return false;
 		}
 
 		if (granted === undefined || granted === 'notAllocator') {
-			unansweredSince ??= requestedAt.steady;
+			contact.recordSilence(requestedAt.steady);
+			void recordLateAnswer(row, answer);
 			return false;
 		}
 
-		unansweredSince = undefined;
-		answeredEpoch = row.epoch;
-		({isSettled} = granted);
-		if (isSettled) {
-			unassignedSince = undefined;
-		}
-
+		contact.recordAnswer({epoch: row.epoch, isSettled: granted.isSettled}, now().steady);
 		shares.applyGrants(granted.grants, {spanMs: granted.spanMs, requestedAt});
 		shares.recordClaimed(claims);
 		return true;
 	};
 
+	/** Records that an allocator whose answer comes too late is only slow. Its grants are dropped, because callers have given up. */
+	const recordLateAnswer = async ({epoch}: RateAllocatorRow, answer: ReturnType<FleetPeer['claimRates']> | undefined) => {
+		const late = await answer;
+		if (late !== undefined && late !== 'notAllocator') {
+			contact.recordSign(epoch);
+		}
+	};
+
 	/** Lists the claims of all other shares of this host. */
 	const listOtherClaims = (claimed: readonly RateClaim[]) => {
 		shares.clearClaimed();
@@ -157,7 +151,7 @@
 		claimedAt = now().steady;
 		const claims = shares.listClaims();
 		const isHeartbeatDue = partition === 0 && now().steady - lastAnswerAt > heartbeatIntervalMs;
-		if (claims.length === 0 && answeredEpoch === row.epoch && !isHeartbeatDue) {
+		if (claims.length === 0 && contact.hasAnswered() && !isHeartbeatDue) {
 			return;
 		}
 
@@ -168,13 +162,11 @@
 	};
 
 	const takeLease = async (row: Versioned<RateAllocatorRow> | undefined) => {
-		const holder = row === undefined || row.holder === self ? undefined : options.findPeer(row.holder);
-		if (await holder?.ping() === true) {
-			unansweredSince = undefined;
+		if (row !== undefined && row.holder !== self && await sendClaims(row, [], checkTimeoutMs)) {
+			log.info({partition, holder: row.holder, epoch: row.epoch}, 'rates: The rate allocator answers again and keeps its lease.');
 			return;
 		}
 
-		unansweredSince = undefined;
 		leaseAttempt = {epoch: row?.epoch ?? 0, at: now().steady};
 		allocator.expectLease({
 			epoch: (row?.epoch ?? 0) + 1, previous: row?.holder === self ? {kind: 'ownProcess', endedBefore: options.startedAt} : {kind: 'otherHost'},
@@ -205,7 +197,7 @@
 				self, partition, hosts: [...rows.hosts.keys()], lost: row?.holder,
 			}),
 			hasHolder: row !== undefined,
-			since: row === undefined ? fleetKnownSince : unansweredSince,
+			since: row === undefined ? fleetKnownSince : contact.unansweredSince(),
 			now: now().steady,
 		});
 	};
@@ -221,24 +213,16 @@
 		const hasTried = leaseAttempt.epoch === epoch && now().steady - leaseAttempt.at < leaseRetryIntervalMs;
 		if (!hasTried && (isRestarted || isLeaseDue(row, fleet))) {
 			void runExclusive(epoch, takeLease(row));
-		} else if (row !== undefined && now().steady - claimedAt > (hasRefused || !isSettled ? urgentClaimIntervalMs : claimIntervalMs)) {
+		} else if (row !== undefined && now().steady - claimedAt > (hasRefused || !contact.isSettled() ? urgentClaimIntervalMs : claimIntervalMs)) {
 			void runExclusive(epoch, claim(row));
 		}
 	};
 
-	/** Whether a refusal would show that the rate is used up: the present allocator has answered and knew the shares of all hosts. */
-	const isAssigned = () => isSettled && unansweredSince === undefined && answeredEpoch === findRow()?.epoch;
-
-	/** Finds for how many milliseconds the rates have not been assigned; undefined while they are. */
-	const findUnassignedTime = (): number | undefined => {
-		unassignedSince = isAssigned() ? undefined : unassignedSince ?? now().steady;
-		return unassignedSince === undefined ? undefined : now().steady - unassignedSince;
-	};
-
-	const logRefusal = (workspace: string, limits: WorkspaceLimits) => {
+	const logRefusal = (workspace: string, {limits, reason}: {readonly limits: WorkspaceLimits; readonly reason: string}) => {
 		const share = shares.findShare(workspace);
 		log.debug({
 			workspace,
+			reason,
 			...limits,
 			held: share && findHeldRate(share, now()),
 			saved: share?.tokens,
@@ -248,6 +232,13 @@
 		}, 'rates: The host refused an operation because no tokens are left.');
 	};
 
+	/** Waits for the next attempt of a caller to take an operation. */
+	const waitForNextAttempt = async (workspace: string) => {
+		waiting.set(workspace, (waiting.get(workspace) ?? 0) + 1);
+		await sleep(waitIntervalMs);
+		waiting.set(workspace, (waiting.get(workspace) ?? 1) - 1);
+	};
+
 	return {
 		async takeOperation(workspace, maxWaitMs) {
 			const limits = options.findLimits().get(workspace);
@@ -263,36 +254,36 @@
 					return {kind: 'taken'};
 				}
 
-				const before = waiting.get(workspace) ?? 0;
-				const remaining = deadline - now().steady - waitIntervalMs;
-				if (!isWorthWaiting({unassignedFor: findUnassignedTime(), dueAfter: retryAfter * (before + 1), remaining})) {
+				const refusal = findRateRefusal({
+					unassignedFor: contact.findUnassignedTime(now().steady),
+					dueAfter: retryAfter * ((waiting.get(workspace) ?? 0) + 1),
+					remaining: deadline - now().steady - waitIntervalMs,
+				});
+				if (refusal !== undefined) {
 					hasRefused = true;
-					logRefusal(workspace, limits);
-					return {kind: 'refused', reason: isAssigned() ? 'usedUp' : 'unassigned', retryAfter};
+					logRefusal(workspace, {limits, reason: refusal.reason});
+					return refusal;
 				}
 
-				waiting.set(workspace, before + 1);
-				await sleep(waitIntervalMs); // eslint-disable-line no-await-in-loop -- attempts run one after another
-				waiting.set(workspace, (waiting.get(workspace) ?? 1) - 1);
+				await waitForNextAttempt(workspace); // eslint-disable-line no-await-in-loop -- attempts run one after another
 			}
 		},
 		claimRates: allocator.claimRates,
 		listSilentHosts: allocator.listSilentHosts,
 		updateFleet(newer) {
 			const row = newer.rateAllocators.get(partition);
-			if (row?.epoch !== findRow()?.epoch) {
-				isSettled = false;
-				unassignedSince = undefined;
+			const isNew = row?.epoch !== findRow()?.epoch;
+			if (isNew) {
+				contact.begin(row?.epoch ?? 0, now().steady);
 				log.info({partition, holder: row?.holder, epoch: row?.epoch}, 'rates: The lease of the rate allocator changed its holder or epoch.');
-				unansweredSince = undefined;
 				// A new allocator grants little until all hosts have claimed, so this host claims immediately.
 				claimedAt = Number.NEGATIVE_INFINITY;
 			}
 
-			const isNew = row?.epoch !== findRow()?.epoch || fleet === undefined;
+			const isFirst = fleet === undefined;
 			fleet = newer;
 			fleetKnownSince ??= now().steady;
-			if (isNew) {
+			if (isNew || isFirst) {
 				step();
 			}
 		},
--- /dev/null
+++ b/packages/sessions/create-rate-allocator.test.ts
@@ -0,0 +1,63 @@
+import {expect} from 'chai';
+import {createRateAllocator} from './create-rate-allocator.ts';
+import type {FleetRows} from './fleet-rows.ts';
+
+type Previous = Parameters<ReturnType<typeof createRateAllocator>['expectLease']>[0]['previous'];
+
+/** Creates the allocator on host `a1`; hosts of zones `b` and `c` are registered too, but never claim. */
+function createAllocator(previous: Previous) {
+	let at = 1000;
+	const fleet: FleetRows = {
+		hosts: new Map(['a1', 'b1', 'c1'].map(name => [name, {
+			name, zone: name.slice(0, 1), address: '', incarnation: 1, version: 1,
+		}])),
+		goneHosts: new Map(),
+		groups: new Map(),
+		rateAllocators: new Map([[0, {
+			holder: 'a1', incarnation: 1, epoch: 2, version: 5,
+		}]]),
+		failoverLock: undefined,
+	};
+	const allocator = createRateAllocator({
+		self: 'a1',
+		partition: 0,
+		incarnation: 1,
+		bound: {window: 5000, overage: 0.1, slack: 20},
+		findLimits: () => new Map([['upper', {rate: 100, burst: 100}]]),
+		findFleet: () => fleet,
+		findFleetConfirmedAt: () => ({steady: at, wall: at}),
+		now: () => ({steady: at, wall: at}),
+	});
+	allocator.expectLease({epoch: 2, previous});
+	return {
+		/** Claims a share at a time and returns the rate that is granted. */
+		async claim(now: number) {
+			at = now;
+			const granted = await allocator.claimRates({
+				host: 'a1', incarnation: 1, partition: 0, epoch: 2, claims: [{
+					workspace: 'upper', demand: 40, held: 0, heldFor: 0, needed: 0,
+				}],
+			});
+			return granted === undefined || granted === 'notAllocator' ? Number.NaN : granted.grants.get('upper')?.rate ?? 0;
+		},
+	};
+}
+
+describe('createRateAllocator, while other hosts do not claim', () => {
+	const cases: ReadonlyArray<{readonly name: string; readonly previous: Previous; readonly blockedAt: number; readonly grantedAt: number}> = [
+		{
+			name: 'waits for shares that its own earlier process may have granted, from the start of this one', previous: {kind: 'ownProcess', endedBefore: 500}, blockedAt: 3200, grantedAt: 3400,
+		},
+		{
+			name: 'waits as well for the lease of another host, which may go on granting while it is cut off', previous: {kind: 'otherHost'}, blockedAt: 4900, grantedAt: 5100,
+		},
+	];
+	for (const {name, previous, blockedAt, grantedAt} of cases) {
+		it(name, async () => {
+			const {claim} = createAllocator(previous);
+			expect(await claim(1000)).to.equal(0);
+			expect(await claim(blockedAt)).to.equal(0);
+			expect(await claim(grantedAt)).to.be.above(40);
+		});
+	}
+});
