Log the era of the store's answers and updates that are left out as older

Cause of the gap: no line told which era or row version a host holds, nor that an update was dropped for its version, so three hypotheses could not be told apart. Change: lines for a new era (with whether a feed was continued over it), for the first update of a table that is left out, and the row's version where a configuration is applied.

--- a/packages/sessions/create-store-cache.ts
+++ b/packages/sessions/create-store-cache.ts
@@ -5,6 +5,7 @@
 import type {CachedTable} from './cached-table.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import {parseFleetRows} from './parse-fleet-rows.ts';
+import type {StoreRow} from './store-row.ts';
 import type {SessionLog} from './session-log.ts';
 import type {StoreTable} from './store-table.ts';
 
@@ -35,7 +36,7 @@
 export function createStoreCache({decodeConfiguration, decodeInstance, onFleet, log}: Options): StoreCache {
 	const tables = new Map<StoreTable, CachedTable>();
 	let cached: CachedConfiguration | undefined;
-	let configurationRowVersion = -1;
+	let configurationRow: StoreRow | undefined;
 	let instances: readonly ListedInstance[] = [];
 	let fleet: FleetRows | undefined;
 
@@ -45,7 +46,11 @@
 			return;
 		}
 
-		if (cached !== undefined && row.version === configurationRowVersion) {
+		if (cached !== undefined && row.version === configurationRow?.version) {
+			if (row.value !== configurationRow.value) {
+				log.warn({rowVersion: row.version, version: cached.configuration.version}, 'configuration: The row has the version of the applied one and another value.');
+			}
+
 			cached = {...cached, confirmedAt};
 			return;
 		}
@@ -53,9 +58,13 @@
 		try {
 			const configuration = decodeConfiguration(row.value);
 			if (cached === undefined || configuration.version >= cached.configuration.version) {
-				configurationRowVersion = row.version;
+				configurationRow = row;
 				cached = {configuration, confirmedAt};
-				log.info({version: configuration.version, routes: configuration.routes.size, workspaces: configuration.limits.size}, 'configuration: The host applied a version.');
+				log.info({
+					version: configuration.version, rowVersion: row.version, routes: configuration.routes.size, workspaces: configuration.limits.size,
+				}, 'configuration: The host applied a version.');
+			} else {
+				log.warn({version: configuration.version, rowVersion: row.version, knownVersion: cached.configuration.version}, 'configuration: The host leaves out a version that is older than the applied one.');
 			}
 		} catch (error) {
 			log.warn({version: row.version, error: (error as Error).message}, 'configuration: The host cannot decode a version and keeps the previous one.');
--- a/packages/sessions/create-table-cache.ts
+++ b/packages/sessions/create-table-cache.ts
@@ -2,11 +2,13 @@
 import type {Instant} from './instant.ts';
 import {isSameMark} from './is-same-mark.ts';
 import type {CachedTable} from './cached-table.ts';
+import type {SessionLog} from './session-log.ts';
 import type {StoreTable} from './store-table.ts';
 
 type Options = {
 	readonly onTable: (table: StoreTable, cached: CachedTable) => void;
 	readonly now: () => Instant;
+	readonly log: SessionLog;
 };
 
 /** Cache of the store's tables, with the staleness of each. */
@@ -24,9 +26,11 @@
 };
 
 /** Creates the cache of the store's tables. */
-export function createTableCache({onTable, now}: Options): TableCache {
+export function createTableCache({onTable, now, log}: Options): TableCache {
 	const cache = new Map<StoreTable, CachedTable>();
 	const waiters = new Set<() => void>();
+	/** Tables of which the last update was left out; a line is logged for the first one in a row. */
+	const leftOut = new Set<StoreTable>();
 
 	const findAge = (table: StoreTable) => {
 		const cached = cache.get(table);
@@ -42,9 +46,17 @@
 			const isNewer = older === undefined || newer.version > older.version
 				|| (newer.version === older.version && newer.confirmedAt.steady >= older.confirmedAt.steady);
 			if (!isNewer) {
+				if (!leftOut.has(table) && newer.version < older.version) {
+					leftOut.add(table);
+					log.warn({
+						table, version: newer.version, knownVersion: older.version, reader: newer.reader,
+					}, 'store: The host leaves out an update of the table that is older than what it has.');
+				}
+
 				return;
 			}
 
+			leftOut.delete(table);
 			// Unchanged rows keep their identity, so that they are not decoded again.
 			const rows = isSameMark(older?.mark, newer.mark) && older !== undefined ? older.rows : newer.rows;
 			const updated = {...newer, rows};
--- a/packages/sessions/create-table-sync.ts
+++ b/packages/sessions/create-table-sync.ts
@@ -76,7 +76,7 @@
 	let hasSynchronized = false;
 	const startedAt = now().steady;
 
-	const cache = createTableCache({onTable: options.onTable, now});
+	const cache = createTableCache({onTable: options.onTable, now, log});
 
 	const follower = createStoreFollower({
 		self, store, cache, now, log,
--- a/packages/sessions/follow-table.ts
+++ b/packages/sessions/follow-table.ts
@@ -49,6 +49,7 @@
 	let isComplete = cached !== undefined;
 	let clock: StoreClock | undefined;
 	let failures = 0;
+	let era: number | undefined;
 	while (!signal.aborted) {
 		const outcome = cached === undefined || !isComplete
 			? await store.read(table)
@@ -77,6 +78,13 @@
 		}
 
 		const {rows, version} = outcome.value;
+		if (era !== undefined && era !== outcome.value.era) {
+			log.warn({
+				table, era: outcome.value.era, previousEra: era, version, previousVersion: cached?.version, isContinued: isComplete,
+			}, 'store: The store came back from an older copy of the table.');
+		}
+
+		({era} = outcome.value);
 		const confirmation = findConfirmedAt(clock, outcome.value);
 		({clock} = confirmation);
 		const merged = cached !== undefined && isComplete && rows.length === 0 ? cached.rows : applyRows(isComplete ? cached?.rows : undefined, rows);
