--- a/stand-ins/wire/start-store-stand-in.ts
+++ b/stand-ins/wire/start-store-stand-in.ts
@@ -3,6 +3,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {StoreStandIn} from './store-stand-in.ts';
 
 type Row = {readonly table: string; readonly key: string; readonly value?: string; readonly ver: number; readonly tombstone?: boolean};
@@ -17,22 +18,31 @@
 export async function startStoreStandIn(): Promise<StoreStandIn> {
 	const rows = new Map<string, Row>();
 	const waiters = new Set<() => void>();
+	/** All writes of this era, with when each was made, in milliseconds of the steady clock. */
+	let writes: Array<{readonly at: number; readonly row: Row}> = [];
 	let history: Row[] = [];
+	/** Rises by one each time the store comes back from an older copy. */
+	let era = 1;
 	let compactedVersion = 0;
 	let version = 0;
 	let mode: Parameters<StoreStandIn['setMode']>[0] = 'available';
 	let remainingLostAnswers = 0;
 
+	const applyRow = (row: Row) => {
+		if (row.tombstone === true) {
+			rows.delete(`${row.table}/${row.key}`);
+		} else {
+			rows.set(`${row.table}/${row.key}`, row);
+		}
+	};
+
 	const write = (changes: ReadonlyArray<Omit<Row, 'ver'>>) => {
 		version++;
 		for (const change of changes) {
 			const row = {...change, ver: version};
 			history.push(row);
-			if (row.tombstone === true) {
-				rows.delete(`${row.table}/${row.key}`);
-			} else {
-				rows.set(`${row.table}/${row.key}`, row);
-			}
+			writes.push({at: performance.now(), row});
+			applyRow(row);
 		}
 
 		for (const notify of waiters) {
@@ -41,7 +51,7 @@
 	};
 
 	const reply = (response: ServerResponse, status: number, body: object) => {
-		response.writeHead(status, {'Content-Type': 'application/json'});
+		response.writeHead(status, {'Content-Type': 'application/json', 'Store-Era': String(era)});
 		response.end(JSON.stringify({...body, ver: version, now_ms: performance.now()}));
 	};
 
@@ -67,7 +77,7 @@
 
 	const follow = async (query: URLSearchParams, response: ServerResponse) => {
 		const after = Number(query.get('after'));
-		if (after < compactedVersion) {
+		if (after < compactedVersion || after > version) {
 			reply(response, 410, {});
 			return;
 		}
@@ -114,6 +124,22 @@
 		}
 	};
 
+	/** Goes back to the state of a moment, and forgets all writes after it. */
+	const rewind = (to: number) => {
+		const kept = writes.filter(({at}) => at <= to);
+		const lost = writes.slice(kept.length);
+		rows.clear();
+		for (const {row} of kept) {
+			applyRow(row);
+		}
+
+		writes = kept;
+		version = kept.at(-1)?.row.ver ?? 0;
+		history = history.filter(row => row.ver <= version);
+		era++;
+		return lost.map(({row}) => row);
+	};
+
 	const server = createServer((request, response) => {
 		void handleRequest(request, response);
 	});
@@ -136,6 +162,22 @@
 			mode = newMode;
 			server.closeAllConnections();
 		},
+		async restore({lostMs, awayMs, rewriteAfterMs}) {
+			mode = 'unavailable';
+			server.closeAllConnections();
+			const lost = rewind(performance.now() - lostMs);
+			await sleep(awayMs);
+			mode = 'available';
+			if (rewriteAfterMs === undefined) {
+				return;
+			}
+
+			await sleep(rewriteAfterMs);
+			for (const {ver: _ver, ...row} of lost.filter(({table}) => table === 'op' || table === 'servers')) {
+				write([row]);
+			}
+		},
+		version: () => version,
 		loseAnswers(count) {
 			remainingLostAnswers = count;
 		},
--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -73,11 +73,15 @@
 		}));
 	}
 
+	const writeInstance = (instance: InstanceStandIn, state: 'ready' | 'draining') => {
+		store.put('servers', instance.id, {
+			backend: group, address: `127.0.0.1:${instance.port}`, zone: zones[instances.indexOf(instance)], version: 'v1', capacity: 5, state, warmup_ms: 0, db_role: instance.role(), seq: 1,
+		});
+	};
+
 	const writeInstances = () => {
-		for (const [index, instance] of instances.entries()) {
-			store.put('servers', instance.id, {
-				backend: group, address: `127.0.0.1:${instance.port}`, zone: zones[index], version: 'v1', capacity: 5, state: 'ready', warmup_ms: 0, db_role: instance.role(), seq: 1,
-			});
+		for (const instance of instances) {
+			writeInstance(instance, 'ready');
 		}
 	};
 
@@ -134,6 +138,9 @@
 			}
 		},
 		configure,
+		drain(instance) {
+			writeInstance(instance, 'draining');
+		},
 		stop() {
 			for (const host of hosts) {
 				host.process.kill('SIGKILL');
--- a/stand-ins/wire/store-stand-in.ts
+++ b/stand-ins/wire/store-stand-in.ts
@@ -3,6 +3,16 @@
 /** How the store answers: normally, with status 503, or not at all. */
 type StoreMode = 'available' | 'unavailable' | 'unresponsive';
 
+/** How the store comes back from an older copy. */
+type Restore = {
+	/** Milliseconds before now whose writes are lost. */
+	readonly lostMs: number;
+	/** Milliseconds for which the store is away. */
+	readonly awayMs: number;
+	/** Milliseconds after the return until the operator and the instances write again what they had written; undefined if they do not. */
+	readonly rewriteAfterMs: number | undefined;
+};
+
 /** A simulated store of the platform that holds its rows in memory. */
 export type StoreStandIn = {
 	readonly address: () => AddressInfo;
@@ -13,6 +23,10 @@
 	readonly read: (table: string, key: string) => unknown;
 	/** Changes how the store answers, and closes all connections. */
 	readonly setMode: (mode: StoreMode) => void;
+	/** Comes back from an older copy in a new era: the versions of the lost writes are given out again. */
+	readonly restore: (restore: Restore) => Promise<void>;
+	/** Returns the newest version. */
+	readonly version: () => number;
 	/** Applies the next commits, and closes the connection of each instead of answering. */
 	readonly loseAnswers: (count: number) => void;
 	/** Discards the change history, so that clients that follow it must read the whole table again. */
--- a/stand-ins/wire/wire-deployment.ts
+++ b/stand-ins/wire/wire-deployment.ts
@@ -25,5 +25,7 @@
 	readonly waitUntilReady: () => Promise<void>;
 	/** Writes a new version of the configuration, with these keys of callers. */
 	readonly configure: (change: {readonly keys: readonly string[]}) => void;
+	/** Lists an instance as departing, as before planned work, until another one is promoted. */
+	readonly drain: (instance: InstanceStandIn) => void;
 	readonly stop: () => void;
 };
