Count the era of the store into each version, so that no version comes twice

Cause: versions of the store were taken for numbers that never go back and are never given out twice. Updates with lower versions were left out as older, a row with the version of a lost one was taken for it, and a feed went on from a version that other rows have by now. Change: the adapter encodes era and counter as one number, above all numbers of earlier eras; all that compares versions is right then. A feed does not continue over an era, and no change is confirmed on a version of an earlier one.

--- a/packages/sessions/commit-fence.test.ts
+++ b/packages/sessions/commit-fence.test.ts
@@ -38,7 +38,7 @@
 		async read() {
 			return {
 				kind: 'done', value: {
-					rows: [...rows].map(([key, held]) => ({key, ...held})), version, era: 0, storeNow: 0, sentAt: now(), answeredAt: now(),
+					rows: [...rows].map(([key, held]) => ({key, ...held})), version, storeNow: 0, sentAt: now(), answeredAt: now(),
 				},
 			};
 		},
--- a/packages/sessions/create-store-cache.ts
+++ b/packages/sessions/create-store-cache.ts
@@ -47,10 +47,6 @@
 		}
 
 		if (cached !== undefined && row.version === configurationRow?.version) {
-			if (row.value !== configurationRow.value) {
-				log.warn({rowVersion: row.version, version: cached.configuration.version}, 'configuration: The row has the version of the applied one and another value.');
-			}
-
 			cached = {...cached, confirmedAt};
 			return;
 		}
--- a/packages/sessions/create-table-sync.test.ts
+++ b/packages/sessions/create-table-sync.test.ts
@@ -43,7 +43,7 @@
 			const answeredAt = now();
 			return {
 				kind: 'done', value: {
-					rows: [], version: 1, era: 0, storeNow: answeredAt.steady, sentAt, answeredAt,
+					rows: [], version: 1, storeNow: answeredAt.steady, sentAt, answeredAt,
 				},
 			};
 		};
--- a/packages/sessions/follow-table.ts
+++ b/packages/sessions/follow-table.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- calls run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {decodeStoreVersion} from './decode-store-version.ts';
 import {findElapsed} from './find-elapsed.ts';
 import {findConfirmedAt} from './find-confirmed-at.ts';
 import {findTableMark} from './find-table-mark.ts';
@@ -49,7 +50,6 @@
 	let isComplete = cached !== undefined;
 	let clock: StoreClock | undefined;
 	let failures = 0;
-	let era: number | undefined;
 	while (!signal.aborted) {
 		const outcome = cached === undefined || !isComplete
 			? await store.read(table)
@@ -78,13 +78,10 @@
 		}
 
 		const {rows, version} = outcome.value;
-		if (era !== undefined && era !== outcome.value.era) {
-			log.warn({
-				table, era: outcome.value.era, previousEra: era, version, previousVersion: cached?.version, isContinued: isComplete,
-			}, 'store: The store came back from an older copy of the table.');
+		if (cached !== undefined) {
+			logNewEra({table, version, previous: cached.version}, log);
 		}
 
-		({era} = outcome.value);
 		const confirmation = findConfirmedAt(clock, outcome.value);
 		({clock} = confirmation);
 		const merged = cached !== undefined && isComplete && rows.length === 0 ? cached.rows : applyRows(isComplete ? cached?.rows : undefined, rows);
@@ -109,6 +106,17 @@
 	}
 }
 
+/** Logs when the store has come back from an older copy since a table was read before. */
+function logNewEra({table, version, previous}: {readonly table: StoreTable; readonly version: number; readonly previous: number}, log: SessionLog): void {
+	const before = decodeStoreVersion(previous);
+	const after = decodeStoreVersion(version);
+	if (before.era !== after.era) {
+		log.warn({
+			table, era: after.era, previousEra: before.era, version: after.counter, previousVersion: before.counter,
+		}, 'store: The store came back from an older copy of the table.');
+	}
+}
+
 function applyRows(cached: ReadonlyMap<string, StoreRow> | undefined, changed: readonly StoreRow[]): ReadonlyMap<string, StoreRow> {
 	const rows = new Map(cached);
 	for (const row of changed) {
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -81,7 +81,7 @@
 			const list = [...rows].map(([key, held]) => ({key, ...held}));
 			return {
 				kind: 'done', value: {
-					rows: list, version, era: 0, storeNow: 0, sentAt: now(), answeredAt: now(),
+					rows: list, version, storeNow: 0, sentAt: now(), answeredAt: now(),
 				},
 			};
 		},
--- a/packages/sessions/store-row.ts
+++ b/packages/sessions/store-row.ts
@@ -3,6 +3,6 @@
 	readonly key: string;
 	/** Undefined for a deleted row. */
 	readonly value: string | undefined;
-	/** Version of the row's last change; 0 for a row that does not exist. */
+	/** Version of the row's last change, in the era in which the row was read; 0 for a row that does not exist. See `encodeStoreVersion`. */
 	readonly version: number;
 };
--- a/packages/sessions/store.ts
+++ b/packages/sessions/store.ts
@@ -14,8 +14,11 @@
 export type Store = {
 	/** Reads a whole table. */
 	readonly read: (table: StoreTable) => Promise<StoreOutcome<TableRead>>;
-	/** Returns the rows that changed after a version; waits up to `wait` milliseconds for a change. */
+	/**
+	 * Returns the rows that changed after a version; waits up to `wait` milliseconds for a change. The outcome is
+	 * `forgotten` if the version is of another era than the answer.
+	 */
 	readonly follow: (table: StoreTable, options: {readonly after: number; readonly wait: number}) => Promise<StoreOutcome<TableRead>>;
-	/** Makes a change if all expected versions match. */
+	/** Makes a change if all expected versions match; a version of an earlier era never does. */
 	readonly commit: (change: StoreChange) => Promise<StoreOutcome<undefined>>;
 };
