Count leases of rate allocators only in the era of the store they were taken in

Callers would see: a workspace above its rate after the store came back from an older copy, or refused because two hosts took themselves for the allocator. Cause: the restored row names an allocator that another one may have replaced in the lost seconds; the next epoch is then given out twice, and hosts apply grants of one allocator as those of the other. Change: each era of the store has a range of epochs of its own above all earlier ones. A lease of an earlier era counts for nothing; it is taken anew, without the wait for an allocator that may still answer, and with the wait for what another host may have granted.

--- a/packages/sessions/create-gateways.test.ts
+++ b/packages/sessions/create-gateways.test.ts
@@ -30,7 +30,7 @@
 function createCase(lost: ReadonlySet<string>) {
 	const pinged: string[] = [];
 	const fleet: FleetRows = {
-		hosts, goneHosts: new Map(), groups: new Map(), rateAllocators: new Map(), failoverLock: undefined,
+		hosts, goneHosts: new Map(), groups: new Map(), rateAllocators: new Map(), era: 1, failoverLock: undefined,
 	};
 	const findPeer = (host: string): FleetPeer => ({
 		async runJob() {
--- a/packages/sessions/create-partition-limiter.test.ts
+++ b/packages/sessions/create-partition-limiter.test.ts
@@ -23,7 +23,7 @@
 	rateAllocators: new Map([[0, {
 		holder: 'b1', incarnation: 1, epoch, version: epoch,
 	} satisfies RateAllocatorRow & {readonly version: number}]]),
-	failoverLock: undefined,
+	era: 1, failoverLock: undefined,
 });
 
 const noStore = {} as unknown as Store;
--- a/packages/sessions/create-partition-limiter.ts
+++ b/packages/sessions/create-partition-limiter.ts
@@ -5,6 +5,8 @@
 import {findDemand} from './find-demand.ts';
 import {findElapsed} from './find-elapsed.ts';
 import {findHeldRate} from './find-held-rate.ts';
+import {findNextEpoch} from './find-next-epoch.ts';
+import {findRateAllocator} from './find-rate-allocator.ts';
 import {findRateAllocatorRank} from './find-rate-allocator-rank.ts';
 import {createAllocatorContact} from './create-allocator-contact.ts';
 import {findRateRefusal} from './find-rate-refusal.ts';
@@ -72,8 +74,8 @@
 export function createPartitionLimiter(options: Options): RateLimiter {
 	const {self, partition, incarnation, now, log} = options;
 	let fleet: FleetRows | undefined;
-	/** When the fleet's rows first became known, in milliseconds of the steady clock. */
-	let fleetKnownSince: number | undefined;
+	/** Since when the fleet's rows have named no rate allocator, in milliseconds of the steady clock; undefined while they name one. */
+	let vacantSince: number | undefined;
 	let claimedAt = Number.NEGATIVE_INFINITY;
 	/** When a claim was last answered, in milliseconds of the steady clock. */
 	let lastAnswerAt = Number.NEGATIVE_INFINITY;
@@ -88,7 +90,7 @@
 	const contact = createAllocatorContact(now().steady);
 	const shares = createLocalShares({...options, countHosts: () => Math.max(1, fleet?.hosts.size ?? 1)});
 	const allocator = createRateAllocator({...options, findFleet: () => fleet});
-	const findRow = () => fleet?.rateAllocators.get(partition);
+	const findRow = () => findRateAllocator(fleet, partition);
 
 	/**
 	 * Sends claims to the rate allocator and applies its grants; returns false if it does not answer in time or has lost
@@ -168,10 +170,12 @@
 		}
 
 		leaseAttempt = {epoch: row?.epoch ?? 0, at: now().steady};
+		const stored = fleet?.rateAllocators.get(partition);
+		const next = findNextEpoch(stored?.epoch ?? 0, fleet?.era ?? 1);
 		allocator.expectLease({
-			epoch: (row?.epoch ?? 0) + 1, previous: row?.holder === self ? {kind: 'ownProcess', endedBefore: options.startedAt} : {kind: 'otherHost'},
+			epoch: next, previous: row?.holder === self ? {kind: 'ownProcess', endedBefore: options.startedAt} : {kind: 'otherHost'},
 		});
-		await takeRateAllocatorLease(row, {...options, hosts: [...fleet?.hosts.keys() ?? []]});
+		await takeRateAllocatorLease(stored, {...options, epoch: next, hosts: [...fleet?.hosts.keys() ?? []]});
 	};
 
 	/** Runs a task for the allocator of an epoch; no other one for the same epoch starts meanwhile. */
@@ -196,8 +200,8 @@
 			rank: findRateAllocatorRank({
 				self, partition, hosts: [...rows.hosts.keys()], lost: row?.holder,
 			}),
-			hasHolder: row !== undefined,
-			since: row === undefined ? fleetKnownSince : contact.unansweredSince(),
+			holder: row === undefined ? (rows.rateAllocators.has(partition) ? 'earlierEra' : 'none') : 'present',
+			since: row === undefined ? vacantSince : contact.unansweredSince(),
 			now: now().steady,
 		});
 	};
@@ -271,7 +275,7 @@
 		claimRates: allocator.claimRates,
 		listSilentHosts: allocator.listSilentHosts,
 		updateFleet(newer) {
-			const row = newer.rateAllocators.get(partition);
+			const row = findRateAllocator(newer, partition);
 			const isNew = row?.epoch !== findRow()?.epoch;
 			if (isNew) {
 				contact.begin(row?.epoch ?? 0, now().steady);
@@ -282,7 +286,7 @@
 
 			const isFirst = fleet === undefined;
 			fleet = newer;
-			fleetKnownSince ??= now().steady;
+			vacantSince = row === undefined ? vacantSince ?? now().steady : undefined;
 			if (isNew || isFirst) {
 				step();
 			}
--- a/packages/sessions/create-rate-allocator.test.ts
+++ b/packages/sessions/create-rate-allocator.test.ts
@@ -1,11 +1,12 @@
 import {expect} from 'chai';
 import {createRateAllocator} from './create-rate-allocator.ts';
+import {encodeStoreVersion} from './encode-store-version.ts';
 import type {FleetRows} from './fleet-rows.ts';
 
 type Previous = Parameters<ReturnType<typeof createRateAllocator>['expectLease']>[0]['previous'];
 
 /** Creates the allocator on host `a1`; hosts of zones `b` and `c` are registered too, but never claim. */
-function createAllocator(previous: Previous) {
+function createAllocator(previous: Previous, era = 1) {
 	let at = 1000;
 	const fleet: FleetRows = {
 		hosts: new Map(['a1', 'b1', 'c1'].map(name => [name, {
@@ -14,8 +15,9 @@
 		goneHosts: new Map(),
 		groups: new Map(),
 		rateAllocators: new Map([[0, {
-			holder: 'a1', incarnation: 1, epoch: 2, version: 5,
+			holder: 'a1', incarnation: 1, epoch: 2, version: encodeStoreVersion({era, counter: 5}),
 		}]]),
+		era,
 		failoverLock: undefined,
 	};
 	const allocator = createRateAllocator({
@@ -61,3 +63,11 @@
 		});
 	}
 });
+
+describe('createRateAllocator, when the store comes back from an older copy', () => {
+	// Guards against rates being granted twice: another host may have held the lease in the lost seconds, and its shares still count.
+	it('grants nothing on a lease of an earlier era', async () => {
+		const {claim} = createAllocator({kind: 'ownProcess', endedBefore: 500}, 2);
+		expect(await claim(60_000)).to.be.NaN; // eslint-disable-line @typescript-eslint/no-unused-expressions -- chai's property
+	});
+});
--- a/packages/sessions/create-rate-allocator.ts
+++ b/packages/sessions/create-rate-allocator.ts
@@ -1,5 +1,6 @@
 import {assignRates} from './assign-rates.ts';
 import {findElapsed} from './find-elapsed.ts';
+import {findRateAllocator} from './find-rate-allocator.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {Instant} from './instant.ts';
@@ -66,7 +67,7 @@
 	let state: RateAllocatorState | undefined;
 	let expected: ExpectedLease | undefined;
 
-	const findRow = () => findFleet()?.rateAllocators.get(partition);
+	const findRow = () => findRateAllocator(findFleet(), partition);
 	const isAllocator = () => findRow()?.holder === self && findRow()?.incarnation === incarnation;
 
 	const hasLease = () => {
--- a/packages/sessions/create-registration.ts
+++ b/packages/sessions/create-registration.ts
@@ -1,4 +1,5 @@
 /* eslint-disable no-await-in-loop -- changes run one after another */
+import {findRateAllocator} from './find-rate-allocator.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {HostRow} from './host-row.ts';
@@ -76,7 +77,7 @@
 	};
 
 	/** Whether this host deletes the rows of gone hosts: the allocator of rate partition 0, so that only one host does. */
-	const isRemover = () => fleet?.rateAllocators.get(0)?.holder === own.name;
+	const isRemover = () => findRateAllocator(fleet, 0)?.holder === own.name;
 
 	const changeHost = async ({version, name}: Versioned<HostRow>, value: HostRow | undefined) => {
 		const key = `${fleetKeys.hostPrefix}${name}`;
--- a/packages/sessions/fleet-rows.ts
+++ b/packages/sessions/fleet-rows.ts
@@ -6,6 +6,8 @@
 
 /** The parsed rows of the `fleet` table. */
 export type FleetRows = {
+	/** Era of the store in which the rows were read; see `StoreVersion`. */
+	readonly era: number;
 	/** Primaries of the groups, by group. */
 	readonly groups: ReadonlyMap<string, Versioned<GroupRow>>;
 	/** Registered hosts, by name. */
--- a/packages/sessions/is-allocator-lease-due.ts
+++ b/packages/sessions/is-allocator-lease-due.ts
@@ -3,8 +3,8 @@
 type Options = {
 	/** Rank of this host among the candidates for the lease; 0 is the first. */
 	readonly rank: number;
-	/** Whether any host ever held the lease. */
-	readonly hasHolder: boolean;
+	/** Whether a host holds the lease, or held it in an earlier era of the store, or none ever did. */
+	readonly holder: 'present' | 'earlierEra' | 'none';
 	/** Since when nobody holds the lease or its holder has left claims unanswered, in milliseconds of the steady clock. */
 	readonly since: number | undefined;
 	/** Milliseconds of the steady clock. */
@@ -21,11 +21,16 @@
 const maxRank = 4;
 
 /** Whether this host, by its rank, is due to take the lease of a rate allocator that is vacant or whose holder does not answer. */
-export function isAllocatorLeaseDue({rank, hasHolder, since, now}: Options): boolean {
+export function isAllocatorLeaseDue({rank, holder, since, now}: Options): boolean {
 	if (since === undefined) {
 		return false;
 	}
 
 	const steps = Math.min(maxRank, rank);
-	return now - since > (hasHolder ? allocatorTimeoutMs + (steps * rankDelayMs) : steps * bootstrapStaggerMs);
+	const delays = {
+		present: allocatorTimeoutMs + (steps * rankDelayMs),
+		earlierEra: steps * rankDelayMs,
+		none: steps * bootstrapStaggerMs,
+	};
+	return now - since > delays[holder];
 }
--- a/packages/sessions/parse-fleet-rows.ts
+++ b/packages/sessions/parse-fleet-rows.ts
@@ -1,3 +1,4 @@
+import {decodeStoreVersion} from './decode-store-version.ts';
 import type {FailoverLockRow} from './failover-lock-row.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {FleetRows} from './fleet-rows.ts';
@@ -15,7 +16,9 @@
 	const goneHosts = new Map<string, Versioned<HostRow>>();
 	let failoverLock: Versioned<FailoverLockRow> | undefined;
 	const rateAllocators = new Map<number, Versioned<RateAllocatorRow>>();
+	let era = 1;
 	for (const {key, value = '', version} of rows) {
+		era = Math.max(era, decodeStoreVersion(version).era);
 		try {
 			if (key === fleetKeys.failoverLock) {
 				failoverLock = {...JSON.parse(value) as FailoverLockRow, version};
@@ -33,6 +36,6 @@
 	}
 
 	return {
-		groups, hosts, goneHosts, failoverLock, rateAllocators,
+		era, groups, hosts, goneHosts, failoverLock, rateAllocators,
 	};
 }
--- a/packages/sessions/take-rate-allocator-lease.test.ts
+++ b/packages/sessions/take-rate-allocator-lease.test.ts
@@ -24,6 +24,7 @@
 		self: 'a1',
 		incarnation: 1,
 		partition: 0,
+		epoch: 4,
 		hosts: ['a1', 'a2', 'b1', 'b2', 'c1', 'c2'],
 		findPeer: host => ({
 			async claimRates() {
--- a/packages/sessions/take-rate-allocator-lease.ts
+++ b/packages/sessions/take-rate-allocator-lease.ts
@@ -13,6 +13,8 @@
 	readonly partition: number;
 	/** Names of the hosts that are registered. */
 	readonly hosts: readonly string[];
+	/** Epoch that this process is to take. */
+	readonly epoch: number;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
 	readonly store: Store;
 	readonly log: SessionLog;
@@ -22,25 +24,26 @@
 const reachabilitySampleSize = 12;
 
 /**
- * Takes the lease of a partition's rate allocator by writing the next epoch to the store.
+ * Takes the lease of a partition's rate allocator by writing the next epoch to the store; `row` is the stored lease, which
+ * may be one of an earlier era of the store.
  *
  * A host that would replace another one writes nothing if it reaches fewer than half of a sample of the other hosts,
  * because most hosts could not send it claims then.
  */
 export async function takeRateAllocatorLease(row: Versioned<RateAllocatorRow> | undefined, options: Options): Promise<void> {
-	const {self, incarnation, partition, store, log} = options;
+	const {self, incarnation, partition, epoch, store, log} = options;
 	if (row !== undefined && row.holder !== self && !await isReachingMost(options)) {
 		return;
 	}
 
 	const key = `${fleetKeys.rateAllocatorPrefix}${partition}`;
-	const next: RateAllocatorRow = {holder: self, incarnation, epoch: (row?.epoch ?? 0) + 1};
+	const next: RateAllocatorRow = {holder: self, incarnation, epoch};
 	const outcome = await store.commit({
 		expected: new Map([[key, row?.version ?? 0]]),
 		values: new Map([[key, JSON.stringify(next)]]),
 	});
 	log.info({
-		partition, previous: row?.holder, epoch: next.epoch, outcome: outcome.kind,
+		partition, previous: row?.holder, epoch, outcome: outcome.kind,
 	}, 'rates: This host tried to take the rate allocator\'s lease.');
 }
 
