Confirm each primary after the store came back from an older copy

Cause: the restored row names the old primary. Hosts that had acknowledged the lost fence treat its epoch as fenced and wait for a failover that no host runs; hosts that had not would use the old primary, and epochs and fencing tokens would be given out twice. Change: epochs and tokens of each era lie above those of earlier eras. A row of an earlier era grants no lease. A host asks all instances for their status and stores the leader of the newest term under an epoch of the new era; if an instance is silent, the stored primary is confirmed only by a host that knew the group before and heard of no later epoch, and is replaced after 2.5 s otherwise. A failover over the return of the store begins anew, and orders no promotion before leases of hosts that registered in the lost seconds have expired.

--- a/packages/sessions/commit-fence.test.ts
+++ b/packages/sessions/commit-fence.test.ts
@@ -72,6 +72,8 @@
 		reason: 'silent',
 		epoch: 4,
 		fencedAt: undefined,
+		mayHaveMissedPromotion: false,
+		findEra: () => ({era: 1, since: Number.NEGATIVE_INFINITY}),
 		self: 'a1',
 		incarnation: 9,
 		store,
--- a/packages/sessions/commit-fence.ts
+++ b/packages/sessions/commit-fence.ts
@@ -1,3 +1,5 @@
+import {findNextEpoch} from './find-next-epoch.ts';
+import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import type {Fence} from './fence.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {FleetRows} from './fleet-rows.ts';
@@ -34,11 +36,12 @@
 	return undefined;
 }
 
-async function tryCommit({failoverLock}: FleetRows, row: Versioned<GroupRow>, failover: Failover): Promise<Fence | 'conflict' | undefined> {
+async function tryCommit({era, failoverLock}: FleetRows, row: Versioned<GroupRow>, failover: Failover): Promise<Fence | 'conflict' | undefined> {
 	const {group, self, incarnation, store, log, now} = failover;
-	const token = failoverLock?.holder === self ? failoverLock.token : (failoverLock?.token ?? 0) + 1;
+	const isHeld = failoverLock?.holder === self && !isFromEarlierEra({...failoverLock, epoch: failoverLock.token});
+	const token = isHeld ? failoverLock.token : findNextEpoch(failoverLock?.token ?? 0, era);
 	const next: GroupRow = {
-		epoch: row.epoch + 1, state: 'fencing', primary: row.primary, successor: row.successor, holder: self, holderIncarnation: incarnation, token,
+		epoch: findNextEpoch(row.epoch, era), state: 'fencing', primary: row.primary, successor: row.successor, holder: self, holderIncarnation: incarnation, token,
 	};
 	const key = `${fleetKeys.groupPrefix}${group.name}`;
 	const outcome = await store.commit({
@@ -58,7 +61,7 @@
 	// A commit without an answer may have been applied as late as just before the rows were read.
 	const at = outcome.kind === 'done' ? answeredAt : now();
 	const fenced = after?.groups.get(group.name);
-	return after !== undefined && fenced?.holder === self && fenced.epoch === next.epoch
+	return after !== undefined && fenced?.holder === self && fenced.epoch === next.epoch && !isFromEarlierEra(fenced)
 		? {row: fenced, hosts: [...after.hosts.values(), ...after.goneHosts.values()], at: findFenceTime(row, failover, at)}
 		: undefined;
 }
@@ -78,13 +81,14 @@
 function isTakenByOtherHost({groups, failoverLock}: FleetRows, {group, self, reason, epoch}: Failover): boolean {
 	const row = groups.get(group.name);
 	const isOtherEpoch = row?.epoch !== epoch;
-	if (reason === 'abandoned') {
+	if (reason === 'abandoned' || reason === 'restored') {
 		return isOtherEpoch;
 	}
 
+	const isFencing = (other: Versioned<GroupRow>) => other.state === 'fencing' && !isFromEarlierEra(other);
 	const isReplaced = row?.state === 'serving' && isOtherEpoch;
-	const isFencedByOther = row?.state === 'fencing' && row.holder !== self;
+	const isFencedByOther = row !== undefined && isFencing(row) && row.holder !== self;
 	const isLockInUse = failoverLock !== undefined && failoverLock.holder !== self && [...groups]
-		.some(([name, other]) => name !== group.name && other.state === 'fencing' && other.holder === failoverLock.holder);
+		.some(([name, other]) => name !== group.name && isFencing(other) && other.holder === failoverLock.holder);
 	return isReplaced || isFencedByOther || isLockInUse;
 }
--- a/packages/sessions/commit-group-row.ts
+++ b/packages/sessions/commit-group-row.ts
@@ -1,6 +1,7 @@
 /* eslint-disable no-await-in-loop -- attempts run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fleetKeys} from './fleet-keys.ts';
+import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import type {GroupRow} from './group-row.ts';
 import {readFleetRows} from './read-fleet-rows.ts';
 import type {Failover} from './failover.ts';
@@ -25,7 +26,7 @@
 		const rows = await readFleetRows(store, log);
 		const known = rows?.groups.get(group.name);
 		if (known !== undefined && known.version !== from.version) {
-			const isOwnWrite = known.epoch === row.epoch && known.holder === row.holder && known.state === row.state && known.successor === row.successor;
+			const isOwnWrite = known.epoch === row.epoch && known.holder === row.holder && !isFromEarlierEra(known) && known.state === row.state && known.successor === row.successor;
 			return isOwnWrite ? known : undefined;
 		}
 
--- /dev/null
+++ b/packages/sessions/confirm-primary.ts
@@ -0,0 +1,52 @@
+import {findConfirmedLeader} from './find-confirmed-leader.ts';
+import {decodeStoreVersion} from './decode-store-version.ts';
+import {findNextEpoch} from './find-next-epoch.ts';
+import {fleetKeys} from './fleet-keys.ts';
+import type {GroupRow} from './group-row.ts';
+import {readStatus} from './read-status.ts';
+import type {SessionGroup} from './session-group.ts';
+import type {SessionLog} from './session-log.ts';
+import type {Store} from './store.ts';
+import type {Versioned} from './versioned.ts';
+
+type Options = {
+	readonly group: SessionGroup;
+	/** Name of this host. */
+	readonly self: string;
+	/** Incarnation of this host's process. */
+	readonly incarnation: number;
+	readonly store: Store;
+	/** Workspace whose connections are used to query instances. */
+	readonly workspace: string;
+	readonly log: SessionLog;
+};
+
+/** Milliseconds within which an instance must report its status. */
+const statusTimeoutMs = 400;
+
+/**
+ * Stores the primary of a group again after the store has come back from an older copy; see `findConfirmedLeader`.
+ *
+ * No promotion is ordered, so neither the failover lock nor a fence is needed: a lease that a host still holds is on the
+ * same primary, or on one that was fenced before the present one was promoted.
+ */
+export async function confirmPrimary({version, ...row}: Versioned<GroupRow>, {group, self, incarnation, store, workspace, log}: Options): Promise<void> {
+	const statuses = new Map(await Promise.all(group.listInstances().map(async instance =>
+		[instance.listed().id, await readStatus(instance, {workspace, timeout: statusTimeoutMs})] as const)));
+	const knownEpoch = group.knownEpoch();
+	const primary = findConfirmedLeader({row, statuses, knownEpoch});
+	const fields = {
+		group: group.name, stored: row.primary, state: row.state, epoch: row.epoch, knownEpoch, answered: [...statuses.values()].filter(status => status !== undefined).length, primary,
+	};
+	if (primary === undefined) {
+		log.warn(fields, 'group: The primary is not certain after the store came back from an older copy.');
+		return;
+	}
+
+	const next: GroupRow = {
+		...row, epoch: findNextEpoch(row.epoch, decodeStoreVersion(version).era), state: 'serving', primary, successor: '', holder: self, holderIncarnation: incarnation,
+	};
+	const key = `${fleetKeys.groupPrefix}${group.name}`;
+	const outcome = await store.commit({expected: new Map([[key, version]]), values: new Map([[key, JSON.stringify(next)]])});
+	log.info({...fields, next: next.epoch, outcome: outcome.kind}, 'group: The host tried to confirm the primary after the store came back from an older copy.');
+}
--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -1,4 +1,5 @@
 import {rankHosts} from '@sapphirefall/decisions';
+import {confirmPrimary} from './confirm-primary.ts';
 import {createRegistration} from './create-registration.ts';
 import {createSilenceVote} from './create-silence-vote.ts';
 import {bootstrapStaggerMs} from './bootstrap-stagger-ms.ts';
@@ -8,10 +9,13 @@
 import type {FleetRows} from './fleet-rows.ts';
 import {findFailoverRank} from './find-failover-rank.ts';
 import {findFailoverReason} from './find-failover-reason.ts';
+import {findNextEpoch} from './find-next-epoch.ts';
 import type {GroupRow} from './group-row.ts';
 import {hasHolderEnded} from './has-holder-ended.ts';
 import type {HostRow} from './host-row.ts';
+import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import type {Instant} from './instant.ts';
+import type {KnownEra} from './known-era.ts';
 import type {Gateways} from './gateways.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OrderPromotion} from './order-promotion.ts';
@@ -21,6 +25,7 @@
 import type {SessionLog} from './session-log.ts';
 import {bootstrapSettleMs} from './bootstrap-settle-ms.ts';
 import type {Store} from './store.ts';
+import type {Versioned} from './versioned.ts';
 
 type Options = {
 	/** Registration of this host. */
@@ -44,7 +49,7 @@
 /** Milliseconds by which each host waits longer than the host ranked before it, so that only one replaces a primary. */
 const rankDelayMs = 200;
 
-/** Highest rank of a host that may resume an abandoned failover. */
+/** Highest rank of a host that may resume an abandoned failover, or confirm a primary. */
 const maxResumeRank = 4;
 
 /** Number of hosts of other zones that check the gateways of a primary once a host of its zone is silent. */
@@ -61,6 +66,9 @@
 	/** Groups whose primary this host is replacing. */
 	const busyGroups = new Set<string>();
 	let fleet: FleetRows | undefined;
+	let knownEra: KnownEra = {era: 1, since: Number.NEGATIVE_INFINITY};
+	/** Since when the row of each group has been one of an earlier era of the store, in milliseconds of the steady clock. */
+	const restoredSince = new Map<string, number>();
 	/** When the fleet's rows first became known, in milliseconds of the steady clock. */
 	let knownSince = Number.POSITIVE_INFINITY;
 	/** When this host last attempted what it repeats at `retryIntervalMs`, in milliseconds of the steady clock. */
@@ -87,7 +95,7 @@
 
 		const key = `${fleetKeys.groupPrefix}${group}`;
 		const row: GroupRow = {
-			epoch: 1, state: 'serving', primary: primary.id, successor: '', holder: own.name, holderIncarnation: own.incarnation, token: 0,
+			epoch: findNextEpoch(0, knownEra.era), state: 'serving', primary: primary.id, successor: '', holder: own.name, holderIncarnation: own.incarnation, token: 0,
 		};
 		const outcome = await store.commit({expected: new Map([[key, 0]]), values: new Map([[key, JSON.stringify(row)]])});
 		log.info({group, primary: primary.id, outcome: outcome.kind}, 'group: The host tried to store the first primary.');
@@ -102,7 +110,7 @@
 		hasFailoverLock: hasFailoverLock(),
 	});
 
-	/** Finds this host's rank among those that may resume an abandoned failover. */
+	/** Finds this host's rank among those that may resume an abandoned failover, or confirm a primary. */
 	const findResumeRank = (group: string) => {
 		const reachable = [...fleet?.hosts.values() ?? []].filter(({zone}) => zone === own.zone || !options.gateways.hasSilentHost(zone));
 		return Math.min(maxResumeRank, rankHosts(`resume/${group}`, reachable.map(({name}) => name)).indexOf(own.name));
@@ -122,7 +130,18 @@
 		}
 	};
 
-	const replace = async (group: SessionGroup, {primary, epoch}: GroupRow, reason: FailoverReason) => {
+	/** Stores the primary of a group again after the store came back from an older copy. */
+	const confirm = async (group: SessionGroup, row: Versioned<GroupRow>) => {
+		const workspace = options.findWorkspace();
+		if (workspace !== undefined) {
+			await confirmPrimary(row, {
+				group, self: own.name, incarnation: own.incarnation, store, workspace, log,
+			});
+		}
+	};
+
+	const replace = async (group: SessionGroup, row: Versioned<GroupRow>, reason: FailoverReason) => {
+		const {primary, epoch} = row;
 		const workspace = options.findWorkspace();
 		if (workspace === undefined) {
 			return;
@@ -137,6 +156,8 @@
 			reason,
 			epoch,
 			fencedAt: group.fencedAt(),
+			mayHaveMissedPromotion: isFromEarlierEra(row) && (group.knownEpoch() ?? Number.POSITIVE_INFINITY) > epoch,
+			findEra: () => knownEra,
 			self: own.name,
 			incarnation: own.incarnation,
 			store,
@@ -149,6 +170,27 @@
 		});
 	};
 
+	/** Runs a task that changes the row of a group; no other one starts meanwhile. */
+	const runExclusive = (group: string, task: Promise<void>) => {
+		busyGroups.add(group);
+		void task.finally(() => { // eslint-disable-line promise/prefer-await-to-then
+			busyGroups.delete(group);
+		});
+	};
+
+	/** Finds since when the row of a group has been one of an earlier era of the store; undefined if it is not. */
+	const findRestoredSince = (group: string, row: Versioned<GroupRow>) => {
+		if (!isFromEarlierEra(row)) {
+			restoredSince.delete(group);
+			return undefined;
+		}
+
+		// After another return of the store, the hosts start to confirm anew.
+		const since = Math.max(restoredSince.get(group) ?? now().steady, knownEra.since);
+		restoredSince.set(group, since);
+		return since;
+	};
+
 	const stepGroup = (group: SessionGroup) => {
 		const row = fleet?.groups.get(group.name);
 		if (row === undefined || busyGroups.has(group.name)) {
@@ -162,8 +204,10 @@
 		}
 
 		const at = now().steady;
+		const since = findRestoredSince(group.name, row);
 		const reason = findFailoverReason({
 			row,
+			restoredSince: since,
 			isDeparting: listed?.isDeparting ?? false,
 			missingSince: group.missingSince(row.primary),
 			health: instance?.health(),
@@ -176,6 +220,10 @@
 		const previous = reasonSince.get(group.name);
 		if (reason === undefined) {
 			reasonSince.delete(group.name);
+			if (since !== undefined && at - since >= findResumeRank(group.name) * rankDelayMs) {
+				runExclusive(group.name, confirm(group, row));
+			}
+
 			return;
 		}
 
@@ -183,18 +231,19 @@
 			reasonSince.set(group.name, {reason, since: at});
 		}
 
-		if (at - (previous?.reason === reason ? previous.since : at) >= (reason === 'abandoned' ? findResumeRank(group.name) : findRank(listed)) * rankDelayMs) {
+		if (at - (previous?.reason === reason ? previous.since : at) >= (reason === 'abandoned' || reason === 'restored' ? findResumeRank(group.name) : findRank(listed)) * rankDelayMs) {
 			reasonSince.delete(group.name);
-			busyGroups.add(group.name);
-			void replace(group, row, reason).finally(() => { // eslint-disable-line promise/prefer-await-to-then
-				busyGroups.delete(group.name);
-			});
+			runExclusive(group.name, replace(group, row, reason));
 		}
 	};
 
 	return {
 		updateFleet(newer) {
 			knownSince = Math.min(knownSince, now().steady);
+			if (newer.era > knownEra.era) {
+				knownEra = {era: newer.era, since: now().steady};
+			}
+
 			fleet = newer;
 			registration.updateFleet(newer);
 		},
--- /dev/null
+++ b/packages/sessions/create-session-group.test.ts
@@ -0,0 +1,73 @@
+import {expect} from 'chai';
+import {createSessionGroup} from './create-session-group.ts';
+import {encodeStoreVersion} from './encode-store-version.ts';
+import {findNextEpoch} from './find-next-epoch.ts';
+import type {Gateways} from './gateways.ts';
+import type {GroupRow} from './group-row.ts';
+
+const ignore = () => undefined;
+const time = {steady: 1000, wall: 1000};
+const serving: GroupRow = {
+	epoch: 4, state: 'serving', primary: 'i-a', successor: '', holder: 'a1', token: 2,
+};
+
+function createGroup() {
+	const group = createSessionGroup('pondbook', {
+		zone: 'a',
+		openConnection() {
+			throw new Error('The test opens no connections');
+		},
+		gateways: {} as unknown as Gateways,
+		isStoreReader: () => false,
+		now: () => time,
+		log: {debug: ignore, info: ignore, warn: ignore},
+		findWorkspace: ignore,
+	});
+	const read = (row: GroupRow, era: number, counter: number) => {
+		group.updateRow({...row, version: encodeStoreVersion({era, counter})}, time);
+	};
+
+	const findState = () => {
+		const view = group.primary();
+		return view.kind === 'leased' ? view.instance : view.reason;
+	};
+
+	return {group, read, findState};
+}
+
+describe('createSessionGroup, when the store comes back from an older copy', () => {
+	// Guards against a primary being used again that was replaced in the lost seconds.
+	it('grants no lease on the restored row, and one on the row that confirms a primary', () => {
+		const {group, read, findState} = createGroup();
+		group.setRegistered();
+		read(serving, 1, 40);
+		read(serving, 2, 38);
+		expect(findState()).to.equal('restored');
+		read({...serving, epoch: findNextEpoch(serving.epoch, 2), primary: 'i-b'}, 2, 39);
+		expect(findState()).to.equal('i-b');
+	});
+
+	const cases = [
+		{
+			name: 'no epoch if it did not know the group', rows: [], fence: undefined, expected: undefined,
+		},
+		{
+			name: 'the epoch of the row that it had', rows: [serving], fence: undefined, expected: 4,
+		},
+		{
+			name: 'the epoch of a fence that it was told of, though it never read it', rows: [serving], fence: 5, expected: 5,
+		},
+	];
+	for (const {name, rows, fence, expected} of cases) {
+		it(`knows ${name} before the era of the store`, () => {
+			const {group, read} = createGroup();
+			for (const row of rows) {
+				read(row, 1, 40);
+			}
+
+			group.fence(fence ?? 0);
+			read(serving, 2, 38);
+			expect(group.knownEpoch()).to.equal(expected);
+		});
+	}
+});
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -1,6 +1,7 @@
 import type {LogPoint} from '@sapphirefall/decisions';
 import {addPositionSample} from './add-position-sample.ts';
 import {createInstanceRuntime} from './create-instance-runtime.ts';
+import {decodeStoreVersion} from './decode-store-version.ts';
 import {findElapsed} from './find-elapsed.ts';
 import {findPrimary} from './find-primary.ts';
 import {findRequiredPosition} from './find-required-position.ts';
@@ -8,6 +9,7 @@
 import type {GroupRow} from './group-row.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {Instant} from './instant.ts';
+import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import {isPositionSampleDue} from './is-position-sample-due.ts';
 import type {OpenConnection} from './open-connection.ts';
 import type {PositionSample} from './position-sample.ts';
@@ -57,6 +59,8 @@
 	 * if the row that it knows still names one.
 	 */
 	let fencedEpoch = 0;
+	/** Highest epoch known before the present era of the store; see `SessionGroup`. */
+	let knownEpoch: number | undefined;
 	let isRegistered = false;
 	let samples: readonly PositionSample[] = [];
 	/** Whether a position query is in flight. */
@@ -68,6 +72,9 @@
 		row: row !== undefined && row.epoch < fencedEpoch ? {...row, state: 'fencing'} : row, confirmedAt, fencedAt, isRegistered,
 	}, now());
 
+	/** Whether the row may name the present primary: it is not being replaced, and was written in the present era of the store. */
+	const isServing = () => row?.state === 'serving' && !isFromEarlierEra(row);
+
 	const notifyWaiters = () => {
 		for (const waiter of waiters) {
 			waiter();
@@ -79,6 +86,10 @@
 			return;
 		}
 
+		if (row !== undefined && decodeStoreVersion(newer.version).era > decodeStoreVersion(row.version).era) {
+			knownEpoch = Math.max(row.epoch, fencedEpoch);
+		}
+
 		if (newer.epoch !== row?.epoch || newer.state !== row.state) {
 			log.info({
 				group: name, epoch: newer.epoch, state: newer.state, primary: newer.primary, successor: newer.successor, version: newer.version,
@@ -156,7 +167,7 @@
 	};
 
 	const recordAnswer: SessionGroup['recordAnswer'] = (instance, answer, request) => {
-		const isSample = answer.kind === 'answered' && instance === row?.primary && request.epoch === row.epoch && row.state === 'serving';
+		const isSample = answer.kind === 'answered' && instance === row?.primary && request.epoch === row.epoch && isServing();
 		if (isSample && answer.position !== undefined) {
 			samples = addPositionSample(samples, {requestedAt: request.at, position: answer.position, epoch: request.epoch});
 		}
@@ -186,6 +197,7 @@
 			isRegistered = true;
 			notifyWaiters();
 		},
+		knownEpoch: () => knownEpoch,
 		fence(epoch) {
 			if (epoch > fencedEpoch) {
 				fencedEpoch = epoch;
@@ -233,7 +245,7 @@
 			};
 		},
 		recordPosition({epoch, position, age}, from) {
-			if (epoch === row?.epoch && row.state === 'serving') {
+			if (epoch === row?.epoch && isServing()) {
 				samples = addPositionSample(samples, {requestedAt: {steady: from.steady - age, wall: from.wall - age}, position, epoch});
 			}
 		},
--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -1,8 +1,10 @@
 /* eslint-disable no-await-in-loop -- rounds run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {comparePoints} from '@sapphirefall/decisions';
+import {decodeStoreVersion} from './decode-store-version.ts';
 import {chooseSuccessor} from './choose-successor.ts';
 import type {Fence} from './fence.ts';
+import {findFenceRemaining} from './find-fence-remaining.ts';
 import type {GroupRow} from './group-row.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {InstanceStatus} from './instance-status.ts';
@@ -48,12 +50,17 @@
 	const startedAt = now().steady;
 	let ordered: {readonly instance: string; readonly at: number} | undefined;
 	while (now().steady - startedAt < failoverLimitMs) {
+		if (failover.findEra().era > decodeStoreVersion(fence.row.version).era) {
+			logStep('The store came back from an older copy; the failover begins anew.', {});
+			return undefined;
+		}
+
 		// Once a successor is stored, the old primary may no longer lead, and waiting for its status would cost time if it is silent.
 		const answers = await readStatuses(failover, {
 			excluded: row.successor === '' ? undefined : fence.row.primary,
 			silent: failover.reason === 'silent' ? fence.row.primary : undefined,
 		});
-		const leader = findLeader(answers, row, failover);
+		const leader = findLeader(answers, row, {...failover, isComplete: answers.length === group.listInstances().length});
 		if (leader !== undefined) {
 			return {row, instance: leader.id, status: leader.status};
 		}
@@ -75,6 +82,8 @@
 			row = outcome;
 		}
 
+		// Hosts that registered in seconds that the store has lost may hold leases of the era before.
+		await sleep(Math.max(0, findFenceRemaining({at: failover.findEra().since, pending: [{}]}, now().steady)));
 		const taken = await orderPromotion({
 			group: group.name, instance: successor.id, holder: self, token: row.token,
 		});
@@ -122,14 +131,14 @@
  * Once a successor is stored, its promotion may have been ordered, so no other instance may lead. Before that the old
  * primary may stay if it was only silent, also as a new instance that took over its log.
  */
-function findLeader(answers: readonly Answer[], row: GroupRow, {reason}: Failover): Answer | undefined {
+function findLeader(answers: readonly Answer[], row: GroupRow, {reason, mayHaveMissedPromotion, isComplete}: Failover & {readonly isComplete: boolean}): Answer | undefined {
 	const newestTerm = Math.max(...answers.map(({status}) => status.term));
 	const leader = answers.find(({status}) => status.role === 'primary' && status.term === newestTerm);
 	if (row.successor !== '') {
 		return leader?.id === row.successor ? leader : undefined;
 	}
 
-	const canStay = (reason === 'silent' || reason === 'abandoned') && leader?.isDeparting === false;
+	const canStay = (reason === 'silent' || reason === 'abandoned' || reason === 'restored') && leader?.isDeparting === false && (isComplete || !mayHaveMissedPromotion);
 	return canStay ? leader : undefined;
 }
 
--- a/packages/sessions/failover.ts
+++ b/packages/sessions/failover.ts
@@ -1,6 +1,7 @@
 import type {FleetPeer} from './fleet-peer.ts';
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
+import type {KnownEra} from './known-era.ts';
 import type {OrderPromotion} from './order-promotion.ts';
 import type {FailoverReason} from './failover-reason.ts';
 import type {SessionGroup} from './session-group.ts';
@@ -19,6 +20,12 @@
 	readonly epoch: number;
 	/** When this host first saw that row fenced, in milliseconds of the steady clock; undefined if it was not. */
 	readonly fencedAt: number | undefined;
+	/**
+	 * Whether a primary may stay only if all instances answer, because another one may have been promoted in seconds that the
+	 * store has lost.
+	 */
+	readonly mayHaveMissedPromotion: boolean;
+	readonly findEra: () => KnownEra;
 	readonly store: Store;
 	readonly orderPromotion: OrderPromotion;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
--- /dev/null
+++ b/packages/sessions/find-confirmed-leader.test.ts
@@ -0,0 +1,51 @@
+import {expect} from 'chai';
+import {findConfirmedLeader} from './find-confirmed-leader.ts';
+import type {GroupRow} from './group-row.ts';
+import {parseStatus} from './parse-status.ts';
+
+const row: GroupRow = {
+	epoch: 4, state: 'serving', primary: 'i-a', successor: '', holder: 'a1', token: 2,
+};
+const fencing: GroupRow = {...row, state: 'fencing'};
+
+describe('findConfirmedLeader', () => {
+	const cases: ReadonlyArray<{readonly name: string; readonly row?: GroupRow; readonly statuses: ReadonlyArray<string | undefined>; readonly knownEpoch: number | undefined; readonly expected: string | undefined}> = [
+		{
+			name: 'confirms the stored primary if all instances answer', statuses: ['primary 3 3.7', 'replica 3 3.7', 'replica 3 3.6'], knownEpoch: undefined, expected: 'i-a',
+		},
+		// Guards against a primary being used again that was replaced in the lost seconds, when the hosts that knew are gone.
+		{
+			name: 'finds the primary that was promoted in the lost seconds', statuses: ['primary 3 3.7', 'primary 4 3.7', 'replica 4 3.6'], knownEpoch: undefined, expected: 'i-b',
+		},
+		{
+			name: 'finds the primary though the store names a failover that has ended since', row: fencing, statuses: ['replica 4 3.7', 'primary 4 3.7', 'replica 4 3.6'], knownEpoch: 4, expected: 'i-b',
+		},
+		{
+			name: 'confirms the stored primary without a silent replica if no later epoch was heard of', statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], knownEpoch: 4, expected: 'i-a',
+		},
+		// Guards against confirming the old primary while the one that replaced it in the lost seconds is cut off.
+		{
+			name: 'is not certain without a silent replica if a later epoch was heard of', statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], knownEpoch: 5, expected: undefined,
+		},
+		{
+			name: 'is not certain without a silent replica at a host that has just started', statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], knownEpoch: undefined, expected: undefined,
+		},
+		{
+			name: 'is not certain without a silent instance during a failover', row: fencing, statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], knownEpoch: 4, expected: undefined,
+		},
+		{
+			name: 'finds nothing while a promotion takes effect', statuses: ['replica 4 3.7', 'replica 4 3.7', 'replica 4 3.6'], knownEpoch: 4, expected: undefined,
+		},
+		{
+			name: 'finds nothing while no instance answers', statuses: [undefined, undefined, undefined], knownEpoch: 4, expected: undefined,
+		},
+	];
+	for (const {name, row: stored = row, statuses, knownEpoch, expected} of cases) {
+		it(name, () => {
+			const ids = ['i-a', 'i-b', 'i-c'];
+			expect(findConfirmedLeader({
+				row: stored, statuses: new Map(ids.map((id, index) => [id, parseStatus(statuses[index] ?? '')])), knownEpoch,
+			})).to.equal(expected);
+		});
+	}
+});
--- /dev/null
+++ b/packages/sessions/find-confirmed-leader.ts
@@ -0,0 +1,30 @@
+import type {GroupRow} from './group-row.ts';
+import type {InstanceStatus} from './instance-status.ts';
+
+type Options = {
+	/** The group's row, written in an earlier era of the store. */
+	readonly row: GroupRow;
+	/** Status of each of the group's instances by id; undefined for one that did not answer. */
+	readonly statuses: ReadonlyMap<string, InstanceStatus | undefined>;
+	/** Highest epoch that this host knew before the present era; undefined if it did not know the group then. */
+	readonly knownEpoch: number | undefined;
+};
+
+/**
+ * Finds the primary of a group after the store has come back from an older copy, which may name one that was replaced in
+ * the lost seconds.
+ *
+ * Each promotion begins a new term, so the leader of the newest term is the primary if all instances answered. If some did
+ * not, one of them may lead a newer term. The stored primary is then confirmed only by a host that knew the group before
+ * and never heard of a later epoch: a host that replaces a primary tells all others the new epoch before it promotes one.
+ *
+ * @returns Undefined if the primary is not certain.
+ */
+export function findConfirmedLeader({row, statuses, knownEpoch}: Options): string | undefined {
+	const answered = [...statuses].flatMap(([id, status]) => status === undefined ? [] : [{id, ...status}]);
+	const newestTerm = Math.max(...answered.map(({term}) => term));
+	const leader = answered.find(({role, term}) => role === 'primary' && term === newestTerm)?.id;
+	const isComplete = answered.length === statuses.size;
+	const hasMissedNone = row.state === 'serving' && knownEpoch !== undefined && knownEpoch <= row.epoch;
+	return isComplete || (hasMissedNone && leader === row.primary) ? leader : undefined;
+}
--- a/packages/sessions/find-failover-reason.test.ts
+++ b/packages/sessions/find-failover-reason.test.ts
@@ -5,10 +5,10 @@
 	latency: 30, lastAnswerAt: 0, unansweredSince: undefined, avoidedUntil: 0, failures: 0, position: undefined, lastLag: undefined,
 };
 const row = {
-	epoch: 3, state: 'serving', primary: 'i-1', successor: '', holder: 'a1', token: 2,
+	epoch: 3, state: 'serving', primary: 'i-1', successor: '', holder: 'a1', token: 2, version: 1,
 } as const;
 const healthy = {
-	row, isDeparting: false, missingSince: undefined, health, gatewaysSilentSince: undefined, hasHolderEnded: false, fencedAt: undefined, isListFresh: true, now: 10_000,
+	row, restoredSince: undefined, isDeparting: false, missingSince: undefined, health, gatewaysSilentSince: undefined, hasHolderEnded: false, fencedAt: undefined, isListFresh: true, now: 10_000,
 };
 
 describe('findFailoverReason', () => {
@@ -24,6 +24,17 @@
 		{name: 'waits for gateways that have just been asked', seen: {...healthy, gatewaysSilentSince: 9700}, expected: undefined},
 		{name: 'leaves a running failover to its host', seen: {...healthy, row: {...row, state: 'fencing' as const}, fencedAt: 6000}, expected: undefined},
 		{name: 'resumes a failover that its host abandoned', seen: {...healthy, row: {...row, state: 'fencing' as const}, fencedAt: 4000}, expected: 'abandoned'},
+		{name: 'lets hosts confirm a primary after the store came back older', seen: {...healthy, restoredSince: 8000}, expected: undefined},
+		{name: 'replaces a primary that could not be confirmed', seen: {...healthy, restoredSince: 7000}, expected: 'restored'},
+		{
+			name: 'does not wait for a silent primary to be confirmed', seen: {...healthy, restoredSince: 9000, health: {...health, unansweredSince: 9000}}, expected: 'silent',
+		},
+		{
+			// Guards against resuming a failover that has ended since, in seconds that the store has lost.
+			name: 'does not resume a failover of an earlier era', seen: {
+				...healthy, row: {...row, state: 'fencing' as const}, fencedAt: 4000, hasHolderEnded: true, restoredSince: 9000,
+			}, expected: undefined,
+		},
 		{
 			name: 'resumes at once a failover whose host was started again, as after a loss of power of all hosts', seen: {
 				...healthy, row: {...row, state: 'fencing' as const}, fencedAt: 9900, hasHolderEnded: true,
--- a/packages/sessions/find-failover-reason.ts
+++ b/packages/sessions/find-failover-reason.ts
@@ -1,9 +1,12 @@
 import type {GroupRow} from './group-row.ts';
 import type {InstanceHealth} from './instance-health.ts';
+import type {Versioned} from './versioned.ts';
 import type {FailoverReason} from './failover-reason.ts';
 
 type Options = {
-	readonly row: GroupRow;
+	readonly row: Versioned<GroupRow>;
+	/** Since when the row has been one of an earlier era of the store, in milliseconds of the steady clock; undefined if it is not. */
+	readonly restoredSince: number | undefined;
 	/** Whether the platform lists the primary as departing. */
 	readonly isDeparting: boolean;
 	/** When the platform stopped listing the primary, in milliseconds of the steady clock. */
@@ -30,12 +33,26 @@
 /** Milliseconds after which a failover that another host started counts as abandoned. */
 const abandonedLimitMs = 5000;
 
+/**
+ * Milliseconds after which a primary is replaced that could not be confirmed since the store came back from an older copy.
+ * Hosts confirm it within two attempts if its instances answer.
+ */
+const restoredLimitMs = 2500;
+
 /** Finds why the primary of a group should be replaced, from what this host sees; undefined when it should not. */
 export function findFailoverReason(options: Options): FailoverReason | undefined {
 	const {
-		row, health, gatewaysSilentSince, missingSince, hasHolderEnded, fencedAt, now,
+		row, restoredSince, health, gatewaysSilentSince, missingSince, hasHolderEnded, fencedAt, now,
 	} = options;
+	if (restoredSince !== undefined && now - restoredSince > restoredLimitMs) {
+		return 'restored';
+	}
+
 	if (row.state === 'fencing') {
+		if (restoredSince !== undefined) {
+			return undefined;
+		}
+
 		const isAbandoned = hasHolderEnded || (fencedAt !== undefined && now - fencedAt > abandonedLimitMs);
 		return isAbandoned ? 'abandoned' : undefined;
 	}
--- a/packages/sessions/find-primary.test.ts
+++ b/packages/sessions/find-primary.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {encodeStoreVersion} from './encode-store-version.ts';
 import {findPrimary} from './find-primary.ts';
 import {leaseDurationMs} from './lease-duration-ms.ts';
 
@@ -7,7 +8,7 @@
 
 const at = (steady: number, wall = steady) => ({steady, wall});
 const row = {
-	epoch: 3, state: 'serving', primary: 'i-1', successor: '', holder: 'a1', token: 2,
+	epoch: 3, state: 'serving', primary: 'i-1', successor: '', holder: 'a1', token: 2, version: 1,
 } as const;
 
 describe('findPrimary', () => {
@@ -30,6 +31,10 @@
 		{
 			name: 'grants no lease while a failover runs', known: {row: {...row, state: 'fencing' as const}}, now: at(100), expected: 'fencing',
 		},
+		{
+			// Guards against using a primary that was replaced in the seconds that the store lost before it came back.
+			name: 'grants no lease on a primary that is not confirmed since the store came back older', known: {row: {...row, version: encodeStoreVersion({era: 2, counter: 40})}}, now: at(100), expected: 'restored',
+		},
 		{
 			name: 'grants no lease to an unregistered host, as failovers would not wait for it', known: {row, isRegistered: false}, now: at(100), expected: 'unknown',
 		},
--- a/packages/sessions/find-primary.ts
+++ b/packages/sessions/find-primary.ts
@@ -1,10 +1,12 @@
 import {findLeaseRemaining} from './find-lease-remaining.ts';
 import type {GroupRow} from './group-row.ts';
+import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import type {Instant} from './instant.ts';
+import type {Versioned} from './versioned.ts';
 import type {PrimaryView} from './primary-view.ts';
 
 type Options = {
-	readonly row: GroupRow | undefined;
+	readonly row: Versioned<GroupRow> | undefined;
 	/** Moment as of which the store confirmed the row. */
 	readonly confirmedAt: Instant | undefined;
 	/** When this host first saw the fence, in milliseconds of the steady clock. */
@@ -28,6 +30,10 @@
 		return {kind: 'unavailable', reason: 'unknown', retryAfter: usualConfirmMs};
 	}
 
+	if (isFromEarlierEra(row)) {
+		return {kind: 'unavailable', reason: 'restored', retryAfter: usualConfirmMs};
+	}
+
 	if (row.state === 'fencing') {
 		const elapsed = now.steady - (fencedAt ?? now.steady);
 		return {kind: 'unavailable', reason: 'fencing', retryAfter: Math.max(usualConfirmMs, usualFailoverMs - elapsed)};
--- a/packages/sessions/lease-model.test.ts
+++ b/packages/sessions/lease-model.test.ts
@@ -4,6 +4,7 @@
 import {findFenceRemaining} from './find-fence-remaining.ts';
 import {findPrimary} from './find-primary.ts';
 import type {GroupRow} from './group-row.ts';
+import type {Versioned} from './versioned.ts';
 import type {Instant} from './instant.ts';
 import {leaseDurationMs} from './lease-duration-ms.ts';
 
@@ -16,8 +17,8 @@
 /** Milliseconds between two steps of a schedule. */
 const stepMs = 50;
 
-const serving: GroupRow = {
-	epoch: 1, state: 'serving', primary: 'old', successor: '', holder: 'x', token: 1,
+const serving: Versioned<GroupRow> = {
+	version: 1, epoch: 1, state: 'serving', primary: 'old', successor: '', holder: 'x', token: 1,
 };
 
 /** A host of a schedule; times in milliseconds of true time. */
@@ -71,7 +72,7 @@
 function findViolation(hosts: readonly HostPlan[], fencedAt: number, omitted: Omitted): string | undefined {
 	const isAwake = (plan: HostPlan, now: number) => now < plan.frozenFrom || now >= plan.frozenFrom + plan.frozenFor;
 	const states = hosts.map(() => ({
-		confirmedAt: undefined as Instant | undefined, row: undefined as GroupRow | undefined, isFenced: false, readAt: 0,
+		confirmedAt: undefined as Instant | undefined, row: undefined as Versioned<GroupRow> | undefined, isFenced: false, readAt: 0,
 	}));
 	/** Indexes of the hosts that have not acknowledged the fence. */
 	const pending = new Set(hosts.flatMap((plan, index) => plan.registersAt <= fencedAt ? [String(index)] : []));
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -15,6 +15,9 @@
 
 const now = () => ({steady: performance.now(), wall: Date.now()});
 
+/** Lifetime in milliseconds of the longest lease that a host of any version may hold. */
+const longestLeaseMs = 2500;
+
 /** Milliseconds after which a connection to an instance in a zone that is cut off is given up. */
 const unreachableAfterMs = 400;
 
@@ -108,9 +111,14 @@
 	readonly statusesAfter: Statuses;
 	readonly reason?: Failover['reason'];
 	readonly isLosing?: boolean;
+	readonly mayHaveMissedPromotion?: boolean;
+	/** Since when the host has known the era of the store, in milliseconds of the steady clock. */
+	readonly eraSince?: number;
 };
 
-async function runFailover({statuses, statusesAfter, reason = 'silent', isLosing = false}: Case) {
+async function runFailover({
+	statuses, statusesAfter, reason = 'silent', isLosing = false, mayHaveMissedPromotion = false, eraSince = Number.NEGATIVE_INFINITY,
+}: Case) {
 	const ordered: string[] = [];
 	const startedAt = performance.now();
 	let orderedAt = Number.POSITIVE_INFINITY;
@@ -133,6 +141,8 @@
 		incarnation: 1,
 		epoch: 1,
 		fencedAt: undefined,
+		mayHaveMissedPromotion,
+		findEra: () => ({era: 1, since: eraSince}),
 		store,
 		async orderPromotion({instance}) {
 			ordered.push(instance);
@@ -166,6 +176,16 @@
 			},
 			expected: {primary: 'i-b', ordered: ['i-b']},
 		},
+		{
+			// Guards against keeping a primary that was replaced in seconds that the store has lost, while the new one is cut off.
+			name: 'replaces a primary that answers if a later one may be silent',
+			given: {
+				statuses: {'i-old': 'primary 1 1.9', 'i-b': 'replica 1 1.7', 'i-c': undefined},
+				statusesAfter: {'i-old': 'primary 1 1.9', 'i-b': 'primary 3 1.7', 'i-c': undefined},
+				mayHaveMissedPromotion: true,
+			},
+			expected: {primary: 'i-b', ordered: ['i-b']},
+		},
 		{
 			name: 'keeps a primary that was silent only briefly',
 			given: {
@@ -201,6 +221,17 @@
 		});
 	}
 
+	// Guards against a promotion while hosts that registered in seconds that the store has lost hold leases on the old primary.
+	it('waits with a promotion until all leases of an earlier era of the store have expired', async () => {
+		const remainingMs = 900;
+		const {orderedAfter} = await runFailover({
+			statuses: {'i-old': undefined, 'i-b': 'replica 1 1.7'},
+			statusesAfter: {'i-old': undefined, 'i-b': 'primary 2 1.7'},
+			eraSince: performance.now() - longestLeaseMs + remainingMs,
+		});
+		expect(orderedAfter).to.be.at.least(remainingMs);
+	});
+
 	it('orders a promotion without waiting for a primary that was found silent', async () => {
 		const {orderedAfter} = await runFailover({
 			statuses: {'i-old': undefined, 'i-b': 'replica 1 1.7'},
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -18,6 +18,8 @@
 	readonly updateRow: (row: Versioned<GroupRow> | undefined, confirmedAt: Instant) => void;
 	/** Records that this host is registered in the store; without that, no primary may be used. */
 	readonly setRegistered: () => void;
+	/** Highest epoch that this host knew before the present era of the store; undefined if it did not know the group then. */
+	readonly knownEpoch: () => number | undefined;
 	/** Stops using the primary of every epoch before this one at once, because it is being replaced. */
 	readonly fence: (epoch: number) => void;
 	/** When this host learned that the primary is being replaced, in milliseconds of the steady clock; undefined if it is not. */
