Grant no lease to a host whose registration the store has lost

Callers could see: a read of an old primary after a failover that did not wait for their host. Cause: a host took itself for registered for good once it had seen its row, also when the store came back without it or other hosts had marked it as gone. Failovers wait for registered hosts only. Change: the groups follow the registration both ways. Failed before: 'grants no lease while the registration of the host is lost'.

--- a/packages/sessions/create-session-group.test.ts
+++ b/packages/sessions/create-session-group.test.ts
@@ -36,10 +36,22 @@
 }
 
 describe('createSessionGroup, when the store comes back from an older copy', () => {
+	// Guards against a failover that does not wait for a host whose registration the store has lost.
+	it('grants no lease while the registration of the host is lost', () => {
+		const {group, read, findState} = createGroup();
+		group.setRegistered(true);
+		read(serving, 1, 40);
+		expect(findState()).to.equal('i-a');
+		group.setRegistered(false);
+		expect(findState()).to.equal('unknown');
+		group.setRegistered(true);
+		expect(findState()).to.equal('i-a');
+	});
+
 	// Guards against a primary being used again that was replaced in the lost seconds.
 	it('grants no lease on the restored row, and one on the row that confirms a primary', () => {
 		const {group, read, findState} = createGroup();
-		group.setRegistered();
+		group.setRegistered(true);
 		read(serving, 1, 40);
 		read(serving, 2, 38);
 		expect(findState()).to.equal('restored');
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -193,9 +193,11 @@
 		name,
 		updateInstances,
 		updateRow,
-		setRegistered() {
-			isRegistered = true;
-			notifyWaiters();
+		setRegistered(newer) {
+			if (newer !== isRegistered) {
+				isRegistered = newer;
+				notifyWaiters();
+			}
 		},
 		knownEpoch: () => knownEpoch,
 		fence(epoch) {
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -16,8 +16,8 @@
 	readonly updateInstances: (listed: readonly ListedInstance[], limit: number) => void;
 	/** Applies the store's row about the primary; `confirmedAt` is the time as of which the store confirmed the row. */
 	readonly updateRow: (row: Versioned<GroupRow> | undefined, confirmedAt: Instant) => void;
-	/** Records that this host is registered in the store; without that, no primary may be used. */
-	readonly setRegistered: () => void;
+	/** Sets whether this host is registered in the store; while it is not, no primary may be used. */
+	readonly setRegistered: (isRegistered: boolean) => void;
 	/** Highest epoch that this host knew before the present era of the store; undefined if it did not know the group then. */
 	readonly knownEpoch: () => number | undefined;
 	/** Stops using the primary of every epoch before this one at once, because it is being replaced. */
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -151,9 +151,7 @@
 			});
 			groups.set(name, group);
 			group.updateInstances(listInstances().filter(entry => entry.group === name), findConnectionLimit(cap, countGateways()));
-			if (fleetController.isRegistered()) {
-				group.setRegistered();
-			}
+			group.setRegistered(fleetController.isRegistered());
 
 			const confirmedAt = findConfirmedAt('fleet');
 			if (confirmedAt !== undefined) {
