Ask the instances for the primary of a group whose row the store has lost

Cause: the store came back from before the first primary was stored, and the host took the first one that the restored list of instances calls a primary, which had been replaced since. Change: once the store has come back older, a missing row is confirmed like an old one, by the status of the instances; after 2.5 s by those that answer. The first era goes on with the list. Evidence: the line 'The host tried to store the first primary', i-a, then readOnly from i-a only.

--- a/packages/sessions/confirm-primary.ts
+++ b/packages/sessions/confirm-primary.ts
@@ -1,5 +1,4 @@
 import {findConfirmedLeader} from './find-confirmed-leader.ts';
-import {decodeStoreVersion} from './decode-store-version.ts';
 import {findNextEpoch} from './find-next-epoch.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {GroupRow} from './group-row.ts';
@@ -15,6 +14,10 @@
 	readonly self: string;
 	/** Incarnation of this host's process. */
 	readonly incarnation: number;
+	/** Present era of the store. */
+	readonly era: number;
+	/** Whether the group has had no primary for long; see `findConfirmedLeader`. */
+	readonly isOverdue: boolean;
 	readonly store: Store;
 	/** Workspace whose connections are used to query instances. */
 	readonly workspace: string;
@@ -25,16 +28,21 @@
 const statusTimeoutMs = 400;
 
 /**
- * Stores the primary of a group again after the store has come back from an older copy; see `findConfirmedLeader`.
+ * Stores the primary of a group again after the store has come back from an older copy; see `findConfirmedLeader`. A row of
+ * version 0 stands for one that the store has lost.
  *
  * No promotion is ordered, so neither the failover lock nor a fence is needed: a lease that a host still holds is on the
  * same primary, or on one that was fenced before the present one was promoted.
  */
-export async function confirmPrimary({version, ...row}: Versioned<GroupRow>, {group, self, incarnation, store, workspace, log}: Options): Promise<void> {
+export async function confirmPrimary({version, ...row}: Versioned<GroupRow>, {
+	group, self, incarnation, era, isOverdue, store, workspace, log,
+}: Options): Promise<void> {
 	const statuses = new Map(await Promise.all(group.listInstances().map(async instance =>
 		[instance.listed().id, await readStatus(instance, {workspace, timeout: statusTimeoutMs})] as const)));
 	const knownEpoch = group.knownEpoch();
-	const primary = findConfirmedLeader({row, statuses, knownEpoch});
+	const primary = findConfirmedLeader({
+		row, statuses, knownEpoch, isOverdue,
+	});
 	const fields = {
 		group: group.name, stored: row.primary, state: row.state, epoch: row.epoch, knownEpoch, answered: [...statuses.values()].filter(status => status !== undefined).length, primary,
 	};
@@ -44,7 +52,7 @@
 	}
 
 	const next: GroupRow = {
-		...row, epoch: findNextEpoch(row.epoch, decodeStoreVersion(version).era), state: 'serving', primary, successor: '', holder: self, holderIncarnation: incarnation,
+		...row, epoch: findNextEpoch(row.epoch, era), state: 'serving', primary, successor: '', holder: self, holderIncarnation: incarnation,
 	};
 	const key = `${fleetKeys.groupPrefix}${group.name}`;
 	const outcome = await store.commit({expected: new Map([[key, version]]), values: new Map([[key, JSON.stringify(next)]])});
--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -9,7 +9,6 @@
 import type {FleetRows} from './fleet-rows.ts';
 import {findFailoverRank} from './find-failover-rank.ts';
 import {findFailoverReason} from './find-failover-reason.ts';
-import {findNextEpoch} from './find-next-epoch.ts';
 import type {GroupRow} from './group-row.ts';
 import {hasHolderEnded} from './has-holder-ended.ts';
 import type {HostRow} from './host-row.ts';
@@ -58,6 +57,14 @@
 /** Milliseconds between two attempts to register, to remove silent hosts, or to store a first primary. */
 const retryIntervalMs = 500;
 
+/** Milliseconds without a primary after which a host no longer waits for instances that do not answer. */
+const overdueMs = 2500;
+
+/** Stands for the row of a group that the store does not have. */
+const missingRow: Versioned<GroupRow> = {
+	version: 0, epoch: 0, state: 'serving', primary: '', successor: '', holder: '', token: 0,
+};
+
 /** Creates the fleet controller of a host; see `FleetController`. */
 export function createFleetController(options: Options): FleetController {
 	const {own, store, now, log} = options;
@@ -95,7 +102,7 @@
 
 		const key = `${fleetKeys.groupPrefix}${group}`;
 		const row: GroupRow = {
-			epoch: findNextEpoch(0, knownEra.era), state: 'serving', primary: primary.id, successor: '', holder: own.name, holderIncarnation: own.incarnation, token: 0,
+			epoch: 1, state: 'serving', primary: primary.id, successor: '', holder: own.name, holderIncarnation: own.incarnation, token: 0,
 		};
 		const outcome = await store.commit({expected: new Map([[key, 0]]), values: new Map([[key, JSON.stringify(row)]])});
 		log.info({group, primary: primary.id, outcome: outcome.kind}, 'group: The host tried to store the first primary.');
@@ -130,16 +137,39 @@
 		}
 	};
 
+	/** Runs a task that changes the row of a group; no other one starts meanwhile. */
+	const runExclusive = (group: string, task: Promise<void>) => {
+		busyGroups.add(group);
+		void task.finally(() => { // eslint-disable-line promise/prefer-await-to-then
+			busyGroups.delete(group);
+		});
+	};
+
 	/** Stores the primary of a group again after the store came back from an older copy. */
-	const confirm = async (group: SessionGroup, row: Versioned<GroupRow>) => {
+	const confirm = async (group: SessionGroup, row: Versioned<GroupRow>, isOverdue: boolean) => {
 		const workspace = options.findWorkspace();
 		if (workspace !== undefined) {
 			await confirmPrimary(row, {
-				group, self: own.name, incarnation: own.incarnation, store, workspace, log,
+				group, self: own.name, incarnation: own.incarnation, era: knownEra.era, isOverdue, store, workspace, log,
 			});
 		}
 	};
 
+	/**
+	 * Stores the primary of a group that has no row. Once the store has come back from an older copy, the platform's list may
+	 * name a primary that was replaced since, so the instances are asked.
+	 */
+	const stepMissingGroup = (group: SessionGroup) => {
+		const waited = now().steady - Math.max(knownSince, knownEra.since);
+		if (knownEra.era === 1) {
+			if (waited > findBootstrapDelay(group.name)) {
+				void commitFirstPrimary(group.name);
+			}
+		} else if (!busyGroups.has(group.name) && waited >= findResumeRank(group.name) * rankDelayMs) {
+			runExclusive(group.name, confirm(group, missingRow, waited > overdueMs));
+		}
+	};
+
 	const replace = async (group: SessionGroup, row: Versioned<GroupRow>, reason: FailoverReason) => {
 		const {primary, epoch} = row;
 		const workspace = options.findWorkspace();
@@ -170,14 +200,6 @@
 		});
 	};
 
-	/** Runs a task that changes the row of a group; no other one starts meanwhile. */
-	const runExclusive = (group: string, task: Promise<void>) => {
-		busyGroups.add(group);
-		void task.finally(() => { // eslint-disable-line promise/prefer-await-to-then
-			busyGroups.delete(group);
-		});
-	};
-
 	/** Finds since when the row of a group has been one of an earlier era of the store; undefined if it is not. */
 	const findRestoredSince = (group: string, row: Versioned<GroupRow>) => {
 		if (!isFromEarlierEra(row)) {
@@ -221,7 +243,7 @@
 		if (reason === undefined) {
 			reasonSince.delete(group.name);
 			if (since !== undefined && at - since >= findResumeRank(group.name) * rankDelayMs) {
-				runExclusive(group.name, confirm(group, row));
+				runExclusive(group.name, confirm(group, row, false));
 			}
 
 			return;
@@ -257,8 +279,8 @@
 				}
 
 				for (const group of options.listGroups()) {
-					if (!fleet.groups.has(group.name) && at - knownSince > findBootstrapDelay(group.name)) {
-						void commitFirstPrimary(group.name);
+					if (!fleet.groups.has(group.name)) {
+						stepMissingGroup(group);
 					}
 				}
 			}
--- a/packages/sessions/find-confirmed-leader.test.ts
+++ b/packages/sessions/find-confirmed-leader.test.ts
@@ -9,7 +9,7 @@
 const fencing: GroupRow = {...row, state: 'fencing'};
 
 describe('findConfirmedLeader', () => {
-	const cases: ReadonlyArray<{readonly name: string; readonly row?: GroupRow; readonly statuses: ReadonlyArray<string | undefined>; readonly knownEpoch: number | undefined; readonly expected: string | undefined}> = [
+	const cases: ReadonlyArray<{readonly name: string; readonly row?: GroupRow; readonly statuses: ReadonlyArray<string | undefined>; readonly knownEpoch: number | undefined; readonly isOverdue?: boolean; readonly expected: string | undefined}> = [
 		{
 			name: 'confirms the stored primary if all instances answer', statuses: ['primary 3 3.7', 'replica 3 3.7', 'replica 3 3.6'], knownEpoch: undefined, expected: 'i-a',
 		},
@@ -33,6 +33,9 @@
 		{
 			name: 'is not certain without a silent instance during a failover', row: fencing, statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], knownEpoch: 4, expected: undefined,
 		},
+		{
+			name: 'takes the leader of those that answer when the group has had no primary for long', statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], knownEpoch: undefined, isOverdue: true, expected: 'i-a',
+		},
 		{
 			name: 'finds nothing while a promotion takes effect', statuses: ['replica 4 3.7', 'replica 4 3.7', 'replica 4 3.6'], knownEpoch: 4, expected: undefined,
 		},
@@ -40,11 +43,13 @@
 			name: 'finds nothing while no instance answers', statuses: [undefined, undefined, undefined], knownEpoch: 4, expected: undefined,
 		},
 	];
-	for (const {name, row: stored = row, statuses, knownEpoch, expected} of cases) {
+	for (const {
+		name, row: stored = row, statuses, knownEpoch, isOverdue = false, expected,
+	} of cases) {
 		it(name, () => {
 			const ids = ['i-a', 'i-b', 'i-c'];
 			expect(findConfirmedLeader({
-				row: stored, statuses: new Map(ids.map((id, index) => [id, parseStatus(statuses[index] ?? '')])), knownEpoch,
+				row: stored, statuses: new Map(ids.map((id, index) => [id, parseStatus(statuses[index] ?? '')])), knownEpoch, isOverdue,
 			})).to.equal(expected);
 		});
 	}
--- a/packages/sessions/find-confirmed-leader.ts
+++ b/packages/sessions/find-confirmed-leader.ts
@@ -2,12 +2,14 @@
 import type {InstanceStatus} from './instance-status.ts';
 
 type Options = {
-	/** The group's row, written in an earlier era of the store. */
+	/** The group's row, written in an earlier era of the store; one of epoch 0 if the store has none. */
 	readonly row: GroupRow;
 	/** Status of each of the group's instances by id; undefined for one that did not answer. */
 	readonly statuses: ReadonlyMap<string, InstanceStatus | undefined>;
 	/** Highest epoch that this host knew before the present era; undefined if it did not know the group then. */
 	readonly knownEpoch: number | undefined;
+	/** Whether the leader of those that answer is taken, because the group has had no primary for long and no host knows better. */
+	readonly isOverdue: boolean;
 };
 
 /**
@@ -20,11 +22,13 @@
  *
  * @returns Undefined if the primary is not certain.
  */
-export function findConfirmedLeader({row, statuses, knownEpoch}: Options): string | undefined {
+export function findConfirmedLeader({
+	row, statuses, knownEpoch, isOverdue,
+}: Options): string | undefined {
 	const answered = [...statuses].flatMap(([id, status]) => status === undefined ? [] : [{id, ...status}]);
 	const newestTerm = Math.max(...answered.map(({term}) => term));
 	const leader = answered.find(({role, term}) => role === 'primary' && term === newestTerm)?.id;
 	const isComplete = answered.length === statuses.size;
 	const hasMissedNone = row.state === 'serving' && knownEpoch !== undefined && knownEpoch <= row.epoch;
-	return isComplete || (hasMissedNone && leader === row.primary) ? leader : undefined;
+	return isComplete || isOverdue || (hasMissedNone && leader === row.primary) ? leader : undefined;
 }
