Keep the newest configuration that is known when the store comes back without it

Callers would see: a key that operators had withdrawn accepted again by a host that starts between the return of the store and the operators' write, or that a host with an older table answers. Cause: a starting host knew only what the restored store holds, and hosts passed the restored row on, not the newer one that they apply themselves. Change: hosts keep the row of the newer version in the table that they pass on, with its version of the earlier era, by which others see that it is not confirmed. A starting host asks three others first if the store ever came back older. An older version in the store confirms nothing, so callers with keys are refused once the last confirmation is too old for a withdrawal.

--- /dev/null
+++ b/packages/sessions/create-store-cache.test.ts
@@ -0,0 +1,68 @@
+import {expect} from 'chai';
+import type {CachedTable} from './cached-table.ts';
+import {createStoreCache} from './create-store-cache.ts';
+import {encodeStoreVersion} from './encode-store-version.ts';
+import {findTableMark} from './find-table-mark.ts';
+import type {SessionConfiguration} from './session-configuration.ts';
+
+const ignore = () => undefined;
+
+/** A read of the table: the configuration's version, and the eras and counters of its row and of the table. */
+type Read = {readonly configuration: string; readonly row: readonly [number, number]; readonly table: readonly [number, number]};
+
+function createTable({configuration, row, table}: Read, at: number): CachedTable {
+	const rows = new Map([['config', {key: 'config', value: configuration, version: encodeStoreVersion({era: row[0], counter: row[1]})}]]);
+	return {
+		rows, version: encodeStoreVersion({era: table[0], counter: table[1]}), mark: findTableMark(rows), confirmedAt: {steady: at, wall: at}, reader: 'a1',
+	};
+}
+
+describe('createStoreCache, when the store comes back from an older copy', () => {
+	const known: Read = {configuration: '11', row: [1, 33], table: [1, 33]};
+	const cases: ReadonlyArray<{readonly name: string; readonly reads: readonly Read[]; readonly version: number; readonly confirmedAt: number}> = [
+		{
+			name: 'confirms the version that the operators wrote again', reads: [known, {configuration: '11', row: [2, 32], table: [2, 32]}], version: 11, confirmedAt: 1,
+		},
+		{
+			name: 'applies a later version whose row has the version of a lost one', reads: [known, {configuration: '14', row: [2, 33], table: [2, 33]}], version: 14, confirmedAt: 1,
+		},
+		{
+			name: 'keeps the applied version, unconfirmed, while the store holds an older one', reads: [known, {configuration: '4', row: [2, 20], table: [2, 32]}], version: 11, confirmedAt: 0,
+		},
+		// Guards against counting a version as confirmed that the store has lost, because another host passed it on in a fresh table.
+		{
+			name: 'does not confirm the applied version by a row that another host has kept', reads: [known, {configuration: '11', row: [1, 33], table: [2, 32]}], version: 11, confirmedAt: 0,
+		},
+		{
+			name: 'applies a version that another host has kept, and does not confirm it', reads: [{configuration: '4', row: [2, 20], table: [2, 32]}, {configuration: '11', row: [1, 33], table: [2, 32]}], version: 11, confirmedAt: Number.NEGATIVE_INFINITY,
+		},
+		{
+			name: 'leaves out a lower version that is written later', reads: [known, {configuration: '9', row: [2, 35], table: [2, 36]}], version: 11, confirmedAt: 0,
+		},
+		{
+			name: 'keeps the applied version, unconfirmed, while the store holds one that cannot be decoded', reads: [known, {configuration: 'broken', row: [2, 35], table: [2, 36]}], version: 11, confirmedAt: 0,
+		},
+	];
+	for (const {name, reads, version, confirmedAt} of cases) {
+		it(name, () => {
+			const cache = createStoreCache({
+				decodeConfiguration(text) {
+					if (text === 'broken') {
+						throw new Error('no configuration');
+					}
+
+					return {version: Number(text), routes: new Map(), limits: new Map()} as unknown as SessionConfiguration;
+				},
+				decodeInstance: ignore,
+				onFleet: ignore,
+				log: {debug: ignore, info: ignore, warn: ignore},
+			});
+			for (const [at, read] of reads.entries()) {
+				cache.updateTable('configuration', createTable(read, at));
+			}
+
+			const applied = cache.findConfiguration();
+			expect({version: applied?.configuration.version, confirmedAt: applied?.confirmedAt.steady}).to.deep.equal({version, confirmedAt});
+		});
+	}
+});
--- a/packages/sessions/create-store-cache.ts
+++ b/packages/sessions/create-store-cache.ts
@@ -1,3 +1,5 @@
+import {chooseConfigurationRows} from './choose-configuration-rows.ts';
+import {decodeStoreVersion} from './decode-store-version.ts';
 import type {SessionConfiguration} from './session-configuration.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {Instant} from './instant.ts';
@@ -9,6 +11,8 @@
 import type {SessionLog} from './session-log.ts';
 import type {StoreTable} from './store-table.ts';
 
+type Rows = CachedTable['rows'];
+
 type Options = {
 	readonly decodeConfiguration: (text: string) => SessionConfiguration;
 	readonly decodeInstance: (id: string, text: string) => ListedInstance | undefined;
@@ -19,6 +23,8 @@
 
 /** Decoded contents of the store's tables, as this host last received them. */
 type StoreCache = {
+	/** Chooses the rows of a table to keep when newer ones arrive, given those that the host has. */
+	readonly chooseRows: (table: StoreTable, rows: {readonly known: Rows | undefined; readonly newer: Rows}) => Rows;
 	readonly updateTable: (table: StoreTable, newer: CachedTable) => void;
 	/** Latest configuration, and the moment as of which the store confirmed it. */
 	readonly findConfiguration: () => CachedConfiguration | undefined;
@@ -28,26 +34,47 @@
 	readonly findConfirmedAt: (table: StoreTable) => Instant | undefined;
 };
 
+/** Moment as of which a configuration is confirmed that the present era of the store has not confirmed. */
+const neverConfirmed: Instant = {steady: Number.NEGATIVE_INFINITY, wall: Number.NEGATIVE_INFINITY};
+
 /**
  * Creates the cache of the store's decoded tables.
  *
- * A configuration is never replaced by an older version. One that cannot be decoded is logged and ignored.
+ * A configuration is never replaced by an older version, and an older one in the store does not confirm it. One that
+ * cannot be decoded is logged and ignored. One that is known only from other hosts, because the store has lost it, is
+ * applied but counts as not confirmed.
  */
 export function createStoreCache({decodeConfiguration, decodeInstance, onFleet, log}: Options): StoreCache {
 	const tables = new Map<StoreTable, CachedTable>();
 	let cached: CachedConfiguration | undefined;
 	let configurationRow: StoreRow | undefined;
+	/** Version of a row that holds an older configuration than the applied one. */
+	let leftOutVersion: number | undefined;
+	/** Whether the store has lost the applied configuration. */
+	let isLost = false;
 	let instances: readonly ListedInstance[] = [];
 	let fleet: FleetRows | undefined;
 
-	const updateConfiguration = ({rows, confirmedAt}: CachedTable) => {
+	/** Confirms the applied configuration; `confirmedAt` is undefined while the store has lost it. */
+	const confirm = (configuration: SessionConfiguration, confirmedAt: Instant | undefined) => {
+		if (confirmedAt !== undefined) {
+			cached = {configuration, confirmedAt};
+		} else if (!isLost) {
+			log.warn({version: configuration.version}, 'configuration: The store came back without the applied version; the host keeps it until operators write again.');
+		}
+
+		isLost = confirmedAt === undefined;
+	};
+
+	const updateConfiguration = ({rows, version, confirmedAt}: CachedTable) => {
 		const row = rows.get('config');
-		if (row?.value === undefined) {
+		if (row?.value === undefined || row.version === leftOutVersion) {
 			return;
 		}
 
+		const isConfirmed = decodeStoreVersion(row.version).era === decodeStoreVersion(version).era;
 		if (cached !== undefined && row.version === configurationRow?.version) {
-			cached = {...cached, confirmedAt};
+			confirm(cached.configuration, isConfirmed ? confirmedAt : undefined);
 			return;
 		}
 
@@ -55,11 +82,12 @@
 			const configuration = decodeConfiguration(row.value);
 			if (cached === undefined || configuration.version >= cached.configuration.version) {
 				configurationRow = row;
-				cached = {configuration, confirmedAt};
+				cached = {configuration, confirmedAt: isConfirmed ? confirmedAt : neverConfirmed};
 				log.info({
-					version: configuration.version, rowVersion: row.version, routes: configuration.routes.size, workspaces: configuration.limits.size,
+					version: configuration.version, isConfirmed, rowVersion: row.version, routes: configuration.routes.size, workspaces: configuration.limits.size,
 				}, 'configuration: The host applied a version.');
 			} else {
+				leftOutVersion = row.version;
 				log.warn({version: configuration.version, rowVersion: row.version, knownVersion: cached.configuration.version}, 'configuration: The host leaves out a version that is older than the applied one.');
 			}
 		} catch (error) {
@@ -78,7 +106,17 @@
 		onFleet(fleet);
 	};
 
+	const findConfigurationVersion = ({value = ''}: StoreRow): number | undefined => {
+		try {
+			return decodeConfiguration(value).version;
+		} catch {
+			// `updateConfiguration` logs a row that cannot be decoded.
+			return undefined;
+		}
+	};
+
 	return {
+		chooseRows: (table, rows) => table === 'configuration' ? chooseConfigurationRows({...rows, findConfigurationVersion}) : rows.newer,
 		updateTable(table, newer) {
 			const before = tables.get(table);
 			tables.set(table, newer);
--- a/packages/sessions/create-table-cache.ts
+++ b/packages/sessions/create-table-cache.ts
@@ -1,11 +1,16 @@
 import {findElapsed} from './find-elapsed.ts';
+import {findTableMark} from './find-table-mark.ts';
 import type {Instant} from './instant.ts';
 import {isSameMark} from './is-same-mark.ts';
 import type {CachedTable} from './cached-table.ts';
 import type {SessionLog} from './session-log.ts';
 import type {StoreTable} from './store-table.ts';
 
+type Rows = CachedTable['rows'];
+
 type Options = {
+	/** Chooses the rows to keep when newer ones arrive, given those that are cached. */
+	readonly chooseRows: (table: StoreTable, rows: {readonly known: Rows | undefined; readonly newer: Rows}) => Rows;
 	readonly onTable: (table: StoreTable, cached: CachedTable) => void;
 	readonly now: () => Instant;
 	readonly log: SessionLog;
@@ -26,7 +31,9 @@
 };
 
 /** Creates the cache of the store's tables. */
-export function createTableCache({onTable, now, log}: Options): TableCache {
+export function createTableCache({
+	chooseRows, onTable, now, log,
+}: Options): TableCache {
 	const cache = new Map<StoreTable, CachedTable>();
 	const waiters = new Set<() => void>();
 	/** Tables of which the last update was left out; a line is logged for the first one in a row. */
@@ -58,8 +65,9 @@
 
 			leftOut.delete(table);
 			// Unchanged rows keep their identity, so that they are not decoded again.
-			const rows = isSameMark(older?.mark, newer.mark) && older !== undefined ? older.rows : newer.rows;
-			const updated = {...newer, rows};
+			const rows = isSameMark(older?.mark, newer.mark) && older !== undefined ? older.rows : chooseRows(table, {known: older?.rows, newer: newer.rows});
+			const mark = rows === newer.rows ? newer.mark : findTableMark(rows);
+			const updated = {...newer, rows, mark};
 			cache.set(table, updated);
 			onTable(table, updated);
 			for (const wake of waiters) {
--- a/packages/sessions/create-table-sync.test.ts
+++ b/packages/sessions/create-table-sync.test.ts
@@ -94,6 +94,7 @@
 				return isReachable(name, host) ? first : undefined;
 			}),
 			register: async () => undefined,
+			chooseRows: (_, {newer}) => newer,
 			onTable(table: StoreTable, cached: CachedTable) {
 				tables.set(table, cached.confirmedAt.steady);
 			},
--- a/packages/sessions/create-table-sync.ts
+++ b/packages/sessions/create-table-sync.ts
@@ -1,6 +1,7 @@
 /* eslint-disable no-await-in-loop -- steps run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {rankHosts} from '@sapphirefall/decisions';
+import {decodeStoreVersion} from './decode-store-version.ts';
 import type {RequestedTable} from './requested-table.ts';
 import {createTableUpdate} from './create-table-update.ts';
 import {createSourceSelector} from './create-source-selector.ts';
@@ -31,6 +32,8 @@
 	readonly findPeer: (host: string) => FleetPeer | undefined;
 	/** Registers this host in the store. */
 	readonly register: () => Promise<void>;
+	/** Chooses the rows of a table to keep when newer ones arrive, given those that are cached. */
+	readonly chooseRows: Parameters<typeof createTableCache>[0]['chooseRows'];
 	/** Called whenever a cached table is updated. */
 	readonly onTable: (table: StoreTable, cached: CachedTable) => void;
 	/** Lists the latest log positions of the primaries that this host knows. */
@@ -62,6 +65,12 @@
 /** Milliseconds after which a store reader must have recent tables. After that, a host answers requests of other hosts with the tables that it has. */
 const readTimeoutMs = 250;
 
+/** Number of hosts that a starting host asks for rows that the store has lost. */
+const startupSourceCount = 3;
+
+/** Milliseconds for which a starting host waits for these rows. */
+const startupPollTimeoutMs = 400;
+
 type TableRequest = ReadonlyMap<StoreTable, RequestedTable>;
 
 const tables: readonly StoreTable[] = ['configuration', 'fleet', 'instances'];
@@ -76,7 +85,9 @@
 	let hasSynchronized = false;
 	const startedAt = now().steady;
 
-	const cache = createTableCache({onTable: options.onTable, now, log});
+	const cache = createTableCache({
+		chooseRows: options.chooseRows, onTable: options.onTable, now, log,
+	});
 
 	const follower = createStoreFollower({
 		self, store, cache, now, log,
@@ -179,13 +190,25 @@
 			await sleep(bootstrapSettleMs);
 			await readTable('fleet');
 		} else {
-			await Promise.all(tables.map(async table => readTable(table)));
+			await readTable('fleet');
+			await pollForLostRows();
+			await Promise.all([readTable('configuration'), readTable('instances')]);
 			if (isZoneReader()) {
 				follower.start();
 			}
 		}
 	};
 
+	/** Requests the tables from some other hosts first if the store ever came back from an older copy, as they may know rows that it has lost. */
+	const pollForLostRows = async () => {
+		const version = cache.findTable('fleet')?.version ?? 0;
+		if (decodeStoreVersion(version).era > 1) {
+			const others = rankHosts(`start/${self}`, options.listHosts().map(({name}) => name).filter(name => name !== self));
+			const polls = others.slice(0, startupSourceCount).map(async source => poll(source));
+			await Promise.race([Promise.all(polls), sleep(startupPollTimeoutMs)]);
+		}
+	};
+
 	/** Whether other hosts of the zone read from this host. */
 	const isZoneReader = () => {
 		const local = options.listHosts().filter(host => host.zone === options.zone).map(({name}) => name);
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -173,6 +173,7 @@
 		findPeer,
 		isFirstStart: profile.isFirstStart,
 		register: fleetController.register,
+		chooseRows: storeCache.chooseRows,
 		onTable: updateTable,
 		listPositions: () => [...groups.values()].map(group => group.findNewestPosition()).filter(position => position !== undefined),
 		onPositions(positions, from) {
--- a/stand-ins/wire/restored-store.test.ts
+++ b/stand-ins/wire/restored-store.test.ts
@@ -70,6 +70,26 @@
 		expect(await waitForAllHosts('WRITE third', {limit: serviceLimitMs})).to.be.below(serviceLimitMs);
 	});
 
+	// Guards against a withdrawn key coming back, on hosts that knew of it and on one that starts, until operators write again.
+	it('keeps a key withdrawn that the store has forgotten was withdrawn', async () => {
+		const {store} = deployment;
+		await sleep(settleMs);
+		deployment.configure({keys: ['good']});
+		const changedAt = performance.now();
+		expect(await waitForAllHosts('WRITE second', {key: 'other', expected: 'ERROR BADKEY', limit: configurationLimitMs})).to.be.below(configurationLimitMs);
+		await store.restore({lostMs: performance.now() - changedAt + 100, awayMs: 500, rewriteAfterMs: undefined});
+		await deployment.restart(0);
+		const answers = [];
+		for (let round = 0; round < 30; round++) {
+			answers.push(await query(round % 3, 'READ first', {key: 'other'}));
+			await sleep(50);
+		}
+
+		expect(answers.filter(({result}) => result.startsWith('COMPLETE'))).to.deep.equal([]);
+		deployment.configure({keys: ['good']});
+		expect(await waitForAllHosts('WRITE third', {limit: serviceLimitMs})).to.be.below(serviceLimitMs);
+	});
+
 	// Guards against all updates being left out as older until the versions of the store have passed the remembered ones.
 	it('serves callers soon after the return, although the versions of the store are lower than before', async () => {
 		const {store} = deployment;
--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -120,22 +120,31 @@
 
 	configure({keys: ['good', 'other']});
 	writeInstances();
-	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => startHost(index, {...hostOptions, store, cloudPort: (cloudApi.address() as AddressInfo).port})));
+	const start = async (index: number) => startHost(index, {...hostOptions, store, cloudPort: (cloudApi.address() as AddressInfo).port});
+	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => start(index)));
+	const waitUntilReady = async ({name, process: child, readyPort}: WireDeployment['hosts'][number]) => {
+		while (!await isReady(readyPort)) {
+			if (child.exitCode !== null) {
+				throw new Error(`Host "${name}" ended with exit code ${child.exitCode} before it was ready`);
+			}
+
+			await sleep(100);
+		}
+	};
+
 	return {
 		store,
 		instances,
 		hosts,
 		promotions: () => promotions,
 		async waitUntilReady() {
-			for (const {name, process: child, readyPort} of hosts) {
-				while (!await isReady(readyPort)) {
-					if (child.exitCode !== null) {
-						throw new Error(`Host "${name}" ended with exit code ${child.exitCode} before it was ready`);
-					}
-
-					await sleep(100);
-				}
-			}
+			await Promise.all(hosts.map(async host => waitUntilReady(host)));
+		},
+		async restart(index) {
+			hosts[index]?.process.kill('SIGKILL');
+			const host = await start(index);
+			hosts[index] = host;
+			await waitUntilReady(host);
 		},
 		configure,
 		drain(instance) {
--- a/stand-ins/wire/wire-deployment.ts
+++ b/stand-ins/wire/wire-deployment.ts
@@ -23,6 +23,8 @@
 	readonly promotions: () => ReadonlyArray<{readonly id: string; readonly token: number}>;
 	/** Waits until the readiness check of every host succeeds. */
 	readonly waitUntilReady: () => Promise<void>;
+	/** Kills the process of a host, starts it again at other ports, and waits until its readiness check succeeds. */
+	readonly restart: (index: number) => Promise<void>;
 	/** Writes a new version of the configuration, with these keys of callers. */
 	readonly configure: (change: {readonly keys: readonly string[]}) => void;
 	/** Lists an instance as departing, as before planned work, until another one is promoted. */
