Confirm primaries in a module of their own, with a turn for each host

A host's turn to confirm a primary follows its rank among all reachable hosts without a cap, so that a fleet of hundreds does not ask the instances at once 0.8 s after the return.

--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -1,5 +1,5 @@
 import {rankHosts} from '@sapphirefall/decisions';
-import {confirmPrimary} from './confirm-primary.ts';
+import {createPrimaryConfirmation} from './create-primary-confirmation.ts';
 import {createRegistration} from './create-registration.ts';
 import {createSilenceVote} from './create-silence-vote.ts';
 import {bootstrapStaggerMs} from './bootstrap-stagger-ms.ts';
@@ -14,7 +14,6 @@
 import type {HostRow} from './host-row.ts';
 import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import type {Instant} from './instant.ts';
-import type {KnownEra} from './known-era.ts';
 import type {Gateways} from './gateways.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OrderPromotion} from './order-promotion.ts';
@@ -48,7 +47,7 @@
 /** Milliseconds by which each host waits longer than the host ranked before it, so that only one replaces a primary. */
 const rankDelayMs = 200;
 
-/** Highest rank of a host that may resume an abandoned failover, or confirm a primary. */
+/** Highest rank of a host that may resume an abandoned failover. */
 const maxResumeRank = 4;
 
 /** Number of hosts of other zones that check the gateways of a primary once a host of its zone is silent. */
@@ -57,14 +56,6 @@
 /** Milliseconds between two attempts to register, to remove silent hosts, or to store a first primary. */
 const retryIntervalMs = 500;
 
-/** Milliseconds without a primary after which a host no longer waits for instances that do not answer. */
-const overdueMs = 2500;
-
-/** Stands for the row of a group that the store does not have. */
-const missingRow: Versioned<GroupRow> = {
-	version: 0, epoch: 0, state: 'serving', primary: '', successor: '', holder: '', token: 0,
-};
-
 /** Creates the fleet controller of a host; see `FleetController`. */
 export function createFleetController(options: Options): FleetController {
 	const {own, store, now, log} = options;
@@ -73,9 +64,6 @@
 	/** Groups whose primary this host is replacing. */
 	const busyGroups = new Set<string>();
 	let fleet: FleetRows | undefined;
-	let knownEra: KnownEra = {era: 1, since: Number.NEGATIVE_INFINITY};
-	/** Since when the row of each group has been one of an earlier era of the store, in milliseconds of the steady clock. */
-	const restoredSince = new Map<string, number>();
 	/** When the fleet's rows first became known, in milliseconds of the steady clock. */
 	let knownSince = Number.POSITIVE_INFINITY;
 	/** When this host last attempted what it repeats at `retryIntervalMs`, in milliseconds of the steady clock. */
@@ -83,6 +71,7 @@
 
 	const findInstance = (group: string, id: string) => options.listGroups().find(({name}) => name === group)?.findInstance(id);
 	const registration = createRegistration(options);
+	const confirmation = createPrimaryConfirmation({...options, findRank: group => findReachableRank(`confirm/${group}`)});
 	const silenceVote = createSilenceVote({
 		self: own.name, listHosts: () => [...fleet?.hosts.values() ?? []], findInstance, findPeer: options.findPeer, findWorkspace: options.findWorkspace, now: () => now().steady, log,
 	});
@@ -117,12 +106,15 @@
 		hasFailoverLock: hasFailoverLock(),
 	});
 
-	/** Finds this host's rank among those that may resume an abandoned failover, or confirm a primary. */
-	const findResumeRank = (group: string) => {
+	/** Finds this host's rank, for a purpose, among the hosts of its zone and of the zones without a silent host. */
+	const findReachableRank = (purpose: string) => {
 		const reachable = [...fleet?.hosts.values() ?? []].filter(({zone}) => zone === own.zone || !options.gateways.hasSilentHost(zone));
-		return Math.min(maxResumeRank, rankHosts(`resume/${group}`, reachable.map(({name}) => name)).indexOf(own.name));
+		return rankHosts(purpose, reachable.map(({name}) => name)).indexOf(own.name);
 	};
 
+	/** Finds this host's rank among those that may resume an abandoned failover. */
+	const findResumeRank = (group: string) => Math.min(maxResumeRank, findReachableRank(`resume/${group}`));
+
 	const hasFailoverLock = () => busyGroups.size > 0 && [...fleet?.groups.values() ?? []].some(row => row.state === 'fencing' && row.holder === own.name);
 
 	/** Pings the gateways of a primary in another zone of which a host is silent, since the whole zone may be lost. */
@@ -145,28 +137,18 @@
 		});
 	};
 
-	/** Stores the primary of a group again after the store came back from an older copy. */
-	const confirm = async (group: SessionGroup, row: Versioned<GroupRow>, isOverdue: boolean) => {
-		const workspace = options.findWorkspace();
-		if (workspace !== undefined) {
-			await confirmPrimary(row, {
-				group, self: own.name, incarnation: own.incarnation, era: knownEra.era, isOverdue, store, workspace, log,
-			});
-		}
-	};
-
 	/**
 	 * Stores the primary of a group that has no row. Once the store has come back from an older copy, the platform's list may
 	 * name a primary that was replaced since, so the instances are asked.
 	 */
 	const stepMissingGroup = (group: SessionGroup) => {
-		const waited = now().steady - Math.max(knownSince, knownEra.since);
-		if (knownEra.era === 1) {
-			if (waited > findBootstrapDelay(group.name)) {
+		const since = Math.max(knownSince, confirmation.findEra().since);
+		if (confirmation.findEra().era === 1) {
+			if (now().steady - since > findBootstrapDelay(group.name)) {
 				void commitFirstPrimary(group.name);
 			}
-		} else if (!busyGroups.has(group.name) && waited >= findResumeRank(group.name) * rankDelayMs) {
-			runExclusive(group.name, confirm(group, missingRow, waited > overdueMs));
+		} else if (!busyGroups.has(group.name) && confirmation.isDue(group.name, since)) {
+			runExclusive(group.name, confirmation.confirmMissing(group, since));
 		}
 	};
 
@@ -187,7 +169,7 @@
 			epoch,
 			fencedAt: group.fencedAt(),
 			mayHaveMissedPromotion: isFromEarlierEra(row) && (group.knownEpoch() ?? Number.POSITIVE_INFINITY) > epoch,
-			findEra: () => knownEra,
+			findEra: confirmation.findEra,
 			self: own.name,
 			incarnation: own.incarnation,
 			store,
@@ -200,19 +182,6 @@
 		});
 	};
 
-	/** Finds since when the row of a group has been one of an earlier era of the store; undefined if it is not. */
-	const findRestoredSince = (group: string, row: Versioned<GroupRow>) => {
-		if (!isFromEarlierEra(row)) {
-			restoredSince.delete(group);
-			return undefined;
-		}
-
-		// After another return of the store, the hosts start to confirm anew.
-		const since = Math.max(restoredSince.get(group) ?? now().steady, knownEra.since);
-		restoredSince.set(group, since);
-		return since;
-	};
-
 	const stepGroup = (group: SessionGroup) => {
 		const row = fleet?.groups.get(group.name);
 		if (row === undefined || busyGroups.has(group.name)) {
@@ -226,10 +195,10 @@
 		}
 
 		const at = now().steady;
-		const since = findRestoredSince(group.name, row);
+		const restoredSince = confirmation.findRestoredSince(group.name, row);
 		const reason = findFailoverReason({
 			row,
-			restoredSince: since,
+			restoredSince,
 			isDeparting: listed?.isDeparting ?? false,
 			missingSince: group.missingSince(row.primary),
 			health: instance?.health(),
@@ -242,8 +211,8 @@
 		const previous = reasonSince.get(group.name);
 		if (reason === undefined) {
 			reasonSince.delete(group.name);
-			if (since !== undefined && at - since >= findResumeRank(group.name) * rankDelayMs) {
-				runExclusive(group.name, confirm(group, row, false));
+			if (restoredSince !== undefined && confirmation.isDue(group.name, restoredSince)) {
+				runExclusive(group.name, confirmation.confirm(group, row));
 			}
 
 			return;
@@ -262,12 +231,9 @@
 	return {
 		updateFleet(newer) {
 			knownSince = Math.min(knownSince, now().steady);
-			if (newer.era > knownEra.era) {
-				knownEra = {era: newer.era, since: now().steady};
-			}
-
 			fleet = newer;
 			registration.updateFleet(newer);
+			confirmation.updateFleet(newer);
 		},
 		step() {
 			const at = now().steady;
