Confirm a primary first after the return of the store, also by what a host knew

Cause: reasons to replace a primary were looked for on the restored row before its primary was confirmed, and without a silent instance only the stored primary could be confirmed, not the one that hosts knew of. The wait before a promotion in a young era took the longest lease of any version. Change: for 1 s hosts only try to confirm. The leader is confirmed as well if it is the primary, or the ordered successor, of the newest row that the host knew, and no later epoch was heard of. The wait follows the leases that hosts register. Failed before: 'confirms the primary that a host read before the store lost it' and 'confirms the successor of a failover that a host knew of'.

--- a/packages/sessions/confirm-primary.ts
+++ b/packages/sessions/confirm-primary.ts
@@ -39,12 +39,12 @@
 }: Options): Promise<void> {
 	const statuses = new Map(await Promise.all(group.listInstances().map(async instance =>
 		[instance.listed().id, await readStatus(instance, {workspace, timeout: statusTimeoutMs})] as const)));
-	const knownEpoch = group.knownEpoch();
+	const known = group.known();
 	const primary = findConfirmedLeader({
-		row, statuses, knownEpoch, isOverdue,
+		row, statuses, known, isOverdue,
 	});
 	const fields = {
-		group: group.name, stored: row.primary, state: row.state, epoch: row.epoch, knownEpoch, answered: [...statuses.values()].filter(status => status !== undefined).length, primary,
+		group: group.name, stored: row.primary, state: row.state, epoch: row.epoch, knownEpoch: known?.epoch, knownPrimary: known?.row.primary, answered: [...statuses.values()].filter(status => status !== undefined).length, primary,
 	};
 	if (primary === undefined) {
 		log.warn(fields, 'group: The primary is not certain after the store came back from an older copy.');
--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -56,6 +56,9 @@
 /** Milliseconds between two attempts to register, to remove silent hosts, or to store a first primary. */
 const retryIntervalMs = 500;
 
+/** Milliseconds for which hosts only try to confirm a primary after the store came back from an older copy. */
+const confirmFirstMs = 1000;
+
 /** Creates the fleet controller of a host; see `FleetController`. */
 export function createFleetController(options: Options): FleetController {
 	const {own, store, now, log} = options;
@@ -168,7 +171,7 @@
 			reason,
 			epoch,
 			fencedAt: group.fencedAt(),
-			mayHaveMissedPromotion: isFromEarlierEra(row) && (group.knownEpoch() ?? Number.POSITIVE_INFINITY) > epoch,
+			mayHaveMissedPromotion: isFromEarlierEra(row) && (group.known()?.epoch ?? Number.POSITIVE_INFINITY) > epoch,
 			findEra: confirmation.findEra,
 			self: own.name,
 			incarnation: own.incarnation,
@@ -196,6 +199,18 @@
 
 		const at = now().steady;
 		const restoredSince = confirmation.findRestoredSince(group.name, row);
+		const stepRestored = () => {
+			if (restoredSince !== undefined && confirmation.isDue(group.name, restoredSince)) {
+				runExclusive(group.name, confirmation.confirm(group, row));
+			}
+		};
+
+		// A primary that seems lost may have been replaced in seconds that the store has lost.
+		if (restoredSince !== undefined && at - restoredSince < confirmFirstMs) {
+			stepRestored();
+			return;
+		}
+
 		const reason = findFailoverReason({
 			row,
 			restoredSince,
@@ -211,10 +226,7 @@
 		const previous = reasonSince.get(group.name);
 		if (reason === undefined) {
 			reasonSince.delete(group.name);
-			if (restoredSince !== undefined && confirmation.isDue(group.name, restoredSince)) {
-				runExclusive(group.name, confirmation.confirm(group, row));
-			}
-
+			stepRestored();
 			return;
 		}
 
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -11,6 +11,7 @@
 import type {Instant} from './instant.ts';
 import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import {isPositionSampleDue} from './is-position-sample-due.ts';
+import type {KnownGroup} from './known-group.ts';
 import type {OpenConnection} from './open-connection.ts';
 import type {PositionSample} from './position-sample.ts';
 import type {PrimaryView} from './primary-view.ts';
@@ -59,8 +60,8 @@
 	 * if the row that it knows still names one.
 	 */
 	let fencedEpoch = 0;
-	/** Highest epoch known before the present era of the store; see `SessionGroup`. */
-	let knownEpoch: number | undefined;
+	/** What was known before the present era of the store; see `SessionGroup`. */
+	let known: KnownGroup | undefined;
 	let isRegistered = false;
 	let samples: readonly PositionSample[] = [];
 	/** Whether a position query is in flight. */
@@ -87,7 +88,7 @@
 		}
 
 		if (row !== undefined && decodeStoreVersion(newer.version).era > decodeStoreVersion(row.version).era) {
-			knownEpoch = Math.max(row.epoch, fencedEpoch);
+			known = {row, epoch: Math.max(row.epoch, fencedEpoch)};
 		}
 
 		if (newer.epoch !== row?.epoch || newer.state !== row.state) {
@@ -199,7 +200,7 @@
 				notifyWaiters();
 			}
 		},
-		knownEpoch: () => knownEpoch,
+		known: () => known,
 		fence(epoch) {
 			if (epoch > fencedEpoch) {
 				fencedEpoch = epoch;
--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -9,6 +9,7 @@
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {InstanceStatus} from './instance-status.ts';
 import {commitGroupRow} from './commit-group-row.ts';
+import {leaseDurationMs} from './lease-duration-ms.ts';
 import {readStatus} from './read-status.ts';
 import type {Failover} from './failover.ts';
 import type {Versioned} from './versioned.ts';
@@ -82,8 +83,7 @@
 			row = outcome;
 		}
 
-		// Hosts that registered in seconds that the store has lost may hold leases of the era before.
-		await sleep(Math.max(0, findFenceRemaining({at: failover.findEra().since, pending: [{}]}, now().steady)));
+		await waitForEarlierEra(failover);
 		const taken = await orderPromotion({
 			group: group.name, instance: successor.id, holder: self, token: row.token,
 		});
@@ -101,6 +101,12 @@
 	return undefined;
 }
 
+/** Waits until leases of the era before have expired that hosts may hold whose registration the store has lost. */
+async function waitForEarlierEra({findEra, listRecentHosts, now}: Failover): Promise<void> {
+	const pending = [{leaseMs: leaseDurationMs}, ...listRecentHosts()];
+	await sleep(Math.max(0, findFenceRemaining({at: findEra().since, pending}, now().steady)));
+}
+
 type Answer = {readonly id: string; readonly status: InstanceStatus; readonly isDeparting: boolean};
 
 /**
--- a/packages/sessions/find-confirmed-leader.ts
+++ b/packages/sessions/find-confirmed-leader.ts
@@ -1,4 +1,5 @@
 import type {GroupRow} from './group-row.ts';
+import type {KnownGroup} from './known-group.ts';
 import type {InstanceStatus} from './instance-status.ts';
 
 type Options = {
@@ -6,8 +7,8 @@
 	readonly row: GroupRow;
 	/** Status of each of the group's instances by id; undefined for one that did not answer. */
 	readonly statuses: ReadonlyMap<string, InstanceStatus | undefined>;
-	/** Highest epoch that this host knew before the present era; undefined if it did not know the group then. */
-	readonly knownEpoch: number | undefined;
+	/** What this host knew of the group before the present era; undefined if it did not know it. */
+	readonly known: KnownGroup | undefined;
 	/** Whether the leader of those that answer is taken, because the group has had no primary for long and no host knows better. */
 	readonly isOverdue: boolean;
 };
@@ -17,18 +18,26 @@
  * the lost seconds.
  *
  * Each promotion begins a new term, so the leader of the newest term is the primary if all instances answered. If some did
- * not, one of them may lead a newer term. The stored primary is then confirmed only by a host that knew the group before
- * and never heard of a later epoch: a host that replaces a primary tells all others the new epoch before it promotes one.
+ * not, one of them may lead a newer term. The leader is then confirmed only by a host that knew the group before, and if it
+ * is the primary of the newest row that the host or the store knows, or the successor of a failover: a host that replaces a
+ * primary tells all others the new epoch before it promotes one, so a host that never heard of a later epoch missed none.
  *
  * @returns Undefined if the primary is not certain.
  */
 export function findConfirmedLeader({
-	row, statuses, knownEpoch, isOverdue,
+	row, statuses, known, isOverdue,
 }: Options): string | undefined {
 	const answered = [...statuses].flatMap(([id, status]) => status === undefined ? [] : [{id, ...status}]);
 	const newestTerm = Math.max(...answered.map(({term}) => term));
 	const leader = answered.find(({role, term}) => role === 'primary' && term === newestTerm)?.id;
 	const isComplete = answered.length === statuses.size;
-	const hasMissedNone = row.state === 'serving' && knownEpoch !== undefined && knownEpoch <= row.epoch;
-	return isComplete || isOverdue || (hasMissedNone && leader === row.primary) ? leader : undefined;
+	const newest = known !== undefined && isLater(known.row, row) ? known.row : row;
+	const hasMissedNone = known !== undefined && known.epoch <= newest.epoch;
+	const expected = newest.state === 'serving' ? newest.primary : newest.successor;
+	return isComplete || isOverdue || (hasMissedNone && leader === expected) ? leader : undefined;
+}
+
+/** Whether a row was written after another one; a failover ends under the epoch of its fence. */
+function isLater(row: GroupRow, other: GroupRow): boolean {
+	return row.epoch > other.epoch || (row.epoch === other.epoch && other.state === 'fencing');
 }
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -110,6 +110,7 @@
 export type * from './job-runner.ts';
 export type * from './job-spans.ts';
 export type * from './known-era.ts';
+export type * from './known-group.ts';
 export type * from './last-write.ts';
 export type * from './listed-instance.ts';
 export type * from './log-line-budget.ts';
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -3,6 +3,7 @@
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {Instant} from './instant.ts';
+import type {KnownGroup} from './known-group.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {PrimaryPosition} from './primary-position.ts';
 import type {PrimaryView} from './primary-view.ts';
@@ -18,8 +19,8 @@
 	readonly updateRow: (row: Versioned<GroupRow> | undefined, confirmedAt: Instant) => void;
 	/** Sets whether this host is registered in the store; while it is not, no primary may be used. */
 	readonly setRegistered: (isRegistered: boolean) => void;
-	/** Highest epoch that this host knew before the present era of the store; undefined if it did not know the group then. */
-	readonly knownEpoch: () => number | undefined;
+	/** What this host knew of the group before the present era of the store; undefined if it did not know it. */
+	readonly known: () => KnownGroup | undefined;
 	/** Stops using the primary of every epoch before this one at once, because it is being replaced. */
 	readonly fence: (epoch: number) => void;
 	/** When this host learned that the primary is being replaced, in milliseconds of the steady clock; undefined if it is not. */
