Let hosts of the wire tests listen below the ephemeral ports

Cause: the stand-in chose ports that the system also gives to outgoing connections, of which a soak opens hundreds between the check and the listening of a restarted host.

--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -3,12 +3,13 @@
 import {spawn} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {createServer as createHttpServer} from 'node:http';
-import {createServer, type AddressInfo, type Server} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {text} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {findFreePort} from '../cluster/find-free-port.ts';
 import type {InstanceStandIn} from './instance-stand-in.ts';
 import type {LogEntry} from './log-entry.ts';
 import {startInstanceStandIn} from './start-instance-stand-in.ts';
@@ -34,6 +35,9 @@
 	readonly cloudPort: number;
 };
 
+/** Ports of a host: for sessions of callers, for the readiness check, and the first one of its range. */
+type HostPorts = {readonly callers: number; readonly readiness: number; readonly hosts: number};
+
 const defaultCheckout = path.join(import.meta.dirname, '../..');
 const zones = ['a', 'b', 'c'];
 const group = 'pondbook';
@@ -198,8 +202,7 @@
 	store, cloudPort, checkout = defaultCheckout, nodeArguments = [], isFirstStart = false,
 }: HostOptions): Promise<WireDeployment['hosts'][number]> {
 	const name = `host-${index + 1}`;
-	const [port, readyPort] = await Promise.all([findFreePorts(1), findFreePorts(1)]);
-	const hostPort = await findFreePorts(hostPortCount);
+	const {callers: port, readiness: readyPort, hosts: hostPort} = await findHostPorts();
 	const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'sapphirefall-wire-')), 'local.conf');
 	writeFileSync(file, `node_name=${name}
 ip=127.0.0.1
@@ -229,30 +232,33 @@
 	};
 }
 
+/** Settles once the ports of the host before are found; hosts that start together would otherwise take each other's next port. */
+let portsFound: Promise<unknown> = Promise.resolve();
+
+/** Finds the free ports of a host. */
+async function findHostPorts(): Promise<HostPorts> {
+	const before = portsFound;
+	const ports = (async () => {
+		await before;
+		return {callers: await findFreePort(), readiness: await findFreePort(), hosts: await findFreePorts(hostPortCount)};
+	})();
+	portsFound = ports;
+	return ports;
+}
+
 /** Finds the first of `count` consecutive ports that are free now. */
 async function findFreePorts(count: number): Promise<number> {
 	for (;;) {
-		const first = await listen(0);
-		const {port} = first.address() as AddressInfo;
-		const others = await Promise.allSettled(Array.from({length: count - 1}, async (_, index) => listen(port + index + 1)));
-		const servers = [first, ...others.filter(({status}) => status === 'fulfilled').map(other => (other as PromiseFulfilledResult<Server>).value)];
-		await Promise.all(servers.map(async server => new Promise(resolve => {
-			server.close(resolve);
-		})));
-		if (servers.length === count) {
-			return port;
+		const first = await findFreePort();
+		let last = first;
+		while (last - first < count - 1 && await findFreePort() === last + 1) {
+			last++;
 		}
-	}
-}
 
-/** Listens on a port of the loopback interface; rejects if the port is taken. */
-async function listen(port: number): Promise<Server> {
-	return new Promise((resolve, reject) => {
-		const server = createServer().once('error', reject);
-		server.listen(port, '127.0.0.1', () => {
-			resolve(server);
-		});
-	});
+		if (last - first === count - 1) {
+			return first;
+		}
+	}
 }
 
 async function isReady(port: number): Promise<boolean> {
