Look at the instances again after the wait for leases of an earlier era

A failover in a young era waited up to 2 s between storing the successor and ordering its promotion; the store could come back older once more meanwhile, and the order would follow a row that no longer counts. Found by reading the change; no run showed it. The wait comes before the choice now, which begins anew after it. Tests: the two of replacePrimary that wait.

--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -74,6 +74,12 @@
 			continue;
 		}
 
+		const remaining = findEarlierEraRemaining(failover);
+		if (remaining > 0) {
+			await sleep(remaining);
+			continue;
+		}
+
 		if (row.successor !== successor.id) {
 			const outcome = await commitGroupRow(row, {...row, successor: successor.id}, failover);
 			if (outcome === undefined) {
@@ -83,7 +89,6 @@
 			row = outcome;
 		}
 
-		await waitForEarlierEra(failover);
 		const taken = await orderPromotion({
 			group: group.name, instance: successor.id, holder: self, token: row.token,
 		});
@@ -101,10 +106,13 @@
 	return undefined;
 }
 
-/** Waits until leases of the era before have expired that hosts may hold whose registration the store has lost. */
-async function waitForEarlierEra({findEra, listRecentHosts, now}: Failover): Promise<void> {
+/**
+ * Finds the milliseconds until leases of the era before have expired that hosts may hold whose registration the store has
+ * lost; 0 or less when they have.
+ */
+function findEarlierEraRemaining({findEra, listRecentHosts, now}: Failover): number {
 	const pending = [{leaseMs: leaseDurationMs}, ...listRecentHosts()];
-	await sleep(Math.max(0, findFenceRemaining({at: findEra().since, pending}, now().steady)));
+	return findFenceRemaining({at: findEra().since, pending}, now().steady);
 }
 
 type Answer = {readonly id: string; readonly status: InstanceStatus; readonly isDeparting: boolean};
