Count leases on a restored row from the beginning of the era

Cause: the wait for leases counted from the fence, though a row of an earlier era has granted none since this host knows the present one. Change: it counts from then. Failed before: 'counts leases from the beginning of the era of the store'.

--- a/packages/sessions/commit-fence.test.ts
+++ b/packages/sessions/commit-fence.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {commitFence} from './commit-fence.ts';
+import {encodeStoreVersion} from './encode-store-version.ts';
 import type {Failover} from './failover.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {GroupRow} from './group-row.ts';
@@ -19,15 +20,19 @@
 	readonly between?: Readonly<Record<string, unknown>>;
 	/** Whether the answers to commits are lost. */
 	readonly isLosing?: boolean;
+	/** Era of the store. */
+	readonly era?: number;
 };
 
 /** Creates a store with one group and the failover lock of another host that no longer uses it. */
-function createStore({row, between = {}, isLosing = false}: Plan) {
+function createStore({
+	row, between = {}, isLosing = false, era = 1,
+}: Plan) {
+	let version = encodeStoreVersion({era, counter: 2});
 	const rows = new Map([
-		[groupKey, {value: JSON.stringify(row), version: 1}],
-		[fleetKeys.failoverLock, {value: JSON.stringify({holder: 'c1', token: 3}), version: 2}],
+		[groupKey, {value: JSON.stringify(row), version: version - 1}],
+		[fleetKeys.failoverLock, {value: JSON.stringify({holder: 'c1', token: 3}), version}],
 	]);
-	let version = 2;
 	let commits = 0;
 	const write = (key: string, value: string) => {
 		version++;
@@ -111,6 +116,10 @@
 		{
 			name: 'does not resume a failover that another host has resumed already', plan: {row: {...fencedByLostProcess, epoch: 5, holder: 'b1'}}, failover: {reason: 'abandoned', fencedAt: performance.now()}, isFenced: false, row: {epoch: 5, holder: 'b1'},
 		},
+		{
+			// Guards against an epoch or fencing token being given out twice, as the store names older ones after its return.
+			name: 'takes an epoch and a token above all that an earlier era can have given out', plan: {row: serving, era: 2}, isFenced: true, row: {epoch: 1_000_001, token: 1_000_001},
+		},
 		{
 			name: 'finds its fence though the answer to the commit is lost', plan: {row: serving, isLosing: true}, isFenced: true, row: {epoch: 5, state: 'fencing', holder: 'a1'},
 		},
@@ -128,6 +137,11 @@
 		expect(leasesCountFrom).to.be.within(-1600, -1400);
 	});
 
+	it('counts leases from the beginning of the era of the store, if the row is from an earlier one', async () => {
+		const {leasesCountFrom} = await fence({row: serving, era: 2}, {findEra: () => ({era: 2, since: performance.now() - 1500})});
+		expect(leasesCountFrom).to.be.within(-1600, -1400);
+	});
+
 	it('does not count leases from an older fence', async () => {
 		const {leasesCountFrom} = await fence({row: serving}, {fencedAt: performance.now() - 1500});
 		expect(leasesCountFrom).to.be.at.least(0);
--- a/packages/sessions/commit-fence.ts
+++ b/packages/sessions/commit-fence.ts
@@ -68,9 +68,14 @@
 
 /**
  * Finds since when no host has got a lease on the primary, in milliseconds of the steady clock. While an earlier failover
- * left the row fenced, that is since this host first saw that fence.
+ * left the row fenced, that is since this host first saw that fence. A row of an earlier era of the store has granted none
+ * since this host knows the present one.
  */
-function findFenceTime(row: GroupRow, {epoch, fencedAt}: Failover, committedAt: Instant): number {
+function findFenceTime(row: Versioned<GroupRow>, {epoch, fencedAt, findEra}: Failover, committedAt: Instant): number {
+	if (isFromEarlierEra(row)) {
+		return Math.min(findEra().since, committedAt.steady);
+	}
+
 	return row.state === 'fencing' && row.epoch === epoch ? Math.min(fencedAt ?? committedAt.steady, committedAt.steady) : committedAt.steady;
 }
 
