Wait for a promotion that may still take effect before a primary is confirmed

Callers could see: writes acknowledged by an old primary after another was promoted, if the store came back within the second that a promotion takes. Cause: the status of all instances counted as certain, also while a failover of the era before had ordered a promotion. Change: for 1.5 s it counts only if no later epoch was heard of and the newest known row is not one of a failover. A host also goes by the row that it read when the store has none any more. Tests: the three cases 'waits for ...' of findConfirmedLeader and 'knows the row that it read before the store lost it'; not run against the code before, which lacks their options.

--- a/packages/sessions/confirm-primary.ts
+++ b/packages/sessions/confirm-primary.ts
@@ -16,6 +16,8 @@
 	readonly incarnation: number;
 	/** Present era of the store. */
 	readonly era: number;
+	/** Whether promotions of the era before have taken effect; see `findConfirmedLeader`. */
+	readonly isSettled: boolean;
 	/** Whether the group has had no primary for long; see `findConfirmedLeader`. */
 	readonly isOverdue: boolean;
 	readonly store: Store;
@@ -35,13 +37,13 @@
  * same primary, or on one that was fenced before the present one was promoted.
  */
 export async function confirmPrimary({version, ...row}: Versioned<GroupRow>, {
-	group, self, incarnation, era, isOverdue, store, workspace, log,
+	group, self, incarnation, era, isSettled, isOverdue, store, workspace, log,
 }: Options): Promise<void> {
 	const statuses = new Map(await Promise.all(group.listInstances().map(async instance =>
 		[instance.listed().id, await readStatus(instance, {workspace, timeout: statusTimeoutMs})] as const)));
-	const known = group.known();
+	const known = group.known(era);
 	const primary = findConfirmedLeader({
-		row, statuses, known, isOverdue,
+		row, statuses, known, isSettled, isOverdue,
 	});
 	const fields = {
 		group: group.name, stored: row.primary, state: row.state, epoch: row.epoch, knownEpoch: known?.epoch, knownPrimary: known?.row.primary, answered: [...statuses.values()].filter(status => status !== undefined).length, primary,
--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -171,7 +171,7 @@
 			reason,
 			epoch,
 			fencedAt: group.fencedAt(),
-			mayHaveMissedPromotion: isFromEarlierEra(row) && (group.known()?.epoch ?? Number.POSITIVE_INFINITY) > epoch,
+			mayHaveMissedPromotion: isFromEarlierEra(row) && (group.known(confirmation.findEra().era)?.epoch ?? Number.POSITIVE_INFINITY) > epoch,
 			findEra: confirmation.findEra,
 			self: own.name,
 			incarnation: own.incarnation,
--- a/packages/sessions/create-primary-confirmation.ts
+++ b/packages/sessions/create-primary-confirmation.ts
@@ -39,6 +39,9 @@
 /** Milliseconds by which each host waits longer than the host ranked before it, so that only one confirms a primary. */
 const rankDelayMs = 200;
 
+/** Milliseconds after which a promotion that was ordered before the present era has taken effect. */
+const promotionLimitMs = 1500;
+
 /** Milliseconds without a primary after which a host no longer waits for instances that do not answer. */
 const overdueMs = 2500;
 
@@ -58,7 +61,7 @@
 		const workspace = findWorkspace();
 		if (workspace !== undefined) {
 			await confirmPrimary(row, {
-				group, self: own.name, incarnation: own.incarnation, era: knownEra.era, isOverdue, store, workspace, log,
+				group, self: own.name, incarnation: own.incarnation, era: knownEra.era, isSettled: now().steady - knownEra.since > promotionLimitMs, isOverdue, store, workspace, log,
 			});
 		}
 	};
--- a/packages/sessions/create-session-group.test.ts
+++ b/packages/sessions/create-session-group.test.ts
@@ -59,6 +59,13 @@
 		expect(findState()).to.equal('i-b');
 	});
 
+	it('knows the row that it read before the store lost it', () => {
+		const {group, read} = createGroup();
+		read(serving, 1, 40);
+		expect(group.known(1)).to.equal(undefined);
+		expect(group.known(2)?.row.primary).to.equal('i-a');
+	});
+
 	const cases = [
 		{
 			name: 'no epoch if it did not know the group', rows: [], fence: undefined, expected: undefined,
@@ -79,7 +86,7 @@
 
 			group.fence(fence ?? 0);
 			read(serving, 2, 38);
-			expect(group.known()?.epoch).to.equal(expected);
+			expect(group.known(2)?.epoch).to.equal(expected);
 		});
 	}
 });
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -60,7 +60,7 @@
 	 * if the row that it knows still names one.
 	 */
 	let fencedEpoch = 0;
-	/** What was known before the present era of the store; see `SessionGroup`. */
+	/** What was known before the era of the store in which the row was read; see `SessionGroup`. */
 	let known: KnownGroup | undefined;
 	let isRegistered = false;
 	let samples: readonly PositionSample[] = [];
@@ -82,13 +82,15 @@
 		}
 	};
 
+	const findKnown = (last: GroupRow): KnownGroup => ({row: last, epoch: Math.max(last.epoch, fencedEpoch)});
+
 	const updateRow: SessionGroup['updateRow'] = (newer, newerConfirmedAt) => {
 		if (newer === undefined || (row !== undefined && newer.version < row.version)) {
 			return;
 		}
 
 		if (row !== undefined && decodeStoreVersion(newer.version).era > decodeStoreVersion(row.version).era) {
-			known = {row, epoch: Math.max(row.epoch, fencedEpoch)};
+			known = findKnown(row);
 		}
 
 		if (newer.epoch !== row?.epoch || newer.state !== row.state) {
@@ -200,7 +202,7 @@
 				notifyWaiters();
 			}
 		},
-		known: () => known,
+		known: era => row !== undefined && decodeStoreVersion(row.version).era < era ? findKnown(row) : known,
 		fence(epoch) {
 			if (epoch > fencedEpoch) {
 				fencedEpoch = epoch;
--- a/packages/sessions/find-confirmed-leader.test.ts
+++ b/packages/sessions/find-confirmed-leader.test.ts
@@ -10,7 +10,7 @@
 const fencing: GroupRow = {...row, state: 'fencing'};
 
 describe('findConfirmedLeader', () => {
-	const cases: ReadonlyArray<{readonly name: string; readonly row?: GroupRow; readonly statuses: ReadonlyArray<string | undefined>; readonly known: KnownGroup | undefined; readonly isOverdue?: boolean; readonly expected: string | undefined}> = [
+	const cases: ReadonlyArray<{readonly name: string; readonly row?: GroupRow; readonly statuses: ReadonlyArray<string | undefined>; readonly known: KnownGroup | undefined; readonly isSettled?: boolean; readonly isOverdue?: boolean; readonly expected: string | undefined}> = [
 		{
 			name: 'confirms the stored primary if all instances answer', statuses: ['primary 3 3.7', 'replica 3 3.7', 'replica 3 3.6'], known: undefined, expected: 'i-a',
 		},
@@ -47,6 +47,19 @@
 		{
 			name: 'confirms the primary with which a host saw the failover end that the store still has', row: fencing, statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], known: {row, epoch: 4}, expected: 'i-a',
 		},
+		{
+			name: 'confirms the stored primary at once if all instances answer and no later epoch was heard of', statuses: ['primary 3 3.7', 'replica 3 3.7', 'replica 3 3.6'], known: {row, epoch: 4}, isSettled: false, expected: 'i-a',
+		},
+		// Guards against confirming the old primary while a promotion that was ordered before the return of the store takes effect.
+		{
+			name: 'waits for the promotion of a failover that it heard of', statuses: ['primary 3 3.7', 'replica 3 3.7', 'replica 3 3.6'], known: {row, epoch: 5}, isSettled: false, expected: undefined,
+		},
+		{
+			name: 'waits for a promotion that it may not have heard of, as it has just started', statuses: ['primary 3 3.7', 'replica 3 3.7', 'replica 3 3.6'], known: undefined, isSettled: false, expected: undefined,
+		},
+		{
+			name: 'waits for the successor of a failover whose promotion takes effect', statuses: ['primary 3 3.7', 'replica 3 3.7', 'replica 3 3.6'], known: {row: {...fencing, epoch: 5, successor: 'i-b'}, epoch: 5}, isSettled: false, expected: undefined,
+		},
 		{
 			name: 'takes the leader of those that answer when the group has had no primary for long', statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], known: undefined, isOverdue: true, expected: 'i-a',
 		},
@@ -58,12 +71,12 @@
 		},
 	];
 	for (const {
-		name, row: stored = row, statuses, known, isOverdue = false, expected,
+		name, row: stored = row, statuses, known, isSettled = true, isOverdue = false, expected,
 	} of cases) {
 		it(name, () => {
 			const ids = ['i-a', 'i-b', 'i-c'];
 			expect(findConfirmedLeader({
-				row: stored, statuses: new Map(ids.map((id, index) => [id, parseStatus(statuses[index] ?? '')])), known, isOverdue,
+				row: stored, statuses: new Map(ids.map((id, index) => [id, parseStatus(statuses[index] ?? '')])), known, isSettled, isOverdue,
 			})).to.equal(expected);
 		});
 	}
--- a/packages/sessions/find-confirmed-leader.ts
+++ b/packages/sessions/find-confirmed-leader.ts
@@ -9,6 +9,8 @@
 	readonly statuses: ReadonlyMap<string, InstanceStatus | undefined>;
 	/** What this host knew of the group before the present era; undefined if it did not know it. */
 	readonly known: KnownGroup | undefined;
+	/** Whether a promotion that was ordered before the present era has taken effect by now. */
+	readonly isSettled: boolean;
 	/** Whether the leader of those that answer is taken, because the group has had no primary for long and no host knows better. */
 	readonly isOverdue: boolean;
 };
@@ -18,14 +20,15 @@
  * the lost seconds.
  *
  * Each promotion begins a new term, so the leader of the newest term is the primary if all instances answered. If some did
- * not, one of them may lead a newer term. The leader is then confirmed only by a host that knew the group before, and if it
+ * not, one of them may lead a newer term; and while a failover runs that the host knows of or may not know of, its promotion
+ * may still take effect. The leader is then confirmed only by a host that knew the group before, and if it
  * is the primary of the newest row that the host or the store knows, or the successor of a failover: a host that replaces a
  * primary tells all others the new epoch before it promotes one, so a host that never heard of a later epoch missed none.
  *
  * @returns Undefined if the primary is not certain.
  */
 export function findConfirmedLeader({
-	row, statuses, known, isOverdue,
+	row, statuses, known, isSettled, isOverdue,
 }: Options): string | undefined {
 	const answered = [...statuses].flatMap(([id, status]) => status === undefined ? [] : [{id, ...status}]);
 	const newestTerm = Math.max(...answered.map(({term}) => term));
@@ -34,7 +37,8 @@
 	const newest = known !== undefined && isLater(known.row, row) ? known.row : row;
 	const hasMissedNone = known !== undefined && known.epoch <= newest.epoch;
 	const expected = newest.state === 'serving' ? newest.primary : newest.successor;
-	return isComplete || isOverdue || (hasMissedNone && leader === expected) ? leader : undefined;
+	const isStable = isSettled || (hasMissedNone && newest.state === 'serving');
+	return isOverdue || (isComplete && isStable) || (hasMissedNone && leader === expected) ? leader : undefined;
 }
 
 /** Whether a row was written after another one; a failover ends under the epoch of its fence. */
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -20,7 +20,7 @@
 	/** Sets whether this host is registered in the store; while it is not, no primary may be used. */
 	readonly setRegistered: (isRegistered: boolean) => void;
 	/** What this host knew of the group before the present era of the store; undefined if it did not know it. */
-	readonly known: () => KnownGroup | undefined;
+	readonly known: (era: number) => KnownGroup | undefined;
 	/** Stops using the primary of every epoch before this one at once, because it is being replaced. */
 	readonly fence: (epoch: number) => void;
 	/** When this host learned that the primary is being replaced, in milliseconds of the steady clock; undefined if it is not. */
