--- a/packages/sessions/confirm-primary.ts
+++ b/packages/sessions/commit-confirmed-primary.ts
@@ -36,7 +36,7 @@
  * No promotion is ordered, so neither the failover lock nor a fence is needed: a lease that a host still holds is on the
  * same primary, or on one that was fenced before the present one was promoted.
  */
-export async function confirmPrimary({version, ...row}: Versioned<GroupRow>, {
+export async function commitConfirmedPrimary({version, ...row}: Versioned<GroupRow>, {
 	group, self, incarnation, era, isSettled, isOverdue, store, workspace, log,
 }: Options): Promise<void> {
 	const statuses = new Map(await Promise.all(group.listInstances().map(async instance =>
--- a/packages/sessions/create-primary-confirmation.ts
+++ b/packages/sessions/create-primary-confirmation.ts
@@ -1,4 +1,4 @@
-import {confirmPrimary} from './confirm-primary.ts';
+import {commitConfirmedPrimary} from './commit-confirmed-primary.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {GroupRow} from './group-row.ts';
 import type {HostRow} from './host-row.ts';
@@ -22,7 +22,7 @@
 	readonly log: SessionLog;
 };
 
-/** Confirmation of the groups' primaries after the store has come back from an older copy; see `confirmPrimary`. */
+/** Confirmation of the groups' primaries after the store has come back from an older copy; see `commitConfirmedPrimary`. */
 type PrimaryConfirmation = {
 	readonly updateFleet: (fleet: FleetRows) => void;
 	readonly findEra: () => KnownEra;
@@ -60,7 +60,7 @@
 	const confirm = async (group: SessionGroup, row: Versioned<GroupRow>, isOverdue: boolean) => {
 		const workspace = findWorkspace();
 		if (workspace !== undefined) {
-			await confirmPrimary(row, {
+			await commitConfirmedPrimary(row, {
 				group, self: own.name, incarnation: own.incarnation, era: knownEra.era, isSettled: now().steady - knownEra.since > promotionLimitMs, isOverdue, store, workspace, log,
 			});
 		}
