Read from instances that answer before those that are only listed

What callers saw: reads on routes that replicas may serve were answered BUSY, "No instance can serve the read", while the primary and two replicas answered.

Cause, by the steps in the log lines of such reads: an instance that the host had never heard of was ranked like one that answers, so a read used up its six attempts on entries at which nobody listens, and each such entry was tried again every 1.5 s.

Change: an instance that has not answered, or has failed since, costs more than the others (`isProven`). Once in 250 ms one of them may be first: one that was never tried, the one in use for longest before others, else the best one that has failed. The primary counts as one that answers, as the row of its group names it.

In create-group-instances the order of readers is now checked with instances that have answered, since one that was never tried may be first; the expected order is the same. The caller of odd-entries moved to start-wire-caller.

--- a/packages/sessions/apply-observation.test.ts
+++ b/packages/sessions/apply-observation.test.ts
@@ -2,7 +2,7 @@
 import {applyObservation} from './apply-observation.ts';
 
 const healthy = {
-	latency: 30, lastAnswerAt: 0, unansweredSince: undefined, avoidedUntil: 0, failures: 0, position: undefined, lastLag: undefined,
+	latency: 30, hasAnswered: true, lastAnswerAt: 0, unansweredSince: undefined, avoidedUntil: 0, failures: 0, position: undefined, lastLag: undefined,
 };
 const failed = {...healthy, failures: 2, avoidedUntil: 500};
 
@@ -23,6 +23,9 @@
 		{
 			name: 'uses an instance again after an answer', health: failed, seen: {kind: 'answered', latency: undefined, position: undefined}, expected: {failures: 0, avoidedUntil: 0, latency: 30},
 		},
+		{
+			name: 'knows that an instance has answered', health: {...healthy, hasAnswered: false}, seen: {kind: 'answered', latency: undefined, position: undefined}, expected: {hasAnswered: true},
+		},
 		{
 			name: 'averages the latency', health: healthy, seen: {kind: 'answered', latency: 130, position: undefined}, expected: {latency: 45},
 		},
--- a/packages/sessions/apply-observation.ts
+++ b/packages/sessions/apply-observation.ts
@@ -35,6 +35,7 @@
 			return {
 				...health,
 				latency: observation.latency === undefined ? health.latency : (health.latency * (1 - latencyWeight)) + (observation.latency * latencyWeight),
+				hasAnswered: true,
 				lastAnswerAt: now,
 				unansweredSince: undefined,
 				avoidedUntil: 0,
--- a/packages/sessions/create-group-instances.test.ts
+++ b/packages/sessions/create-group-instances.test.ts
@@ -9,14 +9,19 @@
 const both = ['i-a', 'i-b'].map(id => createListed(id));
 const required = {term: 1, position: 0n};
 
-/** Creates the instances as host `a1` uses them, a clock, and counters of its connections. */
+/** Creates the instances as host `a1` uses them, of which those named `x-…` do not answer, a clock, and counters of its connections. */
 function createInstances(gatewayNames: readonly string[]) {
 	const time = {now: 0};
+	const known = {primary: 'i-a', successor: ''};
 	let opened = 0;
 	let closed = 0;
 	const instances = createGroupInstances({
 		zone: 'a',
-		async openConnection() {
+		async openConnection({id}) {
+			if (id.startsWith('x-')) {
+				return {kind: 'unanswered'};
+			}
+
 			opened++;
 			return {
 				kind: 'opened',
@@ -30,18 +35,32 @@
 			};
 		},
 		gateways: {self: 'a1', list: () => gatewayNames} as unknown as Gateways,
+		findRow: () => known,
 		now: () => time.now,
 	});
-	return {instances, time, countOpen: () => opened - closed};
+	return {
+		instances, time, known, countOpen: () => opened - closed,
+	};
+}
+
+/** Opens a connection to instances, all of them by default, which shows that they answer. */
+async function connect({find, list}: ReturnType<typeof createGroupInstances>, ids: readonly string[] = list().map(instance => instance.listed().id)) {
+	for (const id of ids) {
+		const pool = find(id)?.pool;
+		const acquired = await pool?.acquire({workspace: 'upper', priority: 1, timeout: 50}); // eslint-disable-line no-await-in-loop -- one after another
+		if (acquired?.kind === 'acquired') {
+			pool?.release(acquired.connection, true);
+		}
+	}
 }
 
 describe(createGroupInstances.name, () => {
 	const cases = [
 		{
-			name: 'keeps an instance that is unlisted for less than the grace period', elapsed: 2500, primary: undefined, isKept: true,
+			name: 'keeps an instance that is unlisted for less than the grace period', elapsed: 2500, primary: '', isKept: true,
 		},
 		{
-			name: 'drops an instance that stays unlisted', elapsed: 2501, primary: undefined, isKept: false,
+			name: 'drops an instance that stays unlisted', elapsed: 2501, primary: '', isKept: false,
 		},
 		{
 			name: 'keeps the primary, however long it is unlisted', elapsed: 60_000, primary: 'i-b', isKept: true,
@@ -52,13 +71,14 @@
 	];
 	for (const {name, elapsed, primary, isKept} of cases) {
 		it(name, () => {
-			const {instances, time} = createInstances(['a1']);
+			const {instances, time, known} = createInstances(['a1']);
+			known.primary = primary;
 			instances.update(both, 5);
 			instances.update(both.slice(0, 1), 5);
 			time.now = elapsed;
 			instances.update(both.slice(0, 1), 5);
 			expect(instances.missingSince('i-b')).to.equal(0);
-			instances.step(primary);
+			instances.step();
 			expect(instances.list().map(instance => instance.listed().id)).to.deep.equal(isKept ? ['i-a', 'i-b'] : ['i-a']);
 		});
 	}
@@ -72,14 +92,15 @@
 		expect(instances.missingSince('i-b')).to.equal(undefined);
 		instances.update([], 5);
 		time.now = 4000;
-		instances.step(undefined);
+		instances.step();
 		expect(instances.list()).to.have.length(2);
 	});
 
-	it('lists no departing instance as a reader, and the nearest first', () => {
+	it('lists no departing instance as a reader, and the nearest first', async () => {
 		const {instances} = createInstances(['a1']);
 		instances.update([createListed('i-c', {zone: 'c'}), createListed('i-d', {isDeparting: true}), ...both], 5);
-		const readers = instances.listReaders({required, primary: 'i-a'});
+		await connect(instances);
+		const readers = instances.listReaders(required);
 		expect(readers.map(instance => instance.listed().id)).to.deep.equal(['i-b', 'i-a', 'i-c']);
 	});
 
@@ -98,15 +119,24 @@
 		it(name, async () => {
 			const {instances, time, countOpen} = createInstances(gateways);
 			instances.update(both, 5);
-			const pool = instances.find('i-a')?.pool;
-			const acquired = await pool?.acquire({workspace: 'upper', priority: 1, timeout: 50});
-			if (acquired?.kind === 'acquired') {
-				pool?.release(acquired.connection, true);
-			}
-
+			await connect(instances, ['i-a']);
 			time.now = elapsed;
-			instances.step(undefined);
+			instances.step();
 			expect(countOpen()).to.equal(expected);
 		});
 	}
+
+	// Guards against reads that are refused because listed instances which do not answer go before those that do.
+	it('tries the instances one at a time, the one in use for longest first', async () => {
+		const {instances, time} = createInstances(['a1']);
+		instances.update(both, 5);
+		instances.update([...both, createListed('x-1')], 5);
+		const findFirst = () => instances.listReaders(required)[0]?.listed().id;
+		expect(findFirst()).to.equal('i-b');
+		await connect(instances, ['i-b']);
+		expect(findFirst()).to.equal('i-b');
+		time.now = 250;
+		expect(findFirst()).to.equal('x-1');
+		expect(findFirst()).to.equal('i-b');
+	});
 });
--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -1,16 +1,21 @@
 import type {LogPoint} from '@sapphirefall/decisions';
 import {createInstanceRuntime} from './create-instance-runtime.ts';
 import type {Gateways} from './gateways.ts';
+import type {GroupRow} from './group-row.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
+import {isProven} from './is-proven.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenConnection} from './open-connection.ts';
 import {rankReaders} from './rank-readers.ts';
+import type {ReadCandidate} from './read-candidate.ts';
 
 type Options = {
 	/** Availability zone of this host. */
 	readonly zone: string;
 	readonly openConnection: OpenConnection;
 	readonly gateways: Gateways;
+	/** Returns the store's row about the primary; undefined if it is not known. */
+	readonly findRow: () => Pick<GroupRow, 'primary' | 'successor'> | undefined;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 };
@@ -24,11 +29,14 @@
 	readonly find: (id: string) => InstanceRuntime | undefined;
 	readonly list: () => readonly InstanceRuntime[];
 	/** Lists the instances that may serve a read, best first; `required` is the position that their logs must have reached. */
-	readonly listReaders: (read: {readonly required: LogPoint; readonly primary: string | undefined}) => readonly InstanceRuntime[];
+	readonly listReaders: (required: LogPoint) => readonly InstanceRuntime[];
 	/** Drops instances that stay unlisted, except the primary, and closes surplus connections. */
-	readonly step: (primary: string | undefined) => void;
+	readonly step: () => void;
 };
 
+/** Milliseconds between two reads that try an instance which is not known to answer. */
+const trialIntervalMs = 250;
+
 /** Time after which an instance that is no longer listed is dropped; the platform may have lost its entry by mistake. */
 const missingGracePeriodMs = 2500;
 
@@ -37,16 +45,18 @@
 
 /** Creates the instances of a group; there are none until the platform lists them. */
 export function createGroupInstances({
-	zone, openConnection, gateways, now,
+	zone, openConnection, gateways, findRow, now,
 }: Options): GroupInstances {
 	const instances = new Map<string, InstanceRuntime>();
 	/** Instances that the platform no longer lists, and since when, in milliseconds of the steady clock. */
 	const missing = new Map<string, number>();
+	/** When a read last tried an instance that was not known to answer, in milliseconds of the steady clock. */
+	let triedAt = Number.NEGATIVE_INFINITY;
 
 	/** Drops instances that stayed unlisted for the grace period; the primary is kept until it is replaced. */
-	const dropMissing = (primary: string | undefined) => {
+	const dropMissing = () => {
 		for (const [id, since] of missing) {
-			if (now() - since > missingGracePeriodMs && primary !== id) {
+			if (now() - since > missingGracePeriodMs && findRow()?.primary !== id) {
 				missing.delete(id);
 				instances.get(id)?.pool.close();
 				instances.delete(id);
@@ -63,6 +73,18 @@
 		}
 	};
 
+	const createCandidate = (instance: InstanceRuntime): ReadCandidate => {
+		const {busy, waiting, limit} = instance.pool.readLoad();
+		const {id, zone: instanceZone} = instance.listed();
+		return {
+			id,
+			isSameZone: instanceZone === zone,
+			isPrimary: id === findRow()?.primary,
+			health: instance.health(),
+			load: (busy + waiting) / Math.max(1, limit),
+		};
+	};
+
 	return {
 		update(listed, limit) {
 			for (const entry of listed) {
@@ -91,26 +113,22 @@
 		missingSince: id => missing.get(id),
 		find: id => instances.get(id),
 		list: () => [...instances.values()],
-		listReaders({required, primary}) {
+		listReaders(required) {
 			const candidates = [...instances.values()]
 				.filter(instance => !instance.listed().isDeparting)
-				.map(instance => {
-					const {busy, waiting, limit} = instance.pool.readLoad();
-					const {id, zone: instanceZone} = instance.listed();
-					return {
-						id,
-						isSameZone: instanceZone === zone,
-						isPrimary: id === primary,
-						health: instance.health(),
-						load: (busy + waiting) / Math.max(1, limit),
-					};
-				});
-			return rankReaders(candidates, {required, now: now()})
+				.map(instance => createCandidate(instance));
+			const ranked = rankReaders(candidates, {required, isTrialDue: now() - triedAt >= trialIntervalMs, now: now()});
+			const [first] = ranked;
+			if (first !== undefined && !isProven(first)) {
+				triedAt = now();
+			}
+
+			return ranked
 				.map(({id}) => instances.get(id))
 				.filter(instance => instance !== undefined);
 		},
-		step(primary) {
-			dropMissing(primary);
+		step() {
+			dropMissing();
 			closeNonGatewayConnections();
 		},
 	};
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -33,7 +33,7 @@
 }: Options): InstanceRuntime {
 	let listed = first;
 	let health: InstanceHealth = {
-		latency: initialLatencyMs, lastAnswerAt: now(), unansweredSince: undefined, avoidedUntil: 0, failures: 0, position: undefined, lastLag: undefined,
+		latency: initialLatencyMs, hasAnswered: false, lastAnswerAt: now(), unansweredSince: undefined, avoidedUntil: 0, failures: 0, position: undefined, lastLag: undefined,
 	};
 
 	const recordObservation = (observation: Parameters<typeof applyObservation>[1]['observation']) => {
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -75,7 +75,9 @@
 		notifyWaiters();
 	};
 
-	const instances = createGroupInstances({...options, now: () => now().steady});
+	const instances = createGroupInstances({
+		...options, findRow: () => row, now: () => now().steady,
+	});
 	const sampler = createPositionSampler({
 		...options, group: name, findRow: () => row, findPrimary: primary, findInstance: instances.find,
 	});
@@ -125,13 +127,13 @@
 		},
 		findInstance: instances.find,
 		listInstances: instances.list,
-		listReaders: required => instances.listReaders({required, primary: row?.primary}),
+		listReaders: instances.listReaders,
 		findRequiredPosition: sampler.findRequiredPosition,
 		recordAnswer: sampler.recordAnswer,
 		findNewestPosition: sampler.findNewestPosition,
 		recordPosition: sampler.recordPosition,
 		async step() {
-			instances.step(row?.primary);
+			instances.step();
 			await sampler.step();
 		},
 	};
--- a/packages/sessions/find-failover-reason.test.ts
+++ b/packages/sessions/find-failover-reason.test.ts
@@ -2,7 +2,7 @@
 import {findFailoverReason} from './find-failover-reason.ts';
 
 const health = {
-	latency: 30, lastAnswerAt: 0, unansweredSince: undefined, avoidedUntil: 0, failures: 0, position: undefined, lastLag: undefined,
+	latency: 30, hasAnswered: true, lastAnswerAt: 0, unansweredSince: undefined, avoidedUntil: 0, failures: 0, position: undefined, lastLag: undefined,
 };
 const row = {
 	epoch: 3, state: 'serving', primary: 'i-1', successor: '', holder: 'a1', token: 2, version: 1,
--- a/packages/sessions/instance-health.ts
+++ b/packages/sessions/instance-health.ts
@@ -4,6 +4,8 @@
 export type InstanceHealth = {
 	/** Moving average of the milliseconds from request to answer. */
 	readonly latency: number;
+	/** Whether the instance has answered since the host has used it. */
+	readonly hasAnswered: boolean;
 	/** When the last answer arrived. */
 	readonly lastAnswerAt: number;
 	/** When the first request was sent since the last answer; undefined when no request is unanswered. */
--- a/packages/sessions/rank-readers.ts
+++ b/packages/sessions/rank-readers.ts
@@ -1,9 +1,12 @@
 import {comparePoints, type LogPoint} from '@sapphirefall/decisions';
+import {isProven} from './is-proven.ts';
 import type {ReadCandidate} from './read-candidate.ts';
 
 type Options = {
 	/** Position that the log must have reached. */
 	readonly required: LogPoint;
+	/** Whether one instance that may not answer at all may be ranked like the others, to find out. */
+	readonly isTrialDue: boolean;
 	/** Current time in milliseconds of the steady clock. */
 	readonly now: number;
 };
@@ -23,6 +26,9 @@
 /** Milliseconds added for an instance that is avoided after a recent failure. */
 const avoidedPenaltyMs = 5000;
 
+/** Milliseconds added for an instance that has not answered since the platform listed it, or since it failed. */
+const unprovenPenaltyMs = 1000;
+
 /** Milliseconds that a request may stay unanswered before the instance counts as unresponsive. */
 const silenceLimitMs = 250;
 
@@ -32,13 +38,34 @@
 /**
  * Ranks the instances that may serve a read by their cost, lowest first.
  *
- * The cost in milliseconds is the smoothed latency, scaled by the load of the connection pool, plus penalties.
+ * The cost in milliseconds is the smoothed latency, scaled by the load of the connection pool, plus penalties. The platform may
+ * list any number of instances that do not answer, so one that is not known to answer costs more than the others, except for
+ * one when a trial is due: the first one that was never tried, whatever its cost, else the best one of those that have failed.
+ *
+ * @param candidates The instances, the one that has been in use for longest first.
  */
 export function rankReaders(candidates: readonly ReadCandidate[], options: Options): readonly ReadCandidate[] {
-	return candidates
-		.map(candidate => ({candidate, costMs: findCostMs(candidate, options)}))
-		.toSorted((a, b) => a.costMs - b.costMs)
-		.map(({candidate}) => candidate);
+	const ranked = sortByCost(candidates.map(candidate => ({candidate, costMs: findCostMs(candidate, options)})));
+	const untried = options.isTrialDue ? candidates.find(candidate => isUntried(candidate)) : undefined;
+	const failed = options.isTrialDue && untried === undefined ? ranked.find(({candidate}) => candidate.health.failures > 0) : undefined;
+	const others = ranked
+		.filter(({candidate}) => candidate !== untried)
+		.map(({candidate, costMs}) => ({
+			candidate, costMs: isProven(candidate) || candidate === failed?.candidate ? costMs : costMs + unprovenPenaltyMs,
+		}));
+	return [...untried === undefined ? [] : [untried], ...sortByCost(others).map(({candidate}) => candidate)];
+}
+
+/** Whether the host has not yet learned whether an instance answers, and is not finding out just now. */
+function isUntried(candidate: ReadCandidate): boolean {
+	const {failures, unansweredSince} = candidate.health;
+	return !isProven(candidate) && failures === 0 && unansweredSince === undefined;
+}
+
+type RankedCandidate = {readonly candidate: ReadCandidate; readonly costMs: number};
+
+function sortByCost(ranked: readonly RankedCandidate[]): readonly RankedCandidate[] {
+	return ranked.toSorted((a, b) => a.costMs - b.costMs);
 }
 
 function findCostMs({isSameZone, isPrimary, health, load}: ReadCandidate, {required, now}: Options): number {
--- a/stand-ins/wire/odd-entries.test.ts
+++ b/stand-ins/wire/odd-entries.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {openWireClient} from './open-wire-client.ts';
+import {startWireCaller} from './start-wire-caller.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
@@ -84,36 +85,6 @@
 /** Databases of the callers; reads of the second one run at replicas. */
 const databases = ['latest', 'own'];
 
-/** A caller of one host that sends statements until it is stopped. */
-function startCaller(port: number, database: string) {
-	const results: string[] = [];
-	let isStopped = false;
-	const run = async () => {
-		const client = openWireClient(port, {database, key: 'good'});
-		await client.started;
-		for (let number = 0; !isStopped; number++) { // eslint-disable-line no-unmodified-loop-condition -- `stop` sets it
-			const {result, state} = await client.query(number % 4 === 0 ? `WRITE odd${port} v${number}` : `READ odd${port}`);
-			results.push(state === '' ? 'no answer' : result);
-			if (state === '') {
-				return;
-			}
-
-			await sleep(pauseMs);
-		}
-
-		client.close();
-	};
-
-	const running = run();
-	return {
-		async stop() {
-			isStopped = true;
-			await running;
-			return results;
-		},
-	};
-}
-
 describe('hosts over the wire protocol, beside odd rows of other writers', () => {
 	let deployment: WireDeployment;
 
@@ -161,7 +132,7 @@
 				deployment = await startWireDeployment({hostCount: 3, lag: 40, ratePerSecond});
 				await deployment.waitUntilReady();
 				expect(await repeatWrites({limit: 5000})).to.be.below(5000);
-				const callers = deployment.hosts.flatMap(({port}) => databases.map(database => startCaller(port, database)));
+				const callers = deployment.hosts.flatMap(({port}) => databases.map(database => startWireCaller(port, {database, pauseMs})));
 				for (const [key, text] of Object.entries(rows)) {
 					deployment.store.putText(table, key, text);
 				}
--- a/stand-ins/wire/start-store-stand-in.ts
+++ b/stand-ins/wire/start-store-stand-in.ts
@@ -146,8 +146,12 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
+	const putTexts: StoreStandIn['putTexts'] = (table, values) => {
+		write([...values].map(([key, value]) => ({table, key, value: Buffer.from(value).toString('base64')})));
+	};
+
 	const putText = (table: string, key: string, value: string) => {
-		write([{table, key, value: Buffer.from(value).toString('base64')}]);
+		putTexts(table, new Map([[key, value]]));
 	};
 
 	return {
@@ -156,6 +160,7 @@
 			putText(table, key, JSON.stringify(value));
 		},
 		putText,
+		putTexts,
 		delete(table, key) {
 			write([{table, key, tombstone: true}]);
 		},
--- a/stand-ins/wire/store-stand-in.ts
+++ b/stand-ins/wire/store-stand-in.ts
@@ -20,6 +20,8 @@
 	readonly put: (table: string, key: string, value: unknown) => void;
 	/** Writes a row whose value need not be JSON. */
 	readonly putText: (table: string, key: string, value: string) => void;
+	/** Writes rows, by key, whose values need not be JSON, in one transaction. */
+	readonly putTexts: (table: string, values: ReadonlyMap<string, string>) => void;
 	readonly delete: (table: string, key: string) => void;
 	/** Returns the decoded value of a row, or `undefined` if the row does not exist. */
 	readonly read: (table: string, key: string) => unknown;
