Use a hundred instances of a group at most

What callers saw: beside ten thousand well-formed entries of the service in use, at addresses where nobody listens, the processes of all three hosts ended ("JavaScript heap out of memory", with the heap limit of deploy/system.toml), after 8 s in which reads were refused; without that limit they took up to 841 MB, and a primary that stopped answering was not replaced.

Cause: each listed instance had a pool, a health and a list of gateways on each host, was ranked for each read, and all were asked for their status at once in a failover. The list of instances, which others may write, set what a host spends.

Change: a host uses 100 instances of a group at most (`chooseInstances`): the primary and its successor, those that have answered, those in use, then others in turn. Of the rest it keeps the entry alone; a gateway takes one into use when another host names it. One line says so in the log.

Failed before: "replaces a primary" beside ten thousand instances in absurd-entries (two of three processes ended), and the statements beside them (28 refused); the new cases of createGroupInstances test what was not there.

--- a/packages/sessions/create-group-instances.test.ts
+++ b/packages/sessions/create-group-instances.test.ts
@@ -13,9 +13,11 @@
 function createInstances(gatewayNames: readonly string[]) {
 	const time = {now: 0};
 	const known = {primary: 'i-a', successor: ''};
+	const warnings: unknown[] = [];
 	let opened = 0;
 	let closed = 0;
 	const instances = createGroupInstances({
+		group: 'pondbook',
 		zone: 'a',
 		async openConnection({id}) {
 			if (id.startsWith('x-')) {
@@ -37,9 +39,14 @@
 		gateways: {self: 'a1', list: () => gatewayNames} as unknown as Gateways,
 		findRow: () => known,
 		now: () => time.now,
+		log: {
+			warn(fields) {
+				warnings.push(fields);
+			},
+		},
 	});
 	return {
-		instances, time, known, countOpen: () => opened - closed,
+		instances, time, known, warnings, countOpen: () => opened - closed,
 	};
 }
 
@@ -126,17 +133,74 @@
 		});
 	}
 
-	// Guards against reads that are refused because listed instances which do not answer go before those that do.
-	it('tries the instances one at a time, the one in use for longest first', async () => {
-		const {instances, time} = createInstances(['a1']);
-		instances.update(both, 5);
-		instances.update([...both, createListed('x-1')], 5);
-		const findFirst = () => instances.listReaders(required)[0]?.listed().id;
-		expect(findFirst()).to.equal('i-b');
-		await connect(instances, ['i-b']);
-		expect(findFirst()).to.equal('i-b');
-		time.now = 250;
-		expect(findFirst()).to.equal('x-1');
-		expect(findFirst()).to.equal('i-b');
+	// Guards against hosts that run out of memory, or refuse every read, because the platform lists very many instances.
+	describe('beside thousands of listed instances', () => {
+		const foreign = Array.from({length: 10_000}, (_, index) => createListed(`x-${index}`));
+		const listIds = (instances: ReturnType<typeof createGroupInstances>) => instances.list().map(instance => instance.listed().id);
+
+		it('uses some of them, and says so once', () => {
+			const {instances, warnings} = createInstances(['a1']);
+			instances.update(foreign, 5);
+			instances.update([...foreign, ...both], 5);
+			instances.step();
+			expect(instances.list()).to.have.length(100);
+			expect(warnings).to.deep.equal([{group: 'pondbook', listed: 10_000, used: 100}]);
+		});
+
+		it('goes on using the instances that it used before', () => {
+			const {instances} = createInstances(['a1']);
+			instances.update(both, 5);
+			instances.update([...foreign, ...both], 5);
+			expect(listIds(instances)).to.include.members(['i-a', 'i-b']);
+		});
+
+		it('uses the primary and the successor from the start', () => {
+			const {instances, known} = createInstances(['a1']);
+			known.successor = 'i-b';
+			instances.update([...foreign, ...both], 5);
+			expect(listIds(instances)).to.include.members(['i-a', 'i-b']);
+		});
+
+		it('takes any other one into use for a job of another host, and does not use more for long', () => {
+			const {instances} = createInstances(['a1']);
+			instances.update([...foreign, ...both], 5);
+			expect(instances.find('x-9999')?.listed().id).to.equal('x-9999');
+			instances.step();
+			expect(instances.list()).to.have.length(100);
+		});
+
+		it('gives the place of one that has only failed to one that was not tried', async () => {
+			const {instances} = createInstances(['a1']);
+			instances.update([...foreign, ...both], 5);
+			const instance = instances.find('x-0');
+			await instance?.runLocally({kind: 'position', workspace: 'upper'}, () => true);
+			expect(instance?.health().failures).to.equal(1);
+			instances.step();
+			expect(listIds(instances)).not.to.include('x-0');
+			expect(instances.list()).to.have.length(100);
+		});
+
+		it('tries the instances that it used before, then the others one at a time', async () => {
+			const {instances, time} = createInstances(['a1']);
+			instances.update(both, 5);
+			instances.update([...foreign, ...both], 5);
+			const findFirst = () => instances.listReaders(required)[0]?.listed().id;
+			expect(findFirst()).to.equal('i-b');
+			await connect(instances, ['i-b']);
+			expect(findFirst()).to.equal('i-b');
+			time.now = 250;
+			expect(findFirst()).to.match(/^x-/v);
+			expect(findFirst()).to.equal('i-b');
+		});
+
+		it('lists one that was not tried first among the readers once in a while', () => {
+			const {instances, time} = createInstances(['a1']);
+			instances.update([...foreign, ...both], 5);
+			const findFirst = () => instances.listReaders(required)[0]?.listed().id;
+			expect(findFirst()).to.match(/^x-/v);
+			expect(findFirst()).to.equal('i-a');
+			time.now = 250;
+			expect(findFirst()).to.match(/^x-/v);
+		});
 	});
 });
--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -1,4 +1,5 @@
 import type {LogPoint} from '@sapphirefall/decisions';
+import {chooseInstances} from './choose-instances.ts';
 import {createInstanceRuntime} from './create-instance-runtime.ts';
 import type {Gateways} from './gateways.ts';
 import type {GroupRow} from './group-row.ts';
@@ -8,8 +9,11 @@
 import type {OpenConnection} from './open-connection.ts';
 import {rankReaders} from './rank-readers.ts';
 import type {ReadCandidate} from './read-candidate.ts';
+import type {SessionLog} from './session-log.ts';
 
 type Options = {
+	/** Name of the group. */
+	readonly group: string;
 	/** Availability zone of this host. */
 	readonly zone: string;
 	readonly openConnection: OpenConnection;
@@ -18,6 +22,7 @@
 	readonly findRow: () => Pick<GroupRow, 'primary' | 'successor'> | undefined;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
+	readonly log: Pick<SessionLog, 'warn'>;
 };
 
 /** The instances of a group, as this host uses them. */
@@ -26,14 +31,22 @@
 	readonly update: (listed: readonly ListedInstance[], limit: number) => void;
 	/** Since when the platform has not listed an instance, in milliseconds of the steady clock; undefined if it is listed. */
 	readonly missingSince: (id: string) => number | undefined;
+	/** Finds an instance that the platform lists, or listed a moment ago; takes it into use if it is not. */
 	readonly find: (id: string) => InstanceRuntime | undefined;
+	/** Lists the instances in use. */
 	readonly list: () => readonly InstanceRuntime[];
 	/** Lists the instances that may serve a read, best first; `required` is the position that their logs must have reached. */
 	readonly listReaders: (required: LogPoint) => readonly InstanceRuntime[];
-	/** Drops instances that stay unlisted, except the primary, and closes surplus connections. */
+	/** Drops instances that stay unlisted, except the primary, and those that are too many, and closes surplus connections. */
 	readonly step: () => void;
 };
 
+/**
+ * Instances of a group that a host uses, of those that the platform lists. Each takes memory, is ranked for each read, and is
+ * asked for its status in a failover.
+ */
+const maxUsedCount = 100;
+
 /** Milliseconds between two reads that try an instance which is not known to answer. */
 const trialIntervalMs = 250;
 
@@ -45,21 +58,81 @@
 
 /** Creates the instances of a group; there are none until the platform lists them. */
 export function createGroupInstances({
-	zone, openConnection, gateways, findRow, now,
+	group, zone, openConnection, gateways, findRow, now, log,
 }: Options): GroupInstances {
+	/** All instances that the platform lists, by id. */
+	let listed: ReadonlyMap<string, ListedInstance> = new Map();
+	/** Instances in use, by id. */
 	const instances = new Map<string, InstanceRuntime>();
-	/** Instances that the platform no longer lists, and since when, in milliseconds of the steady clock. */
+	/** Instances in use that the platform no longer lists, and since when, in milliseconds of the steady clock. */
 	const missing = new Map<string, number>();
+	let connectionLimit = 0;
+	let lastTaken: string | undefined;
+	let hasTooMany = false;
 	/** When a read last tried an instance that was not known to answer, in milliseconds of the steady clock. */
 	let triedAt = Number.NEGATIVE_INFINITY;
 
+	const find = (id: string): InstanceRuntime | undefined => {
+		const entry = listed.get(id);
+		if (instances.has(id) || entry === undefined) {
+			return instances.get(id);
+		}
+
+		const instance = createInstanceRuntime(entry, {
+			openConnection, gateways, limit: connectionLimit, now,
+		});
+		instances.set(id, instance);
+		return instance;
+	};
+
+	const drop = (id: string) => {
+		instances.get(id)?.pool.close();
+		instances.delete(id);
+	};
+
+	/** Chooses the instances to use; all, unless there are too many. */
+	const choose = (): readonly string[] => {
+		const row = findRow();
+		const ids = [...listed.keys()];
+		return ids.length <= maxUsedCount
+			? ids
+			: chooseInstances({
+				listed: ids,
+				needed: new Set([row?.primary ?? '', row?.successor ?? '']),
+				findHealth: id => instances.get(id)?.health(),
+				limit: maxUsedCount,
+				lastTaken,
+			});
+	};
+
+	/** Takes the chosen instances into use, and drops the other ones that are listed. */
+	const useChosen = () => {
+		const chosen = choose();
+		lastTaken = chosen.findLast(id => !instances.has(id)) ?? lastTaken;
+		for (const id of chosen) {
+			find(id);
+		}
+
+		const kept = new Set(chosen);
+		for (const id of instances.keys()) {
+			if (listed.has(id) && !kept.has(id)) {
+				drop(id);
+			}
+		}
+
+		const hadTooMany = hasTooMany;
+		hasTooMany = chosen.length < listed.size;
+		if (hasTooMany && !hadTooMany) {
+			log.warn({group, listed: listed.size, used: chosen.length}, 'group: The platform lists more instances than the host uses.');
+		}
+	};
+
 	/** Drops instances that stayed unlisted for the grace period; the primary is kept until it is replaced. */
 	const dropMissing = () => {
 		for (const [id, since] of missing) {
 			if (now() - since > missingGracePeriodMs && findRow()?.primary !== id) {
 				missing.delete(id);
-				instances.get(id)?.pool.close();
-				instances.delete(id);
+				drop(id);
 			}
 		}
 	};
@@ -86,32 +159,23 @@
 	};
 
 	return {
-		update(listed, limit) {
-			for (const entry of listed) {
-				const known = instances.get(entry.id);
-				if (known === undefined) {
-					instances.set(entry.id, createInstanceRuntime(entry, {
-						openConnection, gateways, limit, now,
-					}));
+		update(newer, limit) {
+			listed = new Map(newer.map(entry => [entry.id, entry]));
+			connectionLimit = limit;
+			useChosen();
+			for (const [id, instance] of instances) {
+				const entry = listed.get(id);
+				if (entry === undefined) {
+					missing.set(id, missing.get(id) ?? now());
 				} else {
-					known.update(entry);
-					known.pool.setLimit(limit);
-				}
-			}
-
-			const ids = new Set(listed.map(({id}) => id));
-			for (const id of ids) {
-				missing.delete(id);
-			}
-
-			for (const id of instances.keys()) {
-				if (!ids.has(id) && !missing.has(id)) {
-					missing.set(id, now());
+					missing.delete(id);
+					instance.update(entry);
+					instance.pool.setLimit(limit);
 				}
 			}
 		},
 		missingSince: id => missing.get(id),
-		find: id => instances.get(id),
+		find,
 		list: () => [...instances.values()],
 		listReaders(required) {
 			const candidates = [...instances.values()]
@@ -129,6 +193,10 @@
 		},
 		step() {
 			dropMissing();
+			if (hasTooMany) {
+				useChosen();
+			}
+
 			closeNonGatewayConnections();
 		},
 	};
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -76,7 +76,7 @@
 	};
 
 	const instances = createGroupInstances({
-		...options, findRow: () => row, now: () => now().steady,
+		...options, group: name, findRow: () => row, now: () => now().steady,
 	});
 	const sampler = createPositionSampler({
 		...options, group: name, findRow: () => row, findPrimary: primary, findInstance: instances.find,
--- a/stand-ins/wire/absurd-entries.test.ts
+++ b/stand-ins/wire/absurd-entries.test.ts
@@ -29,6 +29,9 @@
 /** Milliseconds within which writes succeed again after a primary has stopped answering. */
 const writeGapLimitMs = 3500;
 
+/** Milliseconds within which a host that is ready serves writes. */
+const startLimitMs = 2000;
+
 /** Milliseconds between two statements of a caller. */
 const pauseMs = 20;
 
@@ -78,6 +81,18 @@
 			putEntries(deployment, 60, index => ({zone: findZone(index)}));
 		},
 	},
+	{
+		name: 'ten thousand instances that do not answer',
+		write(deployment) {
+			putEntries(deployment, 10_000, index => ({zone: findZone(index)}));
+		},
+	},
+	{
+		name: 'ten thousand instances of groups without a route',
+		write(deployment) {
+			putEntries(deployment, 10_000, index => ({backend: `other${index % 1000}`}));
+		},
+	},
 	{
 		name: 'a second entry for the address of each instance',
 		write({store, instances}) {
@@ -177,6 +192,17 @@
 				expect(await repeatWrites({key: 'later', limit: configurationLimitMs})).to.be.below(configurationLimitMs);
 			});
 
+			// Guards against a host that knows no instance of before and finds none of those that answer.
+			it('serves from a host that starts beside them', async () => {
+				await deployment.restart(1);
+				const port = deployment.hosts[1]?.port ?? 0;
+				expect(await repeatWrite(port, {limit: startLimitMs})).to.be.below(startLimitMs);
+				const callers = databases.map(database => startWireCaller(port, {database, pauseMs}));
+				await sleep(settleMs);
+				const started = (await Promise.all(callers.map(async caller => caller.stop()))).flat(); // eslint-disable-line unicorn/no-await-expression-member -- a single step
+				expect(started.filter(result => !result.startsWith('COMPLETE'))).to.deep.equal([]);
+			});
+
 			// Guards against a failover that asks all that is listed and never ends.
 			it('replaces a primary that has stopped answering', async () => {
 				deployment.instances[0]?.stopAnswering();
