--- a/packages/hosts/encode-job.test.ts
+++ b/packages/hosts/encode-job.test.ts
@@ -121,6 +121,7 @@
 			expect(roundTripJob(within)).to.deep.equal(within);
 		});
 
+		// Guards against a session variable that is lost between hosts of two versions during a rolling restart.
 		it(`read a variable named "${odd}" from a host that encodes variables as a map`, () => {
 			const writer = new BinaryWriter().tag(1, WireType.Varint).int32(JobKind.BEGIN);
 			writer.tag(9, WireType.LengthDelimited).fork();
--- a/packages/hosts/serve-fleet.test.ts
+++ b/packages/hosts/serve-fleet.test.ts
@@ -159,6 +159,7 @@
 	}
 
 	for (const name of oddNames) {
+		// Guards against a session variable that is lost on the way to a gateway on another host, so that a statement runs without it.
 		it(`runs a job with a variable named "${name}" on the instance that the job is for`, async () => {
 			const received: unknown[] = [];
 			const {peer, stop} = await createCase({
