--- a/stand-ins/wire/absurd-entries.test.ts
+++ b/stand-ins/wire/absurd-entries.test.ts
@@ -1,9 +1,8 @@
 /* eslint-disable @typescript-eslint/naming-convention -- names defined by the platform */
-/* eslint-disable no-await-in-loop -- statements of a session run in sequence */
 import {readFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {openWireClient} from './open-wire-client.ts';
+import {repeatWrite} from './repeat-write.ts';
 import {startWireCaller} from './start-wire-caller.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
@@ -29,6 +28,9 @@
 /** Milliseconds within which writes succeed again after a primary has stopped answering. */
 const writeGapLimitMs = 3500;
 
+/** Milliseconds after which hosts have to serve again, whatever was lost; `bounds.recovery_s` of the users' settings. */
+const recoveryLimitMs = 12_000;
+
 /** Milliseconds within which a host that is ready serves writes. */
 const startLimitMs = 2000;
 
@@ -127,27 +129,9 @@
 	return Number(kilobytes) / 1024;
 }
 
-describe('hosts over the wire protocol, beside absurd entries of the list of instances', () => {
+describe('hosts over the wire protocol, beside absurd entries', () => {
 	let deployment: WireDeployment;
 
-	/** Repeats a write at a host until it succeeds; returns the elapsed milliseconds, or infinity at the limit. */
-	const repeatWrite = async (port: number, {key = 'good', limit}: {readonly key?: string; readonly limit: number}) => {
-		const startedAt = performance.now();
-		while (performance.now() - startedAt < limit) {
-			const client = openWireClient(port, {database: 'latest', key});
-			const {state} = await client.started;
-			const result = state === '' ? '' : (await client.query('WRITE repeated v')).result; // eslint-disable-line unicorn/no-await-expression-member -- a single step
-			client.close();
-			if (result.startsWith('COMPLETE')) {
-				return performance.now() - startedAt;
-			}
-
-			await sleep(pauseMs);
-		}
-
-		return Number.POSITIVE_INFINITY;
-	};
-
 	const repeatWrites = async (options: Parameters<typeof repeatWrite>[1]) =>
 		Math.max(...await Promise.all(deployment.hosts.map(async ({port}) => repeatWrite(port, options))));
 
@@ -212,4 +196,30 @@
 			});
 		});
 	}
+
+	describe('in the table of the fleet', () => {
+		before(async () => {
+			deployment = await startWireDeployment({hostCount: 3, lag: 40, nodeArguments: [heapArgument]});
+			await deployment.waitUntilReady();
+			expect(await repeatWrites({limit: 5000})).to.be.below(5000);
+		});
+
+		after(() => {
+			deployment.stop();
+		});
+
+		// Guards against hosts that ask one dead host after the other for the configuration, and serve nothing meanwhile.
+		it('serves beside ten thousand registrations of hosts that do not answer', async () => {
+			deployment.store.putTexts('sapphirefall', new Map(Array.from({length: 10_000}, (_, index) => {
+				const name = `other-${index}`;
+				const row = {
+					name, zone: findZone(index), address: '127.0.0.1:9', incarnation: 1, leaseMs: 1800,
+				};
+				return [`host/${name}`, JSON.stringify(row)];
+			})));
+			await sleep(recoveryLimitMs);
+			expect(await repeatWrites({limit: writeGapLimitMs})).to.be.below(writeGapLimitMs);
+			expect(listEnds()).to.deep.equal(deployment.hosts.map(() => null));
+		});
+	});
 });
--- a/stand-ins/wire/odd-entries.test.ts
+++ b/stand-ins/wire/odd-entries.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {openWireClient} from './open-wire-client.ts';
+import {repeatWrite} from './repeat-write.ts';
 import {startWireCaller} from './start-wire-caller.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
@@ -96,22 +97,8 @@
 		return answer;
 	};
 
-	/** Repeats a write at a host until it succeeds; returns the elapsed milliseconds, or infinity at the limit. */
-	const repeatWrite = async (host: number, {key = 'good', limit}: {readonly key?: string; readonly limit: number}) => {
-		const startedAt = performance.now();
-		while (performance.now() - startedAt < limit) {
-			if ((await query(host, `WRITE repeated${host} v`, key)).startsWith('COMPLETE')) { // eslint-disable-line unicorn/no-await-expression-member -- a single step
-				return performance.now() - startedAt;
-			}
-
-			await sleep(pauseMs);
-		}
-
-		return Number.POSITIVE_INFINITY;
-	};
-
 	const repeatWrites = async (options: Parameters<typeof repeatWrite>[1]) =>
-		Math.max(...await Promise.all(deployment.hosts.map(async (_, host) => repeatWrite(host, options))));
+		Math.max(...await Promise.all(deployment.hosts.map(async ({port}) => repeatWrite(port, options))));
 
 	const cases = [
 		{
