Take the ports of test hosts from a range that the review's scripts leave alone

A script of the review ran at the same time. Its blocks of 120 ports begin at 20,000, so 25,880 is the first port of block 49, which such a script keeps for itself, and 25,881 that of its first host; the stand-ins took ports from 20,000 to 32,000 as well, and a port that was free when it was looked at is taken a second later when the host listens.

They take ports from 8,000 to 19,999 now.

--- a/stand-ins/cluster/find-free-port.ts
+++ b/stand-ins/cluster/find-free-port.ts
@@ -1,9 +1,12 @@
 import {createServer} from 'node:net';
 import process from 'node:process';
 
-/** Range of ports to allocate. It lies below the operating system's ephemeral ports, which outgoing connections and relays use. */
-const minPort = 20_000;
-const maxPort = 32_000;
+/**
+ * Range of ports to allocate. It lies below the operating system's ephemeral ports, which outgoing connections and relays use,
+ * and below the blocks of ports from 20,000 that the scripts in `review/` take for their hosts.
+ */
+const minPort = 8000;
+const maxPort = 19_999;
 
 /** Distance between the first ports that two test processes with adjacent process identifiers try; a soak uses more than 64. */
 const processOffset = 331;
