--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -31,7 +31,9 @@
 	readonly primary: () => PrimaryView;
 	/** Waits until the primary may be used, for at most `timeout` milliseconds. */
 	readonly waitForPrimary: (timeout: number) => Promise<PrimaryView>;
+	/** Finds an instance that the platform lists, or listed a moment ago; takes it into use if it is not. */
 	readonly findInstance: (id: string) => InstanceRuntime | undefined;
+	/** Lists the instances in use; the platform may list more than a host uses. */
 	readonly listInstances: () => readonly InstanceRuntime[];
 	/** Finds the position that a log must hold to serve a read; undefined when only the primary can serve the read. */
 	readonly findRequiredPosition: (read: {readonly maxStaleness: number; readonly lastWrite: LastWrite | undefined; readonly arrivedAt: Instant}) => LogPoint | undefined;
@@ -46,6 +48,6 @@
 	readonly findNewestPosition: () => PrimaryPosition | undefined;
 	/** Records a position that another host reported; its age counts from the time `from`. */
 	readonly recordPosition: (position: PrimaryPosition, from: Instant) => void;
-	/** Drops instances that stay unlisted and surplus connections, and queries the primary's position if a sample is due. */
+	/** Drops instances that stay unlisted or are too many, and surplus connections, and queries the primary's position if a sample is due. */
 	readonly step: () => Promise<void>;
 };
