Let the simulated groups replicate, crash, stand still and lose each other, and soak them

Change: replicas receive commits and apply them later; what they hold beyond a newer primary is rolled back; an old primary goes on until it is told or has reached the newer one for a second; instances crash and come back with their log, stand still and run late what arrived, refuse their status. Groups may be several. Commits tell whether they were behind a promotion and whether one rolled them back.

--- a/stand-ins/wire/create-statement-executor.ts
+++ b/stand-ins/wire/create-statement-executor.ts
@@ -7,6 +7,8 @@
 	readonly id: string;
 	readonly log: InstanceLog;
 	readonly countConnections: () => number;
+	/** Whether requests for the status are refused. */
+	readonly isStatusRefused: () => boolean;
 };
 
 /** Runs a statement on a connection and returns the lines of its answer, without the state and position at its end. */
@@ -18,9 +20,12 @@
 const done = ['COMPLETE -'];
 
 /** Creates the function that runs statements at a simulated instance. */
-export function createStatementExecutor({id, log, countConnections}: Options): ExecuteStatement {
+export function createStatementExecutor({
+	id, log, countConnections, isStatusRefused,
+}: Options): ExecuteStatement {
 	const readOnly = [`ERROR READONLY ${id}`];
 	const signed = [`COMPLETE ${id}`];
+	const busy = [`ERROR BUSY ${id}`];
 
 	const begin: Command = (connection, [mode]) => {
 		const isReadOnly = mode === 'READ';
@@ -65,7 +70,23 @@
 		return done;
 	};
 
-	const read: Command = ({writes}, [item = '']) => [`DATAROW ${findWrite(writes, item)?.[1] ?? log.readValue(item)}`, ...signed];
+	/** Whether a plain transaction is open whose instance has lost the lead. */
+	const hasLostLead = ({state, isReadOnly}: InstanceConnectionState) => state === 'T' && !isReadOnly && log.role() !== 'primary';
+
+	const read: Command = (connection, [item = '']) => {
+		if (log.isBusy()) {
+			return busy;
+		}
+
+		if (hasLostLead(connection)) {
+			connection.state = 'E';
+			return readOnly;
+		}
+
+		return readItem(connection, item);
+	};
+
+	const readItem = ({writes}: InstanceConnectionState, item: string) => [`DATAROW ${findWrite(writes, item)?.[1] ?? log.readValue(item)}`, ...signed];
 
 	const write: Command = (connection, [item = '', data = '']) => {
 		if (log.role() !== 'primary' || connection.isReadOnly) {
@@ -82,7 +103,9 @@
 		return signed;
 	};
 
-	const readStatus: Command = () => [`DATAROW ${log.role()} ${log.term()} ${log.position()} 0 0 0 ${countConnections()}`, ...done];
+	const describeStatus = () => [`DATAROW ${log.role()} ${log.term()} ${log.receivedPosition()} 0 0 0 ${countConnections()}`, ...done];
+
+	const readStatus: Command = () => isStatusRefused() ? busy : describeStatus();
 
 	const commands: ReadonlyMap<string, Command> = new Map<string, Command>([
 		['BEGIN', begin],
@@ -109,9 +132,9 @@
 			prepared.clear();
 			return done;
 		}],
-		['STEPDOWN', (connection, words) => {
+		['STEPDOWN', (_connection, words) => {
 			log.stepDown(Number(words[0]));
-			return readStatus(connection, words);
+			return describeStatus();
 		}],
 	]);
 
--- a/stand-ins/wire/create-wire-configuration.ts
+++ b/stand-ins/wire/create-wire-configuration.ts
@@ -9,36 +9,18 @@
 	readonly connectionLimit: number;
 	/** Operations a second of each workspace, and its burst. */
 	readonly ratePerSecond: number;
-	/** Group that all routes lead to. */
-	readonly group: string;
+	/** Groups, each with its databases; the names of those of all but the first one end with the number of the group. */
+	readonly groups: readonly string[];
 };
 
 /** Creates a version of the operators' configuration as the platform's store holds it. */
 export function createWireConfiguration({
-	version, keys, hasGuestRoute, connectionLimit, ratePerSecond, group,
+	version, keys, hasGuestRoute, connectionLimit, ratePerSecond, groups,
 }: Options): object {
-	const route = {
-		prefix: '/', timeout_ms: 1500, target_latency_ms: 200, priority: 1, backend: group, max_attempts: 2, public: false,
-	};
 	return {
 		version,
-		routes: [
-			{
-				...route, name: 'r1', database: 'latest', route_type: 'primary',
-			},
-			{
-				...route, name: 'r2', database: 'old', route_type: 'bounded_staleness', max_staleness_ms: 1500,
-			},
-			{
-				...route, name: 'r3', database: 'own', route_type: 'read_your_writes', max_staleness_ms: 2500,
-			},
-			...hasGuestRoute
-				? [{
-					...route, name: 'r4', database: 'guest', route_type: 'primary',
-				}]
-				: [],
-		],
-		services: [{name: group, max_conns: connectionLimit, sync_replicas: 0}],
+		routes: groups.flatMap((group, index) => createRoutes(group, {suffix: index === 0 ? '' : `-${index + 1}`, hasGuestRoute})),
+		services: groups.map(name => ({name, max_conns: connectionLimit, sync_replicas: 0})),
 		limits: {tx_idle_ms: 3000},
 		tenants: [
 			{
@@ -50,3 +32,26 @@
 		],
 	};
 }
+
+function createRoutes(group: string, {suffix, hasGuestRoute}: {readonly suffix: string; readonly hasGuestRoute: boolean}): readonly object[] {
+	const route = {
+		prefix: '/', timeout_ms: 1500, target_latency_ms: 200, priority: 1, backend: group, max_attempts: 2, public: false,
+	};
+	const routes = [
+		{
+			...route, name: 'r1', database: 'latest', route_type: 'primary',
+		},
+		{
+			...route, name: 'r2', database: 'old', route_type: 'bounded_staleness', max_staleness_ms: 1500,
+		},
+		{
+			...route, name: 'r3', database: 'own', route_type: 'read_your_writes', max_staleness_ms: 2500,
+		},
+		...hasGuestRoute
+			? [{
+				...route, name: 'r4', database: 'guest', route_type: 'primary',
+			}]
+			: [],
+	];
+	return routes.map(({name, database, ...rest}) => ({...rest, name: `${name}${suffix}`, database: `${database}${suffix}`}));
+}
--- /dev/null
+++ b/stand-ins/wire/instance-group.ts
@@ -0,0 +1,24 @@
+import type {CommitRecord} from './commit-record.ts';
+import type {InstanceStandIn} from './instance-stand-in.ts';
+
+/** The simulated instances of a group, which replicate the log of their primary. */
+export type InstanceGroup = {
+	readonly name: string;
+	readonly instances: readonly InstanceStandIn[];
+	/** Returns the instance that leads the newest term. */
+	readonly leader: () => InstanceStandIn;
+	/** Returns all commits, oldest first. */
+	readonly commits: () => readonly CommitRecord[];
+	/** Whether an instance of this id may be promoted. */
+	readonly mayPromote: (id: string) => boolean;
+	/** Makes an instance lead the next term, with what it has received. */
+	readonly promote: (id: string) => void;
+	/** Lists an instance as departing, as before planned work, until another one is promoted or it is listed as ready again. */
+	readonly drain: (instance: InstanceStandIn) => void;
+	readonly listAsReady: (instance: InstanceStandIn) => void;
+	/** Cuts an instance off from the others of the group, or ends that. */
+	readonly setCut: (instance: InstanceStandIn, isCut: boolean) => void;
+	/** Crashes an instance for some milliseconds; it comes back with its log, as a replica if another one was promoted. */
+	readonly crash: (instance: InstanceStandIn, milliseconds: number) => Promise<void>;
+	readonly close: () => void;
+};
--- a/stand-ins/wire/instance-stand-in.ts
+++ b/stand-ins/wire/instance-stand-in.ts
@@ -1,24 +1,29 @@
+import type {InstanceLog} from './instance-log.ts';
 import type {LogEntry} from './log-entry.ts';
 
 /** A simulated instance of a group that implements the wire protocol in memory. */
-export type InstanceStandIn = {
+export type InstanceStandIn = Pick<InstanceLog, 'role' | 'term' | 'receive' | 'promote' | 'stepDown' | 'setLag'> & {
 	readonly id: string;
 	readonly port: number;
-	readonly role: () => 'primary' | 'replica';
-	readonly term: () => number;
-	/** Returns the commits of the instance, oldest first. */
+	/** Returns the commits that the instance has received, oldest first. */
 	readonly log: () => readonly LogEntry[];
 	/** Returns the statements of clients that ran, each with the identifier that it carried and the variables of its connection. */
 	readonly executedStatements: () => ReadonlyArray<{readonly id: string; readonly text: string; readonly variables: ReadonlyMap<string, string>}>;
 	/** Returns the workspace that each connection named when it started a session. */
 	readonly sessionWorkspaces: () => readonly string[];
-	/** Appends a replicated entry to the log. */
-	readonly appendEntry: (entry: LogEntry) => void;
-	readonly promote: (term: number) => void;
-	/** Makes the instance a replica with a copy of this log. */
-	readonly follow: (term: number, log: readonly LogEntry[]) => void;
 	/** Ignores all further bytes on all connections, without closing them. */
 	readonly stopAnswering: () => void;
+	/** Stands still, or goes on: what has arrived meanwhile is run then, also if its sender has given it up. */
+	readonly setFrozen: (isFrozen: boolean) => void;
+	/** Whether the instance refuses requests for its status, as when all its slots are taken. */
+	readonly setStatusRefused: (isRefused: boolean) => void;
+	/** Closes all connections and accepts no new ones. */
+	readonly crash: () => void;
+	/** Comes back from a crash with its log, as a replica unless it led this term, which is the newest one. */
+	readonly comeBack: (newestTerm: number) => void;
+	readonly isCrashed: () => boolean;
+	/** Whether the instance neither answers nor replicates: it has crashed, stands still or stopped answering. */
+	readonly isDown: () => boolean;
 	/** Runs the next statements of clients, and closes the connection of each instead of answering. */
 	readonly loseAnswers: (count: number) => void;
 	readonly close: () => void;
--- /dev/null
+++ b/stand-ins/wire/is-serving.ts
@@ -0,0 +1,39 @@
+/* eslint-disable no-await-in-loop -- attempts run in sequence */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {openWireClient} from './open-wire-client.ts';
+
+type Options = {
+	/** Port of the host. */
+	readonly port: number;
+	readonly database: string;
+	readonly text: string;
+	/** Milliseconds within which the statement must succeed. */
+	readonly limitMs: number;
+};
+
+/** Milliseconds between two attempts. */
+const retryMs = 50;
+
+/** Repeats a statement, on a connection of its own each time, until it succeeds; returns whether it did in time. */
+export async function isServing({port, database, text, limitMs}: Options): Promise<boolean> {
+	const endsAt = performance.now() + limitMs;
+	while (performance.now() < endsAt) {
+		const result = await Promise.race([sendStatement({port, database, text}), sleep(endsAt - performance.now(), '')]);
+		if (result.startsWith('COMPLETE')) {
+			return true;
+		}
+
+		await sleep(retryMs);
+	}
+
+	return false;
+}
+
+/** Returns the answer to a statement. */
+async function sendStatement({port, database, text}: Omit<Options, 'limitMs'>): Promise<string> {
+	const client = openWireClient(port, {database, key: 'good'});
+	const {state, result} = await client.started;
+	const answer = state === '' ? {result} : await client.query(text);
+	client.close();
+	return answer.result;
+}
--- a/stand-ins/wire/list-cut-statements.test.ts
+++ b/stand-ins/wire/list-cut-statements.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {listCutStatements} from './list-cut-statements.ts';
-import type {InstanceStandIn} from './instance-stand-in.ts';
+import type {InstanceGroup} from './instance-group.ts';
 import type {SoakMessage} from './soak-message.ts';
 import type {SoakProcess} from './soak-process.ts';
 import type {SoakSession} from './soak-session.ts';
@@ -71,7 +71,7 @@
 					client: 0, host, database: 'latest', key: 'good', openedAt: 0, startState: 'I', messages: [message], closedAt, isClosedByHost, isReadLate,
 				}],
 				processes: [{host, signals: () => signals, isSlowed: () => isSlowed} as unknown as SoakProcess],
-				instances: isExecuted ? [{executedStatements: () => [{id: message.id, text: message.text}]} as unknown as InstanceStandIn] : [],
+				groups: isExecuted ? [{instances: [{executedStatements: () => [{id: message.id, text: message.text}]}]} as unknown as InstanceGroup] : [],
 				gracePeriodMs: 6000,
 				findLateness: () => 0,
 			});
--- a/stand-ins/wire/list-cut-statements.ts
+++ b/stand-ins/wire/list-cut-statements.ts
@@ -1,4 +1,5 @@
 import {isWhole} from './is-whole.ts';
+import {listExecutedIds} from './list-executed-ids.ts';
 import type {SoakFinding} from './soak-finding.ts';
 import type {SoakProcess} from './soak-process.ts';
 import type {SoakRecord} from './soak-record.ts';
@@ -7,8 +8,8 @@
 const readLimitMs = 200;
 
 /** Lists the statements without a whole answer that a host had read or passed on, unless the host was killed or slowed. */
-export function listCutStatements({sessions, processes, instances, gracePeriodMs, findLateness}: SoakRecord): readonly SoakFinding[] {
-	const executedIds = new Set(instances.flatMap(instance => instance.executedStatements().map(({id}) => id)));
+export function listCutStatements({sessions, processes, groups, gracePeriodMs, findLateness}: SoakRecord): readonly SoakFinding[] {
+	const executedIds = listExecutedIds({groups});
 	const findings: SoakFinding[] = [];
 	for (const session of sessions.filter(({isClosedByHost}) => isClosedByHost)) {
 		const hostProcess = processes.find(({host}) => host === session.host);
--- a/stand-ins/wire/list-wrong-answers.ts
+++ b/stand-ins/wire/list-wrong-answers.ts
@@ -15,11 +15,11 @@
 const maxTextLength = 100;
 
 /** Lists the answers that do not belong to their statement, and the statements that an instance ran with another text or that no client sent. */
-export function listWrongAnswers({sessions, instances}: SoakRecord): readonly SoakFinding[] {
+export function listWrongAnswers({sessions, groups}: SoakRecord): readonly SoakFinding[] {
 	const sent = new Map(sessions.flatMap(session => session.messages.map(message => [message.id, {session, message}] as const)));
 	const executed = new Map<string, Set<string>>();
 	const findings: SoakFinding[] = [];
-	for (const instance of instances) {
+	for (const instance of groups.flatMap(({instances}) => instances)) {
 		for (const {id, text} of instance.executedStatements()) {
 			const places = executed.get(id) ?? new Set();
 			executed.set(id, places.add(instance.id));
--- a/stand-ins/wire/run-soak-client.ts
+++ b/stand-ins/wire/run-soak-client.ts
@@ -1,6 +1,7 @@
 /* eslint-disable no-await-in-loop -- sessions and statements of a client run in sequence */
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {findWrittenItem} from './find-written-item.ts';
 import {openWireClient} from './open-wire-client.ts';
 import {soakKinds} from './soak-kinds.ts';
 import type {SoakMessage} from './soak-message.ts';
@@ -14,7 +15,9 @@
 	readonly random: () => number;
 	/** Returns the hosts that get new connections. */
 	readonly listHosts: () => ReadonlyArray<WireDeployment['hosts'][number]>;
-	/** Items that were written lately, for all clients; the newest one is last. */
+	/** Text that the names of the databases of the client's group end with. */
+	readonly databaseSuffix: string;
+	/** Items that were written lately, for all clients of a group; the newest one is last. */
 	readonly writtenItems: string[];
 	readonly isOver: () => boolean;
 	readonly onSession: (session: SoakSession) => void;
@@ -25,8 +28,8 @@
 /** Milliseconds between two attempts to connect. */
 const reconnectMs = 50;
 
-/** Number of items written lately that reads choose from. */
-const recentItemCount = 20;
+/** Numbers of items written lately that reads choose from; half of them from the newest ones only. */
+const itemCounts = {newest: 20, kept: 300};
 
 /** Uses connections to hosts, one after the other, each until the host closes it, until the soak is over. */
 export async function runSoakClient(options: Options): Promise<void> {
@@ -50,7 +53,8 @@
 	}
 
 	const openedAt = performance.now();
-	const wire = openWireClient(host.port, kind);
+	const database = `${kind.database}${options.databaseSuffix}`;
+	const wire = openWireClient(host.port, {...kind, database});
 	const messages: SoakMessage[] = [];
 	const {state: startState} = await wire.started;
 	if (startState !== '') {
@@ -63,7 +67,7 @@
 	const isClosedByHost = wire.isClosed();
 	wire.close();
 	onSession({
-		client, host, database: kind.database, key: kind.key, openedAt, startState, messages, closedAt: performance.now(), isClosedByHost, isReadLate: kind.isReadLate,
+		client, host, database, key: kind.key, openedAt, startState, messages, closedAt: performance.now(), isClosedByHost, isReadLate: kind.isReadLate,
 	});
 	if (startState === '' && !isOver()) {
 		await sleep(reconnectMs);
@@ -79,6 +83,25 @@
 	client, random, writtenItems, isOver, wire, messages,
 }: TalkOptions): SoakTalk {
 	const pick = (least: number, most: number) => least + Math.floor(random() * (most - least));
+	/** Items that the open transaction has written. */
+	let openItems: string[] = [];
+
+	/** Adds the items that are written once a statement is answered. */
+	const recordItems = (text: string, {state, result}: {readonly state: string; readonly result: string}) => {
+		const item = findWrittenItem(text);
+		const isDone = result.startsWith('COMPLETE');
+		if (item !== undefined && isDone) {
+			openItems.push(item);
+		}
+
+		if (state === 'I') {
+			const isWritten = isDone && (item !== undefined || text === 'COMMIT');
+			writtenItems.push(...isWritten ? openItems : []);
+			writtenItems.splice(0, writtenItems.length - itemCounts.kept);
+			openItems = [];
+		}
+	};
+
 	const send = async (...texts: readonly string[]) => {
 		const sentAt = performance.now();
 		const statements = texts.map(text => ({id: randomUUID(), text}));
@@ -91,11 +114,7 @@
 				...statement, ...answer, sentAt, endedAt: performance.now(),
 			};
 			lastState = answer.state;
-			const [command = '', item = ''] = statement.text.split(' ');
-			if (command === 'WRITE' && answer.state === 'I' && answer.result.startsWith('COMPLETE')) {
-				writtenItems.push(item);
-				writtenItems.splice(0, writtenItems.length - recentItemCount);
-			}
+			recordItems(statement.text, answer);
 		}));
 		return lastState;
 	};
@@ -120,7 +139,7 @@
 		pick,
 		createItem,
 		createWrite: () => `WRITE ${createItem()}`,
-		findItem: () => writtenItems[pick(0, writtenItems.length)] ?? 'none',
+		findItem: () => writtenItems[pick(random() < 0.5 ? Math.max(0, writtenItems.length - itemCounts.newest) : 0, writtenItems.length)] ?? 'none',
 		isOver: () => wire.isClosed() || isOver(),
 	};
 }
--- a/stand-ins/wire/soak-kinds.ts
+++ b/stand-ins/wire/soak-kinds.ts
@@ -72,6 +72,12 @@
 			await talk.pause(0, 60);
 		},
 	},
+	{
+		...defaults, name: 'single reads that accept older data', database: 'old', async runOperation(talk) {
+			await talk.send(`READ ${talk.findItem()}`);
+			await talk.pause(0, 200);
+		},
+	},
 	{
 		...defaults, name: 'single statements with their own writes', database: 'own', async runOperation(talk) {
 			await talk.send(createStatement(talk));
--- a/stand-ins/wire/soak-record.ts
+++ b/stand-ins/wire/soak-record.ts
@@ -1,4 +1,4 @@
-import type {InstanceStandIn} from './instance-stand-in.ts';
+import type {InstanceGroup} from './instance-group.ts';
 import type {SoakProcess} from './soak-process.ts';
 import type {SoakSession} from './soak-session.ts';
 
@@ -6,7 +6,7 @@
 export type SoakRecord = {
 	readonly sessions: readonly SoakSession[];
 	readonly processes: readonly SoakProcess[];
-	readonly instances: readonly InstanceStandIn[];
+	readonly groups: ReadonlyArray<Pick<InstanceGroup, 'name' | 'instances' | 'leader' | 'commits'>>;
 	readonly gracePeriodMs: number;
 	/** Returns the most milliseconds by which this process, which takes the times, was late between two moments. */
 	readonly findLateness: (from: number, to: number) => number;
--- /dev/null
+++ b/stand-ins/wire/start-instance-group.ts
@@ -0,0 +1,216 @@
+/* eslint-disable @typescript-eslint/naming-convention -- names defined by the platform */
+/* eslint-disable no-await-in-loop -- instances start in sequence */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {CommitRecord} from './commit-record.ts';
+import type {InstanceGroup} from './instance-group.ts';
+import type {InstanceStandIn} from './instance-stand-in.ts';
+import type {LogEntry} from './log-entry.ts';
+import {startInstanceStandIn} from './start-instance-stand-in.ts';
+import type {StoreStandIn} from './store-stand-in.ts';
+
+type Options = {
+	readonly name: string;
+	/** Availability zones, one instance in each; that of the first one leads. */
+	readonly zones: readonly string[];
+	/** Text that the instances' ids begin with, before their zones. */
+	readonly idPrefix: string;
+	/** Milliseconds after which a replica applies a commit that it has received. */
+	readonly lag: number;
+	/** Milliseconds that a statement takes at an instance. */
+	readonly workMs: number;
+	/** Store in which the instances register. */
+	readonly store: Pick<StoreStandIn, 'put' | 'delete'>;
+};
+
+/** Milliseconds that a commit takes to a replica. */
+const replicationDelayMs = 5;
+
+/** Milliseconds between two messages of a primary to each other instance, also when it commits nothing. */
+const heartbeatMs = 100;
+
+/** Milliseconds for which an old primary goes on beside a new one that it can reach. */
+const stepDownDelayMs = 1000;
+
+/** Milliseconds between a change of role and its entry in the store. */
+const listDelayMs = 50;
+
+/** Milliseconds after which the entry of a crashed instance is removed. */
+const expiryMs = 3600;
+
+/** Starts the simulated instances of a group: a primary, and replicas that receive its commits and apply them later. */
+export async function startInstanceGroup({
+	name, zones, idPrefix, lag, workMs, store,
+}: Options): Promise<InstanceGroup> {
+	const instances: InstanceStandIn[] = [];
+	const departing = new Set<InstanceStandIn>();
+	const cut = new Set<InstanceStandIn>();
+	const commits: CommitRecord[] = [];
+	/** Since when an old primary can reach a newer one, in milliseconds of the steady clock. */
+	const reachesNewerSince = new Map<InstanceStandIn, number>();
+	let newestTerm = 1;
+	let seq = 0;
+	let isClosed = false;
+
+	const isReachable = (from: InstanceStandIn, to: InstanceStandIn) =>
+		from !== to && !cut.has(from) && !cut.has(to) && !from.isDown() && !to.isDown();
+
+	const list = (instance: InstanceStandIn) => {
+		if (instance.isDown() || isClosed) {
+			return;
+		}
+
+		seq++;
+		store.put('servers', instance.id, {
+			backend: name, address: `127.0.0.1:${instance.port}`, zone: zones[instances.indexOf(instance)], version: 'v1', capacity: 5,
+			state: departing.has(instance) ? 'draining' : 'ready', warmup_ms: 0, db_role: instance.role(), seq,
+		});
+	};
+
+	const listLater = (instance: InstanceStandIn | undefined) => {
+		if (instance !== undefined) {
+			setTimeout(list, listDelayMs, instance);
+		}
+	};
+
+	const findLeader = () => instances.findLast(instance => instance.role() === 'primary' && instance.term() === newestTerm) ?? instances.find(instance => instance.term() === newestTerm);
+
+	const sendLog = (from: InstanceStandIn) => {
+		const term = from.term();
+		const entries = [...from.log()];
+		for (const to of instances.filter(instance => isReachable(from, instance) && !(instance.role() === 'primary' && instance.term() < term))) {
+			setTimeout(() => {
+				if (isReachable(from, to) && from.role() === 'primary' && from.term() === term) {
+					to.receive(term, entries);
+				}
+			}, replicationDelayMs);
+		}
+	};
+
+	const recordCommit = (instance: InstanceStandIn, entry: LogEntry) => {
+		commits.push({
+			group: name, instance: instance.id, entry, at: performance.now(), isBehindPromotion: instance.term() < newestTerm, isRolledBack: false,
+		});
+		sendLog(instance);
+	};
+
+	for (const [index, zone] of zones.entries()) {
+		instances.push(await startInstanceStandIn({
+			id: `${idPrefix}${zone}`,
+			group: name,
+			role: index === 0 ? 'primary' : 'replica',
+			lag,
+			workMs,
+			onCommit(entry) {
+				const instance = instances[index];
+				if (instance !== undefined) {
+					recordCommit(instance, entry);
+				}
+			},
+			onRole() {
+				listLater(instances[index]);
+			},
+		}));
+	}
+
+	/** Lets an old primary step down that has reached a newer one for long enough. */
+	const stepOldPrimary = (instance: InstanceStandIn) => {
+		const newer = instances.find(other => other.role() === 'primary' && other.term() > instance.term() && isReachable(instance, other));
+		if (newer === undefined) {
+			reachesNewerSince.delete(instance);
+			return;
+		}
+
+		const since = reachesNewerSince.get(instance) ?? performance.now();
+		reachesNewerSince.set(instance, since);
+		if (performance.now() - since >= stepDownDelayMs) {
+			reachesNewerSince.delete(instance);
+			instance.stepDown(newer.term());
+		}
+	};
+
+	const timer = setInterval(() => {
+		for (const instance of instances.filter(candidate => candidate.role() === 'primary' && !candidate.isDown())) {
+			stepOldPrimary(instance);
+			sendLog(instance);
+		}
+	}, heartbeatMs);
+
+	for (const instance of instances) {
+		list(instance);
+	}
+
+	const rollBackCommits = (promoted: InstanceStandIn) => {
+		const kept = new Set(promoted.log());
+		for (const [index, record] of commits.entries()) {
+			if (!record.isBehindPromotion && !kept.has(record.entry)) {
+				commits[index] = {...record, isRolledBack: true};
+			}
+		}
+	};
+
+	const mayPromote = (id: string) => instances.some(instance => instance.id === id && !instance.isCrashed());
+
+	return {
+		name,
+		instances,
+		leader() {
+			const leader = findLeader();
+			if (leader === undefined) {
+				throw new Error(`No instance of group "${name}" knows term ${newestTerm}`);
+			}
+
+			return leader;
+		},
+		commits: () => commits,
+		mayPromote,
+		promote(id) {
+			const instance = instances.find(candidate => candidate.id === id);
+			const isLeading = instance?.role() === 'primary' && instance.term() === newestTerm;
+			if (instance === undefined || isLeading || !mayPromote(id)) {
+				return;
+			}
+
+			newestTerm++;
+			rollBackCommits(instance);
+			instance.promote(newestTerm);
+			departing.clear();
+			for (const other of instances) {
+				listLater(other);
+			}
+
+			sendLog(instance);
+		},
+		drain(instance) {
+			departing.add(instance);
+			list(instance);
+		},
+		listAsReady(instance) {
+			departing.delete(instance);
+			list(instance);
+		},
+		setCut(instance, isCut) {
+			if (isCut) {
+				cut.add(instance);
+			} else {
+				cut.delete(instance);
+			}
+		},
+		async crash(instance, milliseconds) {
+			instance.crash();
+			const expiry = setTimeout(() => {
+				store.delete('servers', instance.id);
+			}, expiryMs);
+			await sleep(milliseconds);
+			clearTimeout(expiry);
+			instance.comeBack(newestTerm);
+			list(instance);
+		},
+		close() {
+			isClosed = true;
+			clearInterval(timer);
+			for (const instance of instances) {
+				instance.close();
+			}
+		},
+	};
+}
--- a/stand-ins/wire/start-instance-stand-in.ts
+++ b/stand-ins/wire/start-instance-stand-in.ts
@@ -11,10 +11,12 @@
 	readonly id: string;
 	readonly group: string;
 	readonly role: 'primary' | 'replica';
-	/** Called for each commit while the instance is the primary. */
+	/** Milliseconds after which a received commit is applied. */
+	readonly lag: number;
+	/** Called for each commit while the instance is a primary. */
 	readonly onCommit: (entry: LogEntry) => void;
-	/** Called when the instance has become a replica of a newer primary. */
-	readonly onStepDown?: () => void;
+	/** Called when the instance begins to lead or ceases to. */
+	readonly onRole: () => void;
 	/** Milliseconds that a read, write or commit takes. */
 	readonly workMs: number;
 };
@@ -23,16 +25,38 @@
 const workPattern = /^(?:AFTER \S+ )?(?:READ|WRITE|EXECUTE|COMMIT)\b/v;
 
 /** Starts a simulated instance on a free port of the loopback address. */
-export async function startInstanceStandIn({id, group, role, onCommit, onStepDown = () => undefined, workMs}: Options): Promise<InstanceStandIn> {
+export async function startInstanceStandIn({
+	id, group, role, lag, onCommit, onRole, workMs,
+}: Options): Promise<InstanceStandIn> {
 	const executedStatements: Array<ReturnType<InstanceStandIn['executedStatements']>[number]> = [];
 	const sessionWorkspaces: string[] = [];
 	const sockets = new Set<Socket>();
-	const log = createInstanceLog({role, onCommit, onStepDown});
-	const execute = createStatementExecutor({id, log, countConnections: () => sockets.size});
+	const log = createInstanceLog({
+		role, lag, onCommit, onRole,
+	});
 	let isUnresponsive = false;
+	let isCrashed = false;
+	let isFrozen = false;
+	let isStatusRefused = false;
+	/** What is to be done when the instance no longer stands still, in the order of its arrival. */
+	let delayed: Array<() => void> = [];
+	const execute = createStatementExecutor({
+		id, log, countConnections: () => sockets.size, isStatusRefused: () => isStatusRefused,
+	});
 	let remainingLostAnswers = 0;
 
 	const answer = (socket: Socket, connection: InstanceConnectionState, line: string) => {
+		if (isCrashed) {
+			return;
+		}
+
+		if (isFrozen) {
+			delayed.push(() => {
+				answer(socket, connection, line);
+			});
+			return;
+		}
+
 		const [command = '', first = '', ...rest] = line.split(' ');
 		if (command === 'START') {
 			sessionWorkspaces.push(rest[0] ?? '');
@@ -72,6 +96,11 @@
 			state: 'I', isReadOnly: false, writes: [], variables: new Map(), prepared: new Map(), answered: Promise.resolve(),
 		};
 		let rest = '';
+		if (isCrashed) {
+			socket.resetAndDestroy();
+			return;
+		}
+
 		sockets.add(socket);
 		socket.on('close', () => sockets.delete(socket));
 		socket.on('error', () => undefined);
@@ -98,12 +127,39 @@
 		log: log.entries,
 		executedStatements: () => executedStatements,
 		sessionWorkspaces: () => sessionWorkspaces,
-		appendEntry: log.append,
+		receive: log.receive,
 		promote: log.promote,
-		follow: log.follow,
+		stepDown: log.stepDown,
+		setLag: log.setLag,
 		stopAnswering() {
 			isUnresponsive = true;
 		},
+		setFrozen(newer) {
+			isFrozen = newer;
+			if (!isFrozen) {
+				const due = delayed;
+				delayed = [];
+				for (const run of due) {
+					run();
+				}
+			}
+		},
+		setStatusRefused(newer) {
+			isStatusRefused = newer;
+		},
+		crash() {
+			isCrashed = true;
+			delayed = [];
+			for (const socket of sockets) {
+				socket.resetAndDestroy();
+			}
+		},
+		comeBack(newestTerm) {
+			isCrashed = false;
+			log.stepDown(newestTerm);
+		},
+		isCrashed: () => isCrashed,
+		isDown: () => isCrashed || isFrozen || isUnresponsive,
 		loseAnswers(count) {
 			remainingLostAnswers = count;
 		},
--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -1,15 +1,12 @@
-/* eslint-disable @typescript-eslint/naming-convention -- names defined by the platform */
 /* eslint-disable no-await-in-loop -- steps run in sequence */
 import {createServer as createHttpServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createWireConfiguration} from './create-wire-configuration.ts';
-import {findNewestPrimary} from './find-newest-primary.ts';
-import type {InstanceStandIn} from './instance-stand-in.ts';
+import type {InstanceGroup} from './instance-group.ts';
 import {isReady} from './is-ready.ts';
-import type {LogEntry} from './log-entry.ts';
-import {startInstanceStandIn} from './start-instance-stand-in.ts';
+import {startInstanceGroup} from './start-instance-group.ts';
 import {startStoreStandIn} from './start-store-stand-in.ts';
 import {startWireHost} from './start-wire-host.ts';
 import type {WireDeployment} from './wire-deployment.ts';
@@ -17,6 +14,8 @@
 
 type Options = Omit<WireHostOptions, 'zone' | 'storePort' | 'cloudPort'> & {
 	readonly hostCount: number;
+	/** Groups of three instances. Defaults to 1. */
+	readonly groupCount?: number;
 	/** Replication lag in milliseconds. */
 	readonly lag: number;
 	/** Milliseconds that a statement takes at an instance. Defaults to 0. */
@@ -28,91 +27,37 @@
 };
 
 const zones = ['a', 'b', 'c'];
-const group = 'pondbook';
 
-/** Delay between accepting a promotion and its effect. */
-const promotionDelayMs = 100;
+/** Milliseconds between accepting a promotion and its effect, unless a test changes them. */
+const usualPromotionDelayMs = 100;
 
-/** Delay between a promotion and the update of the instances in the store. */
-const instanceUpdateDelayMs = 50;
-
-/** Milliseconds after which a replaced primary that can reach the new one steps down by itself. */
-const stepDownDelayMs = 1000;
-
-/** Starts host processes, with a simulated store, cloud API and group of three instances. */
+/** Starts host processes, with a simulated store, cloud API and groups of three instances. */
 export async function startWireDeployment({
-	hostCount, lag, workMs = 0, connectionLimit = 34, ratePerSecond = 200, ...hostOptions
+	hostCount, groupCount = 1, lag, workMs = 0, connectionLimit = 34, ratePerSecond = 200, ...hostOptions
 }: Options): Promise<WireDeployment> {
 	const store = await startStoreStandIn();
-	const instances: InstanceStandIn[] = [];
-	const replicate = (entry: LogEntry, primaryId: string) => {
-		setTimeout(() => {
-			for (const instance of instances) {
-				if (instance.id !== primaryId && instance.role() === 'replica' && instance.term() <= entry.term) {
-					instance.appendEntry(entry);
-				}
-			}
-		}, lag);
-	};
-
-	for (const [index, zone] of zones.entries()) {
-		const id = `i-${zone}`;
-		instances.push(await startInstanceStandIn({
-			id,
-			group,
-			role: index === 0 ? 'primary' : 'replica',
-			workMs,
-			onCommit(entry) {
-				replicate(entry, id);
-			},
-			onStepDown() {
-				const primary = findNewestPrimary(instances);
-				if (primary !== undefined) {
-					instances[index]?.follow(primary.term(), primary.log());
-				}
-			},
+	const groups: InstanceGroup[] = [];
+	for (let index = 0; index < groupCount; index++) {
+		const number = index === 0 ? '' : String(index + 1);
+		groups.push(await startInstanceGroup({
+			name: `pondbook${number}`, zones, idPrefix: `i${number}-`, lag, workMs, store,
 		}));
 	}
 
-	const writeInstance = (instance: InstanceStandIn, state: 'ready' | 'draining') => {
-		store.put('servers', instance.id, {
-			backend: group, address: `127.0.0.1:${instance.port}`, zone: zones[instances.indexOf(instance)], version: 'v1', capacity: 5, state, warmup_ms: 0, db_role: instance.role(), seq: 1,
-		});
-	};
-
-	const writeInstances = () => {
-		for (const instance of instances) {
-			writeInstance(instance, 'ready');
-		}
-	};
-
 	const promotions: Array<{readonly id: string; readonly token: number}> = [];
-	const promote = (id: string) => {
-		const term = Math.max(...instances.map(instance => instance.term())) + 1;
-		const newPrimary = instances.find(instance => instance.id === id);
-		newPrimary?.promote(term);
-		for (const instance of instances) {
-			if (instance.id !== id && instance.role() === 'replica') {
-				instance.follow(term, newPrimary?.log() ?? []);
-			}
-		}
-
-		setTimeout(writeInstances, instanceUpdateDelayMs);
-		setTimeout(() => {
-			for (const instance of instances) {
-				if (instance.role() === 'primary' && instance.term() < term) {
-					instance.follow(term, newPrimary?.log() ?? []);
-				}
-			}
-		}, stepDownDelayMs);
-	};
-
+	let promotionDelayMs = usualPromotionDelayMs;
 	const cloudApi = createHttpServer((request, response) => {
 		const answer = async () => {
 			const {id} = JSON.parse(await text(request)) as {readonly id: string};
+			const group = groups.find(({mayPromote}) => mayPromote(id));
+			if (group === undefined) {
+				response.writeHead(409).end('{}');
+				return;
+			}
+
 			promotions.push({id, token: Number(request.headers['x-fencing-token'])});
 			response.writeHead(200).end('{}');
-			setTimeout(promote, promotionDelayMs, id);
+			setTimeout(group.promote, promotionDelayMs, id);
 		};
 
 		void answer();
@@ -124,12 +69,11 @@
 	const configure: WireDeployment['configure'] = ({keys, hasGuestRoute = false}) => {
 		version += 3;
 		store.put('op', 'config', createWireConfiguration({
-			version, keys, hasGuestRoute, connectionLimit, ratePerSecond, group,
+			version, keys, hasGuestRoute, connectionLimit, ratePerSecond, groups: groups.map(({name}) => name),
 		}));
 	};
 
 	configure({keys: ['good', 'other']});
-	writeInstances();
 	const start = async (index: number) => startWireHost(`host-${index + 1}`, {
 		...hostOptions, zone: zones[index % zones.length] ?? '', storePort: store.address().port, cloudPort: (cloudApi.address() as AddressInfo).port,
 	});
@@ -146,9 +90,13 @@
 
 	return {
 		store,
-		instances,
+		groups,
+		instances: groups[0]?.instances ?? [],
 		hosts,
 		promotions: () => promotions,
+		setPromotionDelay(delay) {
+			promotionDelayMs = delay;
+		},
 		async waitUntilReady() {
 			await Promise.all(hosts.map(async host => waitUntilReady(host)));
 		},
@@ -160,7 +108,7 @@
 		},
 		configure,
 		drain(instance) {
-			writeInstance(instance, 'draining');
+			groups[0]?.drain(instance);
 		},
 		stop() {
 			for (const host of hosts) {
@@ -169,8 +117,8 @@
 
 			cloudApi.close();
 			store.close();
-			for (const instance of instances) {
-				instance.close();
+			for (const group of groups) {
+				group.close();
 			}
 		},
 	};
--- a/stand-ins/wire/stop-soak.test.ts
+++ b/stand-ins/wire/stop-soak.test.ts
@@ -1,19 +1,19 @@
-/* eslint-disable no-await-in-loop -- steps run in sequence */
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {createRandom} from '../cluster/create-random.ts';
+import {chooseFindings} from './choose-findings.ts';
+import {createMixedRandom} from './create-mixed-random.ts';
 import {describeSoakFinding} from './describe-soak-finding.ts';
 import {followProcess} from './follow-process.ts';
+import {isServing} from './is-serving.ts';
 import {listCutStatements} from './list-cut-statements.ts';
 import {listSoakWrites} from './list-soak-writes.ts';
 import {listStaleReads} from './list-stale-reads.ts';
 import {listWrongAnswers} from './list-wrong-answers.ts';
 import {listWrongEffects} from './list-wrong-effects.ts';
 import {listWrongEnds} from './list-wrong-ends.ts';
-import {openWireClient} from './open-wire-client.ts';
 import {runSoakClient} from './run-soak-client.ts';
 import {runStopFaults} from './run-stop-faults.ts';
 import type {SoakFinding} from './soak-finding.ts';
@@ -48,9 +48,6 @@
 /** One in so many seeds has stopping processes that are slow, and hosts that may all stop at once. */
 const seedIntervals = {slowStops: 5, allAtOnce: 7};
 
-/** First numbers of a generator that are left out, since those of small seeds resemble each other. */
-const skippedNumberCount = 20;
-
 /** Time limit for writes to succeed on all hosts once the faults are over. */
 const recoveryLimitMs = 8000;
 
@@ -59,60 +56,17 @@
 
 const bigValueBytes = 300_000;
 
-/** Findings of a kind that are described in full. */
-const maxDescribedCount = 5;
-
-function createMixedRandom(seed: number): () => number {
-	const random = createRandom(seed);
-	for (let skipped = 0; skipped < skippedNumberCount; skipped++) {
-		random();
-	}
-
-	return random;
-}
-
-/** Returns the answer to one statement on a connection of its own. */
-async function query(port: number, text: string): Promise<string> {
-	const client = openWireClient(port, {database: 'latest', key: 'good'});
-	const {state, result} = await client.started;
-	const answer = state === '' ? {result} : await client.query(text);
-	client.close();
-	return answer.result;
-}
-
-/** Repeats a write until it succeeds; returns whether it did in time. */
-async function isServing(port: number, text: string): Promise<boolean> {
-	const endsAt = performance.now() + recoveryLimitMs;
-	while (performance.now() < endsAt) {
-		const result = await Promise.race([query(port, text), sleep(endsAt - performance.now(), '')]);
-		if (result.startsWith('COMPLETE')) {
-			return true;
-		}
-
-		await sleep(50);
-	}
-
-	return false;
-}
-
 function listFindings(record: SoakRecord): readonly SoakFinding[] {
 	const writes = record.sessions.flatMap(session => listSoakWrites(session));
 	return [
 		...listCutStatements(record),
 		...listWrongEffects(record, writes),
 		...listWrongAnswers(record),
-		...listStaleReads(record.sessions, writes),
+		...listStaleReads(record, writes),
 		...listWrongEnds(record),
 	];
 }
 
-/** Returns the first findings of each kind. */
-function chooseFindings(findings: readonly SoakFinding[]): readonly SoakFinding[] {
-	const findKind = ({rule, what}: SoakFinding) => `${rule} ${what.split(/[,\d]/v)[0]}`;
-	return [...new Set(findings.map(finding => findKind(finding)))]
-		.flatMap(kind => findings.filter(finding => findKind(finding) === kind).slice(0, maxDescribedCount));
-}
-
 describe('hosts over the wire protocol, that are stopped again and again', () => {
 	for (const seed of seeds) {
 		// Guards against statements that are cut, refused and run or run twice around planned stops, whatever overlaps with them.
@@ -133,7 +87,9 @@
 				await deployment.waitUntilReady();
 				const processes = deployment.hosts.map(host => followProcess(host));
 				await sleep(1500);
-				await isServing(deployment.hosts[0]?.port ?? 0, `WRITE soak-big ${'x'.repeat(bigValueBytes)}`);
+				await isServing({
+					port: deployment.hosts[0]?.port ?? 0, database: 'latest', text: `WRITE soak-big ${'x'.repeat(bigValueBytes)}`, limitMs: recoveryLimitMs,
+				});
 				const startedAt = performance.now();
 				let isEnded = false;
 				const writtenItems: string[] = [];
@@ -141,6 +97,7 @@
 					client,
 					random: createMixedRandom((seed * 1000) + client),
 					listHosts: rotation.list,
+					databaseSuffix: '',
 					writtenItems,
 					isOver: () => isEnded,
 					onSession(session) {
@@ -165,13 +122,16 @@
 				isEnded = true;
 				await Promise.all(clients);
 				await Promise.all(deployment.hosts.map(async ({name, port}) => {
-					if (!await isServing(port, `WRITE soak-${name} served`)) {
+					const isServed = await isServing({
+						port, database: 'latest', text: `WRITE soak-${name} served`, limitMs: recoveryLimitMs,
+					});
+					if (!isServed) {
 						failures.push({rule: 'RECOVER', what: `${name} served no write for ${recoveryLimitMs} ms after the faults`});
 					}
 				}));
 				await sleep(settleMs);
 				const record: SoakRecord = {
-					sessions, processes, instances: deployment.instances, gracePeriodMs: gracePeriodSeconds * 1000, findLateness: lateness.findLongest,
+					sessions, processes, groups: deployment.groups, gracePeriodMs: gracePeriodSeconds * 1000, findLateness: lateness.findLongest,
 				};
 				const findings = [...failures, ...listFindings(record)];
 				const longestLateMs = Math.round(lateness.findLongest(startedAt, performance.now()));
--- a/stand-ins/wire/summarize-stops.ts
+++ b/stand-ins/wire/summarize-stops.ts
@@ -1,10 +1,11 @@
 import {isWhole} from './is-whole.ts';
+import {listExecutedIds} from './list-executed-ids.ts';
 import type {SoakMessage} from './soak-message.ts';
 import type {SoakRecord} from './soak-record.ts';
 
 /** Summarizes the statements that ran at hosts after their SIGTERM, by kind and answer, and the stops, as lines for people. */
-export function summarizeStops({sessions, processes, instances}: SoakRecord): readonly string[] {
-	const executedIds = new Set(instances.flatMap(instance => instance.executedStatements().map(({id}) => id)));
+export function summarizeStops({sessions, processes, groups}: SoakRecord): readonly string[] {
+	const executedIds = listExecutedIds({groups});
 	const stops = new Map(processes.map(process => [process.host, process.signals().find(({signal}) => signal === 'SIGTERM')?.at] as const));
 	const counts = new Map<string, Map<string, number>>();
 	for (const session of sessions) {
