--- a/packages/sessions/choose-successor.ts
+++ b/packages/sessions/choose-successor.ts
@@ -1,19 +1,12 @@
 import {comparePoints} from '@sapphirefall/decisions';
-import type {InstanceStatus} from './instance-status.ts';
-
-/** An instance that answered a status request. */
-type Candidate = {
-	readonly id: string;
-	readonly status: InstanceStatus;
-	readonly isDeparting: boolean;
-};
+import type {ReportedStatus} from './reported-status.ts';
 
 /**
  * Chooses the instance with the newest log, so that the fewest writes are lost; of equal instances the first by id.
  *
  * Chooses a departing instance only when no other is left.
  */
-export function chooseSuccessor(candidates: readonly Candidate[]): Candidate | undefined {
+export function chooseSuccessor(candidates: readonly ReportedStatus[]): ReportedStatus | undefined {
 	const remaining = candidates.filter(({isDeparting}) => !isDeparting);
 	return (remaining.length > 0 ? remaining : candidates)
 		.toSorted((a, b) => comparePoints(b.status.received, a.status.received) || (a.id < b.id ? -1 : 1))
--- /dev/null
+++ b/packages/sessions/find-leader.ts
@@ -0,0 +1,33 @@
+import type {Failover} from './failover.ts';
+import type {GroupRow} from './group-row.ts';
+import type {ReportedStatus} from './reported-status.ts';
+
+type Options = Pick<Failover, 'reason' | 'mayHaveMissedPromotion'> & {
+	/** Whether all instances have answered. */
+	readonly isComplete: boolean;
+	/** When each promotion that may have been ordered has taken effect or never will; undefined if none was ordered. */
+	readonly settledAt: number | undefined;
+	/** Milliseconds of the steady clock. */
+	readonly now: number;
+};
+
+/**
+ * Finds an instance that already leads and may become or stay the primary.
+ *
+ * Once a successor is stored, its promotion may have been ordered, so no other instance may lead. Before that, and after
+ * the successor was refused, the old primary may stay if it was only silent, also as a new instance that took over its
+ * log. An order before the refused one may still take effect: then all instances must answer, and only once it has.
+ */
+export function findLeader(answers: readonly ReportedStatus[], row: GroupRow, {
+	reason, mayHaveMissedPromotion, isComplete, settledAt, now,
+}: Options): ReportedStatus | undefined {
+	const newestTerm = Math.max(...answers.map(({status}) => status.term));
+	const leader = answers.find(({status}) => status.role === 'primary' && status.term === newestTerm);
+	if (row.successor !== '') {
+		return leader?.id === row.successor ? leader : undefined;
+	}
+
+	const isReasonOver = (reason === 'silent' || reason === 'abandoned' || reason === 'restored') && leader?.isDeparting === false;
+	const isOnlyLeader = settledAt === undefined ? (isComplete || !mayHaveMissedPromotion) : isComplete && now >= settledAt;
+	return isReasonOver && isOnlyLeader ? leader : undefined;
+}
--- /dev/null
+++ b/packages/sessions/read-statuses.ts
@@ -0,0 +1,38 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Failover} from './failover.ts';
+import type {InstanceRuntime} from './instance-runtime.ts';
+import {readStatus} from './read-status.ts';
+import type {ReportedStatus} from './reported-status.ts';
+import {statusTimeoutMs} from './status-timeout-ms.ts';
+
+type Options = {
+	/** Instance that is not asked. */
+	readonly excluded?: string | undefined;
+	/** Instance that was found silent. */
+	readonly silent?: string | undefined;
+};
+
+/** Milliseconds for which a primary that was found silent may still answer after the other instances have. */
+const silentGraceMs = 60;
+
+/**
+ * Reads the status of all instances of a group but one. Waits for one that was found silent only a little longer than for
+ * the others, because it rarely answers again just now.
+ */
+export async function readStatuses({group, workspace}: Pick<Failover, 'group' | 'workspace'>, {excluded, silent}: Options): Promise<readonly ReportedStatus[]> {
+	const instances = group.listInstances().filter(instance => instance.listed().id !== excluded);
+	const answers: ReportedStatus[] = [];
+	const read = async (instance: InstanceRuntime) => {
+		const {id, isDeparting} = instance.listed();
+		const status = await readStatus(instance, {workspace, timeout: statusTimeoutMs});
+		if (status !== undefined) {
+			answers.push({id, status, isDeparting});
+		}
+	};
+
+	const others = Promise.all(instances.filter(instance => instance.listed().id !== silent).map(async instance => read(instance)));
+	const rest = Promise.all(instances.filter(instance => instance.listed().id === silent).map(async instance => read(instance)));
+	await others;
+	await Promise.race([rest, sleep(silentGraceMs)]);
+	return [...answers];
+}
