Take no instance for the primary that leads an older term than the last one

Callers: a commit that was acknowledged is missing from all later reads, on primary routes and on those that accept older data. Cause: while a failover runs, the leader was who reports the role of a primary and the newest term among those that answer. A primary that was replaced before goes on as one until it learns of it. With the present primary silent and the third instance busy, the earlier one was stored as the primary without a promotion, or stored as the successor before its promotion had taken effect. It acknowledges commits until it reaches the present one, and then rolls them back; no promotion did. The row of a group named the primary and the epoch, but not the term. Class: a claim of the present is believed from whoever answers, without a mark of which present it belongs to. Change: the row names the term of its primary, and a leader of an older one counts for nothing, in a failover and in the confirmation after the store came back from an older copy. Rows without a term hold as before. Evidence: both new tests of replace-primary fail before (nothing ordered and the earlier primary stored; stored 400 ms after the order where it takes effect after 800), and both of find-confirmed-leader. Why it works: terms rise with each promotion, and the row is written by the host that saw the promotion take effect, so whoever leads an older term was replaced.

--- a/packages/sessions/commit-confirmed-primary.ts
+++ b/packages/sessions/commit-confirmed-primary.ts
@@ -53,8 +53,9 @@
 		return;
 	}
 
+	const term = statuses.get(primary)?.term;
 	const next: GroupRow = {
-		...row, epoch: findNextEpoch(row.epoch, era), state: 'serving', primary, successor: '', holder: self, holderIncarnation: incarnation,
+		...row, epoch: findNextEpoch(row.epoch, era), state: 'serving', primary, successor: '', holder: self, holderIncarnation: incarnation, ...term !== undefined && {term},
 	};
 	const outcome = await store.commit(createGroupChange(group.name, {...next, version}));
 	log.info({...fields, next: next.epoch, outcome: outcome.kind}, 'group: The host tried to confirm the primary after the store came back from an older copy.');
--- a/packages/sessions/commit-fence.ts
+++ b/packages/sessions/commit-fence.ts
@@ -41,10 +41,10 @@
 	const {group, self, incarnation, store, now} = failover;
 	const isHeld = failoverLock?.holder === self && !isFromEarlierEra({...failoverLock, epoch: failoverLock.token});
 	const token = isHeld ? failoverLock.token : findNextEpoch(failoverLock?.token ?? 0, era);
-	const next: GroupRow = {
-		epoch: findNextEpoch(row.epoch, era), state: 'fencing', primary: row.primary, successor: row.successor, holder: self, holderIncarnation: incarnation, token,
+	const next: Versioned<GroupRow> = {
+		...row, epoch: findNextEpoch(row.epoch, era), state: 'fencing', holder: self, holderIncarnation: incarnation, token,
 	};
-	const {expected, values} = createGroupChange(group.name, {...next, version: row.version});
+	const {expected, values} = createGroupChange(group.name, next);
 	const takenAt = now();
 	const outcome = await store.commit({
 		expected: new Map([[fleetKeys.failoverLock, failoverLock?.version ?? 0], ...expected]),
--- a/packages/sessions/find-confirmed-leader.test.ts
+++ b/packages/sessions/find-confirmed-leader.test.ts
@@ -63,6 +63,13 @@
 		{
 			name: 'takes the leader of those that answer when the group has had no primary for long', statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], known: undefined, isOverdue: true, expected: 'i-a',
 		},
+		// Guards against taking an earlier primary, which has not stepped down, for the present one while that is silent.
+		{
+			name: 'takes no leader of an older term than the row names, however long the group has had no primary', row: {...row, term: 4}, statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], known: undefined, isOverdue: true, expected: undefined,
+		},
+		{
+			name: 'takes no leader of an older term than a row that the host knew, although it is the stored primary', statuses: ['primary 3 3.7', undefined, 'replica 3 3.6'], known: {row: {...row, term: 4}, epoch: 4}, expected: undefined,
+		},
 		{
 			name: 'finds nothing while a promotion takes effect', statuses: ['replica 4 3.7', 'replica 4 3.7', 'replica 4 3.6'], known: {row, epoch: 4}, expected: undefined,
 		},
--- a/packages/sessions/find-confirmed-leader.ts
+++ b/packages/sessions/find-confirmed-leader.ts
@@ -24,6 +24,7 @@
  * may still take effect. The leader is then confirmed only by a host that knew the group before, and if it
  * is the primary of the newest row that the host or the store knows, or the successor of a failover: a host that replaces a
  * primary tells all others the new epoch before it promotes one, so a host that never heard of a later epoch missed none.
+ * An instance that leads an older term than a known row names was replaced, whatever else answers.
  *
  * @returns Undefined if the primary is not certain.
  */
@@ -32,7 +33,8 @@
 }: Options): string | undefined {
 	const answered = [...statuses].flatMap(([id, status]) => status === undefined ? [] : [{id, ...status}]);
 	const newestTerm = Math.max(...answered.map(({term}) => term));
-	const leader = answered.find(({role, term}) => role === 'primary' && term === newestTerm)?.id;
+	const oldestTerm = Math.max(row.term ?? 0, known?.row.term ?? 0);
+	const leader = answered.find(({role, term}) => role === 'primary' && term === newestTerm && term >= oldestTerm)?.id;
 	const isComplete = answered.length === statuses.size;
 	const newest = known !== undefined && isLater(known.row, row) ? known.row : row;
 	const hasMissedNone = known !== undefined && known.epoch <= newest.epoch;
--- a/packages/sessions/find-leader.ts
+++ b/packages/sessions/find-leader.ts
@@ -17,17 +17,24 @@
  * Once a successor is stored, its promotion may have been ordered, so no other instance may lead. Before that, and after
  * the successor was refused, the old primary may stay if it was only silent, also as a new instance that took over its
  * log. An order before the refused one may still take effect: then all instances must answer, and only once it has.
+ *
+ * A primary that was replaced goes on as one until it learns of it, and may be the only one that answers. It leads an older
+ * term than the one that the row names.
  */
 export function findLeader(answers: readonly ReportedStatus[], row: GroupRow, {
 	reason, mayHaveMissedPromotion, isComplete, settledAt, now,
 }: Options): ReportedStatus | undefined {
 	const newestTerm = Math.max(...answers.map(({status}) => status.term));
 	const leader = answers.find(({status}) => status.role === 'primary' && status.term === newestTerm);
+	if (leader === undefined || leader.status.term < (row.term ?? 0)) {
+		return undefined;
+	}
+
 	if (row.successor !== '') {
-		return leader?.id === row.successor ? leader : undefined;
+		return leader.id === row.successor ? leader : undefined;
 	}
 
-	const isReasonOver = (reason === 'silent' || reason === 'abandoned' || reason === 'restored') && leader?.isDeparting === false;
+	const isReasonOver = (reason === 'silent' || reason === 'abandoned' || reason === 'restored') && !leader.isDeparting;
 	const isOnlyLeader = settledAt === undefined ? (isComplete || !mayHaveMissedPromotion) : isComplete && now >= settledAt;
 	return isReasonOver && isOnlyLeader ? leader : undefined;
 }
--- a/packages/sessions/group-row.ts
+++ b/packages/sessions/group-row.ts
@@ -6,6 +6,11 @@
 	readonly state: 'serving' | 'fencing';
 	/** Instance that is the primary, or was until it was fenced. */
 	readonly primary: string;
+	/**
+	 * Term that the primary led when it was stored, and later ones may; undefined for a group's first primary, and in rows of
+	 * versions that did not write it.
+	 */
+	readonly term?: number;
 	/** Instance that is to become the primary; empty until one has been chosen. */
 	readonly successor: string;
 	/** Host that last changed the row, and runs the failover while the state is `fencing`. */
--- a/packages/sessions/parse-fleet-rows.ts
+++ b/packages/sessions/parse-fleet-rows.ts
@@ -84,20 +84,20 @@
 	return isName(holder) && isCount(incarnation) && isCount(epoch) ? {holder, incarnation, epoch} : undefined;
 }
 
-function decodeGroup({epoch, state, primary, successor, holder, holderIncarnation, token}: Fields): GroupRow | undefined {
+function decodeGroup({
+	epoch, state, primary, term, successor, holder, holderIncarnation, token,
+}: Fields): GroupRow | undefined {
 	const isKnownState = state === 'serving' || state === 'fencing';
 	if (!isCount(epoch) || !isKnownState || !isName(primary) || (successor !== '' && !isName(successor)) || !isName(holder) || !isCount(token)) {
 		return undefined;
 	}
 
-	const row = {
-		epoch, state, primary, successor, holder, token,
-	} as const;
-	if (holderIncarnation === undefined) {
-		return row;
-	}
-
-	return isCount(holderIncarnation) ? {...row, holderIncarnation} : undefined;
+	const areOthersValid = [term, holderIncarnation].every(value => value === undefined || isCount(value));
+	return areOthersValid
+		? {
+			epoch, state, primary, successor, holder, token, ...isCount(term) && {term}, ...isCount(holderIncarnation) && {holderIncarnation},
+		}
+		: undefined;
 }
 
 function decodeHost(expectedName: string, {name, zone, address, incarnation, leaseMs, isGone}: Fields): HostRow | undefined {
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -132,6 +132,8 @@
 	readonly recentHosts?: readonly HostRow[];
 	/** Answers to the promotion orders, one after another; `accepted` for further ones. */
 	readonly answers?: ReadonlyArray<'accepted' | 'refused' | 'lost'>;
+	/** Term that the primary led when it was stored; unknown if left out. */
+	readonly term?: number;
 	/** What happens while the first order is on its way: another host takes the failover over, or this host is suspended. */
 	readonly duringOrder?: 'takeover' | 'suspension';
 };
@@ -144,7 +146,7 @@
 
 async function runFailover({
 	statuses, statusesAfter, reason = 'silent', isLosing = false, mayHaveMissedPromotion = false,
-	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter,
+	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, term,
 }: Case) {
 	const ordered: string[] = [];
 	let suspended = 0;
@@ -158,7 +160,7 @@
 
 	const instances = Object.keys(statuses).map(id => createInstance(id, () => find(id)));
 	const {store, find: findRow} = createStore({
-		epoch: 1, state: 'serving', primary: 'i-old', successor: '', holder: 'a1', token: 0,
+		epoch: 1, state: 'serving', primary: 'i-old', successor: '', holder: 'a1', token: 0, ...term !== undefined && {term},
 	}, isLosing);
 	const group: Partial<SessionGroup> = {
 		name: 'pondbook',
@@ -195,7 +197,9 @@
 		now: () => ({steady: performance.now(), wall: Date.now() + suspended}),
 		log: {debug: quiet, info: quiet, warn: quiet},
 	});
-	return {row: findRow(), ordered, orderedAfter: orderedAt - startedAt};
+	return {
+		row: findRow(), ordered, orderedAfter: orderedAt - startedAt, storedAfterOrder: performance.now() - orderedAt,
+	};
 }
 
 describe('replacePrimary', () => {
@@ -334,4 +338,32 @@
 		});
 		expect(row).to.include({state: 'serving', primary: 'i-old'});
 	});
+
+	const earlierPrimaries = [
+		{
+			name: 'does not keep an earlier primary that has not stepped down, while the present one is silent',
+			given: {
+				statuses: {'i-old': undefined, 'i-first': 'primary 1 1.9', 'i-c': 'replica 1 1.7'},
+				statusesAfter: {'i-old': undefined, 'i-first': 'primary 1 1.9', 'i-c': 'replica 1 1.7'},
+				statusesLate: {'i-old': undefined, 'i-first': 'primary 3 1.9', 'i-c': 'replica 3 1.7'},
+			},
+		},
+		{
+			name: 'does not store an earlier primary as successor before its promotion takes effect',
+			given: {
+				statuses: {'i-old': undefined, 'i-first': 'primary 1 1.9', 'i-c': 'replica 2 1.7'},
+				statusesAfter: {'i-old': undefined, 'i-first': 'primary 1 1.9', 'i-c': undefined},
+				statusesLate: {'i-old': undefined, 'i-first': 'primary 3 1.9', 'i-c': 'replica 3 1.7'},
+			},
+		},
+	];
+	for (const {name, given} of earlierPrimaries) {
+		// Guards against commits at an earlier primary, which acknowledges them until it hears of the present one and rolls them back.
+		it(name, async () => {
+			const {row, ordered, storedAfterOrder} = await runFailover({...given, term: 2});
+			expect(row).to.include({state: 'serving', primary: 'i-first'});
+			expect(ordered).to.deep.equal(['i-first']);
+			expect(storedAfterOrder).to.be.above(lateEffectMs);
+		});
+	}
 });
--- a/packages/sessions/replace-primary.ts
+++ b/packages/sessions/replace-primary.ts
@@ -37,7 +37,7 @@
 	}
 
 	const outcome = await commitGroupRow(promoted.row, {
-		...promoted.row, state: 'serving', primary: promoted.instance, successor: '',
+		...promoted.row, state: 'serving', primary: promoted.instance, term: promoted.status.term, successor: '',
 	}, failover);
 	logStep('The host tried to store the new primary.', {primary: promoted.instance, term: promoted.status.term, outcome});
 	if (promoted.instance !== fence.row.primary) {
