Wait a moment for an instance that knows the term of the lost primary before another one is promoted

Callers: all commits of a term are lost although an instance holds them, since it was busy when its status was asked for. Cause: the successor is the one with the newest log among those that answer in the first round. An earlier primary that was cut off answers too, and knows nothing of the last term. Change: while only instances answer that do not know the term of the lost primary, the failover waits for others, for 1.5 s at most. Why it works: an instance that knows the term has received from its primary, one that does not has not.

--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -28,6 +28,12 @@
 /** Milliseconds after which a promotion order is repeated that has shown no effect. */
 const orderIntervalMs = 1500;
 
+/**
+ * Milliseconds for which an instance is waited for that knows the term of the old primary, when only others answer: they have
+ * nothing of that term in their logs, and a promotion would lose all of it.
+ */
+const newerLogLimitMs = 1500;
+
 /** Milliseconds after which the store is read again before an order, to prove that this host still runs the failover. */
 const proofLifetimeMs = 500;
 
@@ -57,6 +63,7 @@
 	}
 
 	let {duty} = fence;
+	const newerLogUntil = now().steady + newerLogLimitMs;
 	let ordered: {readonly instance: string; readonly at: number} | undefined;
 	/** When each promotion that may have been ordered has taken effect or never will, in milliseconds of the steady clock. */
 	let settledAt = row.successor === '' ? undefined : now().steady + promotionLimitMs;
@@ -87,7 +94,8 @@
 		const candidates = answers.filter(({id}) => id !== fence.row.primary);
 		const named = row.successor;
 		const successor = candidates.find(({id}) => id === named) ?? chooseSuccessor(candidates);
-		if (successor === undefined || (ordered?.instance === successor.id && now().steady - ordered.at < orderIntervalMs)) {
+		const isWaiting = named === '' && now().steady < newerLogUntil && successor !== undefined && successor.status.term < (row.term ?? 0);
+		if (successor === undefined || isWaiting || (ordered?.instance === successor.id && now().steady - ordered.at < orderIntervalMs)) {
 			await sleep(roundIntervalMs);
 			continue;
 		}
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -120,6 +120,8 @@
 
 type Case = {
 	readonly statuses: Statuses;
+	/** Status rows in the first milliseconds, `firstMs` of them; the same as later if left out. */
+	readonly statusesFirst?: Statuses;
 	/** Status rows after the promotion order. */
 	readonly statusesAfter: Statuses;
 	/** Status rows once the first order takes effect, `lateEffectMs` after it; the same as before if left out. */
@@ -141,12 +143,15 @@
 /** Milliseconds after which a promotion takes effect whose order was lost on the way back. */
 const lateEffectMs = 800;
 
+/** Milliseconds after which an instance answers that does not at first. */
+const firstMs = 700;
+
 /** Milliseconds for which a host is suspended. */
 const suspendedMs = 6000;
 
 async function runFailover({
 	statuses, statusesAfter, reason = 'silent', isLosing = false, mayHaveMissedPromotion = false,
-	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, term,
+	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term,
 }: Case) {
 	const ordered: string[] = [];
 	let suspended = 0;
@@ -155,7 +160,8 @@
 	let firstOrderedAt = Number.POSITIVE_INFINITY;
 	const find = (id: string) => {
 		const late = performance.now() - firstOrderedAt > lateEffectMs ? statusesLate : statusesAfter;
-		return (ordered.length > 0 ? late : statuses)[id];
+		const early = performance.now() - startedAt < firstMs ? statusesFirst : statuses;
+		return (ordered.length > 0 ? late : early)[id];
 	};
 
 	const instances = Object.keys(statuses).map(id => createInstance(id, () => find(id)));
@@ -366,4 +372,24 @@
 			expect(storedAfterOrder).to.be.above(lateEffectMs);
 		});
 	}
+
+	const newerLogs = [
+		{name: 'promotes an instance that answers late rather than one that knows nothing of the term of the lost primary', late: 'replica 2 2.12', expected: 'i-c'},
+		{name: 'promotes an instance that knows nothing of the term of the lost primary if no other one answers', late: undefined, expected: 'i-first'},
+	];
+	for (const {name, late, expected} of newerLogs) {
+		// Guards against losing all commits of a term because the instance that holds them was busy for a moment.
+		it(name, async () => {
+			const {row, ordered} = await runFailover({
+				statusesFirst: {'i-old': undefined, 'i-first': 'primary 1 1.9', 'i-c': undefined},
+				statuses: {'i-old': undefined, 'i-first': 'primary 1 1.9', 'i-c': late},
+				statusesAfter: {
+					'i-old': undefined, 'i-first': 'primary 1 1.9', 'i-c': late, [expected]: 'primary 3 2.12',
+				},
+				term: 2,
+			});
+			expect(ordered).to.deep.equal([expected]);
+			expect(row).to.include({state: 'serving', primary: expected, term: 3});
+		});
+	}
 });
