Order no other promotion while the last one may still take effect

Callers: after a failover, commits at the stored primary are acknowledged, and all are missing later; reads on primary routes go on at an instance that no longer leads. Cause: an order without an answer, or an accepted one, takes up to 1.5 s to take effect. If the instance that was ordered gave no status in one round (400 ms; a status is refused while all slots are busy), another one was chosen, stored as successor and ordered at once, and stored as the primary as soon as it led. The first order could take effect behind it: the first instance then led the newest term, and no host knew. If both took effect in turn, the commits that only the first one held were lost without need. An order that was refused (409 or 429) behind one without an answer was followed by that of another instance as well. Class: a right of the present is taken to be over because its holder does not answer. Change: another instance is ordered only 1.5 s after the last order that was not refused, also if a host resumes a failover with a stored successor. Why it works: an order takes effect within 1.5 s or never, so the last one that is given is the last one that takes effect. Cost: up to 1.1 s more without a primary when a successor falls silent between its order and its effect.

--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -67,6 +67,8 @@
 	let ordered: {readonly instance: string; readonly at: number} | undefined;
 	/** When each promotion that may have been ordered has taken effect or never will, in milliseconds of the steady clock. */
 	let settledAt = row.successor === '' ? undefined : now().steady + promotionLimitMs;
+	/** Instance whose promotion was last ordered and not refused, by this host or by one that ran the failover before. */
+	let promoting = row.successor;
 	while (findElapsed(duty.takenAt, now()) < takeoverLimitMs) {
 		if (failover.findEra().era > decodeStoreVersion(fence.row.version).era) {
 			logStep('The store came back from an older copy; the failover begins anew.', {});
@@ -100,6 +102,13 @@
 			continue;
 		}
 
+		// The last promotion that takes effect decides who leads, and an order may take effect after a later one.
+		const isOtherPending = successor.id !== promoting && settledAt !== undefined && now().steady < settledAt;
+		if (isOtherPending) {
+			await sleep(roundIntervalMs);
+			continue;
+		}
+
 		const remaining = findEarlierEraRemaining(failover);
 		if (remaining > 0) {
 			await sleep(remaining);
@@ -142,6 +151,7 @@
 			ordered = undefined;
 			await sleep(roundIntervalMs);
 		} else {
+			promoting = successor.id;
 			settledAt = now().steady + promotionLimitMs;
 		}
 	}
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -7,6 +7,7 @@
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {PooledConnection} from './pooled-connection.ts';
+import {promotionLimitMs} from './promotion-limit-ms.ts';
 import {replacePrimary} from './replace-primary.ts';
 import type {Failover} from './failover.ts';
 import type {SessionGroup} from './session-group.ts';
@@ -124,8 +125,10 @@
 	readonly statusesFirst?: Statuses;
 	/** Status rows after the promotion order. */
 	readonly statusesAfter: Statuses;
-	/** Status rows once the first order takes effect, `lateEffectMs` after it; the same as before if left out. */
+	/** Status rows once the first order takes effect, `lateAfterMs` after it; the same as before if left out. */
 	readonly statusesLate?: Statuses;
+	/** `lateEffectMs` if left out. */
+	readonly lateAfterMs?: number;
 	readonly reason?: Failover['reason'];
 	readonly isLosing?: boolean;
 	readonly mayHaveMissedPromotion?: boolean;
@@ -151,15 +154,16 @@
 
 async function runFailover({
 	statuses, statusesAfter, reason = 'silent', isLosing = false, mayHaveMissedPromotion = false,
-	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term,
+	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term, lateAfterMs = lateEffectMs,
 }: Case) {
 	const ordered: string[] = [];
 	let suspended = 0;
 	const startedAt = performance.now();
 	let orderedAt = Number.POSITIVE_INFINITY;
 	let firstOrderedAt = Number.POSITIVE_INFINITY;
+	const orderTimes: number[] = [];
 	const find = (id: string) => {
-		const late = performance.now() - firstOrderedAt > lateEffectMs ? statusesLate : statusesAfter;
+		const late = performance.now() - firstOrderedAt > lateAfterMs ? statusesLate : statusesAfter;
 		const early = performance.now() - startedAt < firstMs ? statusesFirst : statuses;
 		return (ordered.length > 0 ? late : early)[id];
 	};
@@ -188,6 +192,7 @@
 		async orderPromotion({instance}) {
 			ordered.push(instance);
 			orderedAt = performance.now();
+			orderTimes.push(orderedAt);
 			firstOrderedAt = Math.min(firstOrderedAt, orderedAt);
 			if (duringOrder === 'takeover') {
 				await takeOver(store);
@@ -204,7 +209,7 @@
 		log: {debug: quiet, info: quiet, warn: quiet},
 	});
 	return {
-		row: findRow(), ordered, orderedAfter: orderedAt - startedAt, storedAfterOrder: performance.now() - orderedAt,
+		row: findRow(), ordered, orderedAfter: orderedAt - startedAt, storedAfterOrder: performance.now() - orderedAt, orderTimes,
 	};
 }
 
@@ -335,6 +340,29 @@
 		expect(row).to.include({state: 'serving', primary: 'i-b'});
 	});
 
+	const replacedSuccessors = [
+		{name: 'that gave no answer', answers: ['lost'] as const},
+		{name: 'that was accepted', answers: ['accepted'] as const},
+		{name: 'that gave no answer before a refused one', answers: ['lost', 'refused'] as const},
+	];
+	for (const {name, answers} of replacedSuccessors) {
+		// Guards against two promotions in turn: the later one of the stored primary, and an earlier one that takes effect after it.
+		it(`orders the promotion of another instance only once an order ${name} can take effect no more`, async () => {
+			const {row, ordered, orderTimes} = await runFailover({
+				statuses: {'i-old': undefined, 'i-b': 'replica 1 1.9', 'i-c': 'replica 1 1.7'},
+				statusesAfter: {'i-old': undefined, 'i-b': answers.length > 1 ? 'replica 1 1.9' : undefined, 'i-c': 'replica 1 1.7'},
+				statusesLate: {'i-old': undefined, 'i-b': undefined, 'i-c': 'primary 3 1.7'},
+				lateAfterMs: promotionLimitMs + 1000,
+				answers,
+			});
+			expect(row).to.include({state: 'serving', primary: 'i-c'});
+			const effective = ordered.map((instance, index) => ({instance, at: orderTimes[index] ?? 0})).filter((_, index) => answers[index] !== 'refused');
+			const lastOfOther = effective.findLast(({instance}) => instance === 'i-b');
+			const first = effective.find(({instance}) => instance === 'i-c');
+			expect((first?.at ?? 0) - (lastOfOther?.at ?? 0)).to.be.at.least(promotionLimitMs);
+		});
+	}
+
 	it('keeps the old primary after a refused order once no earlier order can take effect', async () => {
 		const {row} = await runFailover({
 			statuses: {'i-old': undefined, 'i-b': 'replica 1 1.9', 'i-c': 'replica 1 1.7'},
