Take no primary of an older term than the host knew before the store lost its row

Callers: a commit that was acknowledged is missing from all later reads, and no promotion rolled it back. Cause: the term that a leader must have at least comes from the row of the store. When the store comes back from an older copy, that row names the primary before the last one. Hosts that know better do not confirm it, but the failover that follows after 2.5 s took it: if the last primary is gone from the platform's list and the other instances have heard nothing of it, all answer, and the earlier primary leads their newest term. It stayed without a promotion. Class: a claim of the present is believed from whoever answers, without a mark of which present it belongs to. Change: the fence names the newer of the terms of the stored row and of the row that the host knew before the store came back. Evidence: the new test of replace-primary fails before: nothing is ordered, and the earlier primary is stored. Limit: a host that knew nothing before, since it has just started, still takes that primary.

--- a/packages/sessions/commit-fence.test.ts
+++ b/packages/sessions/commit-fence.test.ts
@@ -71,7 +71,7 @@
 const fence = async (plan: Plan, failover: Partial<Failover> = {}) => {
 	const {store, find} = createStore(plan);
 	const startedAt = performance.now();
-	const group: Partial<SessionGroup> = {name: 'pondbook'};
+	const group: Partial<SessionGroup> = {name: 'pondbook', known: ignore};
 	const committed = await commitFence({
 		group: group as SessionGroup,
 		reason: 'silent',
--- a/packages/sessions/commit-fence.ts
+++ b/packages/sessions/commit-fence.ts
@@ -1,4 +1,5 @@
 import {createGroupChange} from './create-group-change.ts';
+import {decodeStoreVersion} from './decode-store-version.ts';
 import {findNextEpoch} from './find-next-epoch.ts';
 import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import type {Fence} from './fence.ts';
@@ -42,7 +43,7 @@
 	const isHeld = failoverLock?.holder === self && !isFromEarlierEra({...failoverLock, epoch: failoverLock.token});
 	const token = isHeld ? failoverLock.token : findNextEpoch(failoverLock?.token ?? 0, era);
 	const next: Versioned<GroupRow> = {
-		...row, epoch: findNextEpoch(row.epoch, era), state: 'fencing', holder: self, holderIncarnation: incarnation, token,
+		...row, ...findNewestTerm(row, failover), epoch: findNextEpoch(row.epoch, era), state: 'fencing', holder: self, holderIncarnation: incarnation, token,
 	};
 	const {expected, values} = createGroupChange(group.name, next);
 	const takenAt = now();
@@ -73,6 +74,13 @@
 		: undefined;
 }
 
+/** Finds the newest term that the row names or, if the store came back from an older copy, the host knew before. */
+function findNewestTerm(row: Versioned<GroupRow>, {group}: Failover): Pick<GroupRow, 'term'> {
+	const known = isFromEarlierEra(row) ? group.known(decodeStoreVersion(row.version).era)?.row.term : undefined;
+	const term = Math.max(row.term ?? 0, known ?? 0);
+	return term === 0 ? {} : {term};
+}
+
 /**
  * Finds since when no host has got a lease on the primary, in milliseconds of the steady clock. While an earlier failover
  * left the row fenced, that is since this host first saw that fence. A row of an earlier era of the store has granted none
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -1,8 +1,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {encodeStoreVersion} from './encode-store-version.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {GroupRow} from './group-row.ts';
 import type {HostRow} from './host-row.ts';
+import type {KnownGroup} from './known-group.ts';
 import {leaseDurationMs} from './lease-duration-ms.ts';
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
@@ -79,9 +81,9 @@
 }
 
 /** Creates a store with the row of one group; `isLosing` makes it lose the answers to commits. */
-function createStore(row: GroupRow, isLosing: boolean): {readonly store: Store; readonly find: () => GroupRow} {
-	const rows = new Map([[`${fleetKeys.groupPrefix}pondbook`, {value: JSON.stringify(row), version: 1}]]);
-	let version = 1;
+function createStore(row: GroupRow, {isLosing, era}: {readonly isLosing: boolean; readonly era: number}): {readonly store: Store; readonly find: () => GroupRow} {
+	let version = encodeStoreVersion({era, counter: 1});
+	const rows = new Map([[`${fleetKeys.groupPrefix}pondbook`, {value: JSON.stringify(row), version}]]);
 	const store: Store = {
 		async read() {
 			const list = [...rows].map(([key, held]) => ({key, ...held}));
@@ -132,6 +134,10 @@
 	readonly reason?: Failover['reason'];
 	readonly isLosing?: boolean;
 	readonly mayHaveMissedPromotion?: boolean;
+	/** Era of the store, whose row is one of the first. */
+	readonly era?: number;
+	/** What the host knew before that era. */
+	readonly known?: KnownGroup;
 	/** Since when the host has known the era of the store, in milliseconds of the steady clock. */
 	readonly eraSince?: number;
 	readonly recentHosts?: readonly HostRow[];
@@ -154,7 +160,7 @@
 
 async function runFailover({
 	statuses, statusesAfter, reason = 'silent', isLosing = false, mayHaveMissedPromotion = false,
-	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term, lateAfterMs = lateEffectMs,
+	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term, lateAfterMs = lateEffectMs, era = 1, known,
 }: Case) {
 	const ordered: string[] = [];
 	let suspended = 0;
@@ -171,10 +177,11 @@
 	const instances = Object.keys(statuses).map(id => createInstance(id, () => find(id)));
 	const {store, find: findRow} = createStore({
 		epoch: 1, state: 'serving', primary: 'i-old', successor: '', holder: 'a1', token: 0, ...term !== undefined && {term},
-	}, isLosing);
+	}, {isLosing, era});
 	const group: Partial<SessionGroup> = {
 		name: 'pondbook',
 		fence: () => undefined,
+		known: () => known,
 		listInstances: () => instances,
 		findInstance: id => instances.find(instance => instance.listed().id === id),
 	};
@@ -187,7 +194,7 @@
 		epoch: 1,
 		fencedAt: undefined,
 		mayHaveMissedPromotion,
-		findEra: () => ({era: 1, since: eraSince}),
+		findEra: () => ({era, since: eraSince}),
 		store,
 		async orderPromotion({instance}) {
 			ordered.push(instance);
@@ -401,6 +408,25 @@
 		});
 	}
 
+	// Guards against commits at a primary that was replaced in seconds that the store has lost, once the new one is gone.
+	it('does not keep a primary of an older term than the host knew before the store came back from an older copy', async () => {
+		const {row, ordered} = await runFailover({
+			statuses: {'i-old': 'primary 1 1.9', 'i-c': 'replica 1 1.7'},
+			statusesAfter: {'i-old': 'primary 1 1.9', 'i-c': 'primary 3 1.7'},
+			reason: 'restored',
+			mayHaveMissedPromotion: true,
+			era: 2,
+			known: {
+				row: {
+					epoch: 2, state: 'serving', primary: 'i-b', term: 2, successor: '', holder: 'a1', token: 1,
+				}, epoch: 2,
+			},
+			term: 1,
+		});
+		expect(ordered).to.deep.equal(['i-c']);
+		expect(row).to.include({state: 'serving', primary: 'i-c', term: 3});
+	});
+
 	const newerLogs = [
 		{name: 'promotes an instance that answers late rather than one that knows nothing of the term of the lost primary', late: 'replica 2 2.12', expected: 'i-c'},
 		{name: 'promotes an instance that knows nothing of the term of the lost primary if no other one answers', late: undefined, expected: 'i-first'},
