--- a/packages/sessions/create-position-sampler.test.ts
+++ b/packages/sessions/create-position-sampler.test.ts
@@ -87,6 +87,29 @@
 		}
 	}
 
+	// Guards against reads that accept older data on a log without any: the primary starts again under its id with an empty log.
+	it('ignores a position that lies behind an earlier one of the same primary', () => {
+		const {sampler, time} = createSampler();
+		sampler.recordAnswer('i-a', answer, {at: {...time}, epoch: 4});
+		time.steady += 1000;
+		time.wall += 1000;
+		sampler.recordAnswer('i-a', {...answer, position: {term: 1, position: 1n}}, {at: {...time}, epoch: 4});
+		expect(sampler.findRequiredPosition({maxStaleness: 5000, lastWrite: undefined, arrivedAt: time})).to.deep.equal(point);
+		expect(sampler.findRequiredPosition({maxStaleness: 500, lastWrite: undefined, arrivedAt: time})).to.equal(undefined);
+	});
+
+	it('keeps a position of a later primary that lies behind one of its predecessor', () => {
+		const plan: {row: Versioned<GroupRow>} = {row: serving};
+		const {sampler, time} = createSampler(plan);
+		sampler.recordAnswer('i-a', answer, {at: {...time}, epoch: 4});
+		time.steady += 1000;
+		time.wall += 1000;
+		plan.row = {...serving, epoch: 5, primary: 'i-b'};
+		const position = {term: 1, position: 60n};
+		sampler.recordAnswer('i-b', {...answer, position}, {at: {...time}, epoch: 5});
+		expect(sampler.findRequiredPosition({maxStaleness: 5000, lastWrite: undefined, arrivedAt: time})).to.deep.equal(position);
+	});
+
 	it('counts the age of a position from when the primary was asked', async () => {
 		const {sampler} = createSampler();
 		await sampler.step();
