Ask the primary for the newest position that its log is known to have had

Callers: reads on primary routes miss all commits, and no promotion rolled them back. Cause: a read or the begin of a transaction goes to the instance that the row names, under its id. An instance may start again under that id with an empty log. Its connections are gone, but the host opens new ones and reads there until the instance is found silent, which it is not. Class: a claim of the present is believed from whoever answers, without a mark of which present it belongs to. Change: such reads and begins carry AFTER with the newest position that this host knows of the present epoch. An instance that lacks it answers LAGGING and runs nothing. Limits: a host that knows no position of the epoch asks without one. The session tests whose group has no positions now say so.

--- a/packages/sessions/choose-target.ts
+++ b/packages/sessions/choose-target.ts
@@ -32,7 +32,12 @@
 
 	const view = await waitForExpectedPrimary(operation, remainingMs);
 	const instance = view.kind === 'leased' ? group.findInstance(view.instance) : undefined;
-	return view.kind === 'leased' && instance !== undefined
-		? {instance, after: undefined, lease: {group, instance: view.instance, epoch: view.epoch}}
-		: undefined;
+	if (view.kind !== 'leased' || instance === undefined) {
+		return undefined;
+	}
+
+	// The instance may have started again under its id, without the log that it had.
+	const newest = group.findNewestPosition();
+	const after = newest?.epoch === view.epoch ? newest.position : undefined;
+	return {instance, after, lease: {group, instance: view.instance, epoch: view.epoch}};
 }
--- a/packages/sessions/create-statement-runner.test.ts
+++ b/packages/sessions/create-statement-runner.test.ts
@@ -69,6 +69,7 @@
 		recordAnswer(from: string) {
 			recorded.push(from);
 		},
+		findNewestPosition: () => undefined,
 	};
 }
 
--- a/packages/sessions/run-read.test.ts
+++ b/packages/sessions/run-read.test.ts
@@ -5,6 +5,7 @@
 import type {Gateways} from './gateways.ts';
 import type {GroupRow} from './group-row.ts';
 import type {InstanceAnswer} from './instance-answer.ts';
+import type {InstanceRequest} from './instance-request.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {Operation} from './operation.ts';
 import {runRead} from './run-read.ts';
@@ -19,8 +20,8 @@
 	id, group: 'pondbook', host: '127.0.0.1', port: 1, zone: 'a', isDeparting,
 } as unknown as ListedInstance);
 
-/** Creates a group whose primary is `i-a` and whose replica `i-b` serves reads; `answer` answers the request that an instance holds. */
-function createHarness() {
+/** Creates a group whose primary is `i-a` and whose replica `i-b` serves reads. Instances hold requests until they are answered, or `respond` does. */
+function createHarness(respond?: (request: InstanceRequest) => InstanceAnswer) {
 	const held: Array<(answer: InstanceAnswer) => void> = [];
 	const time = {steady: 10_000, wall: 10_000};
 	const group = createSessionGroup('pondbook', {
@@ -28,7 +29,7 @@
 		openConnection: async () => ({
 			kind: 'opened',
 			connection: {
-				send: async () => new Promise(resolve => {
+				send: async request => respond?.(request) ?? new Promise(resolve => {
 					held.push(resolve);
 				}),
 				close: ignore,
@@ -75,6 +76,7 @@
 		group,
 		time,
 		read,
+		operation,
 		/** Runs a read that only the instance `reader` may serve; `during` happens between the request and the answer, at position 70. */
 		async run(reader: string, during: () => void) {
 			group.updateInstances(['i-a', 'i-b'].map(id => createInstance(id, id !== reader)), 4);
@@ -130,4 +132,27 @@
 			expect(group.findNewestPosition()?.position).to.deep.equal(point(position));
 		});
 	}
+
+	const logs = [
+		{name: 'runs no read at the primary once its log lacks what it held before, as after a start with an empty one', held: 10n, kind: 'failed'},
+		{name: 'runs a read at the primary while its log holds what it held before', held: 60n, kind: 'done'},
+	];
+	for (const {name, held, kind} of logs) {
+		// Guards against reads that miss all commits because the primary has started again under its id and has lost its log.
+		it(name, async () => {
+			const {group, time, operation} = createHarness(request => {
+				time.steady += 5;
+				time.wall += 5;
+				const lacks = 'after' in request && request.after !== undefined && request.after.position > held;
+				return {
+					kind: 'answered', state: 'idle', position: point(held), outcome: lacks ? {kind: 'failed', code: 'lagging', reason: ''} : {kind: 'done', rows: [], signature: '7'},
+				};
+			});
+			group.updateInstances([createInstance('i-a', false)], 4);
+			const outcome = await runRead({
+				id: '1', text: 'READ a', access: 'read', execute: undefined,
+			}, {...operation, route: {...operation.route, freshness: 'latest'}});
+			expect(outcome.kind).to.equal(kind);
+		});
+	}
 });
