List a test of a group whose terms begin anew, which stays without a primary

Callers: no write is served, and no read that needs the primary, for as long as the terms stay below the one of the row. Cause: since a leader must lead the term of the row at least, an instance counts for nothing that was promoted after all instances of its group lost their logs and terms. Whether the platform lets terms begin anew is not known.

--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -427,6 +427,17 @@
 		expect(row).to.include({state: 'serving', primary: 'i-c', term: 3});
 	});
 
+	// Guards against a group without a primary for ever, once all its instances have started again and know no earlier term.
+	it('stores the promoted instance though the terms of all instances begin anew', async () => {
+		const {row, ordered} = await runFailover({
+			statuses: {'i-old': 'replica 1 1.0', 'i-b': 'replica 1 1.0', 'i-c': 'replica 1 1.0'},
+			statusesAfter: {'i-old': 'replica 2 1.0', 'i-b': 'primary 2 1.0', 'i-c': 'replica 2 1.0'},
+			term: 5,
+		});
+		expect(ordered).to.deep.equal(['i-b']);
+		expect(row).to.include({state: 'serving', primary: 'i-b', term: 2});
+	});
+
 	const newerLogs = [
 		{name: 'promotes an instance that answers late rather than one that knows nothing of the term of the lost primary', late: 'replica 2 2.12', expected: 'i-c'},
 		{name: 'promotes an instance that knows nothing of the term of the lost primary if no other one answers', late: undefined, expected: 'i-first'},
