List a test of a primary that lost its log and is kept

Callers: all commits are missing from all reads, and no promotion rolled them back. Cause: a failover after a silence keeps the primary that answers again, and does not compare its log with those of the replicas. An instance that started again under its id with an empty log and as a primary, in the term that the row names, passes. A row of a group's first primary names no term. Evidence: the test fails: nothing is ordered. Whether an instance takes the role of a primary then is not known.

--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -438,6 +438,16 @@
 		expect(row).to.include({state: 'serving', primary: 'i-b', term: 2});
 	});
 
+	// Guards against losing all commits without a promotion, because the primary started again under its id with an empty log.
+	it('does not keep a primary whose log lacks commits of its term that a replica holds', async () => {
+		const {row, ordered} = await runFailover({
+			statuses: {'i-old': 'primary 1 1.0', 'i-b': 'replica 1 1.9', 'i-c': 'replica 1 1.7'},
+			statusesAfter: {'i-old': 'primary 1 1.0', 'i-b': 'primary 2 1.9', 'i-c': 'replica 2 1.7'},
+		});
+		expect(ordered).to.deep.equal(['i-b']);
+		expect(row).to.include({state: 'serving', primary: 'i-b', term: 2});
+	});
+
 	const newerLogs = [
 		{name: 'promotes an instance that answers late rather than one that knows nothing of the term of the lost primary', late: 'replica 2 2.12', expected: 'i-c'},
 		{name: 'promotes an instance that knows nothing of the term of the lost primary if no other one answers', late: undefined, expected: 'i-first'},
