Ask a busy departing primary again how far its log goes before another instance is promoted

Callers: acknowledged commits are lost in a planned failover when replicas are behind and all slots of the departing primary are taken. Cause: its status was asked for once; it takes a slot and may be refused. Without it the failover did not wait for any replica to catch up. Change: a primary that answers, but not with its status, is asked again for as long as a replica may take to catch up (1.5 s). One that is silent is not waited for, as before. Why it works: the fence is set, so the log does not grow, and what the primary says later still covers all that it acknowledged.

--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -23,6 +23,9 @@
 /** Milliseconds after which a connection to an instance in a zone that is cut off is given up. */
 const unreachableAfterMs = 400;
 
+/** Stands for the answer of an instance that refuses to tell its status since all its slots are taken. */
+const busyStatus = 'busy';
+
 function createInstance(id: string, readStatus: () => string | undefined): InstanceRuntime {
 	const connection: PooledConnection = {
 		connection: {
@@ -37,7 +40,10 @@
 		idleSince: 0,
 	};
 	const answer = (): InstanceAnswer => ({
-		kind: 'answered', outcome: {kind: 'done', rows: [readStatus() ?? ''], signature: '-'}, state: 'idle', position: undefined,
+		kind: 'answered',
+		outcome: readStatus() === busyStatus ? {kind: 'failed', code: 'busy', reason: ''} : {kind: 'done', rows: [readStatus() ?? ''], signature: '-'},
+		state: 'idle',
+		position: undefined,
 	});
 	return {
 		listed: () => ({
@@ -45,9 +51,9 @@
 		}),
 		checkGateway: () => undefined,
 		update: () => undefined,
-		health() {
-			throw new Error('The test reads no health');
-		},
+		health: () => ({
+			latency: 30, hasAnswered: true, lastAnswerAt: 0, unansweredSince: readStatus() === undefined ? 0 : undefined, avoidedUntil: 0, failures: 0, position: undefined, lastLag: undefined,
+		}),
 		pool: {
 			async acquire() {
 				if (readStatus() !== undefined) {
@@ -332,6 +338,19 @@
 		expect(orderedAfter).to.be.below(unreachableAfterMs / 2);
 	});
 
+	// Guards against losing acknowledged commits in a planned failover because the old primary was too busy to say how far its log goes.
+	it('lets a replica catch up with a departing primary that is too busy to tell its status at first', async () => {
+		const {row, ordered, orderedAfter} = await runFailover({
+			statusesFirst: {'i-old': busyStatus, 'i-b': 'replica 1 1.7'},
+			statuses: {'i-old': 'primary 1 1.9', 'i-b': 'replica 1 1.9'},
+			statusesAfter: {'i-old': 'primary 1 1.9', 'i-b': 'primary 2 1.9'},
+			reason: 'departing',
+		});
+		expect(ordered).to.deep.equal(['i-b']);
+		expect(orderedAfter).to.be.above(firstMs);
+		expect(row).to.include({state: 'serving', primary: 'i-b'});
+	});
+
 	for (const duringOrder of ['takeover', 'suspension'] as const) {
 		// Guards against two hosts that order promotions in the same failover, one of them with a lower fencing token.
 		it(`orders nothing more after a ${duringOrder}`, async () => {
--- a/packages/sessions/wait-for-catch-up.ts
+++ b/packages/sessions/wait-for-catch-up.ts
@@ -3,6 +3,8 @@
 import {comparePoints} from '@sapphirefall/decisions';
 import type {Failover} from './failover.ts';
 import type {Fence} from './fence.ts';
+import type {InstanceRuntime} from './instance-runtime.ts';
+import type {InstanceStatus} from './instance-status.ts';
 import {readStatus} from './read-status.ts';
 import {readStatuses} from './read-statuses.ts';
 import {statusTimeoutMs} from './status-timeout-ms.ts';
@@ -13,16 +15,19 @@
 /** Milliseconds within which a replica may catch up with the old primary. */
 const catchUpLimitMs = 1500;
 
-/** Waits until a replica has the whole log of the old primary, if that answers; the fence ensures that the log no longer grows. */
+/**
+ * Waits until a replica has the whole log of the old primary, if that answers; the fence ensures that the log no longer grows.
+ * An old primary that is too busy to tell its status is asked again.
+ */
 export async function waitForCatchUp({row: {primary}}: Fence, failover: Failover): Promise<void> {
-	const {group, workspace, now} = failover;
+	const {group, now} = failover;
 	const oldPrimary = group.findInstance(primary);
-	const status = oldPrimary && await readStatus(oldPrimary, {workspace, timeout: statusTimeoutMs});
+	const until = now().steady + catchUpLimitMs;
+	const status = oldPrimary && await readOldStatus(oldPrimary, {failover, until});
 	if (status?.role !== 'primary') {
 		return;
 	}
 
-	const until = now().steady + catchUpLimitMs;
 	while (now().steady < until) {
 		const answers = await readStatuses(failover, {});
 		const isCaughtUp = answers.some(answer => answer.id !== primary && !answer.isDeparting && comparePoints(answer.status.received, status.received) >= 0);
@@ -33,3 +38,18 @@
 		await sleep(roundIntervalMs);
 	}
 }
+
+/** Reads the status of the old primary; undefined if it is silent, or refuses to tell it until a moment of the steady clock in milliseconds. */
+async function readOldStatus(oldPrimary: InstanceRuntime, {failover: {workspace, now}, until}: {readonly failover: Failover; readonly until: number}): Promise<InstanceStatus | undefined> {
+	while (now().steady < until) {
+		const status = await readStatus(oldPrimary, {workspace, timeout: statusTimeoutMs});
+		const isSilent = oldPrimary.health().unansweredSince !== undefined;
+		if (status !== undefined || isSilent) {
+			return status;
+		}
+
+		await sleep(roundIntervalMs);
+	}
+
+	return undefined;
+}
