Test that an earlier primary is not used as successor before its promotion takes effect

Change: four host processes; the primary departs and is replaced, its host is lost before it tells it to step down, the new primary goes silent and the third instance is busy, so that the earlier one is the only successor; it learns of its replacement 400 ms after the order, whose effect comes after 900 ms. Callers write all the while.

--- a/stand-ins/wire/earlier-primary.test.ts
+++ b/stand-ins/wire/earlier-primary.test.ts
@@ -21,21 +21,43 @@
 /** Milliseconds after which all instances can have reached each other and have stepped down. */
 const settleMs = 2500;
 
+/** Milliseconds between the order that promotes the earlier primary and its effect. */
+const latePromotionMs = 900;
+
+/** Milliseconds after this order at which the earlier primary learns that it was replaced. */
+const reachedMs = 400;
+
 describe('an earlier primary that has not learned that it was replaced', () => {
 	let deployment: WireDeployment;
 
-	before(async () => {
+	beforeEach(async () => {
 		deployment = await startWireDeployment({hostCount: 4, lag: 40});
 		await deployment.waitUntilReady();
 		await sleep(1500);
 	});
 
-	after(() => {
+	afterEach(() => {
 		deployment.stop();
 	});
 
+	const group = () => {
+		const [first] = deployment.groups;
+		if (first === undefined) {
+			throw new Error('The deployment has no group');
+		}
+
+		return first;
+	};
+
 	const readRow = () => deployment.store.read('sapphirefall', 'group/pondbook') as Row;
 
+	/** Kills the host that ran the failover, which would tell the earlier primary to step down; returns the port of another one. */
+	const loseHolder = () => {
+		const {holder} = readRow();
+		deployment.hosts.find(({name}) => name === holder)?.process.kill('SIGKILL');
+		return deployment.hosts.find(({name}) => name !== holder)?.port ?? 0;
+	};
+
 	const waitForPrimary = async (other: InstanceStandIn) => {
 		const until = performance.now() + recoveryLimitMs;
 		while (performance.now() < until && (readRow().state !== 'serving' || readRow().primary === other.id)) {
@@ -45,6 +67,13 @@
 		return deployment.instances.find(({id}) => id === readRow().primary);
 	};
 
+	/** Lists the acknowledged items that are gone without a promotion that rolled them back, or that were committed behind one. */
+	const listWrongItems = (acknowledged: readonly string[]) => {
+		const records = new Map(group().commits().flatMap(record => record.entry.writes.map(([item]) => [item, record] as const)));
+		const kept = new Set(group().leader().log().flatMap(({writes}) => writes.map(([item]) => item)));
+		return acknowledged.filter(item => records.get(item)?.isBehindPromotion === true || (!kept.has(item) && records.get(item)?.isRolledBack !== true));
+	};
+
 	const waitForFence = async () => {
 		while (readRow().state !== 'fencing') {
 			await sleep(20);
@@ -53,22 +82,13 @@
 
 	// Guards against commits at an earlier primary: it acknowledges them, and rolls them back once it reaches the present one.
 	it('is not used again while the present primary is silent and the third instance is busy', async () => {
-		const [group] = deployment.groups;
-		const [first] = deployment.instances;
-		expect(first?.role()).to.equal('primary');
-		if (first === undefined || group === undefined) {
-			return;
-		}
-
+		const first = group().leader();
 		const [writer] = deployment.hosts;
 		await writeItem({port: writer?.port ?? 0, name: 'first', limitMs: recoveryLimitMs});
-		group.setCut(first, true);
+		group().setCut(first, true);
 		first.setFrozen(true);
 		const second = await waitForPrimary(first);
-		const {holder} = readRow();
-		// The host that would tell the earlier primary to step down is lost.
-		deployment.hosts.find(({name}) => name === holder)?.process.kill('SIGKILL');
-		const {port = 0} = deployment.hosts.find(({name}) => name !== holder) ?? {};
+		const port = loseHolder();
 		const kept = await writeItem({port, name: 'kept', limitMs: recoveryLimitMs});
 		await sleep(300);
 		const third = deployment.instances.find(instance => instance !== first && instance !== second);
@@ -82,15 +102,59 @@
 		const later = await writeItem({port, name: 'later', limitMs: recoveryLimitMs});
 		await answering;
 		second?.setFrozen(false);
-		group.setCut(first, false);
+		group().setCut(first, false);
 		await sleep(settleMs);
 		const last = await writeItem({port, name: 'last', limitMs: recoveryLimitMs});
 		const acknowledged = [kept, later, last];
-		const behind = new Set(group.commits().filter(({isBehindPromotion}) => isBehindPromotion).flatMap(({entry}) => entry.writes.map(([item]) => item)));
-		expect(acknowledged.filter(item => behind.has(item))).to.deep.equal([]);
+		expect(listWrongItems(acknowledged)).to.deep.equal([]);
 		for (const item of acknowledged) {
 			const {rows} = await sendStatement({port, database: 'latest', text: `READ ${item}`});
 			expect(rows, item).to.deep.equal([`of-${item}`]);
 		}
 	});
+
+	// Guards against commits at an earlier primary that is to lead again: it may step down, and roll them back, before its promotion takes effect.
+	it('is not used as the successor of a silent primary before its promotion takes effect', async () => {
+		const first = group().leader();
+		const [writer] = deployment.hosts;
+		await writeItem({port: writer?.port ?? 0, name: 'first', limitMs: recoveryLimitMs});
+		group().setCut(first, true);
+		group().drain(first);
+		while (deployment.promotions().length === 0) {
+			await sleep(10);
+		}
+
+		first.stopAnswering();
+		const second = await waitForPrimary(first);
+		group().drain(first);
+		const port = loseHolder();
+		deployment.setPromotionDelay(latePromotionMs);
+		const third = deployment.instances.find(instance => instance !== first && instance !== second);
+		third?.setStatusRefused(true);
+		second?.stopAnswering();
+		first.answerAgain();
+		const acknowledged: string[] = [];
+		const startedAt = performance.now();
+		let orderedAt = Number.POSITIVE_INFINITY;
+		while (performance.now() < Math.min(startedAt + recoveryLimitMs, orderedAt + (2 * latePromotionMs))) {
+			const isOrdered = deployment.promotions().length > 1;
+			orderedAt = isOrdered ? Math.min(orderedAt, performance.now()) : orderedAt;
+			if (performance.now() > orderedAt + reachedMs) {
+				// The request to step down of the lost host arrives, and the earlier primary reaches the present one again.
+				first.stepDown(2);
+				group().setCut(first, false);
+				second?.answerAgain();
+			}
+
+			const item = `item-${acknowledged.length}-${Math.round(performance.now())}`;
+			const {result} = await sendStatement({port, database: 'latest', text: `WRITE ${item} of-${item}`});
+			acknowledged.push(...result.startsWith('COMPLETE') ? [item] : []);
+			await sleep(20);
+		}
+
+		third?.setStatusRefused(false);
+		acknowledged.push(await writeItem({port, name: 'last', limitMs: recoveryLimitMs}));
+		expect(listWrongItems(acknowledged)).to.deep.equal([]);
+		expect(deployment.promotions().map(({id}) => id)).to.deep.equal([second?.id, first.id]);
+	});
 });
--- a/stand-ins/wire/instance-stand-in.ts
+++ b/stand-ins/wire/instance-stand-in.ts
@@ -13,6 +13,8 @@
 	readonly sessionWorkspaces: () => readonly string[];
 	/** Ignores all further bytes on all connections, without closing them. */
 	readonly stopAnswering: () => void;
+	/** Answers what arrives from now on, after it has stopped answering. */
+	readonly answerAgain: () => void;
 	/** Stands still, or goes on: what has arrived meanwhile is run then, also if its sender has given it up. */
 	readonly setFrozen: (isFrozen: boolean) => void;
 	/** Whether the instance refuses requests for its status, as when all its slots are taken. */
--- a/stand-ins/wire/start-instance-stand-in.ts
+++ b/stand-ins/wire/start-instance-stand-in.ts
@@ -134,6 +134,9 @@
 		stopAnswering() {
 			isUnresponsive = true;
 		},
+		answerAgain() {
+			isUnresponsive = false;
+		},
 		setFrozen(newer) {
 			isFrozen = newer;
 			if (!isFrozen) {
