--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -1,12 +1,15 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {encodeStoreVersion} from './encode-store-version.ts';
 import {fleetKeys} from './fleet-keys.ts';
 import type {GroupRow} from './group-row.ts';
 import type {HostRow} from './host-row.ts';
+import type {KnownGroup} from './known-group.ts';
 import {leaseDurationMs} from './lease-duration-ms.ts';
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {PooledConnection} from './pooled-connection.ts';
+import {promotionLimitMs} from './promotion-limit-ms.ts';
 import {replacePrimary} from './replace-primary.ts';
 import type {Failover} from './failover.ts';
 import type {SessionGroup} from './session-group.ts';
@@ -84,9 +87,9 @@
 }
 
 /** Creates a store with the row of one group; `isLosing` makes it lose the answers to commits. */
-function createStore(row: GroupRow, isLosing: boolean): {readonly store: Store; readonly find: () => GroupRow} {
-	const rows = new Map([[`${fleetKeys.groupPrefix}pondbook`, {value: JSON.stringify(row), version: 1}]]);
-	let version = 1;
+function createStore(row: GroupRow, {isLosing, era}: {readonly isLosing: boolean; readonly era: number}): {readonly store: Store; readonly find: () => GroupRow} {
+	let version = encodeStoreVersion({era, counter: 1});
+	const rows = new Map([[`${fleetKeys.groupPrefix}pondbook`, {value: JSON.stringify(row), version}]]);
 	const store: Store = {
 		async read() {
 			const list = [...rows].map(([key, held]) => ({key, ...held}));
@@ -130,11 +133,17 @@
 	readonly statusesFirst?: Statuses;
 	/** Status rows after the promotion order. */
 	readonly statusesAfter: Statuses;
-	/** Status rows once the first order takes effect, `lateEffectMs` after it; the same as before if left out. */
+	/** Status rows once the first order takes effect, `lateAfterMs` after it; the same as before if left out. */
 	readonly statusesLate?: Statuses;
+	/** `lateEffectMs` if left out. */
+	readonly lateAfterMs?: number;
 	readonly reason?: Failover['reason'];
 	readonly isLosing?: boolean;
 	readonly mayHaveMissedPromotion?: boolean;
+	/** Era of the store, whose row is one of the first. */
+	readonly era?: number;
+	/** What the host knew before that era. */
+	readonly known?: KnownGroup;
 	/** Since when the host has known the era of the store, in milliseconds of the steady clock. */
 	readonly eraSince?: number;
 	readonly recentHosts?: readonly HostRow[];
@@ -157,15 +166,16 @@
 
 async function runFailover({
 	statuses, statusesAfter, reason = 'silent', isLosing = false, mayHaveMissedPromotion = false,
-	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term,
+	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term, lateAfterMs = lateEffectMs, era = 1, known,
 }: Case) {
 	const ordered: string[] = [];
 	let suspended = 0;
 	const startedAt = performance.now();
 	let orderedAt = Number.POSITIVE_INFINITY;
 	let firstOrderedAt = Number.POSITIVE_INFINITY;
+	const orderTimes: number[] = [];
 	const find = (id: string) => {
-		const late = performance.now() - firstOrderedAt > lateEffectMs ? statusesLate : statusesAfter;
+		const late = performance.now() - firstOrderedAt > lateAfterMs ? statusesLate : statusesAfter;
 		const early = performance.now() - startedAt < firstMs ? statusesFirst : statuses;
 		return (ordered.length > 0 ? late : early)[id];
 	};
@@ -173,10 +183,11 @@
 	const instances = Object.keys(statuses).map(id => createInstance(id, () => find(id)));
 	const {store, find: findRow} = createStore({
 		epoch: 1, state: 'serving', primary: 'i-old', successor: '', holder: 'a1', token: 0, ...term !== undefined && {term},
-	}, isLosing);
+	}, {isLosing, era});
 	const group: Partial<SessionGroup> = {
 		name: 'pondbook',
 		fence: () => undefined,
+		known: () => known,
 		listInstances: () => instances,
 		findInstance: id => instances.find(instance => instance.listed().id === id),
 	};
@@ -189,11 +200,12 @@
 		epoch: 1,
 		fencedAt: undefined,
 		mayHaveMissedPromotion,
-		findEra: () => ({era: 1, since: eraSince}),
+		findEra: () => ({era, since: eraSince}),
 		store,
 		async orderPromotion({instance}) {
 			ordered.push(instance);
 			orderedAt = performance.now();
+			orderTimes.push(orderedAt);
 			firstOrderedAt = Math.min(firstOrderedAt, orderedAt);
 			if (duringOrder === 'takeover') {
 				await takeOver(store);
@@ -210,7 +222,7 @@
 		log: {debug: quiet, info: quiet, warn: quiet},
 	});
 	return {
-		row: findRow(), ordered, orderedAfter: orderedAt - startedAt, storedAfterOrder: performance.now() - orderedAt,
+		row: findRow(), ordered, orderedAfter: orderedAt - startedAt, storedAfterOrder: performance.now() - orderedAt, orderTimes,
 	};
 }
 
@@ -374,6 +386,29 @@
 		expect(row).to.include({state: 'serving', primary: 'i-b'});
 	});
 
+	const replacedSuccessors = [
+		{name: 'that gave no answer', answers: ['lost'] as const},
+		{name: 'that was accepted', answers: ['accepted'] as const},
+		{name: 'that gave no answer before a refused one', answers: ['lost', 'refused'] as const},
+	];
+	for (const {name, answers} of replacedSuccessors) {
+		// Guards against two promotions in turn: the later one of the stored primary, and an earlier one that takes effect after it.
+		it(`orders the promotion of another instance only once an order ${name} can take effect no more`, async () => {
+			const {row, ordered, orderTimes} = await runFailover({
+				statuses: {'i-old': undefined, 'i-b': 'replica 1 1.9', 'i-c': 'replica 1 1.7'},
+				statusesAfter: {'i-old': undefined, 'i-b': answers.length > 1 ? 'replica 1 1.9' : undefined, 'i-c': 'replica 1 1.7'},
+				statusesLate: {'i-old': undefined, 'i-b': undefined, 'i-c': 'primary 3 1.7'},
+				lateAfterMs: promotionLimitMs + 1000,
+				answers,
+			});
+			expect(row).to.include({state: 'serving', primary: 'i-c'});
+			const effective = ordered.map((instance, index) => ({instance, at: orderTimes[index] ?? 0})).filter((_, index) => answers[index] !== 'refused');
+			const lastOfOther = effective.findLast(({instance}) => instance === 'i-b');
+			const first = effective.find(({instance}) => instance === 'i-c');
+			expect((first?.at ?? 0) - (lastOfOther?.at ?? 0)).to.be.at.least(promotionLimitMs);
+		});
+	}
+
 	it('keeps the old primary after a refused order once no earlier order can take effect', async () => {
 		const {row} = await runFailover({
 			statuses: {'i-old': undefined, 'i-b': 'replica 1 1.9', 'i-c': 'replica 1 1.7'},
@@ -412,6 +447,25 @@
 		});
 	}
 
+	// Guards against commits at a primary that was replaced in seconds that the store has lost, once the new one is gone.
+	it('does not keep a primary of an older term than the host knew before the store came back from an older copy', async () => {
+		const {row, ordered} = await runFailover({
+			statuses: {'i-old': 'primary 1 1.9', 'i-c': 'replica 1 1.7'},
+			statusesAfter: {'i-old': 'primary 1 1.9', 'i-c': 'primary 3 1.7'},
+			reason: 'restored',
+			mayHaveMissedPromotion: true,
+			era: 2,
+			known: {
+				row: {
+					epoch: 2, state: 'serving', primary: 'i-b', term: 2, successor: '', holder: 'a1', token: 1,
+				}, epoch: 2,
+			},
+			term: 1,
+		});
+		expect(ordered).to.deep.equal(['i-c']);
+		expect(row).to.include({state: 'serving', primary: 'i-c', term: 3});
+	});
+
 	const newerLogs = [
 		{name: 'promotes an instance that answers late rather than one that knows nothing of the term of the lost primary', late: 'replica 2 2.12', expected: 'i-c'},
 		{name: 'promotes an instance that knows nothing of the term of the lost primary if no other one answers', late: undefined, expected: 'i-first'},
