Let a simulated deployment reach instances, store and cloud API through relays

With `hasLinks`, each instance is registered at a relay, and each host has relays of its own to the store and the cloud API. A partition of a link may hold the bytes of one direction only.

--- a/stand-ins/links/create-link.ts
+++ b/stand-ins/links/create-link.ts
@@ -30,12 +30,14 @@
 		return fault.delayMs + (options.random() * fault.jitterMs) + retransmissionMs;
 	};
 
-	const relay = (from: Socket, to: Socket) => {
+	const isHeld = (bytes: 'requests' | 'answers') => fault.isPartitioned && (fault.heldBytes ?? bytes) === bytes;
+
+	const relay = (from: Socket, to: Socket, bytes: 'requests' | 'answers') => {
 		let lastDueAt = 0;
 		let lastSend = Promise.resolve();
 		const send = async (chunk: Buffer | undefined, dueAt: number) => {
 			await wait(dueAt - performance.now());
-			while (fault.isPartitioned) {
+			while (isHeld(bytes)) {
 				await wait(partitionPollIntervalMs); // eslint-disable-line no-await-in-loop -- holds the bytes until the partition ends
 			}
 
@@ -80,8 +82,8 @@
 		target.setNoDelay(true);
 		sockets.add(client);
 		sockets.add(target);
-		relay(client, target);
-		relay(target, client);
+		relay(client, target, 'requests');
+		relay(target, client, 'answers');
 	});
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
--- a/stand-ins/wire/instance-group.ts
+++ b/stand-ins/wire/instance-group.ts
@@ -1,3 +1,4 @@
+import type {Link} from '../links/link.ts';
 import type {CommitRecord} from './commit-record.ts';
 import type {InstanceStandIn} from './instance-stand-in.ts';
 
@@ -5,6 +6,8 @@
 export type InstanceGroup = {
 	readonly name: string;
 	readonly instances: readonly InstanceStandIn[];
+	/** Relays at which the instances are registered, by instance; none if they are registered at their own ports. */
+	readonly links: ReadonlyMap<InstanceStandIn, Link>;
 	/** Returns the instance that leads the newest term. */
 	readonly leader: () => InstanceStandIn;
 	/** Returns all commits, oldest first. */
--- a/stand-ins/wire/start-instance-group.ts
+++ b/stand-ins/wire/start-instance-group.ts
@@ -1,6 +1,9 @@
 /* eslint-disable @typescript-eslint/naming-convention -- names defined by the platform */
 /* eslint-disable no-await-in-loop -- instances start in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createLink} from '../links/create-link.ts';
+import type {Link} from '../links/link.ts';
+import {usualLinkFault} from '../links/usual-link-fault.ts';
 import type {CommitRecord} from './commit-record.ts';
 import type {InstanceGroup} from './instance-group.ts';
 import type {InstanceStandIn} from './instance-stand-in.ts';
@@ -20,6 +23,8 @@
 	readonly workMs: number;
 	/** Store in which the instances register. */
 	readonly store: Pick<StoreStandIn, 'put' | 'delete'>;
+	/** Whether the hosts reach each instance through a relay, which can be disturbed. Defaults to false. */
+	readonly hasLinks?: boolean;
 };
 
 /** Milliseconds that a commit takes to a replica. */
@@ -39,9 +44,10 @@
 
 /** Starts the simulated instances of a group: a primary, and replicas that receive its commits and apply them later. */
 export async function startInstanceGroup({
-	name, zones, idPrefix, lag, workMs, store,
+	name, zones, idPrefix, lag, workMs, store, hasLinks = false,
 }: Options): Promise<InstanceGroup> {
 	const instances: InstanceStandIn[] = [];
+	const links = new Map<InstanceStandIn, Link>();
 	const departing = new Set<InstanceStandIn>();
 	const cut = new Set<InstanceStandIn>();
 	const commits: CommitRecord[] = [];
@@ -61,7 +67,7 @@
 
 		seq++;
 		store.put('servers', instance.id, {
-			backend: name, address: `127.0.0.1:${instance.port}`, zone: zones[instances.indexOf(instance)], version: 'v1', capacity: 5,
+			backend: name, address: `127.0.0.1:${links.get(instance)?.port ?? instance.port}`, zone: zones[instances.indexOf(instance)], version: 'v1', capacity: 5,
 			state: departing.has(instance) ? 'draining' : 'ready', warmup_ms: 0, db_role: instance.role(), seq,
 		});
 	};
@@ -112,6 +118,10 @@
 		}));
 	}
 
+	for (const instance of hasLinks ? instances : []) {
+		links.set(instance, await createLink(instance.port, {fault: usualLinkFault, random: Math.random}));
+	}
+
 	/** Lets an old primary step down that has reached a newer one for long enough. */
 	const stepOldPrimary = (instance: InstanceStandIn) => {
 		const newer = instances.find(other => other.role() === 'primary' && other.term() > instance.term() && isReachable(instance, other));
@@ -153,6 +163,7 @@
 	return {
 		name,
 		instances,
+		links,
 		leader() {
 			const leader = findLeader();
 			if (leader === undefined) {
@@ -208,6 +219,10 @@
 		close() {
 			isClosed = true;
 			clearInterval(timer);
+			for (const link of links.values()) {
+				link.close();
+			}
+
 			for (const instance of instances) {
 				instance.close();
 			}
--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -3,7 +3,10 @@
 import type {AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createLink} from '../links/create-link.ts';
+import {usualLinkFault} from '../links/usual-link-fault.ts';
 import {createWireConfiguration} from './create-wire-configuration.ts';
+import type {HostLinks} from './host-links.ts';
 import type {InstanceGroup} from './instance-group.ts';
 import {isReady} from './is-ready.ts';
 import {startInstanceGroup} from './start-instance-group.ts';
@@ -24,6 +27,8 @@
 	readonly connectionLimit?: number;
 	/** Operations a second of each workspace, and its burst. Defaults to 200. */
 	readonly ratePerSecond?: number;
+	/** Whether the hosts reach each instance, the store and the cloud API through relays, which can be disturbed. Defaults to false. */
+	readonly hasLinks?: boolean;
 };
 
 const zones = ['a', 'b', 'c'];
@@ -33,14 +38,14 @@
 
 /** Starts host processes, with a simulated store, cloud API and groups of three instances. */
 export async function startWireDeployment({
-	hostCount, groupCount = 1, lag, workMs = 0, connectionLimit = 34, ratePerSecond = 200, ...hostOptions
+	hostCount, groupCount = 1, lag, workMs = 0, connectionLimit = 34, ratePerSecond = 200, hasLinks = false, ...hostOptions
 }: Options): Promise<WireDeployment> {
 	const store = await startStoreStandIn();
 	const groups: InstanceGroup[] = [];
 	for (let index = 0; index < groupCount; index++) {
 		const number = index === 0 ? '' : String(index + 1);
 		groups.push(await startInstanceGroup({
-			name: `pondbook${number}`, zones, idPrefix: `i${number}-`, lag, workMs, store,
+			name: `pondbook${number}`, zones, idPrefix: `i${number}-`, lag, workMs, store, hasLinks,
 		}));
 	}
 
@@ -74,8 +79,20 @@
 	};
 
 	configure({keys: ['good', 'other']});
+	const storePort = store.address().port;
+	const cloudPort = (cloudApi.address() as AddressInfo).port;
+	const hostLinks: HostLinks[] = [];
+	const linkedCount = hasLinks ? hostCount : 0;
+	for (let index = 0; index < linkedCount; index++) {
+		hostLinks.push({
+			store: await createLink(storePort, {fault: usualLinkFault, random: Math.random}),
+			cloudApi: await createLink(cloudPort, {fault: usualLinkFault, random: Math.random}),
+		});
+	}
+
+	const findZone = (index: number) => zones[index % zones.length] ?? '';
 	const start = async (index: number) => startWireHost(`host-${index + 1}`, {
-		...hostOptions, zone: zones[index % zones.length] ?? '', storePort: store.address().port, cloudPort: (cloudApi.address() as AddressInfo).port,
+		...hostOptions, zone: findZone(index), storePort: hostLinks[index]?.store.port ?? storePort, cloudPort: hostLinks[index]?.cloudApi.port ?? cloudPort,
 	});
 	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => start(index)));
 	const waitUntilReady = async ({name, process: child, readyPort}: WireDeployment['hosts'][number]) => {
@@ -93,6 +110,8 @@
 		groups,
 		instances: groups[0]?.instances ?? [],
 		hosts,
+		findZone,
+		hostLinks,
 		promotions: () => promotions,
 		setPromotionDelay(delay) {
 			promotionDelayMs = delay;
@@ -115,6 +134,10 @@
 				host.process.kill('SIGKILL');
 			}
 
+			for (const link of hostLinks.flatMap(({store: storeLink, cloudApi: cloudLink}) => [storeLink, cloudLink])) {
+				link.close();
+			}
+
 			cloudApi.close();
 			store.close();
 			for (const group of groups) {
--- a/stand-ins/wire/wire-deployment.ts
+++ b/stand-ins/wire/wire-deployment.ts
@@ -1,3 +1,4 @@
+import type {HostLinks} from './host-links.ts';
 import type {InstanceGroup} from './instance-group.ts';
 import type {InstanceStandIn} from './instance-stand-in.ts';
 import type {StoreStandIn} from './store-stand-in.ts';
@@ -10,6 +11,10 @@
 	/** Instances of the first group. */
 	readonly instances: readonly InstanceStandIn[];
 	readonly hosts: readonly WireHost[];
+	/** Returns the availability zone of a host, by its index. */
+	readonly findZone: (index: number) => string;
+	/** Relays between each host and the platform, by the index of the host; none unless the deployment has links. */
+	readonly hostLinks: readonly HostLinks[];
 	/** Returns the promotions that the simulated cloud API accepted, each with its fencing token. */
 	readonly promotions: () => ReadonlyArray<{readonly id: string; readonly token: number}>;
 	/** Changes the milliseconds between an accepted promotion and its effect. */
