Disturb links, availability zones and the hosts that run a failover in the soak of failovers

Now links between hosts and instances, store and cloud API hold bytes for 0.2 to 6 s, one direction or both, are slow, or reset; all instances or hosts of a zone stand still, are cut off or are released at once, mostly in the zone that leads most groups; and a host that runs a failover, or has just ended one, is stopped, killed or frozen. Clients keep COMMITs on their way and read what was written last.

--- a/stand-ins/wire/primary-soak.test.ts
+++ b/stand-ins/wire/primary-soak.test.ts
@@ -5,6 +5,7 @@
 import {expect} from 'chai';
 import {createMixedRandom} from './create-mixed-random.ts';
 import {describeSoakFinding} from './describe-soak-finding.ts';
+import {failoverKinds} from './failover-kinds.ts';
 import {followLateness} from './follow-lateness.ts';
 import {followProcess} from './follow-process.ts';
 import {isServing} from './is-serving.ts';
@@ -13,9 +14,11 @@
 import {listStaleReads} from './list-stale-reads.ts';
 import {listWrongAnswers} from './list-wrong-answers.ts';
 import {listWrongEffects} from './list-wrong-effects.ts';
+import {runLinkFaults} from './run-link-faults.ts';
 import {runPrimaryFaults} from './run-primary-faults.ts';
 import {runSoakClient} from './run-soak-client.ts';
 import {runStopFaults} from './run-stop-faults.ts';
+import {runZoneFaults} from './run-zone-faults.ts';
 import type {SoakFinding} from './soak-finding.ts';
 import type {SoakRecord} from './soak-record.ts';
 import type {SoakSession} from './soak-session.ts';
@@ -52,8 +55,14 @@
 /** One in so many seeds disturbs instances only, so that no host that runs a failover ends in the middle of it. */
 const calmHostsInterval = 3;
 
-/** Milliseconds between two faults of instances. */
-const gapMs = {least: 100, most: 1500};
+/** Milliseconds between two faults of instances, of links, and of availability zones. */
+const gapsMs = {instances: {least: 100, most: 1500}, links: {least: 100, most: 2000}, zones: {least: 1500, most: 6000}};
+
+/** Weight with which a host that runs a failover is disturbed, beside about 20 of other faults of hosts. */
+const holderWeight = 10;
+
+/** Numbers of the generators of random numbers of a seed, beside those of the clients. */
+const randomNumbers = {links: 998, zones: 999};
 
 /** Time limit for writes to succeed on all hosts once the faults are over. */
 const recoveryLimitMs = 10_000;
@@ -94,6 +103,7 @@
 				groupCount,
 				lag: 60,
 				workMs,
+				hasLinks: true,
 				gracePeriodSeconds,
 				ratePerSecond: perHost.ratePerSecond * hostCount,
 				connectionLimit: perHost.connectionLimit * hostCount,
@@ -120,6 +130,7 @@
 					const index = Math.floor(client / clientsPerHost) % groupCount;
 					return runSoakClient({
 						client,
+						kinds: failoverKinds,
 						random: createMixedRandom((seed * 1000) + client),
 						listHosts: rotation.list,
 						databaseSuffix: findSuffix(index),
@@ -130,9 +141,18 @@
 						},
 					});
 				});
-				const primaryFaults = runPrimaryFaults({
-					deployment, random, isOver, gapMs, onEvent: addEvent,
-				});
+				const createRandom = (number: number) => createMixedRandom((seed * 1000) + number);
+				const faults = Promise.all([
+					runPrimaryFaults({
+						deployment, random, isOver, gapMs: gapsMs.instances, onEvent: addEvent,
+					}),
+					runLinkFaults({
+						deployment, random: createRandom(randomNumbers.links), isOver, gapMs: gapsMs.links, onEvent: addEvent,
+					}),
+					runZoneFaults({
+						deployment, random: createRandom(randomNumbers.zones), isOver, gapMs: gapsMs.zones, onEvent: addEvent,
+					}),
+				]);
 				if (!hasCalmHosts) {
 					await runStopFaults({
 						deployment,
@@ -142,6 +162,7 @@
 						isAllAtOnce: false,
 						hasSlowStops: false,
 						gracePeriodMs: gracePeriodSeconds * 1000,
+						holderWeight,
 						onEvent: addEvent,
 						onFailure(what) {
 							failures.push({rule: 'START', what});
@@ -149,7 +170,7 @@
 					});
 				}
 
-				await primaryFaults;
+				await faults;
 				await sleep(settleMs);
 				failures.push(...await listUnserved(deployment));
 				isEnded = true;
--- /dev/null
+++ b/stand-ins/wire/run-link-faults.ts
@@ -0,0 +1,96 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Link} from '../links/link.ts';
+import {usualLinkFault} from '../links/usual-link-fault.ts';
+import {runDrawnFaults} from './run-drawn-faults.ts';
+import type {WireDeployment} from './wire-deployment.ts';
+
+type Options = {
+	readonly deployment: WireDeployment;
+	/** Returns a random number from 0 to 1. */
+	readonly random: () => number;
+	readonly isOver: () => boolean;
+	/** Milliseconds between two faults. */
+	readonly gapMs: {readonly least: number; readonly most: number};
+	/** Called with each event, for the report. */
+	readonly onEvent: (event: string) => void;
+};
+
+type NamedLink = {readonly name: string; readonly link: Link};
+
+/** Milliseconds for which a link holds bytes. */
+const heldMs = {least: 200, most: 6000};
+
+/** Milliseconds for which a link is slow, and by which it is, at least and at most. */
+const slow = {durationMs: {least: 500, most: 6000}, delayMs: {least: 30, most: 700}};
+
+/** Lets the links between hosts and instances, the store and the cloud API hold bytes up, be slow, and be reset, in series that overlap. Resolves once all is as before. */
+export async function runLinkFaults({
+	deployment, random, isOver, gapMs, onEvent,
+}: Options): Promise<void> {
+	const {groups, hosts, hostLinks} = deployment;
+	const pick = (least: number, most: number) => least + Math.floor(random() * (most - least));
+	const disturbed = new Set<Link>();
+
+	const pickInstanceLink = (): NamedLink | undefined => {
+		const group = groups[pick(0, groups.length)];
+		const instance = pick(0, 3) > 0 ? group?.leader() : group?.instances[pick(0, group.instances.length)];
+		const link = instance === undefined ? undefined : group?.links.get(instance);
+		return instance === undefined || link === undefined ? undefined : {name: `${instance.id}`, link};
+	};
+
+	const pickPlatformLink = (): NamedLink | undefined => {
+		const index = pick(0, hostLinks.length);
+		const links = hostLinks[index];
+		if (links === undefined) {
+			return undefined;
+		}
+
+		const name = hosts[index]?.name ?? '';
+		return pick(0, 2) === 0 ? {name: `${name} to the store`, link: links.store} : {name: `${name} to the cloud API`, link: links.cloudApi};
+	};
+
+	/** Disturbs a link, unless it is disturbed already. */
+	const disturb = async (named: NamedLink | undefined, what: string, run: (link: Link) => Promise<void>) => {
+		if (named === undefined || disturbed.has(named.link)) {
+			return;
+		}
+
+		disturbed.add(named.link);
+		onEvent(`${what}: link ${named.name}`);
+		await run(named.link);
+		named.link.setFault(usualLinkFault);
+		disturbed.delete(named.link);
+		onEvent(`end of ${what}: link ${named.name}`);
+	};
+
+	const hold = async (named: NamedLink | undefined, heldBytes: 'requests' | 'answers' | undefined) => disturb(named, `hold ${heldBytes ?? 'both'}`, async link => {
+		link.setFault({isPartitioned: true, heldBytes});
+		await sleep(pick(heldMs.least, heldMs.most));
+	});
+
+	const slowDown = async (named: NamedLink | undefined) => disturb(named, 'slow', async link => {
+		const delayMs = pick(slow.delayMs.least, slow.delayMs.most);
+		link.setFault({delayMs, jitterMs: delayMs, lossRate: 0.1});
+		await sleep(pick(slow.durationMs.least, slow.durationMs.most));
+	});
+
+	const reset = async (named: NamedLink | undefined) => disturb(named, 'reset', async link => {
+		link.reset();
+	});
+
+	await runDrawnFaults({
+		pick, isOver, gapMs,
+		faults: [
+			{weight: 3, run: async () => hold(pickInstanceLink(), 'requests')},
+			{weight: 2, run: async () => hold(pickInstanceLink(), 'answers')},
+			{weight: 2, run: async () => hold(pickInstanceLink(), undefined)},
+			{weight: 2, run: async () => slowDown(pickInstanceLink())},
+			{weight: 1, run: async () => reset(pickInstanceLink())},
+			{weight: 2, run: async () => hold(pickPlatformLink(), 'requests')},
+			{weight: 2, run: async () => hold(pickPlatformLink(), 'answers')},
+			{weight: 1, run: async () => hold(pickPlatformLink(), undefined)},
+			{weight: 2, run: async () => slowDown(pickPlatformLink())},
+			{weight: 1, run: async () => reset(pickPlatformLink())},
+		],
+	});
+}
--- a/stand-ins/wire/run-primary-faults.ts
+++ b/stand-ins/wire/run-primary-faults.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {InstanceGroup} from './instance-group.ts';
 import type {InstanceStandIn} from './instance-stand-in.ts';
+import {runRelease} from './run-release.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
 type Options = {
@@ -18,12 +19,6 @@
 /** A fault that can be drawn, and the weight with which it is. */
 type Fault = {readonly weight: number; readonly run: (group: InstanceGroup) => Promise<void>};
 
-/** Milliseconds after which an instance that is to be replaced ends, whether or not it was. */
-const releaseLimitMs = 9000;
-
-/** Milliseconds between two looks at who leads. */
-const pollMs = 100;
-
 /** Milliseconds after which a replica usually applies a commit. */
 const usualLagMs = 60;
 
@@ -57,17 +52,7 @@
 
 	const pickInstance = ({instances}: InstanceGroup) => instances[pick(0, instances.length)];
 
-	const release = async (group: InstanceGroup) => disturb(group.leader(), 'release', async instance => {
-		group.drain(instance);
-		const until = performance.now() + releaseLimitMs;
-		while (performance.now() < until && group.leader() === instance) {
-			await sleep(pollMs);
-		}
-
-		await sleep(pick(0, 4000));
-		await group.crash(instance, pick(200, 1500));
-		group.listAsReady(instance);
-	});
+	const release = async (group: InstanceGroup) => disturb(group.leader(), 'release', async instance => runRelease(group, instance, {stayMs: pick(0, 4000), awayMs: pick(200, 1500)}));
 
 	const crash = async (group: InstanceGroup, instance: InstanceStandIn | undefined) => disturb(instance, 'crash', async crashed => group.crash(crashed, pick(300, 6000)));
 
--- a/stand-ins/wire/run-soak-client.ts
+++ b/stand-ins/wire/run-soak-client.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {findWrittenItem} from './find-written-item.ts';
 import {openWireClient} from './open-wire-client.ts';
+import type {SoakKind} from './soak-kind.ts';
 import {soakKinds} from './soak-kinds.ts';
 import type {SoakMessage} from './soak-message.ts';
 import type {SoakSession} from './soak-session.ts';
@@ -11,6 +12,8 @@
 
 type Options = {
 	readonly client: number;
+	/** Kinds of clients, of which the number of the client selects one. Defaults to those of all soaks. */
+	readonly kinds?: readonly SoakKind[];
 	/** Returns a random number from 0 to 1. */
 	readonly random: () => number;
 	/** Returns the hosts that get new connections. */
@@ -46,8 +49,10 @@
 
 /** Uses a connection until the host closes it or the soak is over. */
 async function runSession(options: SessionOptions): Promise<void> {
-	const {client, host, isOver, onSession} = options;
-	const kind = soakKinds[client % soakKinds.length];
+	const {
+		client, kinds = soakKinds, host, isOver, onSession,
+	} = options;
+	const kind = kinds[client % kinds.length];
 	if (kind === undefined) {
 		return;
 	}
--- a/stand-ins/wire/run-stop-faults.ts
+++ b/stand-ins/wire/run-stop-faults.ts
@@ -3,6 +3,7 @@
 import {findNewestPrimary} from './find-newest-primary.ts';
 import {followProcess} from './follow-process.ts';
 import type {SoakProcess} from './soak-process.ts';
+import {waitForHolder} from './wait-for-holder.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
 type Options = {
@@ -17,6 +18,8 @@
 	/** Whether stopping processes run at a third of their speed. */
 	readonly hasSlowStops: boolean;
 	readonly gracePeriodMs: number;
+	/** Weight, beside those of the other faults, with which a host that runs a failover is stopped, killed or frozen. Defaults to 0. */
+	readonly holderWeight?: number;
 	/** Called with each event, for the report. */
 	readonly onEvent: (event: string) => void;
 	/** Called with each host that does not start. */
@@ -40,7 +43,7 @@
 
 /** Stops, signals, kills and restarts hosts, and changes the configuration and the primary, in series that overlap. Resolves once all hosts are ready again. */
 export async function runStopFaults({
-	deployment, random, isOver, processes, isAllAtOnce, hasSlowStops, gracePeriodMs, onEvent, onFailure,
+	deployment, random, isOver, processes, isAllAtOnce, hasSlowStops, gracePeriodMs, holderWeight = 0, onEvent, onFailure,
 }: Options): Promise<void> {
 	const {hosts} = deployment;
 	const pick = (least: number, most: number) => least + Math.floor(random() * (most - least));
@@ -147,6 +150,33 @@
 		return index === undefined ? undefined : run(index);
 	};
 
+	/** Takes a serving host that runs a failover, or has just run one. */
+	const takeHolder = async () => {
+		const index = await waitForHolder(deployment, {isAfter: pick(0, 3) === 0});
+		if (index === undefined || !serving.has(index) || serving.size <= minServingCount) {
+			return undefined;
+		}
+
+		serving.delete(index);
+		return index;
+	};
+
+	const freeze = async (index: number) => {
+		signal(index, 'SIGSTOP');
+		await sleep(pick(300, 5000));
+		signal(index, 'SIGCONT');
+		serving.add(index);
+	};
+
+	const disturbHolder = async () => {
+		const index = await takeHolder();
+		if (index !== undefined) {
+			onEvent(`the next host, ${index + 1}, runs a failover or has just run one`);
+			await sleep(pick(0, 3) === 0 ? pick(0, 600) : 0);
+			await [stop, kill, freeze][pick(0, 3)]?.(index);
+		}
+	};
+
 	const stopAll = async () => {
 		const indices = [...serving];
 		serving.clear();
@@ -166,6 +196,7 @@
 		{weight: 2, run: async () => configure({hasThird: !changes.hasThird})},
 		{weight: 2, run: async () => configure({hasGuestRoute: !changes.hasGuestRoute})},
 		{weight: 1, run: replacePrimary},
+		{weight: holderWeight, run: disturbHolder},
 	];
 	const drawn = faults.flatMap(fault => Array.from({length: fault.weight}, () => fault));
 	const running: Array<Promise<void>> = [];
--- a/stand-ins/wire/soak-kinds.ts
+++ b/stand-ins/wire/soak-kinds.ts
@@ -1,15 +1,7 @@
 /* eslint-disable no-await-in-loop -- statements of a session run in sequence */
+import type {SoakKind} from './soak-kind.ts';
 import type {SoakTalk} from './soak-talk.ts';
 
-/** A kind of client: the database it uses, and an operation, which it repeats for as long as its connection is open. */
-type SoakKind = {
-	readonly name: string;
-	readonly database: string;
-	readonly key: string;
-	readonly isReadLate: boolean;
-	readonly runOperation: (talk: SoakTalk) => Promise<void>;
-};
-
 const maxStatementCount = 12;
 const maxPauseMs = 400;
 const defaults = {database: 'latest', key: 'good', isReadLate: false};
