--- a/packages/sessions/rate-allocator-state.ts
+++ b/packages/sessions/rate-allocator-state.ts
@@ -1,4 +1,5 @@
 import type {TokenBucket} from '@sapphirefall/decisions';
+import type {RateHolding} from './rate-holding.ts';
 
 /** State of the rate allocator of one partition: the shares and demand of the hosts. */
 export type RateAllocatorState = {
@@ -20,17 +21,5 @@
 	/** Pools of unassigned operations, by workspace. */
 	readonly pools: ReadonlyMap<string, TokenBucket>;
 	/** Holdings by host and workspace. Hosts that have not claimed in this epoch are absent. */
-	readonly hosts: ReadonlyMap<string, ReadonlyMap<string, Holding>>;
-};
-
-/** Share and demand of one host for one workspace. */
-type Holding = {
-	/** Granted operations per second. */
-	readonly rate: number;
-	/** When the share expires, in milliseconds of the steady clock. */
-	readonly expiresAt: number;
-	/** Operations per second that callers request at the host. */
-	readonly demand: number;
-	/** When the host reported the demand, in milliseconds of the steady clock. */
-	readonly claimedAt: number;
+	readonly hosts: ReadonlyMap<string, ReadonlyMap<string, RateHolding>>;
 };
