Name the type of a statement's request once instead of three times

No caller sees a difference: `create-session`, `create-statement-runner` and `create-query` each took the type out of `ClientRequest` themselves; it is `statement-request` now.

--- a/packages/sessions/create-query.ts
+++ b/packages/sessions/create-query.ts
@@ -1,13 +1,13 @@
-import type {ClientRequest} from './client-request.ts';
 import type {SessionSetup} from './session-setup.ts';
 import type {Query} from './query.ts';
+import type {StatementRequest} from './statement-request.ts';
 
 /**
  * Creates the query of a read, a write, or the execution of a prepared statement.
  *
  * @returns Undefined for any other statement, and for a name that was not prepared.
  */
-export function createQuery({statement, id, text}: Extract<ClientRequest, {readonly kind: 'statement'}>, setup: SessionSetup): Query | undefined {
+export function createQuery({statement, id, text}: StatementRequest, setup: SessionSetup): Query | undefined {
 	if (statement.kind === 'execute') {
 		const access = setup.prepared.get(statement.name)?.access;
 		return access && {
--- a/packages/sessions/create-session.ts
+++ b/packages/sessions/create-session.ts
@@ -10,6 +10,7 @@
 import type {Session} from './session.ts';
 import type {SessionContext} from './session-context.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
+import type {StatementRequest} from './statement-request.ts';
 import type {StatementTrace} from './statement-trace.ts';
 import {stopReason} from './stop-reason.ts';
 
@@ -26,8 +27,6 @@
 	readonly waitForReader: () => Promise<void> | undefined;
 };
 
-type StatementRequest = Extract<ClientRequest, {readonly kind: 'statement'}>;
-
 /** A statement that is running. */
 type RunningStatement = {
 	readonly request: StatementRequest;
--- a/packages/sessions/create-statement-runner.ts
+++ b/packages/sessions/create-statement-runner.ts
@@ -2,7 +2,6 @@
 import {applySetupStatement} from './apply-setup-statement.ts';
 import type {Caller} from './caller.ts';
 import {checkPrimaryGateway} from './check-primary-gateway.ts';
-import type {ClientRequest} from './client-request.ts';
 import {createBudgetShare} from './create-budget-share.ts';
 import {createBusyFailure} from './create-busy-failure.ts';
 import {createFailure} from './create-failure.ts';
@@ -18,6 +17,7 @@
 import type {SessionState} from './session-state.ts';
 import type {SessionSetup} from './session-setup.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
+import type {StatementRequest} from './statement-request.ts';
 import type {StatementTrace} from './statement-trace.ts';
 import type {Statement} from './statement.ts';
 import type {Transaction} from './transaction.ts';
@@ -48,8 +48,6 @@
 	readonly release: () => void;
 };
 
-type StatementRequest = Extract<ClientRequest, {readonly kind: 'statement'}>;
-
 /**
  * Largest bytes of the values and prepared statements of a session. Each job for another host carries them all, in a
  * message of 8 MiB at most.
