--- /dev/null
+++ b/packages/sessions/create-transaction-runner.ts
@@ -0,0 +1,129 @@
+import {addSpans} from './add-spans.ts';
+import {applySetup} from './apply-setup.ts';
+import {createJobTimer} from './create-job-timer.ts';
+import {createLocalTransactions} from './create-local-transactions.ts';
+import type {InstancePool} from './instance-pool.ts';
+import type {InstanceRuntime} from './instance-runtime.ts';
+import {isClean} from './is-clean.ts';
+import type {JobAnswer} from './job-answer.ts';
+import type {Job} from './job.ts';
+import {notSentAnswer} from './not-sent-answer.ts';
+import {runQuery} from './run-query.ts';
+import {takeConnection} from './take-connection.ts';
+
+type Options = {
+	readonly pool: InstancePool;
+	readonly send: InstanceRuntime['send'];
+	/** Returns the current time of the steady clock in milliseconds. */
+	readonly now: () => number;
+};
+
+type JobOf<Kind extends Job['kind']> = Extract<Job, {readonly kind: Kind}>;
+
+/** Runs the jobs of transactions on this host's own connections to an instance. */
+type TransactionRunner = {
+	/** Begins a transaction; an answer that it is open has its number. */
+	readonly begin: (job: JobOf<'begin'>, maySend: () => boolean) => Promise<JobAnswer>;
+	readonly runWithin: (job: JobOf<'within'>, maySend: () => boolean) => Promise<JobAnswer>;
+	readonly commit: (job: JobOf<'commit'>, maySend: () => boolean) => Promise<JobAnswer>;
+	readonly rollBack: (transaction: number) => Promise<JobAnswer>;
+};
+
+/** Time within which an instance must answer each request that sets up and begins a transaction. */
+const beginTimeoutMs = 600;
+
+/** Time within which an instance must answer a rollback before the connection is closed instead. */
+const rollbackTimeoutMs = 500;
+
+/** Answer to a job of a transaction that has ended. */
+const notOpenAnswer: JobAnswer = {kind: 'notSent', reason: 'the transaction is not open any more'};
+
+/** Creates what runs the jobs of transactions; one that is idle for too long is rolled back. */
+export function createTransactionRunner({pool, send, now}: Options): TransactionRunner {
+	const transactions = createLocalTransactions(transaction => {
+		void rollBack(transaction);
+	});
+
+	const begin: TransactionRunner['begin'] = async (job, maySend) => {
+		const deadline = now() + job.timeout;
+		const timer = createJobTimer(now);
+		const pooled = await takeConnection(pool, {request: job, timer});
+		if ('kind' in pooled) {
+			return pooled;
+		}
+
+		const {setup, isReadOnly, after, idleLimit} = job;
+		const isReady = await applySetup(pooled, {
+			setup, prepared: undefined, isInTransaction: false, send: async request => send(pooled, request, beginTimeoutMs),
+		});
+		if (!isReady || !maySend() || now() >= deadline) {
+			pool.release(pooled, isReady);
+			return isReady ? notSentAnswer : {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
+		}
+
+		timer.recordSent();
+		const answer = await send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeoutMs, deadline - now())));
+		if (answer.kind !== 'answered' || answer.outcome.kind !== 'done' || answer.state !== 'open') {
+			pool.release(pooled, isClean(answer, pooled));
+			return answer;
+		}
+
+		return {...answer, transaction: transactions.add(pooled, idleLimit), spans: timer.finish()};
+	};
+
+	const runWithin: TransactionRunner['runWithin'] = async ({transaction, setup, query, timeout}, maySend) => {
+		const pooled = transactions.use(transaction);
+		if (pooled === undefined) {
+			return notOpenAnswer;
+		}
+
+		const timer = createJobTimer(now);
+		const answer = await runQuery(pooled, {
+			send,
+			setup,
+			query,
+			after: undefined,
+			isInTransaction: true,
+			timeout,
+			maySend() {
+				timer.recordSent();
+				return maySend() && transactions.isOpen(transaction);
+			},
+		});
+		transactions.release(transaction);
+		return addSpans(answer, timer);
+	};
+
+	const commit: TransactionRunner['commit'] = async ({transaction, id, text, timeout}, maySend) => {
+		if (!maySend()) {
+			await rollBack(transaction);
+			return notSentAnswer;
+		}
+
+		const pooled = transactions.take(transaction);
+		if (pooled === undefined) {
+			return notOpenAnswer;
+		}
+
+		const timer = createJobTimer(now);
+		timer.recordSent();
+		const answer = await send(pooled, {kind: 'forward', id, text}, timeout);
+		pool.release(pooled, isClean(answer, pooled));
+		return addSpans(answer, timer);
+	};
+
+	const rollBack: TransactionRunner['rollBack'] = async transaction => {
+		const pooled = transactions.take(transaction);
+		if (pooled === undefined) {
+			return notOpenAnswer;
+		}
+
+		const answer = await send(pooled, {kind: 'rollback'}, rollbackTimeoutMs);
+		pool.release(pooled, isClean(answer, pooled));
+		return answer;
+	};
+
+	return {
+		begin, runWithin, commit, rollBack,
+	};
+}
