Send one statement and repeat one in the same way in all wire tests

Six wire tests each opened a connection for one statement, checked the start and closed it again; five places repeated a statement until it succeeded, with three limits that meant different things when an answer never came. `send-statement` and `repeat-statement` do it now, `repeat-writes` at several hosts at once (`repeat-write` and two copies around it are gone), and `is-serving` uses them. An answer that comes behind the limit counts nowhere any more; before, only `is-serving` left it out. The pause between two attempts is 50 ms everywhere (20 ms in `repeat-write`). The type of an answer has a name, `wire-answer`.

--- a/stand-ins/wire/absurd-entries.test.ts
+++ b/stand-ins/wire/absurd-entries.test.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {repeatWrite} from './repeat-write.ts';
+import {repeatWrites} from './repeat-writes.ts';
 import {startWireCaller} from './start-wire-caller.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
@@ -132,9 +132,6 @@
 describe('hosts over the wire protocol, beside absurd entries', () => {
 	let deployment: WireDeployment;
 
-	const repeatWrites = async (options: Parameters<typeof repeatWrite>[1]) =>
-		Math.max(...await Promise.all(deployment.hosts.map(async ({port}) => repeatWrite(port, options))));
-
 	const listEnds = () => deployment.hosts.map(({process}) => process.exitCode ?? process.signalCode);
 
 	for (const {name, write, maxPromotions = 1} of cases) {
@@ -147,7 +144,7 @@
 					hostCount: 3, lag: 40, ratePerSecond, nodeArguments: [heapArgument],
 				});
 				await deployment.waitUntilReady();
-				expect(await repeatWrites({limit: 5000})).to.be.below(5000);
+				expect(await repeatWrites(deployment.hosts, {limitMs: 5000})).to.be.below(5000);
 				const callers = deployment.hosts.flatMap(({port}) => databases.map(database => startWireCaller(port, {database, pauseMs})));
 				await sleep(settleMs);
 				end = write(deployment);
@@ -173,14 +170,14 @@
 			// Guards against hosts that are so busy with the list of instances that they follow nothing else.
 			it('applies a later configuration', async () => {
 				deployment.configure({keys: ['good', 'later']});
-				expect(await repeatWrites({key: 'later', limit: configurationLimitMs})).to.be.below(configurationLimitMs);
+				expect(await repeatWrites(deployment.hosts, {key: 'later', limitMs: configurationLimitMs})).to.be.below(configurationLimitMs);
 			});
 
 			// Guards against a host that knows no instance of before and finds none of those that answer.
 			it('serves from a host that starts beside them', async () => {
 				await deployment.restart(1);
 				const port = deployment.hosts[1]?.port ?? 0;
-				expect(await repeatWrite(port, {limit: startLimitMs})).to.be.below(startLimitMs);
+				expect(await repeatWrites([{port}], {limitMs: startLimitMs})).to.be.below(startLimitMs);
 				const callers = databases.map(database => startWireCaller(port, {database, pauseMs}));
 				await sleep(settleMs);
 				const started = (await Promise.all(callers.map(async caller => caller.stop()))).flat(); // eslint-disable-line unicorn/no-await-expression-member -- a single step
@@ -190,7 +187,7 @@
 			// Guards against a failover that asks all that is listed and never ends.
 			it('replaces a primary that has stopped answering', async () => {
 				deployment.instances[0]?.stopAnswering();
-				expect(await repeatWrites({limit: 2 * writeGapLimitMs})).to.be.below(writeGapLimitMs);
+				expect(await repeatWrites(deployment.hosts, {limitMs: 2 * writeGapLimitMs})).to.be.below(writeGapLimitMs);
 				expect(deployment.promotions()).to.have.length.within(1, maxPromotions);
 				expect(listEnds()).to.deep.equal(deployment.hosts.map(() => null));
 			});
@@ -201,7 +198,7 @@
 		before(async () => {
 			deployment = await startWireDeployment({hostCount: 3, lag: 40, nodeArguments: [heapArgument]});
 			await deployment.waitUntilReady();
-			expect(await repeatWrites({limit: 5000})).to.be.below(5000);
+			expect(await repeatWrites(deployment.hosts, {limitMs: 5000})).to.be.below(5000);
 		});
 
 		after(() => {
@@ -218,7 +215,7 @@
 				return [`host/${name}`, JSON.stringify(row)];
 			})));
 			await sleep(recoveryLimitMs);
-			expect(await repeatWrites({limit: writeGapLimitMs})).to.be.below(writeGapLimitMs);
+			expect(await repeatWrites(deployment.hosts, {limitMs: writeGapLimitMs})).to.be.below(writeGapLimitMs);
 			expect(listEnds()).to.deep.equal(deployment.hosts.map(() => null));
 		});
 	});
--- a/stand-ins/wire/is-serving.ts
+++ b/stand-ins/wire/is-serving.ts
@@ -1,5 +1,4 @@
-/* eslint-disable no-await-in-loop -- attempts run in sequence */
-import {setTimeout as sleep} from 'node:timers/promises';
+import {repeatStatement} from './repeat-statement.ts';
 import {sendStatement} from './send-statement.ts';
 
 type Options = {
@@ -11,20 +10,7 @@
 	readonly limitMs: number;
 };
 
-/** Milliseconds between two attempts. */
-const retryMs = 50;
-
 /** Repeats a statement, on a connection of its own each time, until it succeeds; returns whether it did in time. */
 export async function isServing({port, database, text, limitMs}: Options): Promise<boolean> {
-	const endsAt = performance.now() + limitMs;
-	while (performance.now() < endsAt) {
-		const answer = await Promise.race([sendStatement({port, database, text}), sleep(endsAt - performance.now(), undefined)]);
-		if (answer?.result.startsWith('COMPLETE') === true) {
-			return true;
-		}
-
-		await sleep(retryMs);
-	}
-
-	return false;
+	return await repeatStatement(async () => sendStatement({port, database, text}), {limitMs}) < Number.POSITIVE_INFINITY;
 }
--- a/stand-ins/wire/odd-entries.test.ts
+++ b/stand-ins/wire/odd-entries.test.ts
@@ -1,9 +1,8 @@
 /* eslint-disable @typescript-eslint/naming-convention -- names defined by the platform */
-/* eslint-disable no-await-in-loop -- statements of a session run in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {openWireClient} from './open-wire-client.ts';
-import {repeatWrite} from './repeat-write.ts';
+import {repeatWrites} from './repeat-writes.ts';
+import {sendStatement} from './send-statement.ts';
 import {startWireCaller} from './start-wire-caller.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
@@ -89,17 +88,6 @@
 describe('hosts over the wire protocol, beside odd rows of other writers', () => {
 	let deployment: WireDeployment;
 
-	const query = async (host: number, text: string, key = 'good') => {
-		const client = openWireClient(deployment.hosts[host]?.port ?? 0, {database: 'latest', key});
-		const {state, result} = await client.started;
-		const answer = state === '' ? result : (await client.query(text)).result; // eslint-disable-line unicorn/no-await-expression-member -- a single step
-		client.close();
-		return answer;
-	};
-
-	const repeatWrites = async (options: Parameters<typeof repeatWrite>[1]) =>
-		Math.max(...await Promise.all(deployment.hosts.map(async ({port}) => repeatWrite(port, options))));
-
 	const cases = [
 		{
 			name: 'the list of instances', table: 'servers', rows: oddInstances, useMs: usesMs.rows,
@@ -118,7 +106,7 @@
 			before(async () => {
 				deployment = await startWireDeployment({hostCount: 3, lag: 40, ratePerSecond});
 				await deployment.waitUntilReady();
-				expect(await repeatWrites({limit: 5000})).to.be.below(5000);
+				expect(await repeatWrites(deployment.hosts, {limitMs: 5000})).to.be.below(5000);
 				const callers = deployment.hosts.flatMap(({port}) => databases.map(database => startWireCaller(port, {database, pauseMs})));
 				for (const [key, text] of Object.entries(rows)) {
 					deployment.store.putText(table, key, text);
@@ -151,13 +139,13 @@
 			// Guards against a host that stops following the store because of a row that it cannot read.
 			it('applies a later configuration', async () => {
 				deployment.configure({keys: ['good', 'later']});
-				expect(await repeatWrites({key: 'later', limit: configurationLimitMs})).to.be.below(configurationLimitMs);
+				expect(await repeatWrites(deployment.hosts, {key: 'later', limitMs: configurationLimitMs})).to.be.below(configurationLimitMs);
 			});
 
 			// Guards against odd rows that keep the hosts from replacing a primary, for which all instances are asked.
 			it('replaces a primary that has stopped answering', async () => {
 				deployment.instances[0]?.stopAnswering();
-				expect(await repeatWrites({limit: 2 * writeGapLimitMs})).to.be.below(writeGapLimitMs);
+				expect(await repeatWrites(deployment.hosts, {limitMs: 2 * writeGapLimitMs})).to.be.below(writeGapLimitMs);
 				expect(deployment.promotions()).to.have.length(1);
 				expect(deployment.hosts.map(({process}) => process.exitCode)).to.deep.equal(deployment.hosts.map(() => null));
 			});
@@ -171,7 +159,7 @@
 		before(async () => {
 			deployment = await startWireDeployment({hostCount: 3, lag: 40, ratePerSecond});
 			await deployment.waitUntilReady();
-			expect(await repeatWrites({limit: 5000})).to.be.below(5000);
+			expect(await repeatWrites(deployment.hosts, {limitMs: 5000})).to.be.below(5000);
 		});
 
 		after(() => {
@@ -188,7 +176,7 @@
 				deployment.store.putText('sapphirefall', 'host/host-1', text);
 				await sleep(registrationLimitMs);
 				expect(readIncarnation()).to.be.a('number').that.equals(incarnation);
-				expect(await repeatWrites({limit: registrationLimitMs})).to.be.below(registrationLimitMs);
+				expect(await repeatWrites(deployment.hosts, {limitMs: registrationLimitMs})).to.be.below(registrationLimitMs);
 			});
 		}
 
@@ -197,7 +185,7 @@
 			it(`goes on running while ${key} cannot be read`, async () => {
 				deployment.store.putText('sapphirefall', key, deeplyNested);
 				await sleep(registrationLimitMs);
-				await query(0, 'READ pond');
+				await sendStatement({port: deployment.hosts[0]?.port ?? 0, text: 'READ pond'});
 				expect(deployment.hosts.map(({process}) => process.exitCode)).to.deep.equal(deployment.hosts.map(() => null));
 			});
 		}
--- a/stand-ins/wire/open-wire-client.ts
+++ b/stand-ins/wire/open-wire-client.ts
@@ -1,14 +1,13 @@
 import type {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {connect} from 'node:net';
+import type {WireAnswer} from './wire-answer.ts';
 import type {WireClient} from './wire-client.ts';
 
-type Answer = Awaited<WireClient['started']>;
-
 /** Opens a session with a host over the wire protocol. */
 export function openWireClient(port: number, {database, key}: {readonly database: string; readonly key: string}): WireClient {
 	const socket = connect({host: '127.0.0.1', port, noDelay: true});
-	const pending: Array<(answer: Answer) => void> = [];
+	const pending: Array<(answer: WireAnswer) => void> = [];
 	let partialLine = '';
 	let rows: string[] = [];
 	let result = '';
@@ -27,7 +26,7 @@
 		}
 	};
 
-	const waitForAnswer = async () => new Promise<Answer>(resolve => {
+	const waitForAnswer = async () => new Promise<WireAnswer>(resolve => {
 		if (isClosed) {
 			resolve({rows: [], result: '', state: ''});
 		} else {
--- a/stand-ins/wire/restored-soak.test.ts
+++ b/stand-ins/wire/restored-soak.test.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createRandom} from '../cluster/create-random.ts';
-import {openWireClient} from './open-wire-client.ts';
+import {sendStatement} from './send-statement.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
@@ -87,13 +87,7 @@
 		it(`keeps its promises with seed ${seed}`, async () => {
 			const deployment = await startWireDeployment({hostCount: 3, lag: 60});
 			const violations: string[] = [];
-			const query = async (host: number, text: string, key = 'good') => {
-				const client = openWireClient(deployment.hosts[host]?.port ?? 0, {database: 'latest', key});
-				const {state, result} = await client.started;
-				const answer = state === '' ? {result, rows: []} : await client.query(text);
-				client.close();
-				return answer;
-			};
+			const query = async (host: number, text: string, key = 'good') => sendStatement({port: deployment.hosts[host]?.port ?? 0, key, text});
 
 			let withdrawnAt: number | undefined = performance.now() - revocationLimitMs;
 			let acknowledged = 0;
--- a/stand-ins/wire/restored-store.test.ts
+++ b/stand-ins/wire/restored-store.test.ts
@@ -2,7 +2,9 @@
 /* eslint-disable no-await-in-loop -- steps run in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {openWireClient} from './open-wire-client.ts';
+import {repeatStatement} from './repeat-statement.ts';
+import {repeatWrites} from './repeat-writes.ts';
+import {sendStatement} from './send-statement.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
@@ -17,36 +19,12 @@
 
 describe('hosts over the wire protocol, when the store comes back from an older copy', () => {
 	let deployment: WireDeployment;
-	const query = async (host: number, text: string, {database = 'latest', key = 'good'} = {}) => {
-		const client = openWireClient(deployment.hosts[host]?.port ?? 0, {database, key});
-		const {state, result} = await client.started;
-		const answer = state === '' ? {result, rows: []} : await client.query(text);
-		client.close();
-		return answer;
-	};
-
-	/** Repeats a statement until its result starts with `expected`; returns the elapsed milliseconds, or infinity at the limit. */
-	const waitForResult = async (host: number, text: string, {key = 'good', expected = 'COMPLETE', limit = serviceLimitMs}) => {
-		const startedAt = performance.now();
-		while (performance.now() - startedAt < limit) {
-			const {result} = await query(host, text, {key});
-			if (result.startsWith(expected)) {
-				return performance.now() - startedAt;
-			}
-
-			await sleep(50);
-		}
-
-		return Number.POSITIVE_INFINITY;
-	};
-
-	const waitForAllHosts = async (text: string, options: Parameters<typeof waitForResult>[2]) =>
-		Math.max(...await Promise.all([0, 1, 2].map(async host => waitForResult(host, `${text}${host} yes`, options))));
+	const query = async (host: number, text: string, key = 'good') => sendStatement({port: deployment.hosts[host]?.port ?? 0, key, text});
 
 	beforeEach(async () => {
 		deployment = await startWireDeployment({hostCount: 3, lag: 80});
 		await deployment.waitUntilReady();
-		expect(await waitForAllHosts('WRITE first', {limit: 5000})).to.be.below(5000);
+		expect(await repeatWrites(deployment.hosts, {limitMs: 5000})).to.be.below(5000);
 	});
 
 	afterEach(() => {
@@ -59,15 +37,15 @@
 		deployment.configure({keys: ['good', 'other', 'third']});
 		const lostVersion = store.version();
 		await sleep(settleMs);
-		expect((await query(0, 'READ first', {key: 'third'})).result).to.match(/^COMPLETE/v);
+		expect((await query(0, 'READ first', 'third')).result).to.match(/^COMPLETE/v);
 		await store.restore({lostMs: settleMs + 200, awayMs: 600, rewriteAfterMs: undefined});
 		while (store.version() < lostVersion - 1) {
 			store.put('other', 'row', {});
 		}
 
 		deployment.configure({keys: ['good', 'other']});
-		expect(await waitForAllHosts('WRITE second', {key: 'third', expected: 'ERROR BADKEY', limit: configurationLimitMs})).to.be.below(configurationLimitMs);
-		expect(await waitForAllHosts('WRITE third', {limit: serviceLimitMs})).to.be.below(serviceLimitMs);
+		expect(await repeatWrites(deployment.hosts, {key: 'third', expected: 'ERROR BADKEY', limitMs: configurationLimitMs})).to.be.below(configurationLimitMs);
+		expect(await repeatWrites(deployment.hosts, {limitMs: serviceLimitMs})).to.be.below(serviceLimitMs);
 	});
 
 	// Guards against a withdrawn key coming back, on hosts that knew of it and on one that starts, until operators write again.
@@ -76,18 +54,18 @@
 		await sleep(settleMs);
 		deployment.configure({keys: ['good']});
 		const changedAt = performance.now();
-		expect(await waitForAllHosts('WRITE second', {key: 'other', expected: 'ERROR BADKEY', limit: configurationLimitMs})).to.be.below(configurationLimitMs);
+		expect(await repeatWrites(deployment.hosts, {key: 'other', expected: 'ERROR BADKEY', limitMs: configurationLimitMs})).to.be.below(configurationLimitMs);
 		await store.restore({lostMs: performance.now() - changedAt + 100, awayMs: 500, rewriteAfterMs: undefined});
 		await deployment.restart(0);
 		const answers = [];
 		for (let round = 0; round < 30; round++) {
-			answers.push(await query(round % 3, 'READ first', {key: 'other'}));
+			answers.push(await query(round % 3, 'READ first', 'other'));
 			await sleep(50);
 		}
 
 		expect(answers.filter(({result}) => result.startsWith('COMPLETE'))).to.deep.equal([]);
 		deployment.configure({keys: ['good']});
-		expect(await waitForAllHosts('WRITE third', {limit: serviceLimitMs})).to.be.below(serviceLimitMs);
+		expect(await repeatWrites(deployment.hosts, {limitMs: serviceLimitMs})).to.be.below(serviceLimitMs);
 	});
 
 	// Guards against all updates being left out as older until the versions of the store have passed the remembered ones.
@@ -99,7 +77,7 @@
 
 		await sleep(settleMs);
 		await store.restore({lostMs: settleMs + 500, awayMs: 2000, rewriteAfterMs: 0});
-		expect(await waitForAllHosts('WRITE second', {limit: serviceLimitMs})).to.be.below(serviceLimitMs);
+		expect(await repeatWrites(deployment.hosts, {limitMs: serviceLimitMs})).to.be.below(serviceLimitMs);
 	});
 
 	// Guards against a primary that was replaced in the lost seconds being used again, and against a fencing token given out twice.
@@ -116,7 +94,7 @@
 			await sleep(50);
 		}
 
-		expect(await waitForResult(1, 'WRITE pond new', {limit: 5000})).to.be.below(5000);
+		expect(await repeatStatement(async () => query(1, 'WRITE pond new'), {limitMs: 5000})).to.be.below(5000);
 		await sleep(settleMs);
 		await store.restore({lostMs: performance.now() - startedAt + 100, awayMs: 600, rewriteAfterMs: 300});
 		const answers = [];
@@ -126,12 +104,12 @@
 		}
 
 		expect(answers.filter(({result, rows}) => result.startsWith('COMPLETE') && rows[0] !== 'new')).to.deep.equal([]);
-		expect(await waitForAllHosts('WRITE second', {limit: serviceLimitMs})).to.be.below(serviceLimitMs);
+		expect(await repeatWrites(deployment.hosts, {limitMs: serviceLimitMs})).to.be.below(serviceLimitMs);
 		expect((await query(0, 'READ pond')).rows).to.deep.equal(['new']);
 		const promotedBefore = deployment.promotions().at(-1)?.token ?? 0;
 		const primary = instances.find(instance => instance.role() === 'primary');
 		primary?.stopAnswering();
-		expect(await waitForAllHosts('WRITE third', {limit: 10_000})).to.be.below(10_000);
+		expect(await repeatWrites(deployment.hosts, {limitMs: 10_000})).to.be.below(10_000);
 		expect(deployment.promotions().at(-1)?.token).to.be.above(promotedBefore);
 	});
 });
--- a/stand-ins/wire/whole-path.test.ts
+++ b/stand-ins/wire/whole-path.test.ts
@@ -3,8 +3,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {openWireClient} from './open-wire-client.ts';
+import {repeatStatement} from './repeat-statement.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
-import type {WireClient} from './wire-client.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
 /** Replication lag in milliseconds. */
@@ -13,21 +13,6 @@
 /** Time limit for the failover of an unresponsive primary: detection, votes, fencing, promotion, and propagation to the hosts. */
 const writeGapLimitMs = 3500;
 
-/** Retries a statement until it succeeds. Returns the elapsed milliseconds, or infinity if the limit in milliseconds expires first. */
-async function retryUntilComplete(client: WireClient, text: string, limit: number): Promise<number> {
-	const startedAt = performance.now();
-	while (performance.now() - startedAt < limit) {
-		const {result} = await client.query(text);
-		if (result.startsWith('COMPLETE')) {
-			return performance.now() - startedAt;
-		}
-
-		await sleep(50);
-	}
-
-	return Number.POSITIVE_INFINITY;
-}
-
 describe('hosts, instances and store over the wire protocol', () => {
 	let deployment: WireDeployment;
 	const open = (host: number, database: string, key = 'good') => openWireClient(deployment.hosts[host]?.port ?? 0, {database, key});
@@ -180,7 +165,7 @@
 		await sleep(5200);
 		expect((await client.query('READ during')).result).to.equal('ERROR BUSY');
 		deployment.store.setMode('available');
-		expect(await retryUntilComplete(client, 'READ during', 3000)).to.be.below(3000);
+		expect(await repeatStatement(async () => client.query('READ during'), {limitMs: 3000})).to.be.below(3000);
 	});
 
 	it('keeps serving after the store has compacted its history', async () => {
@@ -203,7 +188,8 @@
 		await clients[0]?.query('WRITE kept before');
 		await sleep(3 * lag);
 		deployment.instances[0]?.stopAnswering();
-		const writeGaps = await Promise.all(clients.map(async (client, index) => retryUntilComplete(client, `WRITE after${index} yes`, 10_000)));
+		const writeGaps = await Promise.all(clients.map(async (client, index) =>
+			repeatStatement(async () => client.query(`WRITE after${index} yes`), {limitMs: 10_000})));
 		expect(Math.max(...writeGaps)).to.be.below(writeGapLimitMs);
 		expect((await clients[1]?.query('READ kept'))?.rows).to.deep.equal(['before']);
 		expect(deployment.promotions()).to.have.length(1);
--- /dev/null
+++ b/stand-ins/wire/wire-answer.ts
@@ -0,0 +1,8 @@
+/** The answer to a message of the wire protocol. */
+export type WireAnswer = {
+	readonly rows: readonly string[];
+	/** `COMPLETE` with the signature, or `ERROR` with the code. Empty if the connection closed before a result. */
+	readonly result: string;
+	/** Transaction state from the `READY` message. Empty if the connection closed. */
+	readonly state: string;
+};
--- a/stand-ins/wire/wire-client.ts
+++ b/stand-ins/wire/wire-client.ts
@@ -1,11 +1,4 @@
-/** The answer to a message of the wire protocol. */
-type WireAnswer = {
-	readonly rows: readonly string[];
-	/** `COMPLETE` with the signature, or `ERROR` with the code. Empty if the connection closed before a result. */
-	readonly result: string;
-	/** Transaction state from the `READY` message. Empty if the connection closed. */
-	readonly state: string;
-};
+import type {WireAnswer} from './wire-answer.ts';
 
 /** A session of a caller over the wire protocol. */
 export type WireClient = {
--- a/stand-ins/wire/write-item.ts
+++ b/stand-ins/wire/write-item.ts
@@ -1,5 +1,4 @@
-/* eslint-disable no-await-in-loop -- attempts run in sequence */
-import {setTimeout as sleep} from 'node:timers/promises';
+import {repeatStatement} from './repeat-statement.ts';
 import {sendStatement} from './send-statement.ts';
 
 type Options = {
@@ -11,23 +10,19 @@
 	readonly limitMs: number;
 };
 
-/** Milliseconds between two attempts. */
-const retryMs = 50;
-
 /** Writes items, each once, on the database with the latest state until a write is acknowledged; returns the item of that one. */
 export async function writeItem({port, name, limitMs}: Options): Promise<string> {
-	const until = performance.now() + limitMs;
+	let item = '';
 	let last = 'none was sent';
-	for (let attempt = 0; performance.now() < until; attempt++) {
-		const item = `${name}-${attempt}`;
-		const {result} = await sendStatement({port, database: 'latest', text: `WRITE ${item} of-${item}`});
-		if (result.startsWith('COMPLETE')) {
-			return item;
-		}
-
-		last = result;
-		await sleep(retryMs);
+	const elapsed = await repeatStatement(async attempt => {
+		item = `${name}-${attempt}`;
+		const answer = await sendStatement({port, text: `WRITE ${item} of-${item}`});
+		last = answer.result;
+		return answer;
+	}, {limitMs});
+	if (elapsed === Number.POSITIVE_INFINITY) {
+		throw new Error(`No write "${name}" was acknowledged for ${limitMs} ms; the last answer: ${last}`);
 	}
 
-	throw new Error(`No write "${name}" was acknowledged for ${limitMs} ms; the last answer: ${last}`);
+	return item;
 }
