--- a/packages/sessions/create-partition-limiter.ts
+++ b/packages/sessions/create-partition-limiter.ts
@@ -1,14 +1,11 @@
-import {setTimeout as sleep} from 'node:timers/promises';
+import {createOperationTaker} from './create-operation-taker.ts';
 import {createRateClaimSender} from './create-rate-claim-sender.ts';
 import {createRateLeaseAttempts} from './create-rate-lease-attempts.ts';
 import {createRateAllocator} from './create-rate-allocator.ts';
 import {createLocalShares} from './create-local-shares.ts';
 import {createTokenQueue} from './create-token-queue.ts';
-import {findDemand} from './find-demand.ts';
-import {findHeldRate} from './find-held-rate.ts';
 import {findRateAllocator} from './find-rate-allocator.ts';
 import {createAllocatorContact} from './create-allocator-contact.ts';
-import {findRateRefusal} from './find-rate-refusal.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {RateAllocatorRow} from './rate-allocator-row.ts';
@@ -48,9 +45,6 @@
 /** Milliseconds within which an allocator must answer one more claim before another host takes its lease. */
 const checkTimeoutMs = 300;
 
-/** Milliseconds between two attempts of a caller that waits for an operation. */
-const waitIntervalMs = 40;
-
 /** Maximum milliseconds between two claims to the allocator of partition 0, which uses claims as heartbeats of the hosts. */
 const heartbeatIntervalMs = 3000;
 
@@ -71,8 +65,6 @@
 	/** Epoch of the allocator for which a claim or an attempt to take its lease is in flight; undefined while there is none. */
 	let busyEpoch: number | undefined;
 	let hasRefused = false;
-	/** Number of callers that wait for an operation, by workspace. */
-	const waiting = new Map<string, number>();
 
 	const contact = createAllocatorContact(now().steady);
 	const shares = createLocalShares({...options, countHosts: () => Math.max(1, fleet?.hosts.size ?? 1)});
@@ -143,56 +135,21 @@
 		}
 	};
 
-	const logRefusal = (workspace: string, {limits, reason}: {readonly limits: WorkspaceLimits; readonly reason: string}) => {
-		const share = shares.findShare(workspace);
-		log.debug({
-			workspace,
-			reason,
-			...limits,
-			held: share && findHeldRate(share, now()),
-			saved: share?.tokens,
-			demand: share && findDemand(share, now()),
-			home: findRow()?.holder,
-			isPoolEmpty: tokens.isPoolEmpty(workspace),
-		}, 'rates: The host refused an operation because no tokens are left.');
-	};
-
-	/** Waits for the next attempt of a caller to take an operation. */
-	const waitForNextAttempt = async (workspace: string) => {
-		waiting.set(workspace, (waiting.get(workspace) ?? 0) + 1);
-		await sleep(waitIntervalMs);
-		waiting.set(workspace, (waiting.get(workspace) ?? 1) - 1);
-	};
+	const takeOperation = createOperationTaker({
+		findLimits: options.findLimits,
+		findAllocator: () => findRow()?.holder,
+		contact,
+		shares,
+		tokens,
+		onRefused() {
+			hasRefused = true;
+		},
+		now,
+		log,
+	});
 
 	return {
-		async takeOperation(workspace, maxWaitMs) {
-			const limits = options.findLimits().get(workspace);
-			if (limits === undefined || shares.takeOperation(workspace, limits, true).isTaken) {
-				return {kind: 'taken'};
-			}
-
-			const deadline = now().steady + maxWaitMs;
-			for (;;) {
-				await tokens.wait(workspace); // eslint-disable-line no-await-in-loop -- attempts run one after another
-				const {isTaken, retryAfter} = shares.takeOperation(workspace, limits, false);
-				if (isTaken) {
-					return {kind: 'taken'};
-				}
-
-				const refusal = findRateRefusal({
-					unassignedFor: contact.findUnassignedTime(now().steady),
-					dueAfter: retryAfter * ((waiting.get(workspace) ?? 0) + 1),
-					remaining: deadline - now().steady - waitIntervalMs,
-				});
-				if (refusal !== undefined) {
-					hasRefused = true;
-					logRefusal(workspace, {limits, reason: refusal.reason});
-					return refusal;
-				}
-
-				await waitForNextAttempt(workspace); // eslint-disable-line no-await-in-loop -- attempts run one after another
-			}
-		},
+		takeOperation,
 		claimRates: allocator.claimRates,
 		listSilentHosts: allocator.listSilentHosts,
 		updateFleet(newer) {
