Find a primary silent that said that it is a replica and does not answer since

Callers: a group stays without a primary, where the primary refused writes and then became unreachable for the hosts while the platform goes on listing it. Cause: the reason demoted came before the reason silent, and a primary with the former is replaced only once it has told its role again. One that does not answer never does, and each host to which it had refused a write waits for that. Change: a primary that does not answer is silent, whatever it said before; the vote decides as for any other. Evidence: the new case of find-failover-reason fails before (demoted). Not played with processes.

--- a/packages/sessions/find-failover-reason.test.ts
+++ b/packages/sessions/find-failover-reason.test.ts
@@ -35,6 +35,12 @@
 				...healthy, row: {...row, state: 'fencing' as const}, fencedAt: 9000, isDemoted: true,
 			}, expected: undefined,
 		},
+		{
+			// Guards against a group without a primary for as long as its demoted one is listed but cannot be asked for its role.
+			name: 'suspects a primary that said that it is a replica and does not answer since',
+			seen: {...healthy, isDemoted: true, health: {...health, unansweredSince: 9000}},
+			expected: 'silent',
+		},
 		{name: 'suspects a primary that does not answer', seen: {...healthy, health: {...health, unansweredSince: 9000}}, expected: 'silent'},
 		{name: 'waits for a slow answer', seen: {...healthy, health: {...health, unansweredSince: 9700}}, expected: undefined},
 		{name: 'suspects a primary in a zone that has gone silent', seen: {...healthy, gatewaysSilentSince: 9500}, expected: 'silent'},
--- a/packages/sessions/find-failover-reason.ts
+++ b/packages/sessions/find-failover-reason.ts
@@ -65,10 +65,11 @@
 		return 'missing';
 	}
 
-	if (isDemoted) {
-		return 'demoted';
+	const silentSince = Math.min(health?.unansweredSince ?? Number.POSITIVE_INFINITY, gatewaysSilentSince ?? Number.POSITIVE_INFINITY);
+	if (now - silentSince > silenceLimitMs) {
+		return 'silent';
 	}
 
-	const silentSince = Math.min(health?.unansweredSince ?? Number.POSITIVE_INFINITY, gatewaysSilentSince ?? Number.POSITIVE_INFINITY);
-	return now - silentSince > silenceLimitMs ? 'silent' : undefined;
+	// Such a primary is asked for its role before it is replaced, which a silent one does not tell.
+	return isDemoted ? 'demoted' : undefined;
 }
