Ask a primary for its role that lacks what its log held

Callers: all reads of a group are refused with BUSY, where its primary started again under its id as a replica with an empty log and no session writes. Cause: only a refused write (READONLY) made a host ask the primary for its role. Since reads carry AFTER with the newest known position, such an instance answers LAGGING to each, and nothing follows from it. Change: LAGGING from the leased primary, to a read or a begin, ends its use as READONLY does: it is asked for its role and replaced if it is a replica. Evidence: the case of run-read fails before (the group is not demoted). Not played with processes.

--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -41,7 +41,7 @@
 	/** What was known before the era of the store in which the row was read; see `SessionGroup`. */
 	let known: KnownGroup | undefined;
 	let isRegistered = false;
-	/** Epoch whose primary has refused a write as a replica does; undefined if none has. */
+	/** Epoch whose primary has refused a statement as only a replica does, or one that has lost its log; undefined if none has. */
 	let demotedEpoch: number | undefined;
 
 	const isDemoted = () => row !== undefined && row.epoch === demotedEpoch;
@@ -109,7 +109,7 @@
 				demotedEpoch = newer ? epoch : undefined;
 				log.info({
 					group: name, epoch, primary: row.primary, isDemoted: newer,
-				}, 'group: The primary refused a write as a replica does, or leads again.');
+				}, 'group: The primary refused a statement as a replica or an instance without its log does, or leads again.');
 				notifyWaiters();
 			}
 		},
--- a/packages/sessions/find-failover-reason.ts
+++ b/packages/sessions/find-failover-reason.ts
@@ -12,7 +12,7 @@
 	readonly isDeparting: boolean;
 	/** When the platform stopped listing the primary, in milliseconds of the steady clock. */
 	readonly missingSince: number | undefined;
-	/** Whether the primary has refused a write as a replica does. */
+	/** Whether the primary has refused a statement as a replica or an instance without its log does. */
 	readonly isDemoted: boolean;
 	readonly health: InstanceHealth | undefined;
 	/** Since when no gateway in the primary's zone has answered this host, in milliseconds of the steady clock. */
--- a/packages/sessions/open-transaction.ts
+++ b/packages/sessions/open-transaction.ts
@@ -73,12 +73,13 @@
 		};
 	}
 
-	if (after !== undefined && answer.kind === 'answered' && answer.outcome.kind === 'failed' && answer.outcome.code === 'lagging') {
+	const code = answer.kind === 'answered' && answer.outcome.kind === 'failed' ? answer.outcome.code : undefined;
+	if (after !== undefined && code === 'lagging') {
 		instance.recordLag(after);
 	}
 
-	if (lease !== undefined && answer.kind === 'answered' && answer.outcome.kind === 'failed' && answer.outcome.code === 'readOnly') {
-		lease.group.setDemoted(lease.epoch, true);
+	if (code === 'readOnly' || code === 'lagging') {
+		lease?.group.setDemoted(lease.epoch, true);
 	}
 
 	return {kind: 'failed', outcome: createBusyFailure(`Instance ${id} did not begin the transaction: ${describeAnswer(answer)}`, 100)};
--- a/packages/sessions/run-read.test.ts
+++ b/packages/sessions/run-read.test.ts
@@ -153,6 +153,8 @@
 				id: '1', text: 'READ a', access: 'read', execute: undefined,
 			}, {...operation, route: {...operation.route, freshness: 'latest'}});
 			expect(outcome.kind).to.equal(kind);
+			// Guards against a primary that refuses all reads for ever, where no write makes a host ask it for its role.
+			expect(group.isDemoted()).to.equal(kind === 'failed');
 		});
 	}
 });
--- a/packages/sessions/run-read.ts
+++ b/packages/sessions/run-read.ts
@@ -79,6 +79,7 @@
 	const {code} = answer.outcome;
 	if (code === 'lagging' && after !== undefined) {
 		instance.recordLag(after);
+		lease?.group.setDemoted(lease.epoch, true);
 	}
 
 	const outcome = hasNotRun(code) ? createBusyFailure(`Instance ${id} answered ${code}`, 100) : answer.outcome;
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -23,9 +23,9 @@
 	readonly known: (era: number) => KnownGroup | undefined;
 	/** Stops using the primary of every epoch before this one at once, because it is being replaced. */
 	readonly fence: (epoch: number) => void;
-	/** Records whether the primary of an epoch has refused a write of this host as a replica does; while it has, this host does not use it. */
+	/** Records whether the primary of an epoch has refused a statement of this host as only a replica does, or one that has lost its log; while it has, this host does not use it. */
 	readonly setDemoted: (epoch: number, isDemoted: boolean) => void;
-	/** Whether the present primary has refused a write as a replica does. */
+	/** Whether the present primary has refused a statement so. */
 	readonly isDemoted: () => boolean;
 	/** When this host learned that the primary is being replaced, in milliseconds of the steady clock; undefined if it is not. */
 	readonly fencedAt: () => number | undefined;
