Take a promoted successor whose term is older than the row's if it has begun it since the order

Callers: a group stays without a primary for ever once all its instances have lost their logs and terms, since the promoted one leads a term below that of the row. Cause: the term of the row is the least that a leader must lead, also for a successor whose promotion this host saw take effect. Change: a successor counts as well if it leads a newer term than it knew when this host ordered its promotion. Why it works: an earlier primary knows its old term when it is ordered, and leads a newer one only once it was promoted. Remains: a host that resumes such a failover after an order of another host does not know the term at the order.

--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -64,7 +64,7 @@
 
 	let {duty} = fence;
 	const newerLogUntil = now().steady + newerLogLimitMs;
-	let ordered: {readonly instance: string; readonly at: number} | undefined;
+	let ordered: {readonly instance: string; readonly at: number; readonly term: number} | undefined;
 	/** When each promotion that may have been ordered has taken effect or never will, in milliseconds of the steady clock. */
 	let settledAt = row.successor === '' ? undefined : now().steady + promotionLimitMs;
 	/** Instance whose promotion was last ordered and not refused, by this host or by one that ran the failover before. */
@@ -84,6 +84,7 @@
 			...failover,
 			now: now().steady,
 			isComplete: answers.length === group.listInstances().length,
+			orderedTerm: ordered?.instance === row.successor ? ordered.term : undefined,
 			settledAt,
 		});
 		if (leader !== undefined) {
@@ -145,7 +146,7 @@
 		logStep('The host ordered a promotion.', {
 			successor: successor.id, term: successor.status.term, position: String(successor.status.received.position), taken, answers: answers.map(answer => describeReport(answer)),
 		});
-		ordered = {instance: successor.id, at: now().steady};
+		ordered = {instance: successor.id, at: now().steady, term: successor.status.term};
 		if (taken === 'refused') {
 			row = {...row, successor: ''};
 			ordered = undefined;
--- a/packages/sessions/find-leader.ts
+++ b/packages/sessions/find-leader.ts
@@ -5,6 +5,8 @@
 type Options = Pick<Failover, 'reason' | 'mayHaveMissedPromotion'> & {
 	/** Whether all instances have answered. */
 	readonly isComplete: boolean;
+	/** Newest term that the successor knew when its promotion was ordered; undefined if this host ordered none. */
+	readonly orderedTerm: number | undefined;
 	/** When each promotion that may have been ordered has taken effect or never will; undefined if none was ordered. */
 	readonly settledAt: number | undefined;
 	/** Milliseconds of the steady clock. */
@@ -16,17 +18,20 @@
  *
  * Once a successor is stored, its promotion may have been ordered, so no other instance may lead. Before that, and after
  * the successor was refused, the old primary may stay if it was only silent, also as a new instance that took over its
- * log, and another instance may be taken that was promoted without an order of this failover. An order before the refused one may still take effect: then all instances must answer, and only once it has.
+ * log, and another instance may be taken that was promoted without an order of this failover. An order before the refused
+ * one may still take effect: then all instances must answer, and only once it has.
  *
  * A primary that was replaced goes on as one until it learns of it, and may be the only one that answers. It leads an older
- * term than the one that the row names.
+ * term than the one that the row names. Terms begin anew where all instances have lost theirs; the promotion of a successor
+ * then shows by the term that it has begun since it was ordered.
  */
 export function findLeader(answers: readonly ReportedStatus[], row: GroupRow, {
-	reason, mayHaveMissedPromotion, isComplete, settledAt, now,
+	reason, mayHaveMissedPromotion, isComplete, orderedTerm, settledAt, now,
 }: Options): ReportedStatus | undefined {
 	const newestTerm = Math.max(...answers.map(({status}) => status.term));
 	const leader = answers.find(({status}) => status.role === 'primary' && status.term === newestTerm);
-	if (leader === undefined || leader.status.term < (row.term ?? 0)) {
+	const oldestTerm = Math.min(row.term ?? 0, (orderedTerm ?? Number.POSITIVE_INFINITY) + 1);
+	if (leader === undefined || leader.status.term < oldestTerm) {
 		return undefined;
 	}
 
