Split the promotion of a successor: which instance is ordered now is a function of its own

Cause: the loop of execute-promotion had a complexity of 30 after the mends. Change: find-due-successor decides from the answers, the row and the orders before; no change of logic.

--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -1,10 +1,10 @@
 /* eslint-disable no-await-in-loop -- rounds run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {decodeStoreVersion} from './decode-store-version.ts';
-import {chooseSuccessor} from './choose-successor.ts';
 import {describeReport} from './describe-report.ts';
 import type {FailoverDuty} from './failover-duty.ts';
 import type {Fence} from './fence.ts';
+import {findDueSuccessor} from './find-due-successor.ts';
 import {findDutyRemaining} from './find-duty-remaining.ts';
 import {findElapsed} from './find-elapsed.ts';
 import {findFenceRemaining} from './find-fence-remaining.ts';
@@ -15,6 +15,7 @@
 import {commitGroupRow} from './commit-group-row.ts';
 import {leaseDurationMs} from './lease-duration-ms.ts';
 import {promotionLimitMs} from './promotion-limit-ms.ts';
+import type {PromotionOrder} from './promotion-order.ts';
 import {readFleetRows} from './read-fleet-rows.ts';
 import {readStatuses} from './read-statuses.ts';
 import {takeoverLimitMs} from './takeover-limit-ms.ts';
@@ -25,9 +26,6 @@
 /** Milliseconds between two rounds of status requests to the instances. */
 const roundIntervalMs = 100;
 
-/** Milliseconds after which a promotion order is repeated that has shown no effect. */
-const orderIntervalMs = 1500;
-
 /**
  * Milliseconds for which an instance is waited for that knows the term of the old primary, when only others answer: they have
  * nothing of that term in their logs, and a promotion would lose all of it.
@@ -64,7 +62,7 @@
 
 	let {duty} = fence;
 	const newerLogUntil = now().steady + newerLogLimitMs;
-	let ordered: {readonly instance: string; readonly at: number; readonly term: number} | undefined;
+	let ordered: PromotionOrder | undefined;
 	/** When each promotion that may have been ordered has taken effect or never will, in milliseconds of the steady clock. */
 	let settledAt = row.successor === '' ? undefined : now().steady + promotionLimitMs;
 	/** Instance whose promotion was last ordered and not refused, by this host or by one that ran the failover before. */
@@ -94,18 +92,10 @@
 			return {row, instance: leader.id, status: leader.status};
 		}
 
-		const candidates = answers.filter(({id}) => id !== fence.row.primary);
-		const named = row.successor;
-		const successor = candidates.find(({id}) => id === named) ?? chooseSuccessor(candidates);
-		const isWaiting = named === '' && now().steady < newerLogUntil && successor !== undefined && successor.status.term < (row.term ?? 0);
-		if (successor === undefined || isWaiting || (ordered?.instance === successor.id && now().steady - ordered.at < orderIntervalMs)) {
-			await sleep(roundIntervalMs);
-			continue;
-		}
-
-		// The last promotion that takes effect decides who leads, and an order may take effect after a later one.
-		const isOtherPending = successor.id !== promoting && settledAt !== undefined && now().steady < settledAt;
-		if (isOtherPending) {
+		const successor = findDueSuccessor(answers, {
+			row, primary: fence.row.primary, isNewerLogAwaited: now().steady < newerLogUntil, ordered, promoting, settledAt, now: now().steady,
+		});
+		if (successor === undefined) {
 			await sleep(roundIntervalMs);
 			continue;
 		}
