--- a/stand-ins/wire/create-instance-log.ts
+++ b/stand-ins/wire/create-instance-log.ts
@@ -103,6 +103,12 @@
 			appliedCount = entries.length;
 			changeRole('primary');
 		},
+		clear() {
+			entries = [];
+			appliedCount = 0;
+			term = 1;
+			changeRole('replica');
+		},
 		stepDown(newerTerm) {
 			if (newerTerm > term && role === 'primary') {
 				term = newerTerm;
--- a/stand-ins/wire/instance-group.ts
+++ b/stand-ins/wire/instance-group.ts
@@ -23,5 +23,7 @@
 	readonly setCut: (instance: InstanceStandIn, isCut: boolean) => void;
 	/** Crashes an instance for some milliseconds; it comes back with its log, as a replica if another one was promoted. */
 	readonly crash: (instance: InstanceStandIn, milliseconds: number) => Promise<void>;
+	/** Crashes an instance for some milliseconds; it starts again under its id, with another time of its start and without a log. */
+	readonly startAgain: (instance: InstanceStandIn, milliseconds: number) => Promise<void>;
 	readonly close: () => void;
 };
--- a/stand-ins/wire/instance-log.ts
+++ b/stand-ins/wire/instance-log.ts
@@ -25,6 +25,8 @@
 	readonly setLag: (lag: number) => void;
 	/** Leads a term with what the instance has received. */
 	readonly promote: (term: number) => void;
+	/** Begins anew as a replica without a log, which knows no term but the first one. */
+	readonly clear: () => void;
 	/** Makes a primary of a lower term a replica. */
 	readonly stepDown: (term: number) => void;
 };
--- a/stand-ins/wire/instance-stand-in.ts
+++ b/stand-ins/wire/instance-stand-in.ts
@@ -21,6 +21,8 @@
 	readonly crash: () => void;
 	/** Comes back from a crash with its log, as a replica unless it led this term, which is the newest one. */
 	readonly comeBack: (newestTerm: number) => void;
+	/** Comes back under its id from a crash that took its log and all that it knew, as a replica. */
+	readonly comeBackEmpty: () => void;
 	readonly isCrashed: () => boolean;
 	/** Whether the instance neither answers nor replicates: it has crashed, stands still or stopped answering. */
 	readonly isDown: () => boolean;
--- a/stand-ins/wire/run-link-faults.ts
+++ b/stand-ins/wire/run-link-faults.ts
@@ -2,6 +2,7 @@
 import type {Link} from '../links/link.ts';
 import {usualLinkFault} from '../links/usual-link-fault.ts';
 import {runDrawnFaults} from './run-drawn-faults.ts';
+import {waitForHolder} from './wait-for-holder.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
 type Options = {
@@ -74,6 +75,16 @@
 		await sleep(pick(slow.durationMs.least, slow.durationMs.most));
 	});
 
+	/** Holds what a host that runs a failover sends to the cloud API or to the store, as a promotion order or the new primary. */
+	const holdFromHolder = async () => {
+		const index = await waitForHolder(deployment, {isAfter: false});
+		const links = index === undefined ? undefined : hostLinks[index];
+		if (index !== undefined && links !== undefined) {
+			const [what, link] = pick(0, 3) > 0 ? ['cloud API', links.cloudApi] as const : ['store', links.store] as const;
+			await hold({name: `${hosts[index]?.name ?? ''}, which runs a failover, to the ${what}`, link}, pick(0, 3) > 0 ? 'requests' : 'answers');
+		}
+	};
+
 	const reset = async (named: NamedLink | undefined) => disturb(named, 'reset', async link => {
 		link.reset();
 	});
@@ -91,6 +102,7 @@
 			{weight: 1, run: async () => hold(pickPlatformLink(), undefined)},
 			{weight: 2, run: async () => slowDown(pickPlatformLink())},
 			{weight: 1, run: async () => reset(pickPlatformLink())},
+			{weight: 4, run: holdFromHolder},
 		],
 	});
 }
--- a/stand-ins/wire/run-primary-faults.ts
+++ b/stand-ins/wire/run-primary-faults.ts
@@ -56,6 +56,12 @@
 
 	const crash = async (group: InstanceGroup, instance: InstanceStandIn | undefined) => disturb(instance, 'crash', async crashed => group.crash(crashed, pick(300, 6000)));
 
+	/** Lets an instance that does not lead start again without its log. */
+	const startAgain = async (group: InstanceGroup) => {
+		const replica = group.instances.find(instance => instance !== group.leader() && instance.role() === 'replica' && pick(0, 2) === 0);
+		return disturb(replica, 'start without a log', async instance => group.startAgain(instance, pick(300, 3000)));
+	};
+
 	const freeze = async (group: InstanceGroup) => disturb(group.leader(), 'freeze', async instance => {
 		instance.setFrozen(true);
 		await sleep(pick(300, 5000));
@@ -107,6 +113,7 @@
 		{weight: 2, run: delayReplica},
 		{weight: 2, run: freezeHost},
 		{weight: 1, run: delayPromotions},
+		{weight: 2, run: startAgain},
 	];
 	const drawn = faults.flatMap(fault => Array.from({length: fault.weight}, () => fault));
 	const running: Array<Promise<void>> = [];
--- a/stand-ins/wire/run-zone-faults.ts
+++ b/stand-ins/wire/run-zone-faults.ts
@@ -100,6 +100,25 @@
 		onEvent(`end of release of zone ${zone}`);
 	};
 
+	/** Releases the primaries of a zone that do not reach the other instances and so do not learn that they were replaced, except from a host. */
+	const releaseCutZone = async () => {
+		const zone = pickZone();
+		const members = listInstances(zone).filter(({group, instance}) => group.leader() === instance && !instance.isDown());
+		onEvent(`release and cut among instances of zone ${zone}: ${members.map(({instance}) => instance.id).join(', ')}`);
+		for (const {group, instance} of members) {
+			group.setCut(instance, true);
+			group.drain(instance);
+		}
+
+		await sleep(pick(durationsMs.cut.least, durationsMs.cut.most));
+		for (const {group, instance} of members) {
+			group.setCut(instance, false);
+			group.listAsReady(instance);
+		}
+
+		onEvent(`end of release and cut among instances of zone ${zone}`);
+	};
+
 	await runDrawnFaults({
 		pick, isOver, gapMs,
 		faults: [
@@ -109,6 +128,7 @@
 			{weight: 2, run: async () => disturb('cut of hosts', durationsMs.cut, setHostsCut)},
 			{weight: 2, run: async () => disturb('cut', durationsMs.cut, setZoneCut)},
 			{weight: 3, run: releaseZone},
+			{weight: 4, run: releaseCutZone},
 		],
 	});
 }
--- a/stand-ins/wire/start-instance-group.ts
+++ b/stand-ins/wire/start-instance-group.ts
@@ -48,6 +48,8 @@
 }: Options): Promise<InstanceGroup> {
 	const instances: InstanceStandIn[] = [];
 	const links = new Map<InstanceStandIn, Link>();
+	/** When each instance started, in milliseconds of Unix time. */
+	const born = new Map<InstanceStandIn, number>();
 	const departing = new Set<InstanceStandIn>();
 	const cut = new Set<InstanceStandIn>();
 	const commits: CommitRecord[] = [];
@@ -55,6 +57,7 @@
 	const reachesNewerSince = new Map<InstanceStandIn, number>();
 	let newestTerm = 1;
 	let seq = 0;
+	const startedAt = Date.now();
 	let isClosed = false;
 
 	const isReachable = (from: InstanceStandIn, to: InstanceStandIn) =>
@@ -68,7 +71,7 @@
 		seq++;
 		store.put('servers', instance.id, {
 			backend: name, address: `127.0.0.1:${links.get(instance)?.port ?? instance.port}`, zone: zones[instances.indexOf(instance)], version: 'v1', capacity: 5,
-			state: departing.has(instance) ? 'draining' : 'ready', warmup_ms: 0, db_role: instance.role(), seq,
+			state: departing.has(instance) ? 'draining' : 'ready', warmup_ms: 0, db_role: instance.role(), seq, born: born.get(instance) ?? startedAt,
 		});
 	};
 
@@ -158,6 +161,16 @@
 		}
 	};
 
+	/** Crashes an instance, whose entry expires after a while. */
+	const stayAway = async (instance: InstanceStandIn, milliseconds: number) => {
+		instance.crash();
+		const expiry = setTimeout(() => {
+			store.delete('servers', instance.id);
+		}, expiryMs);
+		await sleep(milliseconds);
+		clearTimeout(expiry);
+	};
+
 	const mayPromote = (id: string) => instances.some(instance => instance.id === id && !instance.isCrashed());
 
 	return {
@@ -207,15 +220,16 @@
 			}
 		},
 		async crash(instance, milliseconds) {
-			instance.crash();
-			const expiry = setTimeout(() => {
-				store.delete('servers', instance.id);
-			}, expiryMs);
-			await sleep(milliseconds);
-			clearTimeout(expiry);
+			await stayAway(instance, milliseconds);
 			instance.comeBack(newestTerm);
 			list(instance);
 		},
+		async startAgain(instance, milliseconds) {
+			await stayAway(instance, milliseconds);
+			instance.comeBackEmpty();
+			born.set(instance, Date.now());
+			list(instance);
+		},
 		close() {
 			isClosed = true;
 			clearInterval(timer);
--- a/stand-ins/wire/start-instance-stand-in.ts
+++ b/stand-ins/wire/start-instance-stand-in.ts
@@ -158,6 +158,10 @@
 			isCrashed = false;
 			log.stepDown(newestTerm);
 		},
+		comeBackEmpty() {
+			isCrashed = false;
+			log.clear();
+		},
 		isCrashed: () => isCrashed,
 		isDown: () => isCrashed || isFrozen || isUnresponsive,
 		loseAnswers(count) {
