Keep no primary that lacks commits of its term which a replica holds

Callers: all commits of a group are missing from all reads, and no promotion rolled them back, where its primary starts again under its id with an empty log and leads. Cause: a failover after a silence keeps the primary that answers again, and looked at its role and term only. Change: it is not kept if another instance has received a later position of the same term. Whether the platform lets an instance lead then is not known. Why it works: replicas receive from the primary alone, so one that is ahead of it in its own term holds what the primary has lost. A commit that was on its way at the fence and arrives between two answers looks alike; the replica that is promoted then holds it.

--- a/packages/sessions/find-leader.ts
+++ b/packages/sessions/find-leader.ts
@@ -1,3 +1,4 @@
+import {comparePoints} from '@sapphirefall/decisions';
 import type {Failover} from './failover.ts';
 import type {GroupRow} from './group-row.ts';
 import type {ReportedStatus} from './reported-status.ts';
@@ -39,7 +40,9 @@
 		return leader.id === row.successor ? leader : undefined;
 	}
 
+	// A primary that started again without its log says nothing of what it acknowledged, but its replicas do.
+	const hasLostLog = answers.some(({status: {received}}) => received.term === leader.status.term && comparePoints(received, leader.status.received) > 0);
 	const isReasonOver = reason !== 'departing' && reason !== 'missing' && !leader.isDeparting;
 	const isOnlyLeader = settledAt === undefined ? (isComplete || !mayHaveMissedPromotion) : isComplete && now >= settledAt;
-	return isReasonOver && isOnlyLeader ? leader : undefined;
+	return isReasonOver && isOnlyLeader && !hasLostLog ? leader : undefined;
 }
