--- a/stand-ins/wire/late-promotion.test.ts
+++ b/stand-ins/wire/late-promotion.test.ts
@@ -1,7 +1,7 @@
 /* eslint-disable no-await-in-loop -- steps run in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {openWireClient} from './open-wire-client.ts';
+import {sendStatement} from './send-statement.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
@@ -34,21 +34,13 @@
 
 	const readRow = () => deployment.store.read('sapphirefall', 'group/pondbook') as Row;
 
-	const send = async (text: string) => {
-		const client = openWireClient(deployment.hosts[0]?.port ?? 0, {database: 'latest', key: 'good'});
-		const {state, result} = await client.started;
-		const answer = state === '' ? {result, rows: []} : await client.query(text);
-		client.close();
-		return answer;
-	};
-
 	/** Writes items, one after another, until a while after the first one was acknowledged; returns those that were. */
 	const writeItems = async () => {
 		const acknowledged: string[] = [];
 		let until = performance.now() + recoveryLimitMs;
 		for (let attempt = 0; performance.now() < until; attempt++) {
 			const item = `late-${attempt}`;
-			const {result} = await send(`WRITE ${item} of-${item}`);
+			const {result} = await sendStatement({port: deployment.hosts[0]?.port ?? 0, text: `WRITE ${item} of-${item}`});
 			if (result.startsWith('COMPLETE')) {
 				until = acknowledged.length === 0 ? performance.now() + writingMs : until;
 				acknowledged.push(item);
