--- a/stand-ins/wire/start-store-stand-in.ts
+++ b/stand-ins/wire/start-store-stand-in.ts
@@ -4,10 +4,9 @@
 import type {AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createVersionedRows} from './create-versioned-rows.ts';
 import type {StoreStandIn} from './store-stand-in.ts';
 
-type Row = {readonly table: string; readonly key: string; readonly value?: string; readonly ver: number; readonly tombstone?: boolean};
-
 type Change = {
 	readonly expected_rev?: ReadonlyArray<{readonly table: string; readonly key: string; readonly ver: number}>;
 	readonly put?: ReadonlyArray<{readonly table: string; readonly key: string; readonly value: string}>;
@@ -16,54 +15,32 @@
 
 /** Starts a simulated store of the platform on a free port of the loopback address. */
 export async function startStoreStandIn(): Promise<StoreStandIn> {
-	const rows = new Map<string, Row>();
 	const waiters = new Set<() => void>();
-	/** All writes of this era, with when each was made, in milliseconds of the steady clock. */
-	let writes: Array<{readonly at: number; readonly row: Row}> = [];
-	let history: Row[] = [];
 	/** Rises by one each time the store comes back from an older copy. */
 	let era = 1;
-	let compactedVersion = 0;
-	let version = 0;
 	let mode: Parameters<StoreStandIn['setMode']>[0] = 'available';
 	let remainingLostAnswers = 0;
 
-	const applyRow = (row: Row) => {
-		if (row.tombstone === true) {
-			rows.delete(`${row.table}/${row.key}`);
-		} else {
-			rows.set(`${row.table}/${row.key}`, row);
-		}
-	};
-
-	const write = (changes: ReadonlyArray<Omit<Row, 'ver'>>) => {
-		version++;
-		for (const change of changes) {
-			const row = {...change, ver: version};
-			history.push(row);
-			writes.push({at: performance.now(), row});
-			applyRow(row);
-		}
-
+	const rows = createVersionedRows(() => {
 		for (const notify of waiters) {
 			notify();
 		}
-	};
+	});
 
 	const reply = (response: ServerResponse, status: number, body: object) => {
 		response.writeHead(status, {'Content-Type': 'application/json', 'Store-Era': String(era)});
-		response.end(JSON.stringify({...body, ver: version, now_ms: performance.now()}));
+		response.end(JSON.stringify({...body, ver: rows.version(), now_ms: performance.now()}));
 	};
 
 	const commit = async (request: IncomingMessage, response: ServerResponse) => {
 		const change = JSON.parse(await text(request)) as Change;
-		const hasExpectedVersions = (change.expected_rev ?? []).every(({table, key, ver}) => (rows.get(`${table}/${key}`)?.ver ?? 0) === ver);
+		const hasExpectedVersions = (change.expected_rev ?? []).every(({table, key, ver}) => (rows.findRow(table, key)?.ver ?? 0) === ver);
 		if (!hasExpectedVersions) {
 			reply(response, 412, {rows: []});
 			return;
 		}
 
-		write([
+		rows.write([
 			...(change.put ?? []).map(({table, key, value}) => ({table, key, value})),
 			...(change.delete ?? []).map(({table, key}) => ({table, key, tombstone: true})),
 		]);
@@ -77,12 +54,12 @@
 
 	const follow = async (query: URLSearchParams, response: ServerResponse) => {
 		const after = Number(query.get('after'));
-		if (after < compactedVersion || after > version) {
+		if (!rows.isCovered(after)) {
 			reply(response, 410, {});
 			return;
 		}
 
-		const listChanged = () => history.filter(row => row.table === query.get('table') && row.ver > after);
+		const listChanged = () => rows.listChanges(query.get('table'), after);
 		if (listChanged().length === 0) {
 			await new Promise<void>(resolve => {
 				const finish = () => {
@@ -120,26 +97,10 @@
 		} else if (pathname.endsWith('/rows-feed')) {
 			await follow(searchParams, response);
 		} else {
-			reply(response, 200, {rows: [...rows.values()].filter(row => row.table === searchParams.get('table')), truncated: false});
+			reply(response, 200, {rows: rows.listRows(searchParams.get('table')), truncated: false});
 		}
 	};
 
-	/** Goes back to the state of a moment, and forgets all writes after it. */
-	const rewind = (to: number) => {
-		const kept = writes.filter(({at}) => at <= to);
-		const lost = writes.slice(kept.length);
-		rows.clear();
-		for (const {row} of kept) {
-			applyRow(row);
-		}
-
-		writes = kept;
-		version = kept.at(-1)?.row.ver ?? 0;
-		history = history.filter(row => row.ver <= version);
-		era++;
-		return lost.map(({row}) => row);
-	};
-
 	const server = createServer((request, response) => {
 		void handleRequest(request, response);
 	});
@@ -147,7 +108,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const putTexts: StoreStandIn['putTexts'] = (table, values) => {
-		write([...values].map(([key, value]) => ({table, key, value: Buffer.from(value).toString('base64')})));
+		rows.write([...values].map(([key, value]) => ({table, key, value: Buffer.from(value).toString('base64')})));
 	};
 
 	const putText = (table: string, key: string, value: string) => {
@@ -162,10 +123,10 @@
 		putText,
 		putTexts,
 		delete(table, key) {
-			write([{table, key, tombstone: true}]);
+			rows.write([{table, key, tombstone: true}]);
 		},
 		read(table, key) {
-			const value = rows.get(`${table}/${key}`)?.value;
+			const value = rows.findRow(table, key)?.value;
 			return value === undefined ? undefined : JSON.parse(Buffer.from(value, 'base64').toString()) as unknown;
 		},
 		setMode(newMode) {
@@ -175,7 +136,8 @@
 		async restore({lostMs, awayMs, rewriteAfterMs}) {
 			mode = 'unavailable';
 			server.closeAllConnections();
-			const lost = rewind(performance.now() - lostMs);
+			const lost = rows.rewind(performance.now() - lostMs);
+			era++;
 			await sleep(awayMs);
 			mode = 'available';
 			if (rewriteAfterMs === undefined) {
@@ -184,17 +146,14 @@
 
 			await sleep(rewriteAfterMs);
 			for (const {ver: _ver, ...row} of lost.filter(({table}) => table === 'op' || table === 'servers')) {
-				write([row]);
+				rows.write([row]);
 			}
 		},
-		version: () => version,
+		version: rows.version,
 		loseAnswers(count) {
 			remainingLostAnswers = count;
 		},
-		compact() {
-			history = [];
-			compactedVersion = version;
-		},
+		compact: rows.compact,
 		close() {
 			server.closeAllConnections();
 			server.close();
