Split the start of a session host: its groups and its clients of other hosts are modules

No caller sees a difference. `start-session-host` wires all parts together, and held the groups that the configuration names and the clients of the other hosts as well, 252 lines.

--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -6,7 +6,8 @@
 import {createHostStop} from './create-host-stop.ts';
 import {createStoreCache} from './create-store-cache.ts';
 import {createRateLimiter} from './create-rate-limiter.ts';
-import {createSessionGroup} from './create-session-group.ts';
+import {createPeerFinder} from './create-peer-finder.ts';
+import {createSessionGroups} from './create-session-groups.ts';
 import {createSessionRegistry} from './create-session-registry.ts';
 import {createTableSync} from './create-table-sync.ts';
 import type {SessionConfiguration} from './session-configuration.ts';
@@ -25,7 +26,6 @@
 import type {OpenConnection} from './open-connection.ts';
 import type {OrderPromotion} from './order-promotion.ts';
 import type {SessionContext} from './session-context.ts';
-import type {SessionGroup} from './session-group.ts';
 import type {SessionHost} from './session-host.ts';
 import type {SessionLog} from './session-log.ts';
 import type {Store} from './store.ts';
@@ -64,8 +64,6 @@
  */
 export function startSessionHost(options: Options): SessionHost {
 	const {profile, store, now, log} = options;
-	const groups = new Map<string, SessionGroup>();
-	const peers = new Map<string, {readonly address: string; readonly peer: FleetPeer}>();
 	const own: HostRow = {
 		name: profile.name, zone: profile.zone, address: `${profile.listen.hosts.host}:${profile.listen.hosts.port}`, incarnation: Math.trunc(now().wall), leaseMs: leaseDurationMs,
 	};
@@ -82,17 +80,7 @@
 	const {findConfiguration, findFleet, listInstances, findConfirmedAt} = storeCache;
 	const findWorkspace = () => findConfiguration()?.configuration.limits.keys().next().value;
 
-	const findPeer = (name: string): FleetPeer | undefined => {
-		const address = findFleet()?.hosts.get(name)?.address;
-		const known = peers.get(name);
-		if (address === undefined || known?.address === address) {
-			return known?.peer;
-		}
-
-		const peer = options.createPeer(address);
-		peers.set(name, {address, peer});
-		return peer;
-	};
+	const findPeer = createPeerFinder({findAddress: name => findFleet()?.hosts.get(name)?.address, createPeer: options.createPeer});
 
 	const countGateways = () => findGatewayCount({hosts: findFleet()?.hosts.size ?? 0, instances: listInstances().length});
 
@@ -112,7 +100,7 @@
 		own,
 		store,
 		gateways,
-		listGroups: () => [...groups.values()],
+		listGroups: () => groups.listGroups(),
 		listInstances,
 		isListFresh() {
 			const confirmedAt = findConfirmedAt('instances');
@@ -139,31 +127,22 @@
 		log,
 	});
 
-	const updateGroups = () => {
-		for (const [name, cap] of findConfiguration()?.configuration.connectionLimits ?? []) {
-			const group = groups.get(name) ?? createSessionGroup(name, {
-				zone: profile.zone,
-				openConnection: options.openConnection,
-				gateways,
-				now,
-				log,
-				findWorkspace,
-				isStoreReader: () => tableSync.isStoreReader(),
-			});
-			groups.set(name, group);
-			group.updateInstances(listInstances().filter(entry => entry.group === name), findConnectionLimit(cap, countGateways()));
-			group.setRegistered(fleetController.isRegistered());
-
-			const confirmedAt = findConfirmedAt('fleet');
-			if (confirmedAt !== undefined) {
-				group.updateRow(findFleet()?.groups.get(name), confirmedAt);
-			}
-		}
-	};
+	const groups = createSessionGroups({
+		zone: profile.zone,
+		openConnection: options.openConnection,
+		gateways,
+		now,
+		log,
+		findWorkspace,
+		isStoreReader: () => tableSync.isStoreReader(),
+		cache: storeCache,
+		countGateways,
+		isRegistered: fleetController.isRegistered,
+	});
 
 	const updateTable = (table: StoreTable, newer: CachedTable) => {
 		storeCache.updateTable(table, newer);
-		updateGroups();
+		groups.update();
 	};
 
 	const tableSync = createTableSync({
@@ -176,12 +155,8 @@
 		register: fleetController.register,
 		chooseRows: storeCache.chooseRows,
 		onTable: updateTable,
-		listPositions: () => [...groups.values()].map(group => group.findNewestPosition()).filter(position => position !== undefined),
-		onPositions(positions, from) {
-			for (const position of positions) {
-				groups.get(position.group)?.recordPosition(position, from);
-			}
-		},
+		listPositions: groups.listPositions,
+		onPositions: groups.recordPositions,
 		now,
 		log,
 	});
@@ -189,7 +164,7 @@
 	const tick = () => {
 		fleetController.step();
 		rateLimiter.step();
-		for (const group of groups.values()) {
+		for (const group of groups.listGroups()) {
 			void group.step();
 		}
 	};
@@ -201,7 +176,7 @@
 	});
 
 	const gateway = createGateway({
-		findInstance: (group, id) => groups.get(group)?.findInstance(id),
+		findInstance: (group, id) => groups.findGroup(group)?.findInstance(id),
 		findAccess: findCallerAccess,
 		now: () => now().steady,
 	});
@@ -211,7 +186,7 @@
 		findStopPhase: () => hostStop.findPhase(),
 		findAccess: findCallerAccess,
 		transactionIdleLimit: () => findConfiguration()?.configuration.transactionIdleLimit ?? 0,
-		findGroup: name => groups.get(name),
+		findGroup: groups.findGroup,
 		takeOperation: rateLimiter.takeOperation,
 		valueBudget: createByteBudget(options.memoryLimits.valueBytes),
 		onAnswered: options.onAnswered,
