--- a/packages/sessions/create-table-sync.ts
+++ b/packages/sessions/create-table-sync.ts
@@ -1,22 +1,19 @@
 /* eslint-disable no-await-in-loop -- steps run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {rankHosts} from '@sapphirefall/decisions';
-import {decodeStoreVersion} from './decode-store-version.ts';
 import {createChangeWait} from './create-change-wait.ts';
 import {createTablePoll} from './create-table-poll.ts';
 import {createTableUpdate} from './create-table-update.ts';
 import {createSourceSelector} from './create-source-selector.ts';
 import {createStoreFollower} from './create-store-follower.ts';
 import {createTableCache} from './create-table-cache.ts';
-import {findTableMark} from './find-table-mark.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {HostRow} from './host-row.ts';
 import type {Instant} from './instant.ts';
 import type {CachedTable} from './cached-table.ts';
 import type {PrimaryPosition} from './primary-position.ts';
 import {rankZoneReaders} from './rank-zone-readers.ts';
+import {readFirstTables} from './read-first-tables.ts';
 import type {SessionLog} from './session-log.ts';
-import {bootstrapSettleMs} from './bootstrap-settle-ms.ts';
 import type {Store} from './store.ts';
 import type {StoreTable} from './store-table.ts';
 import type {TableSync} from './table-sync.ts';
@@ -58,12 +55,6 @@
 /** Milliseconds after which a store reader must have recent tables. After that, a host answers requests of other hosts with the tables that it has. */
 const readTimeoutMs = 250;
 
-/** Number of hosts that a starting host asks for rows that the store has lost. */
-const startupSourceCount = 3;
-
-/** Milliseconds for which a starting host waits for these rows. */
-const startupPollTimeoutMs = 400;
-
 /** Creates the synchronization of a host's cached tables: it reads the store itself or polls another host; see `chooseSource`. */
 export function createTableSync(options: Options): TableSync {
 	const {self, store, now, log} = options;
@@ -103,53 +94,18 @@
 		now: () => now().steady,
 	});
 
-	const readTable = async (table: StoreTable) => {
-		const outcome = await store.read(table);
-		if (outcome.kind === 'done') {
-			const {rows: list, version, sentAt} = outcome.value;
-			const rows = new Map(list.map(row => [row.key, row]));
-			cache.updateTable(table, {
-				rows, version, mark: findTableMark(rows), confirmedAt: sentAt, reader: self,
-			});
-		} else {
-			log.warn({table, outcome: outcome.kind}, 'store: The host could not read the table when it started.');
-		}
-	};
+	/** Whether other hosts of the zone read from this host. */
+	const isZoneReader = () => rankZoneReaders(options.zone, options.listHosts())[0] === self;
 
-	/**
-	 * Registers the host and reads all tables, so that it does not depend on other hosts that may be restarting as well. The
-	 * zone reader goes on reading the store until its own source has answered.
-	 * On the first start of the fleet, the host waits for the other hosts to register and reads only the `fleet` table; the
-	 * store reader among the hosts reads the others.
-	 */
+	/** Registers the host and reads its first tables; the zone reader goes on reading the store until its own source has answered. */
 	const startUp = async () => {
 		await options.register();
-		if (options.isFirstStart) {
-			await sleep(bootstrapSettleMs);
-			await readTable('fleet');
-		} else {
-			await readTable('fleet');
-			await pollForLostRows();
-			await Promise.all([readTable('configuration'), readTable('instances')]);
-			if (isZoneReader()) {
-				follower.start();
-			}
-		}
-	};
-
-	/** Requests the tables from some other hosts first if the store ever came back from an older copy, as they may know rows that it has lost. */
-	const pollForLostRows = async () => {
-		const version = cache.findTable('fleet')?.version ?? 0;
-		if (decodeStoreVersion(version).era > 1) {
-			const others = rankHosts(`start/${self}`, options.listHosts().map(({name}) => name).filter(name => name !== self));
-			const polls = others.slice(0, startupSourceCount).map(async source => poll(source));
-			await Promise.race([Promise.all(polls), sleep(startupPollTimeoutMs)]);
+		await readFirstTables({...options, cache, poll});
+		if (!options.isFirstStart && isZoneReader()) {
+			follower.start();
 		}
 	};
 
-	/** Whether other hosts of the zone read from this host. */
-	const isZoneReader = () => rankZoneReaders(options.zone, options.listHosts())[0] === self;
-
 	/** Reads the store; stops choosing it for a while if its tables become too stale. */
 	const stepDirect = async () => {
 		follower.start();
