Start and stop the callers of a wire test together

The tests beside odd and absurd entries each started a caller for each database and host, and joined what they returned, in three places.

--- a/stand-ins/wire/absurd-entries.test.ts
+++ b/stand-ins/wire/absurd-entries.test.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {repeatWrites} from './repeat-writes.ts';
-import {startWireCaller} from './start-wire-caller.ts';
+import {startWireCallers} from './start-wire-callers.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
@@ -145,11 +145,11 @@
 				});
 				await deployment.waitUntilReady();
 				expect(await repeatWrites(deployment.hosts, {limitMs: 5000})).to.be.below(5000);
-				const callers = deployment.hosts.flatMap(({port}) => databases.map(database => startWireCaller(port, {database, pauseMs})));
+				const callers = startWireCallers(deployment.hosts, {databases, pauseMs});
 				await sleep(settleMs);
 				end = write(deployment);
 				await sleep(useMs);
-				results = (await Promise.all(callers.map(async caller => caller.stop()))).flat(); // eslint-disable-line unicorn/no-await-expression-member -- a single step
+				results = await callers.stop();
 			});
 
 			after(() => {
@@ -178,9 +178,9 @@
 				await deployment.restart(1);
 				const port = deployment.hosts[1]?.port ?? 0;
 				expect(await repeatWrites([{port}], {limitMs: startLimitMs})).to.be.below(startLimitMs);
-				const callers = databases.map(database => startWireCaller(port, {database, pauseMs}));
+				const callers = startWireCallers([{port}], {databases, pauseMs});
 				await sleep(settleMs);
-				const started = (await Promise.all(callers.map(async caller => caller.stop()))).flat(); // eslint-disable-line unicorn/no-await-expression-member -- a single step
+				const started = await callers.stop();
 				expect(started.filter(result => !result.startsWith('COMPLETE'))).to.deep.equal([]);
 			});
 
--- a/stand-ins/wire/odd-entries.test.ts
+++ b/stand-ins/wire/odd-entries.test.ts
@@ -3,7 +3,7 @@
 import {expect} from 'chai';
 import {repeatWrites} from './repeat-writes.ts';
 import {sendStatement} from './send-statement.ts';
-import {startWireCaller} from './start-wire-caller.ts';
+import {startWireCallers} from './start-wire-callers.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
@@ -107,13 +107,13 @@
 				deployment = await startWireDeployment({hostCount: 3, lag: 40, ratePerSecond});
 				await deployment.waitUntilReady();
 				expect(await repeatWrites(deployment.hosts, {limitMs: 5000})).to.be.below(5000);
-				const callers = deployment.hosts.flatMap(({port}) => databases.map(database => startWireCaller(port, {database, pauseMs})));
+				const callers = startWireCallers(deployment.hosts, {databases, pauseMs});
 				for (const [key, text] of Object.entries(rows)) {
 					deployment.store.putText(table, key, text);
 				}
 
 				await sleep(useMs);
-				results = (await Promise.all(callers.map(async caller => caller.stop()))).flat(); // eslint-disable-line unicorn/no-await-expression-member -- a single step
+				results = await callers.stop();
 			});
 
 			after(() => {
