--- a/stand-ins/wire/demoted-primary.test.ts
+++ b/stand-ins/wire/demoted-primary.test.ts
@@ -1,10 +1,10 @@
 /* eslint-disable no-await-in-loop -- attempts run in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {repeatItemWrite} from './repeat-item-write.ts';
 import {sendStatement} from './send-statement.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
-import {writeItem} from './write-item.ts';
 
 /** Milliseconds within which the hosts must serve writes again, as after any other failover. */
 const recoveryLimitMs = 8000;
@@ -44,12 +44,12 @@
 	it('is replaced by the instance that leads, and reads see what is acknowledged there', async () => {
 		const [group] = deployment.groups;
 		const [{port = 0} = {}] = deployment.hosts;
-		const first = await writeItem({port, name: 'first', limitMs: recoveryLimitMs});
+		const first = await repeatItemWrite({port, name: 'first', limitMs: recoveryLimitMs});
 		await sleep(300);
 		const successor = deployment.instances.find(instance => instance !== group?.leader());
 		group?.promote(successor?.id ?? '');
 		await sleep(stepDownMs);
-		const later = await writeItem({port, name: 'later', limitMs: recoveryLimitMs});
+		const later = await repeatItemWrite({port, name: 'later', limitMs: recoveryLimitMs});
 		const behind = group?.commits().filter(({isBehindPromotion}) => isBehindPromotion);
 		expect(behind).to.deep.equal([]);
 		for (const host of deployment.hosts) {
--- a/stand-ins/wire/earlier-primary.test.ts
+++ b/stand-ins/wire/earlier-primary.test.ts
@@ -2,10 +2,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import type {InstanceStandIn} from './instance-stand-in.ts';
+import {repeatItemWrite} from './repeat-item-write.ts';
 import {sendStatement} from './send-statement.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
-import {writeItem} from './write-item.ts';
 
 type Row = {readonly state: string; readonly primary: string; readonly holder: string};
 
@@ -84,12 +84,12 @@
 	it('is not used again while the present primary is silent and the third instance is busy', async () => {
 		const first = group().leader();
 		const [writer] = deployment.hosts;
-		await writeItem({port: writer?.port ?? 0, name: 'first', limitMs: recoveryLimitMs});
+		await repeatItemWrite({port: writer?.port ?? 0, name: 'first', limitMs: recoveryLimitMs});
 		group().setCut(first, true);
 		first.setFrozen(true);
 		const second = await waitForPrimary(first);
 		const port = loseHolder();
-		const kept = await writeItem({port, name: 'kept', limitMs: recoveryLimitMs});
+		const kept = await repeatItemWrite({port, name: 'kept', limitMs: recoveryLimitMs});
 		await sleep(300);
 		const third = deployment.instances.find(instance => instance !== first && instance !== second);
 		third?.setStatusRefused(true);
@@ -99,12 +99,12 @@
 			await sleep(refusedMs);
 			third?.setStatusRefused(false);
 		});
-		const later = await writeItem({port, name: 'later', limitMs: recoveryLimitMs});
+		const later = await repeatItemWrite({port, name: 'later', limitMs: recoveryLimitMs});
 		await answering;
 		second?.setFrozen(false);
 		group().setCut(first, false);
 		await sleep(settleMs);
-		const last = await writeItem({port, name: 'last', limitMs: recoveryLimitMs});
+		const last = await repeatItemWrite({port, name: 'last', limitMs: recoveryLimitMs});
 		const acknowledged = [kept, later, last];
 		expect(listWrongItems(acknowledged)).to.deep.equal([]);
 		for (const item of acknowledged) {
@@ -117,7 +117,7 @@
 	it('is not used as the successor of a silent primary before its promotion takes effect', async () => {
 		const first = group().leader();
 		const [writer] = deployment.hosts;
-		await writeItem({port: writer?.port ?? 0, name: 'first', limitMs: recoveryLimitMs});
+		await repeatItemWrite({port: writer?.port ?? 0, name: 'first', limitMs: recoveryLimitMs});
 		group().setCut(first, true);
 		group().drain(first);
 		while (deployment.promotions().length === 0) {
@@ -153,7 +153,7 @@
 		}
 
 		third?.setStatusRefused(false);
-		acknowledged.push(await writeItem({port, name: 'last', limitMs: recoveryLimitMs}));
+		acknowledged.push(await repeatItemWrite({port, name: 'last', limitMs: recoveryLimitMs}));
 		expect(listWrongItems(acknowledged)).to.deep.equal([]);
 		expect(deployment.promotions().map(({id}) => id)).to.deep.equal([second?.id, first.id]);
 	});
--- a/stand-ins/wire/write-item.ts
+++ b/stand-ins/wire/repeat-item-write.ts
@@ -11,7 +11,7 @@
 };
 
 /** Writes items, each once, on the database with the latest state until a write is acknowledged; returns the item of that one. */
-export async function writeItem({port, name, limitMs}: Options): Promise<string> {
+export async function repeatItemWrite({port, name, limitMs}: Options): Promise<string> {
 	let item = '';
 	let last = 'none was sent';
 	const elapsed = await repeatStatement(async attempt => {
