--- a/stand-ins/wire/run-link-faults.ts
+++ b/stand-ins/wire/run-link-faults.ts
@@ -1,6 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Link} from '../links/link.ts';
 import {usualLinkFault} from '../links/usual-link-fault.ts';
+import type {InstanceGroup} from './instance-group.ts';
+import type {InstanceStandIn} from './instance-stand-in.ts';
 import {runDrawnFaults} from './run-drawn-faults.ts';
 import {waitForHolder} from './wait-for-holder.ts';
 import type {WireDeployment} from './wire-deployment.ts';
@@ -21,6 +23,12 @@
 /** Milliseconds for which a link holds bytes. */
 const heldMs = {least: 200, most: 6000};
 
+/** Milliseconds for which the link of a host is held that runs a failover; another host takes a failover over after 5 s. */
+const heldFromHolderMs = {least: 5000, most: 12_000};
+
+/** Milliseconds between two looks at who leads. */
+const pollMs = 50;
+
 /** Milliseconds for which a link is slow, and by which it is, at least and at most. */
 const slow = {durationMs: {least: 500, most: 6000}, delayMs: {least: 30, most: 700}};
 
@@ -64,9 +72,9 @@
 		onEvent(`end of ${what}: link ${named.name}`);
 	};
 
-	const hold = async (named: NamedLink | undefined, heldBytes: 'requests' | 'answers' | undefined) => disturb(named, `hold ${heldBytes ?? 'both'}`, async link => {
+	const hold = async (named: NamedLink | undefined, heldBytes: 'requests' | 'answers' | undefined, {least, most} = heldMs) => disturb(named, `hold ${heldBytes ?? 'both'}`, async link => {
 		link.setFault({isPartitioned: true, heldBytes});
-		await sleep(pick(heldMs.least, heldMs.most));
+		await sleep(pick(least, most));
 	});
 
 	const slowDown = async (named: NamedLink | undefined) => disturb(named, 'slow', async link => {
@@ -75,13 +83,38 @@
 		await sleep(pick(slow.durationMs.least, slow.durationMs.most));
 	});
 
+	/** Releases the instances that become primaries, for a time, so that an order that is held for them is overtaken. */
+	const releaseNewLeaders = async (durationMs: number) => {
+		const until = performance.now() + durationMs;
+		const before = groups.map(group => group.leader());
+		const released = new Map<InstanceStandIn, InstanceGroup>();
+		while (performance.now() < until) {
+			for (const [index, group] of groups.entries()) {
+				const leader = group.leader();
+				if (leader !== before[index] && !released.has(leader) && [...released.values()].every(other => other !== group)) {
+					released.set(leader, group);
+					onEvent(`release ${leader.id}, which has just been promoted`);
+					group.drain(leader);
+				}
+			}
+
+			await sleep(pollMs); // eslint-disable-line no-await-in-loop -- looks run in sequence
+		}
+
+		for (const [instance, group] of released) {
+			group.listAsReady(instance);
+		}
+	};
+
 	/** Holds what a host that runs a failover sends to the cloud API or to the store, as a promotion order or the new primary. */
 	const holdFromHolder = async () => {
 		const index = await waitForHolder(deployment, {isAfter: false});
 		const links = index === undefined ? undefined : hostLinks[index];
 		if (index !== undefined && links !== undefined) {
-			const [what, link] = pick(0, 3) > 0 ? ['cloud API', links.cloudApi] as const : ['store', links.store] as const;
-			await hold({name: `${hosts[index]?.name ?? ''}, which runs a failover, to the ${what}`, link}, pick(0, 3) > 0 ? 'requests' : 'answers');
+			const [what, link] = pick(0, 4) > 0 ? ['cloud API', links.cloudApi] as const : ['store', links.store] as const;
+			const releasing = pick(0, 4) > 0 ? releaseNewLeaders(heldFromHolderMs.most) : undefined;
+			await hold({name: `${hosts[index]?.name ?? ''}, which runs a failover, to the ${what}`, link}, pick(0, 4) > 0 ? 'requests' : 'answers', heldFromHolderMs);
+			await releasing;
 		}
 	};
 
