--- a/packages/sessions/apply-setup.test.ts
+++ b/packages/sessions/apply-setup.test.ts
@@ -4,7 +4,7 @@
 import {encodeQuery} from './encode-query.ts';
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRequest} from './instance-request.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 
 type Values = ReadonlyArray<readonly [string, string]>;
 
--- a/packages/sessions/apply-setup.ts
+++ b/packages/sessions/apply-setup.ts
@@ -1,7 +1,7 @@
 import {findMark} from './find-mark.ts';
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRequest} from './instance-request.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 import type {SessionSetup} from './session-setup.ts';
 
 type PreparedStatement = SessionSetup['prepared'] extends ReadonlyMap<string, infer Value> ? Value : never;
--- a/packages/sessions/create-instance-runtime.test.ts
+++ b/packages/sessions/create-instance-runtime.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {createInstanceRuntime} from './create-instance-runtime.ts';
 import type {Gateways} from './gateways.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 
 const listed = {
 	id: 'i-1', group: 'pondbook', host: '127.0.0.1', port: 9, zone: 'a', slots: 5, isDeparting: false, role: 'replica',
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -1,5 +1,5 @@
 import {applyObservation} from './apply-observation.ts';
-import {createInstancePool} from './create-instance-pool.ts';
+import {createInstancePool} from './pools/create-instance-pool.ts';
 import {createLocalRunner} from './create-local-runner.ts';
 import {createRoutedRunner} from './create-routed-runner.ts';
 import type {Gateways} from './gateways.ts';
@@ -10,7 +10,7 @@
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenConnectionOutcome} from './open-connection-outcome.ts';
 import type {OpenConnection} from './open-connection.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 
 type Options = {
 	readonly openConnection: OpenConnection;
--- a/packages/sessions/create-local-transactions.test.ts
+++ b/packages/sessions/create-local-transactions.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import {abandonedMarginMs} from './abandoned-margin-ms.ts';
 import {createLocalTransactions} from './create-local-transactions.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 
 const pooled: PooledConnection = {
 	connection: {send: async () => ({kind: 'lost', reason: ''}), isClosed: () => false, close: () => undefined},
--- a/packages/sessions/create-local-transactions.ts
+++ b/packages/sessions/create-local-transactions.ts
@@ -1,6 +1,6 @@
 import {abandonedMarginMs} from './abandoned-margin-ms.ts';
 import type {LocalTransactions} from './local-transactions.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 
 type OpenTransaction = {
 	readonly pooled: PooledConnection;
--- a/packages/sessions/create-session-groups.ts
+++ b/packages/sessions/create-session-groups.ts
@@ -1,6 +1,6 @@
 import {createSessionGroup} from './create-session-group.ts';
 import type {createStoreCache} from './create-store-cache.ts';
-import {findConnectionLimit} from './find-connection-limit.ts';
+import {findConnectionLimit} from './pools/find-connection-limit.ts';
 import type {Instant} from './instant.ts';
 import type {PrimaryPosition} from './primary-position.ts';
 import type {SessionGroup} from './session-group.ts';
--- a/packages/sessions/create-transaction-runner.ts
+++ b/packages/sessions/create-transaction-runner.ts
@@ -2,14 +2,14 @@
 import {applySetup} from './apply-setup.ts';
 import {createJobTimer} from './create-job-timer.ts';
 import {createLocalTransactions} from './create-local-transactions.ts';
-import type {InstancePool} from './instance-pool.ts';
+import type {InstancePool} from './pools/instance-pool.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import {isClean} from './is-clean.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
 import {notSentAnswer} from './not-sent-answer.ts';
 import {runQuery} from './run-query.ts';
-import {takeConnection} from './take-connection.ts';
+import {takeConnection} from './pools/take-connection.ts';
 
 type Options = {
 	readonly pool: InstancePool;
--- a/packages/sessions/encode-query.ts
+++ b/packages/sessions/encode-query.ts
@@ -1,7 +1,7 @@
 import type {LogPoint} from '@sapphirefall/decisions';
 import {findMark} from './find-mark.ts';
 import type {InstanceRequest} from './instance-request.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 import type {SessionSetup} from './session-setup.ts';
 import type {Query} from './query.ts';
 
--- a/packages/sessions/find-gateway-count.test.ts
+++ b/packages/sessions/find-gateway-count.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {findConnectionLimit} from './find-connection-limit.ts';
+import {findConnectionLimit} from './pools/find-connection-limit.ts';
 import {findGatewayCount} from './find-gateway-count.ts';
 
 describe('findGatewayCount', () => {
--- a/packages/sessions/instance-runtime.ts
+++ b/packages/sessions/instance-runtime.ts
@@ -1,11 +1,11 @@
 import type {LogPoint} from '@sapphirefall/decisions';
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceHealth} from './instance-health.ts';
-import type {InstancePool} from './instance-pool.ts';
+import type {InstancePool} from './pools/instance-pool.ts';
 import type {InstanceRequest} from './instance-request.ts';
 import type {JobRunner} from './job-runner.ts';
 import type {ListedInstance} from './listed-instance.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 import type {DispatchJob} from './dispatch-job.ts';
 
 /** An instance as this host uses it. */
--- a/packages/sessions/is-clean.ts
+++ b/packages/sessions/is-clean.ts
@@ -1,5 +1,5 @@
 import type {JobAnswer} from './job-answer.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 
 /** Returns whether another session may use the connection after an answer. */
 export function isClean(answer: JobAnswer, {connection}: PooledConnection): boolean {
--- a/packages/sessions/local-transactions.ts
+++ b/packages/sessions/local-transactions.ts
@@ -1,4 +1,4 @@
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 
 /** The transactions that are open on this host's own connections to an instance, by their numbers. */
 export type LocalTransactions = {
--- a/packages/sessions/create-instance-pool.test.ts
+++ b/packages/sessions/pools/create-instance-pool.test.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import type {OpenConnectionOutcome} from '../open-connection-outcome.ts';
 import {createInstancePool} from './create-instance-pool.ts';
-import type {OpenConnectionOutcome} from './open-connection-outcome.ts';
 
 /** Creates a pool and records which connections it opens and how many it closes. */
 function createPool(limit: number, outcome?: OpenConnectionOutcome) {
--- a/packages/sessions/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -1,10 +1,9 @@
-import {
-	addItem, createFairQueue, takeItem, type FairQueue,
-} from '@sapphirefall/decisions';
+import type {OpenConnectionOutcome} from '../open-connection-outcome.ts';
 import type {AcquireOutcome} from './acquire-outcome.ts';
+import {createWaitingQueue} from './create-waiting-queue.ts';
 import type {InstancePool} from './instance-pool.ts';
-import type {OpenConnectionOutcome} from './open-connection-outcome.ts';
 import type {PooledConnection} from './pooled-connection.ts';
+import type {WaitingRequest} from './waiting-request.ts';
 
 type Options = {
 	/** Opens a connection for a workspace. */
@@ -16,26 +15,21 @@
 };
 
 /** A request that waits for a connection. */
-type Waiter = {
-	readonly workspace: string;
-	readonly priority: number;
+type Waiter = WaitingRequest & {
 	readonly resolve: (outcome: AcquireOutcome) => void;
-	/** Whether the waiter is being served or has timed out. */
-	isDone: boolean;
 };
 
 /**
  * Creates the pool of connections to an instance.
  *
  * A connection belongs to one workspace. At the limit, the connection that has been idle for longest is closed to make
- * room for a new one. Waiting requests are served by priority, and fairly between workspaces within a priority.
+ * room for a new one. Requests wait in the order of `createWaitingQueue`.
  */
 export function createInstancePool(options: Options): InstancePool {
 	const connections = new Set<PooledConnection>();
-	const queues = new Map<number, FairQueue<Waiter>>();
+	const queue = createWaitingQueue<Waiter>();
 	let {limit} = options;
 	let opening = 0;
-	let waiting = 0;
 	let isClosed = false;
 
 	const closeConnection = (pooled: PooledConnection) => {
@@ -107,9 +101,8 @@
 
 	/** Serves waiters, next first, while the pool has an idle connection or room for a new one. */
 	const serveNext = () => {
-		while (waiting > 0 && ( // eslint-disable-line no-unmodified-loop-condition -- `takeWaiter` lowers it
-			connections.size + opening < limit || listIdle().length > 0)) {
-			const waiter = takeWaiter();
+		while (connections.size + opening < limit || listIdle().length > 0) {
+			const waiter = queue.take(options.now());
 			if (waiter === undefined) {
 				return;
 			}
@@ -120,7 +113,6 @@
 
 	const serve = async (waiter: Waiter) => {
 		const pooled = take(waiter.workspace);
-		waiter.isDone = true;
 		if (pooled === undefined) {
 			makeRoom();
 			waiter.resolve(await open(waiter.workspace));
@@ -129,57 +121,33 @@
 		}
 	};
 
-	/** Removes the next waiter that has not timed out from its queue. */
-	const takeWaiter = (): Waiter | undefined => {
-		for (const priority of [...queues.keys()].toSorted((a, b) => a - b)) {
-			const {queue, item} = takeItem(queues.get(priority) ?? createFairQueue<Waiter>(), () => 1);
-			if (item === undefined) {
-				queues.delete(priority);
-				continue;
-			}
-
-			queues.set(priority, queue);
-			if (!item.isDone) {
-				waiting--;
-				return item;
-			}
-
-			return takeWaiter();
-		}
-
-		return undefined;
-	};
-
 	/** Waits for a connection; resolves to `busy` after `timeout` milliseconds. */
 	const wait = async (workspace: string, priority: number, timeout: number) => new Promise<AcquireOutcome>(resolve => {
 		const timer = setTimeout(() => {
-			if (!waiter.isDone) {
-				waiter.isDone = true;
-				waiting--;
+			if (queue.remove(waiter)) {
 				resolve({kind: 'busy'});
 			}
 		}, timeout);
 		const waiter: Waiter = {
 			workspace,
 			priority,
+			deadline: options.now() + timeout,
 			resolve(outcome) {
 				clearTimeout(timer);
 				resolve(outcome);
 			},
-			isDone: false,
 		};
-		waiting++;
-		queues.set(priority, addItem(queues.get(priority) ?? createFairQueue<Waiter>(), {workspace, item: waiter}));
+		queue.add(waiter);
 	});
 
 	return {
 		async acquire({workspace, priority, timeout}) {
-			const idle = waiting === 0 ? take(workspace) : undefined;
+			const idle = queue.count() === 0 ? take(workspace) : undefined;
 			if (idle !== undefined) {
 				return {kind: 'acquired', connection: idle, openMs: 0};
 			}
 
-			if (waiting === 0 && makeRoom()) {
+			if (queue.count() === 0 && makeRoom()) {
 				return open(workspace);
 			}
 
@@ -205,7 +173,7 @@
 		readLoad() {
 			const idle = listIdle().length;
 			return {
-				busy: connections.size + opening - idle, idle, waiting, limit,
+				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit,
 			};
 		},
 		closeIdle(before) {
--- a/packages/sessions/pooled-connection.ts
+++ b/packages/sessions/pools/pooled-connection.ts
@@ -1,4 +1,4 @@
-import type {InstanceConnection} from './instance-connection.ts';
+import type {InstanceConnection} from '../instance-connection.ts';
 
 /** A connection of a pool, with the session state that its last user left on it. */
 export type PooledConnection = {
--- a/packages/sessions/take-connection.ts
+++ b/packages/sessions/pools/take-connection.ts
@@ -1,6 +1,6 @@
-import type {createJobTimer} from './create-job-timer.ts';
+import type {createJobTimer} from '../create-job-timer.ts';
+import type {JobAnswer} from '../job-answer.ts';
 import type {InstancePool} from './instance-pool.ts';
-import type {JobAnswer} from './job-answer.ts';
 import type {PooledConnection} from './pooled-connection.ts';
 
 type Options = {
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -8,7 +8,7 @@
 import {leaseDurationMs} from './lease-duration-ms.ts';
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 import {promotionLimitMs} from './promotion-limit-ms.ts';
 import {replacePrimary} from './replace-primary.ts';
 import type {Failover} from './failover.ts';
--- a/packages/sessions/run-query.ts
+++ b/packages/sessions/run-query.ts
@@ -4,7 +4,7 @@
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {JobAnswer} from './job-answer.ts';
 import {notSentAnswer} from './not-sent-answer.ts';
-import type {PooledConnection} from './pooled-connection.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 import type {SessionSetup} from './session-setup.ts';
 import type {Query} from './query.ts';
 
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -12,7 +12,7 @@
 import {createTableSync} from './create-table-sync.ts';
 import type {SessionConfiguration} from './session-configuration.ts';
 import {findAccess} from './find-access.ts';
-import {findConnectionLimit} from './find-connection-limit.ts';
+import {findConnectionLimit} from './pools/find-connection-limit.ts';
 import {findElapsed} from './find-elapsed.ts';
 import {findGatewayCount} from './find-gateway-count.ts';
 import type {FleetPeer} from './fleet-peer.ts';
