--- a/packages/sessions/create-group-instances.test.ts
+++ b/packages/sessions/create-group-instances.test.ts
@@ -10,7 +10,7 @@
 const required = {term: 1, position: 0n};
 
 /** Creates the instances as host `a1` uses them, of which those named `x-…` do not answer, a clock, and counters of its connections. */
-function createInstances(gatewayNames: readonly string[]) {
+function createInstances(gatewayNames: readonly string[], evacuatedZone = '') {
 	const time = {now: 0};
 	const known = {primary: 'i-a', successor: ''};
 	const warnings: unknown[] = [];
@@ -37,6 +37,7 @@
 			};
 		},
 		gateways: {self: 'a1', list: () => gatewayNames} as unknown as Gateways,
+		findZonePhase: zone => zone === evacuatedZone ? 'leaving' : 'open',
 		findRow: () => known,
 		now: () => time.now,
 		log: {
@@ -111,6 +112,13 @@
 		expect(readers.map(instance => instance.listed().id)).to.deep.equal(['i-b', 'i-a', 'i-c']);
 	});
 
+	it('lists no reader in an evacuated zone, not even in the zone of the host', async () => {
+		const {instances} = createInstances(['a1'], 'a');
+		instances.update([createListed('i-c', {zone: 'c'}), ...both], 5);
+		await connect(instances);
+		expect(instances.listReaders(required).map(instance => instance.listed().id)).to.deep.equal(['i-c']);
+	});
+
 	const connections = [
 		{
 			name: 'keeps idle connections to an instance whose gateway is this host', gateways: ['a1'], elapsed: 2001, expected: 1,
--- a/packages/sessions/create-session-group.test.ts
+++ b/packages/sessions/create-session-group.test.ts
@@ -1,9 +1,12 @@
 import {expect} from 'chai';
 import {createSessionGroup} from './create-session-group.ts';
 import {encodeStoreVersion} from './encode-store-version.ts';
+import type {Evacuations} from './evacuation/evacuations.ts';
+import type {ZonePhase} from './evacuation/zone-phase.ts';
 import {findNextEpoch} from './find-next-epoch.ts';
 import type {Gateways} from './gateways.ts';
 import type {GroupRow} from './group-row.ts';
+import type {ListedInstance} from './listed-instance.ts';
 
 const ignore = () => undefined;
 const time = {steady: 1000, wall: 1000};
@@ -11,9 +14,10 @@
 	epoch: 4, state: 'serving', primary: 'i-a', successor: '', holder: 'a1', token: 2,
 };
 
-function createGroup() {
+function createGroup(findZonePhase: Evacuations['findPhase'] = () => 'open') {
 	const group = createSessionGroup('pondbook', {
 		zone: 'a',
+		findZonePhase,
 		openConnection() {
 			throw new Error('The test opens no connections');
 		},
@@ -114,3 +118,41 @@
 		expect(findState()).to.equal('i-a');
 	});
 });
+
+describe('createSessionGroup, when zones are evacuated', () => {
+	const createEvacuated = (zones: readonly string[]) => {
+		const phases = new Map<string, ZonePhase>([['a', 'leaving']]);
+		const {group, read} = createGroup(zone => phases.get(zone) ?? 'open');
+		group.updateInstances(zones.map((zone): ListedInstance => ({
+			id: `i-${zone}`, group: 'pondbook', host: '', port: 0, zone, slots: 5, isDeparting: false, role: 'replica',
+		})), 1);
+		group.setRegistered(true);
+		read(serving, 1, 40);
+		return {group, read, phases};
+	};
+
+	it('ends the wait for the primary once the zone is taken back', async () => {
+		const {group, phases} = createEvacuated(['a']);
+		const waiting = group.waitForPrimary(60_000);
+		phases.clear();
+		group.updateInstances([], 1);
+		expect(await waiting).to.include({kind: 'leased', instance: 'i-a'});
+	});
+
+	it('moves the primary once, and waits after a failover that left it where it was', () => {
+		const {group, read} = createEvacuated(['a', 'b']);
+		expect({isMoveDue: group.isMoveDue(), primary: group.primary({isForNewWork: true}).kind}).to.deep.equal({isMoveDue: true, primary: 'leased'});
+		read({...serving, epoch: 5, state: 'fencing'}, 1, 41);
+		read({...serving, epoch: 5}, 1, 42);
+		expect(group.isMoveDue()).to.equal(false);
+		read({...serving, epoch: 6, primary: 'i-b'}, 1, 43);
+		expect(group.isMoveDue()).to.equal(false);
+	});
+
+	it('begins nothing at a primary that cannot be moved, and keeps its lease for open transactions', () => {
+		const {group} = createEvacuated(['a']);
+		expect(group.isMoveDue()).to.equal(false);
+		expect(group.primary({isForNewWork: true})).to.include({reason: 'evacuated'});
+		expect(group.primary()).to.include({kind: 'leased', instance: 'i-a'});
+	});
+});
--- a/packages/sessions/create-store-cache.test.ts
+++ b/packages/sessions/create-store-cache.test.ts
@@ -154,3 +154,30 @@
 		expect(decoded).to.deep.equal(['i-1', 'i-2', 'i-1']);
 	});
 });
+
+describe('createStoreCache, for evacuated zones', () => {
+	const createZoneTable = (keys: readonly string[], at: number): CachedTable => {
+		const rows = new Map(keys.map(key => [key, {key, value: '{}', version: 7}]));
+		return {
+			rows, version: 9, mark: findTableMark(rows), confirmedAt: {steady: at, wall: at}, reader: 'a1',
+		};
+	};
+
+	it('tells the zones that the rows name, and when the store confirmed the rows before', () => {
+		const told: unknown[] = [];
+		const cache = createStoreCache({
+			decodeConfiguration: () => expect.fail('no configuration is read'),
+			decodeInstance: ignore,
+			decodeEvacuatedZone: key => key.startsWith('evacuate/') ? key.slice(9) : undefined,
+			onEvacuations(zones, confirmedBefore) {
+				told.push([zones, confirmedBefore?.steady]);
+			},
+			onFleet: ignore,
+			log: {debug: ignore, info: ignore, warn: ignore},
+		});
+		cache.updateTable('configuration', createZoneTable(['other'], 100));
+		cache.updateTable('configuration', createZoneTable(['evacuate/a', 'other'], 200));
+		cache.updateTable('configuration', createZoneTable([], 300));
+		expect(told).to.deep.equal([[[], undefined], [['a'], 100], [[], 200]]);
+	});
+});
