Keep statements in the regions that their route and workspace allow

Cause: routes and workspaces may list allowed regions, which the hosts ignored. Change: the lists and the regions of the zones are decoded; readers, primaries and receiving hosts outside of them are not used, and the gateway checks again before it sends. Without lists nothing changes.

--- a/packages/sessions/choose-target.ts
+++ b/packages/sessions/choose-target.ts
@@ -23,7 +23,7 @@
 	const {group, route, arrivedAt} = operation;
 	if (isReadOnly && route.freshness !== 'latest') {
 		const required = group.findRequiredPosition({maxStaleness: route.maxStaleness, lastWrite: operation.lastWrite(), arrivedAt});
-		const readers = required === undefined ? [] : group.listReaders(required);
+		const readers = required === undefined ? [] : group.listReaders(required, operation.mayReachZone);
 		const instance = readers.find(reader => !tried.has(reader.listed().id));
 		if (required !== undefined && instance !== undefined) {
 			return {instance, after: required, lease: undefined};
--- a/packages/sessions/create-gateway.test.ts
+++ b/packages/sessions/create-gateway.test.ts
@@ -27,11 +27,13 @@
 const route: Route = {
 	database: 'ponds', group: 'g', freshness: 'latest', maxStaleness: 0, statementTimeout: 1000, targetLatency: 200, priority: 1, isPublic: false,
 };
+const regions = {own: 'north', byZone: new Map([['a', 'north'], ['c', 'east']])};
 const denied: Access = {kind: 'denied', code: 'badKey', reason: ''};
 
 /** Creates a gateway to an instance that runs every job that may still be sent. `now` is a clock in milliseconds. */
 function createCase(access: Access | undefined | (() => Access | undefined), now = () => 0) {
 	const instance = {
+		listed: () => ({zone: 'a'}),
 		runLocally: async (job: Job, maySend: () => boolean): Promise<JobAnswer> =>
 			maySend() ? {...done, ...job.kind === 'begin' && {transaction: 5}} : {kind: 'notSent', reason: ''},
 	} as unknown as InstanceRuntime;
@@ -40,6 +42,7 @@
 		findAccess: () => (typeof access === 'function' ? access() : access) ?? {
 			kind: 'allowed', workspace: 'upper', version: 1, route,
 		},
+		regions,
 		now,
 	});
 }
@@ -64,6 +67,21 @@
 		expect(await gateway.runJob({group: 'g', id: 'known'}, begin)).to.include({kind: 'notSent'});
 	});
 
+	// A job that was on its way while the configuration changed, or whose host knows an older one, reached another region.
+	for (const {name, allowed, expected} of [
+		{name: 'sends a job to an instance of an allowed region', allowed: ['north', 'east'], expected: 'answered'},
+		{name: 'sends nothing to an instance outside of the allowed regions, whatever the other host knows', allowed: ['east'], expected: 'notSent'},
+		{name: 'sends nothing where no region is allowed', allowed: [], expected: 'notSent'},
+	]) {
+		it(name, async () => {
+			const gateway = createCase({
+				kind: 'allowed', workspace: 'upper', version: 2, route, allowedRegions: new Set(allowed),
+			});
+			expect(await gateway.runJob({group: 'g', id: 'known'}, single)).to.include({kind: expected});
+			expect(await gateway.runJob({group: 'g', id: 'known'}, begin)).to.include({kind: expected});
+		});
+	}
+
 	it('sends a job for a public route, whichever workspace it knows the key of', async () => {
 		const gateway = createCase({
 			kind: 'allowed', workspace: 'public', version: 2, route: {...route, isPublic: true},
@@ -89,7 +107,9 @@
 				throw new Error('the connection failed');
 			},
 		} as unknown as InstanceRuntime;
-		const gateway = createGateway({findInstance: () => instance, findAccess: () => denied, now: () => 0});
+		const gateway = createGateway({
+			findInstance: () => instance, findAccess: () => denied, regions, now: () => 0,
+		});
 		const [{status}] = await Promise.allSettled([gateway.runJob({group: 'g', id: 'known'}, single)]);
 		expect(status).to.equal('rejected');
 		expect(gateway.countActive()).to.equal(0);
@@ -137,7 +157,9 @@
 					return {...done, ...job.kind === 'begin' && {transaction: 5}};
 				},
 			} as unknown as InstanceRuntime;
-			const gateway = createGateway({findInstance: () => instance, findAccess: () => denied, now: () => 0});
+			const gateway = createGateway({
+				findInstance: () => instance, findAccess: () => denied, regions, now: () => 0,
+			});
 			await gateway.runJob({group: 'g', id: 'known'}, begin);
 			return {
 				gateway, jobs, finish() {
--- a/packages/sessions/create-gateway.ts
+++ b/packages/sessions/create-gateway.ts
@@ -3,12 +3,15 @@
 import type {Caller} from './caller.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
+import {isZoneAllowed} from './regions/is-zone-allowed.ts';
+import type {RegionMap} from './regions/region-map.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
 
 type Options = {
 	readonly findInstance: (group: string, id: string) => InstanceRuntime | undefined;
 	readonly findAccess: (caller: Caller) => Access;
+	readonly regions: RegionMap;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 };
@@ -44,19 +47,22 @@
  * Creates the gateway of a host.
  *
  * A message between hosts may be delayed until after the caller's key or permission was revoked. The gateway therefore
- * checks the caller's access again, against its own copy of the configuration, before it sends anything to the instance.
+ * checks the caller's access and the allowed regions again, against its own copy of the configuration, before it sends anything to the instance.
  */
-export function createGateway({findInstance, findAccess, now}: Options): Gateway {
+export function createGateway({findInstance, findAccess, regions, now}: Options): Gateway {
 	let running = 0;
 	/** Open transactions by number. */
 	const transactions = new Map<number, GatewayTransaction>();
 	let isClosed = false;
 	let areTransactionsEnded = false;
 
-	/** Whether the caller of a job still has access in the name of the job's workspace. A public route is open to every workspace. */
-	const hasAccess = ({caller, workspace}: {readonly caller: Caller; readonly workspace: string}) => {
+	/**
+	 * Whether the caller of a job still has access in the name of the job's workspace, and to instances of a zone. A public
+	 * route is open to every workspace.
+	 */
+	const hasAccess = ({caller, workspace}: {readonly caller: Caller; readonly workspace: string}, zone: string) => {
 		const access = findAccess(caller);
-		return access.kind === 'allowed' && (access.route.isPublic || access.workspace === workspace);
+		return access.kind === 'allowed' && (access.route.isPublic || access.workspace === workspace) && isZoneAllowed(zone, {allowed: access.allowedRegions, regions});
 	};
 
 	/** Drops transactions that the runtime has rolled back because their sessions sent nothing any more. */
@@ -99,7 +105,7 @@
 		running++;
 		recordStart(job);
 		try {
-			answer = await instance.runLocally(job, () => 'caller' in job && hasAccess(job));
+			answer = await instance.runLocally(job, () => 'caller' in job && hasAccess(job, instance.listed().zone));
 			return answer;
 		} finally {
 			recordEnd(instance, job, answer);
--- a/packages/sessions/create-gateways.test.ts
+++ b/packages/sessions/create-gateways.test.ts
@@ -15,6 +15,7 @@
 const instance: ListedInstance = {
 	id: 'i-1', group: 'pondbook', host: '', port: 0, zone: 'a', slots: 5, isDeparting: false, role: 'primary',
 };
+const regions = {own: 'east', byZone: new Map([['a', 'north'], ['b', 'east']])};
 const job: Job = {kind: 'position', workspace: 'upper'};
 const answer: JobAnswer = {
 	kind: 'answered', outcome: {kind: 'done', rows: [], signature: '-'}, state: 'idle', position: undefined,
@@ -44,11 +45,36 @@
 		},
 	}) as unknown as FleetPeer;
 	const gateways = createGateways({
-		own: createRow('b1'), findFleet: () => fleet, findPeer, countGateways: () => 3, hasConnectionPerWorkspace: () => false, now: () => performance.now(),
+		own: createRow('b1'), findFleet: () => fleet, findPeer, countGateways: () => 3, hasConnectionPerWorkspace: () => false, regions, now: () => performance.now(),
 	});
 	return {gateways, pinged};
 }
 
+describe('createGateways, for statements that are restricted to regions', () => {
+	const cases = [
+		{
+			name: 'lets a host of an allowed region receive them', host: 'a1', allowed: ['north'], expected: true,
+		},
+		{
+			name: 'lets a host of the caller\'s region receive them', host: 'b2', allowed: ['north'], expected: true,
+		},
+		{
+			name: 'lets this host keep them', host: 'b1', allowed: [], expected: true,
+		},
+		{
+			name: 'keeps them from a host of another region', host: 'a1', allowed: ['east'], expected: false,
+		},
+		{
+			name: 'keeps them from a host that is not registered', host: 'a9', allowed: ['north'], expected: false,
+		},
+	];
+	for (const {name, host, allowed, expected} of cases) {
+		it(name, () => {
+			expect(createCase(new Set()).gateways.mayReceive(host, new Set(allowed))).to.equal(expected);
+		});
+	}
+});
+
 describe('createGateways, when jobs are not answered', () => {
 	it('finds all gateways of a zone that goes silent with the first slow job, not one after the other', async () => {
 		const lost = new Set(['a1', 'a2', 'a3']);
@@ -99,6 +125,7 @@
 			findPeer: () => ({runJob: async () => 'stopping', ping: async () => true}) as unknown as FleetPeer,
 			countGateways: () => 3,
 			hasConnectionPerWorkspace: () => false,
+			regions,
 			now: () => at,
 		});
 		expect(await gateways.runJob('a1', instance, job)).to.equal('notServed');
@@ -129,6 +156,7 @@
 			}) as unknown as FleetPeer,
 			countGateways: () => 3,
 			hasConnectionPerWorkspace: () => false,
+			regions,
 			now: () => 0,
 		});
 		await gateways.runJob('a1', instance, job);
--- a/packages/sessions/create-gateways.ts
+++ b/packages/sessions/create-gateways.ts
@@ -4,6 +4,8 @@
 import type {HostRow} from './host-row.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import {rankGateways} from './rank-gateways.ts';
+import {isHostAllowed} from './regions/is-host-allowed.ts';
+import type {RegionMap} from './regions/region-map.ts';
 
 type Options = {
 	readonly own: HostRow;
@@ -13,6 +15,7 @@
 	readonly countGateways: () => number;
 	/** Whether the connection limit of a group lets each gateway hold a connection for every workspace. */
 	readonly hasConnectionPerWorkspace: (group: string) => boolean;
+	readonly regions: RegionMap;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 };
@@ -47,7 +50,7 @@
 
 /** Creates the access to instances through other hosts. */
 export function createGateways({
-	own, findFleet, findPeer, countGateways, hasConnectionPerWorkspace, now,
+	own, findFleet, findPeer, countGateways, hasConnectionPerWorkspace, regions, now,
 }: Options): Gateways {
 	const reachabilities = new Map<string, Reachability>();
 	/** Time until which a host is not used for an instance that it could not reach, by host and instance. */
@@ -148,6 +151,7 @@
 			reachability.ping ??= ping(host, reachability);
 			return reachability.ping;
 		},
+		mayReceive: (host, allowed) => host === own.name || isHostAllowed(findFleet()?.hosts.get(host)?.zone, {allowed, regions}),
 		probe,
 		findSilentSince(instance) {
 			const since = listLocalGateways(instance).map(host => findHostSilentSince(host));
--- a/packages/sessions/create-group-instances.test.ts
+++ b/packages/sessions/create-group-instances.test.ts
@@ -111,6 +111,15 @@
 		expect(readers.map(instance => instance.listed().id)).to.deep.equal(['i-b', 'i-a', 'i-c']);
 	});
 
+	it('lists no reader of a zone that a statement may not reach', async () => {
+		const {instances} = createInstances(['a1']);
+		instances.update([createListed('i-c', {zone: 'c'}), ...both], 5);
+		await connect(instances);
+		const readers = instances.listReaders(required, zone => zone !== 'a');
+		expect(readers.map(instance => instance.listed().id)).to.not.include('i-a');
+		expect(readers.map(instance => instance.listed().id)).to.include('i-c');
+	});
+
 	const connections = [
 		{
 			name: 'keeps idle connections to an instance whose gateway is this host', gateways: ['a1'], elapsed: 2001, expected: 1,
--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -36,7 +36,7 @@
 	/** Lists the instances in use. */
 	readonly list: () => readonly InstanceRuntime[];
 	/** Lists the instances that may serve a read, best first; `required` is the position that their logs must have reached. */
-	readonly listReaders: (required: LogPoint) => readonly InstanceRuntime[];
+	readonly listReaders: (required: LogPoint, mayUseZone?: (zone: string) => boolean) => readonly InstanceRuntime[];
 	/** Drops instances that stay unlisted, except the primary, and those that are too many, and closes surplus connections. */
 	readonly step: () => void;
 };
@@ -177,9 +177,9 @@
 		missingSince: id => missing.get(id),
 		find,
 		list: () => [...instances.values()],
-		listReaders(required) {
+		listReaders(required, mayUseZone = () => true) {
 			const candidates = [...instances.values()]
-				.filter(instance => !instance.listed().isDeparting)
+				.filter(instance => !instance.listed().isDeparting && mayUseZone(instance.listed().zone))
 				.map(instance => createCandidate(instance));
 			const ranked = rankReaders(candidates, {required, isTrialDue: now() - triedAt >= trialIntervalMs, now: now()});
 			const [first] = ranked;
--- a/packages/sessions/create-operation.ts
+++ b/packages/sessions/create-operation.ts
@@ -3,6 +3,7 @@
 import {createFailure} from './create-failure.ts';
 import type {LastWrite} from './last-write.ts';
 import type {Operation} from './operation.ts';
+import {isZoneAllowed} from './regions/is-zone-allowed.ts';
 import type {SessionContext} from './session-context.ts';
 import type {SessionSetup} from './session-setup.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
@@ -47,11 +48,13 @@
 		return createBusyFailure(`The group ${route.group} is not known yet`, 500);
 	}
 
-	const hasAccess = () => {
+	const findPresentAccess = () => {
 		const present = context.findAccess(caller);
-		return present.kind === 'allowed' && present.workspace === workspace;
+		return present.kind === 'allowed' && present.workspace === workspace ? present : undefined;
 	};
 
+	const findAllowedRegions = () => (findPresentAccess() ?? access).allowedRegions;
+
 	const arrivedAt = context.now();
 	return {
 		context,
@@ -62,7 +65,9 @@
 		setup,
 		arrivedAt,
 		deadline: arrivedAt.steady + route.statementTimeout,
-		isAllowed: () => !isGivenUp() && !sendlessPhases.has(context.findStopPhase()) && hasAccess(),
+		isAllowed: () => !isGivenUp() && !sendlessPhases.has(context.findStopPhase()) && findPresentAccess() !== undefined,
+		findAllowedRegions,
+		mayReachZone: zone => isZoneAllowed(zone, {allowed: findAllowedRegions(), regions: context.regions}),
 		setMayTakeEffect,
 		lastWrite: () => lastWrites.get(group.name),
 		setLastWrite(newer) {
--- a/packages/sessions/create-routed-runner.test.ts
+++ b/packages/sessions/create-routed-runner.test.ts
@@ -39,6 +39,8 @@
 	/** `read` for a read; otherwise the job is a write. */
 	readonly access?: 'read';
 	readonly maySend?: boolean;
+	/** Regions to which the job is restricted, in which the gateway `far` is not. */
+	readonly regions?: readonly string[];
 	readonly expected: {readonly kind: JobAnswer['kind']; readonly requested: readonly string[]; readonly isLocal?: boolean};
 };
 
@@ -75,6 +77,12 @@
 	{
 		name: 'nothing is sent when no gateway is reachable', answers: {b1: 'unreachable', b2: 'unreachable'}, expected: {kind: 'notSent', requested: []},
 	},
+	{
+		name: 'a host outside of the allowed regions does not receive the job', regions: ['north'], answers: {far: done, b1: done}, expected: {kind: 'answered', requested: ['b1']},
+	},
+	{
+		name: 'nothing is sent when no gateway is in an allowed region', regions: ['north'], answers: {far: done}, expected: {kind: 'notSent', requested: []},
+	},
 	{
 		name: 'nothing is sent when the job may no longer be sent', answers: {b1: done}, maySend: false, expected: {kind: 'notSent', requested: []},
 	},
@@ -82,7 +90,7 @@
 
 describe('createRoutedRunner', () => {
 	for (const {
-		name, answers, access, maySend = true, expected,
+		name, answers, access, maySend = true, regions, expected,
 	} of cases) {
 		it(name, async () => {
 			const requested: string[] = [];
@@ -92,6 +100,7 @@
 				list: () => Object.keys(answers),
 				isAvoided: host => answers[host] === 'avoided',
 				isAnswering: async host => answers[host] !== 'unreachable',
+				mayReceive: host => host !== 'far',
 				probe: () => undefined,
 				findSilentSince: () => undefined,
 				hasSilentHost: () => false,
@@ -115,7 +124,7 @@
 				recordObservation: () => undefined,
 				now: () => 0,
 			});
-			const {answer} = await run(access === 'read' ? read : job, () => maySend);
+			const {answer} = await run({...access === 'read' ? read : job, allowedRegions: regions && new Set(regions)}, () => maySend);
 			expect({kind: answer.kind, requested, isLocal}).to.deep.equal({isLocal: false, ...expected});
 		});
 	}
@@ -134,6 +143,7 @@
 				list: () => ['b1', 'b2'],
 				isAvoided: () => false,
 				isAnswering: async host => host === 'b2',
+				mayReceive: () => true,
 				probe: () => undefined,
 				findSilentSince: () => undefined,
 				hasSilentHost: () => false,
--- a/packages/sessions/create-routed-runner.ts
+++ b/packages/sessions/create-routed-runner.ts
@@ -20,10 +20,13 @@
 	readonly now: () => number;
 };
 
+/** Answer to a job that no gateway may receive. */
+const restrictedAnswer: JobAnswer = {kind: 'notSent', reason: 'no gateway is in an allowed region'};
+
 /**
  * Creates the function that routes jobs to an instance, through this host's own connections or through a gateway.
  *
- * A gateway that accepts no work, or is unreachable, is skipped. A gateway that received a job which must not be retried,
+ * A gateway that accepts no work, or is unreachable, is skipped, and so is one that may not receive the text of the job. A gateway that received a job which must not be retried,
  * and does not answer, may have run the job: the answer then counts as lost.
  */
 export function createRoutedRunner({listed, local, gateways, recordObservation, now}: Options): DispatchJob {
@@ -47,10 +50,17 @@
 		return answer;
 	};
 
+	const mayReceive = (host: string, job: Job) => !('caller' in job) || job.allowedRegions === undefined || gateways.mayReceive(host, job.allowedRegions);
+
 	const runLocally = async (job: Job, maySend: () => boolean) => ({answer: await local(job, maySend), runner: local});
 
 	return async (job, maySend) => {
-		const hosts = gateways.list(listed(), 'workspace' in job ? job.workspace : undefined);
+		const candidates = gateways.list(listed(), 'workspace' in job ? job.workspace : undefined);
+		const hosts = candidates.filter(host => mayReceive(host, job));
+		if (hosts.length === 0 && candidates.length > 0) {
+			return {answer: restrictedAnswer, runner: local};
+		}
+
 		for (const host of hosts) {
 			if (host === gateways.self) {
 				return runLocally(job, maySend);
@@ -76,7 +86,7 @@
 			const answer = await Promise.race([answered, waitUntilUnreachable(answering)]);
 			const isSkipped = answer === 'notServed' || (answer.kind === 'notSent' && answer.isUnreachable === true);
 			if (!isSkipped) {
-				return {answer, runner: createPinnedRunner(host, run)};
+				return {answer, runner: createPinnedRunner(host, async within => mayReceive(host, within) ? run(within) : restrictedAnswer)};
 			}
 
 			void rollBackLate(answered, run);
--- a/packages/sessions/create-store-cache.ts
+++ b/packages/sessions/create-store-cache.ts
@@ -96,7 +96,12 @@
 				configurationRow = row;
 				cached = {configuration, confirmedAt: isConfirmed ? confirmedAt : neverConfirmed};
 				log.info({
-					version: configuration.version, isConfirmed, rowVersion: row.version, routes: configuration.routes.size, workspaces: configuration.limits.size,
+					version: configuration.version,
+					isConfirmed,
+					rowVersion: row.version,
+					routes: configuration.routes.size,
+					workspaces: configuration.limits.size,
+					restricted: configuration.allowedRegions.size,
 				}, 'configuration: The host applied a version.');
 			} else {
 				leftOutVersion = row.version;
--- a/packages/sessions/create-transaction.ts
+++ b/packages/sessions/create-transaction.ts
@@ -108,9 +108,10 @@
 
 			hasWritten ||= query.access === 'write';
 			const {instance, runner, transaction} = opened;
+			const {zone} = instance.listed();
 			const answer = await runner({
 				...createJobBase(operation), kind: 'within', transaction, setup: operation.setup, query,
-			}, () => operation.isAllowed() && !hasEnded && (isReadOnly || isLeased()));
+			}, () => operation.isAllowed() && operation.mayReachZone(zone) && !hasEnded && (isReadOnly || isLeased()));
 			operation.trace.addStep(`${instance.listed().id}: ${describeAnswer(answer)}`);
 			if (answer.kind === 'answered') {
 				operation.trace.addJobSpans(answer.spans);
@@ -130,9 +131,10 @@
 				return failure ?? createFailure('aborted', 'The transaction is over');
 			}
 
-			const mayCommit = () => operation.isAllowed() && (!hasWritten || isLeased());
+			const {zone} = opened.instance.listed();
+			const mayCommit = () => operation.isAllowed() && operation.mayReachZone(zone) && (!hasWritten || isLeased());
 			if (!mayCommit()) {
-				return abort('The primary is being replaced, or the key no longer holds');
+				return abort('The primary is being replaced, or the key or the allowed regions no longer hold');
 			}
 
 			const {instance, runner, transaction, lease} = opened;
--- a/packages/sessions/find-access.test.ts
+++ b/packages/sessions/find-access.test.ts
@@ -13,6 +13,7 @@
 		connectionLimits: new Map([['pondbook', 34]]),
 		workspaceByKeyDigest: new Map([[hashKey('good'), 'upper']]),
 		limits: new Map([['upper', {rate: 10, burst: 10}]]),
+		allowedRegions: new Map([['upper', new Set(['east'])]]),
 		transactionIdleLimit: 3000,
 	},
 	confirmedAt: {steady: 0, wall: 0},
@@ -54,6 +55,17 @@
 		});
 	}
 
+	// A statement of a restricted workspace ran where only the route's own list allowed it.
+	it('finds the regions that both the route and the workspace allow', () => {
+		const restricted = {
+			...cached, configuration: {...cached.configuration, routes: new Map([['ponds', {...route, allowedRegions: new Set(['east', 'north'])}]])},
+		};
+		const access = findAccess(restricted, {
+			database: 'ponds', keyDigest: hashKey('good'), revocationLimitMs: 5000, configurationLimitMs: 3000, now: {steady: 100, wall: 0},
+		});
+		expect(access).to.deep.include({kind: 'allowed', allowedRegions: new Set(['east'])});
+	});
+
 	it('answers busy before the first configuration has been read', () => {
 		expect(findAccess(undefined, {
 			database: 'ponds', keyDigest: hashKey('good'), revocationLimitMs: 5000, configurationLimitMs: 3000, now: {steady: 0, wall: 0},
--- a/packages/sessions/find-access.ts
+++ b/packages/sessions/find-access.ts
@@ -1,6 +1,7 @@
 import type {Access} from './access.ts';
 import type {Caller} from './caller.ts';
 import {findElapsed} from './find-elapsed.ts';
+import {findAllowedRegions} from './regions/find-allowed-regions.ts';
 import type {Instant} from './instant.ts';
 import type {CachedConfiguration} from './cached-configuration.ts';
 
@@ -42,9 +43,10 @@
 	}
 
 	const workspace = configuration.workspaceByKeyDigest.get(keyDigest);
+	const allowedRegions = findAllowedRegions(route.allowedRegions, workspace === undefined ? undefined : configuration.allowedRegions.get(workspace));
 	if (route.isPublic) {
 		return {
-			kind: 'allowed', route, workspace: workspace ?? anonymousWorkspace, version: configuration.version,
+			kind: 'allowed', route, workspace: workspace ?? anonymousWorkspace, version: configuration.version, allowedRegions,
 		};
 	}
 
@@ -54,7 +56,7 @@
 
 	return age < revocationLimitMs - revocationMarginMs
 		? {
-			kind: 'allowed', route, workspace, version: configuration.version,
+			kind: 'allowed', route, workspace, version: configuration.version, allowedRegions,
 		}
 		: staleDenial;
 }
--- a/packages/sessions/gateways.ts
+++ b/packages/sessions/gateways.ts
@@ -1,6 +1,7 @@
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
 import type {ListedInstance} from './listed-instance.ts';
+import type {AllowedRegions} from './regions/allowed-regions.ts';
 
 /** The gateways of instances, as this host uses them. */
 export type Gateways = {
@@ -18,6 +19,8 @@
 	 * retried elsewhere.
 	 */
 	readonly isAnswering: (host: string, work: {readonly isRetryable: boolean}) => Promise<boolean>;
+	/** Whether a host may receive the text of statements that are restricted to regions; see `isHostAllowed`. */
+	readonly mayReceive: (host: string, allowed: AllowedRegions) => boolean;
 	/** Pings the gateways in an instance's own zone that have not answered lately, all at once. */
 	readonly probe: (instance: ListedInstance) => void;
 	/**
--- a/packages/sessions/host-profile.ts
+++ b/packages/sessions/host-profile.ts
@@ -1,3 +1,4 @@
+import type {RegionMap} from './regions/region-map.ts';
 import type {RateBound} from './rate-bound.ts';
 
 /** An address to listen on or to connect to. */
@@ -11,6 +12,7 @@
 	readonly name: string;
 	/** Availability zone. */
 	readonly zone: string;
+	readonly regions: RegionMap;
 	/** Whether the whole fleet starts for the first time; false when a process starts later. */
 	readonly isFirstStart: boolean;
 	readonly listen: {
--- a/packages/sessions/job.ts
+++ b/packages/sessions/job.ts
@@ -1,5 +1,6 @@
 import type {LogPoint} from '@sapphirefall/decisions';
 import type {Caller} from './caller.ts';
+import type {AllowedRegions} from './regions/allowed-regions.ts';
 import type {SessionSetup} from './session-setup.ts';
 import type {Query} from './query.ts';
 
@@ -11,6 +12,8 @@
 	readonly caller: Caller;
 	/** Milliseconds within which the job must finish. */
 	readonly timeout: number;
+	/** Regions of the hosts that may receive the job, beside this host's; a gateway does not learn them and relies on its own configuration. */
+	readonly allowedRegions?: AllowedRegions;
 };
 
 /**
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -150,6 +150,7 @@
 export * from './read-fleet-rows.ts';
 export * from './read-status.ts';
 export * from './replace-primary.ts';
+export * from './regions/mod.ts';
 export type * from './requested-table.ts';
 export type * from './route.ts';
 export * from './run-query.ts';
--- a/packages/sessions/open-transaction.ts
+++ b/packages/sessions/open-transaction.ts
@@ -62,7 +62,7 @@
 	const requestedAt: Instant = context.now();
 	const {answer, runner} = await instance.run({
 		...createJobBase(operation), kind: 'begin', setup: operation.setup, isReadOnly, after, idleLimit: context.transactionIdleLimit(),
-	}, () => operation.isAllowed() && (lease === undefined || hasLease(lease)));
+	}, () => operation.isAllowed() && operation.mayReachZone(instance.listed().zone) && (lease === undefined || hasLease(lease)));
 	operation.trace.addStep(`${id}: begin ${describeAnswer(answer)}${describeLease(lease)}`);
 	if (answer.kind === 'answered' && answer.transaction !== undefined) {
 		operation.trace.addJobSpans(answer.spans);
--- a/packages/sessions/operation.ts
+++ b/packages/sessions/operation.ts
@@ -1,5 +1,6 @@
 import type {Caller} from './caller.ts';
 import type {Instant} from './instant.ts';
+import type {AllowedRegions} from './regions/allowed-regions.ts';
 import type {Route} from './route.ts';
 import type {SessionContext} from './session-context.ts';
 import type {LastWrite} from './last-write.ts';
@@ -21,6 +22,10 @@
 	readonly deadline: number;
 	/** Whether the caller's key is still valid for the workspace, and an answer can be expected before a planned stop ends; checked before each send. */
 	readonly isAllowed: () => boolean;
+	/** Finds the regions in which the operation may run, as the configuration says now, or said last while the caller had access. */
+	readonly findAllowedRegions: () => AllowedRegions;
+	/** Whether the operation may reach the instances of an availability zone; checked before each send. */
+	readonly mayReachZone: (zone: string) => boolean;
 	/** Records whether a write of the statement may take effect at an instance: true when it is sent, false once it is known not to have run. */
 	readonly setMayTakeEffect: (mayTakeEffect: boolean) => void;
 	/** Returns the session's last write to the operation's group. */
--- a/packages/sessions/primary-view.ts
+++ b/packages/sessions/primary-view.ts
@@ -2,4 +2,4 @@
 export type PrimaryView =
 	| {readonly kind: 'leased'; readonly instance: string; readonly epoch: number}
 	/** No lease. `retryAfter` is the expected number of milliseconds until a primary is available. */
-	| {readonly kind: 'unavailable'; readonly reason: 'unknown' | 'lapsed' | 'fencing' | 'restored' | 'demoted'; readonly retryAfter: number};
+	| {readonly kind: 'unavailable'; readonly reason: 'unknown' | 'lapsed' | 'fencing' | 'restored' | 'demoted' | 'restricted'; readonly retryAfter: number};
--- a/packages/sessions/route.ts
+++ b/packages/sessions/route.ts
@@ -1,3 +1,5 @@
+import type {AllowedRegions} from './regions/allowed-regions.ts';
+
 /** How the host serves the statements for a database. */
 export type Route = {
 	/** Name of the database as callers know it. */
@@ -19,4 +21,6 @@
 	readonly priority: number;
 	/** Whether callers need no key. */
 	readonly isPublic: boolean;
+	/** Regions in which statements of the route may run. */
+	readonly allowedRegions?: AllowedRegions;
 };
--- a/packages/sessions/run-read.test.ts
+++ b/packages/sessions/run-read.test.ts
@@ -63,6 +63,8 @@
 		arrivedAt: {...time},
 		deadline: time.steady + 4000,
 		isAllowed: () => true,
+		findAllowedRegions: ignore,
+		mayReachZone: () => true,
 		lastWrite: ignore,
 		trace: createStatementTrace(),
 	} as unknown as Operation;
--- a/packages/sessions/run-read.ts
+++ b/packages/sessions/run-read.ts
@@ -60,7 +60,7 @@
 	const sampled = lease ?? findLease(group, id);
 	const {answer} = await instance.run({
 		...createJobBase(operation), kind: 'single', setup: operation.setup, query, after,
-	}, () => operation.isAllowed() && (lease === undefined || hasLease(lease)));
+	}, () => operation.isAllowed() && operation.mayReachZone(instance.listed().zone) && (lease === undefined || hasLease(lease)));
 	operation.trace.addStep(`${id}: ${describeAnswer(answer)}${describeLease(lease)}`);
 	if (answer.kind === 'notSent') {
 		return {kind: 'failed', outcome: createBusyFailure(`The read was not sent to instance ${id}: ${answer.reason}`, 100), isFinal: !operation.isAllowed()};
--- a/packages/sessions/run-write.ts
+++ b/packages/sessions/run-write.ts
@@ -67,7 +67,7 @@
 	const {answer} = await instance.run({
 		...createJobBase(operation), kind: 'single', setup: operation.setup, query, after: undefined,
 	}, () => {
-		const maySend = operation.isAllowed() && hasLease(lease);
+		const maySend = operation.isAllowed() && operation.mayReachZone(instance.listed().zone) && hasLease(lease);
 		operation.setMayTakeEffect(maySend);
 		return maySend;
 	});
--- a/packages/sessions/session-configuration.ts
+++ b/packages/sessions/session-configuration.ts
@@ -12,6 +12,8 @@
 	readonly workspaceByKeyDigest: ReadonlyMap<string, string>;
 	/** Rate limits by workspace. */
 	readonly limits: ReadonlyMap<string, WorkspaceLimits>;
+	/** Regions in which statements of a workspace may run, by workspace; those without a restriction are missing. */
+	readonly allowedRegions: ReadonlyMap<string, ReadonlySet<string>>;
 	/** Milliseconds for which a transaction may be idle. */
 	readonly transactionIdleLimit: number;
 };
--- a/packages/sessions/session-context.ts
+++ b/packages/sessions/session-context.ts
@@ -3,6 +3,7 @@
 import type {Caller} from './caller.ts';
 import type {Instant} from './instant.ts';
 import type {RateLimiter} from './rate-limiter.ts';
+import type {RegionMap} from './regions/region-map.ts';
 import type {SessionGroup} from './session-group.ts';
 import type {SessionLog} from './session-log.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
@@ -30,6 +31,10 @@
 	readonly findAccess: (caller: Caller) => Access;
 	/** Returns the idle timeout of transactions in milliseconds. */
 	readonly transactionIdleLimit: () => number;
+	/** The regions of the deployment. */
+	readonly regions: RegionMap;
+	/** Called when a statement finds its primary, or all instances, outside of the allowed regions. */
+	readonly onRegionRefused: () => void;
 	readonly findGroup: (name: string) => SessionGroup | undefined;
 	/** Takes one operation from a workspace's rate; see `RateLimiter`. */
 	readonly takeOperation: RateLimiter['takeOperation'];
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -41,8 +41,8 @@
 	readonly listInstances: () => readonly InstanceRuntime[];
 	/** Finds the position that a log must hold to serve a read; undefined when only the primary can serve the read. */
 	readonly findRequiredPosition: (read: {readonly maxStaleness: number; readonly lastWrite: LastWrite | undefined; readonly arrivedAt: Instant}) => LogPoint | undefined;
-	/** Lists the instances that may serve a read, best first. */
-	readonly listReaders: (required: LogPoint) => readonly InstanceRuntime[];
+	/** Lists the instances that may serve a read, best first; `mayUseZone` says whether those of an availability zone may. */
+	readonly listReaders: (required: LogPoint, mayUseZone?: (zone: string) => boolean) => readonly InstanceRuntime[];
 	/**
 	 * Records the position in an answer of the primary; `epoch` is that of the lease on the instance when the request was
 	 * made. Answers of other instances and of other epochs are ignored.
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -14,6 +14,7 @@
 import {findAccess} from './find-access.ts';
 import {findConnectionLimit} from './pools/find-connection-limit.ts';
 import {findElapsed} from './find-elapsed.ts';
+import {findUnrestrictedWorkspace} from './regions/find-unrestricted-workspace.ts';
 import {findGatewayCount} from './find-gateway-count.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {HostProfile} from './host-profile.ts';
@@ -46,6 +47,7 @@
 	readonly startedAt: number;
 	readonly log: SessionLog;
 	readonly onAnswered: SessionContext['onAnswered'];
+	readonly onRegionRefused: SessionContext['onRegionRefused'];
 	/** Called with the number of open sessions when it changes. */
 	readonly onSessionCount: (count: number) => void;
 	/** Ends the server of other hosts' calls within a time in milliseconds, without losing calls. */
@@ -78,7 +80,10 @@
 		log,
 	});
 	const {findConfiguration, findFleet, listInstances, findConfirmedAt} = storeCache;
-	const findWorkspace = () => findConfiguration()?.configuration.limits.keys().next().value;
+	const findWorkspace = () => {
+		const cached = findConfiguration();
+		return cached && findUnrestrictedWorkspace(cached.configuration);
+	};
 
 	const findPeer = createPeerFinder({findAddress: name => findFleet()?.hosts.get(name)?.address, createPeer: options.createPeer});
 
@@ -93,6 +98,7 @@
 			const configuration = findConfiguration()?.configuration;
 			return findConnectionLimit(configuration?.connectionLimits.get(group) ?? 0, countGateways()) >= (configuration?.limits.size ?? Number.POSITIVE_INFINITY);
 		},
+		regions: profile.regions,
 		now: () => now().steady,
 	});
 
@@ -178,6 +184,7 @@
 	const gateway = createGateway({
 		findInstance: (group, id) => groups.findGroup(group)?.findInstance(id),
 		findAccess: findCallerAccess,
+		regions: profile.regions,
 		now: () => now().steady,
 	});
 
@@ -186,6 +193,8 @@
 		findStopPhase: () => hostStop.findPhase(),
 		findAccess: findCallerAccess,
 		transactionIdleLimit: () => findConfiguration()?.configuration.transactionIdleLimit ?? 0,
+		regions: profile.regions,
+		onRegionRefused: options.onRegionRefused,
 		findGroup: groups.findGroup,
 		takeOperation: rateLimiter.takeOperation,
 		valueBudget: createByteBudget(options.memoryLimits.valueBytes),
--- a/packages/sessions/wait-for-expected-primary.ts
+++ b/packages/sessions/wait-for-expected-primary.ts
@@ -1,8 +1,32 @@
 import type {Operation} from './operation.ts';
 import type {PrimaryView} from './primary-view.ts';
 
-/** Waits for the primary of an operation's group, but only if it is expected within `limit` milliseconds; otherwise returns at once. */
-export async function waitForExpectedPrimary({group, context, trace}: Pick<Operation, 'group' | 'context' | 'trace'>, limit: number): Promise<PrimaryView> {
+type Waiting = Pick<Operation, 'group' | 'context' | 'trace' | 'findAllowedRegions' | 'mayReachZone'>;
+
+/** Milliseconds after which callers may try again whose operation the group's primary may not run. */
+const restrictedRetryMs = 1000;
+
+/**
+ * Waits for the primary of an operation's group, but only if it is expected within `limit` milliseconds; otherwise returns
+ * at once. A primary outside of the allowed regions is not available to the operation.
+ */
+export async function waitForExpectedPrimary(operation: Waiting, limit: number): Promise<PrimaryView> {
+	const {group} = operation;
+	if (operation.findAllowedRegions() === undefined) {
+		return waitForPrimary(operation, limit);
+	}
+
+	const zones = group.listInstances().map(instance => instance.listed().zone);
+	if (zones.length > 0 && !zones.some(zone => operation.mayReachZone(zone))) {
+		return refuse(operation);
+	}
+
+	const view = await waitForPrimary(operation, limit);
+	const zone = view.kind === 'leased' ? group.findInstance(view.instance)?.listed().zone : undefined;
+	return zone === undefined || operation.mayReachZone(zone) ? view : refuse(operation);
+}
+
+async function waitForPrimary({group, context, trace}: Waiting, limit: number): Promise<PrimaryView> {
 	const view = group.primary();
 	if (view.kind === 'leased' || view.retryAfter > limit) {
 		return view;
@@ -13,3 +37,9 @@
 	trace.addSpan('primary', context.now().steady - startedAt);
 	return later;
 }
+
+function refuse({context, trace}: Waiting): PrimaryView {
+	context.onRegionRefused();
+	trace.addStep('no primary in an allowed region');
+	return {kind: 'unavailable', reason: 'restricted', retryAfter: restrictedRetryMs};
+}
