Test regions and cold instances over host processes

Cause: both were tested within one process only. Change: the simulated deployment takes further settings and fields of the configuration, and its instances say when a statement came.

--- a/stand-ins/wire/create-wire-configuration.ts
+++ b/stand-ins/wire/create-wire-configuration.ts
@@ -11,16 +11,22 @@
 	readonly ratePerSecond: number;
 	/** Groups, each with its databases; the names of those of all but the first one end with the number of the group. */
 	readonly groups: readonly string[];
+	/** Further fields of each group. */
+	readonly serviceFields?: object;
+	/** Further fields of the routes, by database. */
+	readonly routeFields?: Readonly<Record<string, object>>;
 };
 
 /** Creates a version of the operators' configuration as the platform's store holds it. */
 export function createWireConfiguration({
-	version, keys, hasGuestRoute, connectionLimit, ratePerSecond, groups,
+	version, keys, hasGuestRoute, connectionLimit, ratePerSecond, groups, serviceFields = {}, routeFields = {},
 }: Options): object {
 	return {
 		version,
-		routes: groups.flatMap((group, index) => createRoutes(group, {suffix: index === 0 ? '' : `-${index + 1}`, hasGuestRoute})),
-		services: groups.map(name => ({name, max_conns: connectionLimit, sync_replicas: 0})),
+		routes: groups.flatMap((group, index) => createRoutes(group, {suffix: index === 0 ? '' : `-${index + 1}`, hasGuestRoute, routeFields})),
+		services: groups.map(name => ({
+			name, max_conns: connectionLimit, sync_replicas: 0, ...serviceFields,
+		})),
 		limits: {tx_idle_ms: 3000},
 		tenants: [
 			{
@@ -33,7 +39,9 @@
 	};
 }
 
-function createRoutes(group: string, {suffix, hasGuestRoute}: {readonly suffix: string; readonly hasGuestRoute: boolean}): readonly object[] {
+type RouteOptions = Required<Pick<Options, 'hasGuestRoute' | 'routeFields'>> & {readonly suffix: string};
+
+function createRoutes(group: string, {suffix, hasGuestRoute, routeFields}: RouteOptions): readonly object[] {
 	const route = {
 		prefix: '/', timeout_ms: 1500, target_latency_ms: 200, priority: 1, backend: group, max_attempts: 2, public: false,
 	};
@@ -53,5 +61,7 @@
 			}]
 			: [],
 	];
-	return routes.map(({name, database, ...rest}) => ({...rest, name: `${name}${suffix}`, database: `${database}${suffix}`}));
+	return routes.map(({name, database, ...rest}) => ({
+		...rest, ...routeFields[database], name: `${name}${suffix}`, database: `${database}${suffix}`,
+	}));
 }
--- a/stand-ins/wire/instance-stand-in.ts
+++ b/stand-ins/wire/instance-stand-in.ts
@@ -7,8 +7,8 @@
 	readonly port: number;
 	/** Returns the commits that the instance has received, oldest first. */
 	readonly log: () => readonly LogEntry[];
-	/** Returns the statements of clients that ran, each with the identifier that it carried and the variables of its connection. */
-	readonly executedStatements: () => ReadonlyArray<{readonly id: string; readonly text: string; readonly variables: ReadonlyMap<string, string>}>;
+	/** Returns the statements of clients that ran, each with the identifier that it carried, the variables of its connection, and when it came, in milliseconds of the steady clock. */
+	readonly executedStatements: () => ReadonlyArray<{readonly id: string; readonly text: string; readonly variables: ReadonlyMap<string, string>; readonly at: number}>;
 	/** Returns the workspace that each connection named when it started a session. */
 	readonly sessionWorkspaces: () => readonly string[];
 	/** Ignores all further bytes on all connections, without closing them. */
--- a/stand-ins/wire/start-instance-stand-in.ts
+++ b/stand-ins/wire/start-instance-stand-in.ts
@@ -66,7 +66,9 @@
 		}
 
 		if (first !== '-') {
-			executedStatements.push({id: first, text: rest.join(' '), variables: new Map(connection.variables)});
+			executedStatements.push({
+				id: first, text: rest.join(' '), variables: new Map(connection.variables), at: performance.now(),
+			});
 		}
 
 		const lines = execute(connection, rest.join(' '));
--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -27,6 +27,10 @@
 	readonly connectionLimit?: number;
 	/** Operations a second of each workspace, and its burst. Defaults to 200. */
 	readonly ratePerSecond?: number;
+	/** Further fields of each group's service in the configuration. */
+	readonly serviceFields?: object;
+	/** Further fields of the routes in the configuration, by database. */
+	readonly routeFields?: Readonly<Record<string, object>>;
 	/** Whether the hosts reach each instance, the store and the cloud API through relays, which can be disturbed. Defaults to false. */
 	readonly hasLinks?: boolean;
 };
@@ -38,7 +42,7 @@
 
 /** Starts host processes, with a simulated store, cloud API and groups of three instances. */
 export async function startWireDeployment({
-	hostCount, groupCount = 1, lag, workMs = 0, connectionLimit = 34, ratePerSecond = 200, hasLinks = false, ...hostOptions
+	hostCount, groupCount = 1, lag, workMs = 0, connectionLimit = 34, ratePerSecond = 200, serviceFields = {}, routeFields = {}, hasLinks = false, ...hostOptions
 }: Options): Promise<WireDeployment> {
 	const store = await startStoreStandIn();
 	const groups: InstanceGroup[] = [];
@@ -74,7 +78,7 @@
 	const configure: WireDeployment['configure'] = ({keys, hasGuestRoute = false}) => {
 		version += 3;
 		store.put('op', 'config', createWireConfiguration({
-			version, keys, hasGuestRoute, connectionLimit, ratePerSecond, groups: groups.map(({name}) => name),
+			version, keys, hasGuestRoute, connectionLimit, ratePerSecond, serviceFields, routeFields, groups: groups.map(({name}) => name),
 		}));
 	};
 
--- a/stand-ins/wire/start-wire-host.ts
+++ b/stand-ins/wire/start-wire-host.ts
@@ -35,7 +35,7 @@
 }
 
 /** Formats the settings file of a host. */
-function formatSettings(name: string, ports: WireHostPorts, {zone, storePort, cloudPort, isFirstStart = false, gracePeriodSeconds = 4}: WireHostOptions): string {
+function formatSettings(name: string, ports: WireHostPorts, {zone, storePort, cloudPort, isFirstStart = false, gracePeriodSeconds = 4, settings = []}: WireHostOptions): string {
 	return `node_name=${name}
 ip=127.0.0.1
 zone=${zone}
@@ -51,5 +51,5 @@
 bounds.quota_slack=20
 platform.address=127.0.0.1:${storePort}
 cloud_api.address=127.0.0.1:${cloudPort}
-`;
+${settings.map(line => `${line}\n`).join('')}`;
 }
--- a/stand-ins/wire/wire-host-options.ts
+++ b/stand-ins/wire/wire-host-options.ts
@@ -12,6 +12,8 @@
 	readonly nodeArguments?: readonly string[];
 	/** Whether the hosts bootstrap a new fleet. */
 	readonly isFirstStart?: boolean;
+	/** Lines of the settings file beside the usual ones. */
+	readonly settings?: readonly string[];
 	/** Seconds from SIGTERM until the platform kills a host. Defaults to 4. */
 	readonly gracePeriodSeconds?: number;
 };
