--- a/packages/sessions/create-group-instances.test.ts
+++ b/packages/sessions/create-group-instances.test.ts
@@ -119,6 +119,22 @@
 		expect(instances.listReaders(required).map(instance => instance.listed().id)).to.deep.equal(['i-c']);
 	});
 
+	it('lists no reader of a zone that a statement may not reach', async () => {
+		const {instances} = createInstances(['a1']);
+		instances.update([createListed('i-c', {zone: 'c'}), ...both], 5);
+		await connect(instances);
+		const readers = instances.listReaders(required, zone => zone !== 'a');
+		expect(readers.map(instance => instance.listed().id)).to.not.include('i-a');
+		expect(readers.map(instance => instance.listed().id)).to.include('i-c');
+	});
+
+	it('lists no reader in an allowed zone that is evacuated', async () => {
+		const {instances} = createInstances(['a1'], 'a');
+		instances.update([createListed('i-c', {zone: 'c'}), ...both], 5);
+		await connect(instances);
+		expect(instances.listReaders(required, zone => zone === 'a')).to.deep.equal([]);
+	});
+
 	const connections = [
 		{
 			name: 'keeps idle connections to an instance whose gateway is this host', gateways: ['a1'], elapsed: 2001, expected: 1,
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -1,4 +1,7 @@
 import {applyObservation} from './apply-observation.ts';
+import type {ColdInstances} from './cold-instances/cold-instances.ts';
+import {createConnectionWatch} from './cold-instances/create-connection-watch.ts';
+import {createInstanceAdmission} from './cold-instances/create-instance-admission.ts';
 import {createGuardedDispatch} from './evacuation/create-guarded-dispatch.ts';
 import {createGuardedPool} from './evacuation/create-guarded-pool.ts';
 import {createGuardedRunner} from './evacuation/create-guarded-runner.ts';
@@ -19,6 +22,8 @@
 type Options = {
 	readonly openConnection: OpenConnection;
 	readonly gateways: Gateways;
+	/** How cold instances are spared; undefined if they are not. */
+	readonly coldInstances?: ColdInstances | undefined;
 	/** Maximum number of this host's connections to the instance. */
 	readonly limit: number;
 	/** Whether a job may be sent to the instance now, by the evacuation of its zone. Defaults to always. */
@@ -35,7 +40,7 @@
 
 /** Creates the runtime of an instance: its connection pool, its observed health and the means to run jobs on it. */
 export function createInstanceRuntime(first: ListedInstance, {
-	openConnection, gateways, limit, mayRun = () => true, now,
+	openConnection, gateways, coldInstances, limit, mayRun = () => true, now,
 }: Options): InstanceRuntime {
 	let listed = first;
 	let health: InstanceHealth = {
@@ -46,6 +51,18 @@
 		health = applyObservation(health, {observation, now: now()});
 	};
 
+	const admission = createInstanceAdmission(first, {coldInstances, now});
+	const watch = createConnectionWatch();
+
+	/** Adds an opened connection to those that are watched; an instance that was lost before may have started again. */
+	const watchConnection: typeof watch.add = connection => {
+		if (watch.takeLoss()) {
+			admission.recordReconnection();
+		}
+
+		return watch.add(connection);
+	};
+
 	const pool = createInstancePool({
 		limit,
 		now,
@@ -54,6 +71,14 @@
 			const outcome = await openConnection(listed, {workspace, timeout: connectTimeoutMs});
 			recordObservation(isFromInstance(outcome) ? {kind: 'answered', latency: undefined, position: undefined} : {kind: 'failed'});
 
+			if (outcome.kind === 'opened') {
+				return {...outcome, connection: watchConnection(outcome.connection)};
+			}
+
+			if (!isFromInstance(outcome)) {
+				watch.recordFailedOpen();
+			}
+
 			return outcome;
 		},
 	});
@@ -63,6 +88,7 @@
 		recordObservation({kind: 'sent'});
 		const answer = await waitForAnswer(pooled, request, timeout);
 		if (answer.kind === 'lost') {
+			watch.recordLostAnswer();
 			recordObservation({kind: 'failed'});
 		} else {
 			// Only requests that use an execution slot say how fast the instance runs statements.
@@ -74,7 +100,7 @@
 	};
 
 	const local = createLocalRunner({
-		pool: createGuardedPool(pool, () => mayRun('begin')), send, latency: () => health.latency, now,
+		pool: createGuardedPool(pool, () => mayRun('begin')), send, admission, latency: () => health.latency, now,
 	});
 	const runLocally = createGuardedRunner(local.run, mayRun);
 
@@ -93,8 +119,10 @@
 		},
 		update(newer) {
 			listed = newer;
+			admission.update(newer);
 		},
 		health: () => health,
+		isCold: admission.isCold,
 		pool,
 		send,
 		recordLag(missingPosition) {
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -1,3 +1,4 @@
+import type {ColdInstances} from './cold-instances/cold-instances.ts';
 import {createGroupInstances} from './create-group-instances.ts';
 import {createPositionSampler} from './create-position-sampler.ts';
 import {decodeStoreVersion} from './decode-store-version.ts';
@@ -23,6 +24,8 @@
 	readonly gateways: Gateways;
 	/** Finds how the instances of a zone may be used. Defaults to open zones. */
 	readonly findZonePhase?: Evacuations['findPhase'];
+	/** How cold instances are spared; undefined if they are not. */
+	readonly coldInstances?: ColdInstances | undefined;
 	/** Whether this host reads the store directly, and passes the primary's log position on to other hosts. */
 	readonly isStoreReader: () => boolean;
 	readonly now: () => Instant;
--- a/packages/sessions/create-session-metrics.ts
+++ b/packages/sessions/create-session-metrics.ts
@@ -30,6 +30,12 @@
 		evacuatedZones: new Gauge({
 			name: 'sapphirefall_evacuated_zones', help: 'Availability zones that the host knows to be evacuated.', registers,
 		}),
+		coldRefusals: new Counter({
+			name: 'sapphirefall_cold_refusals_total', help: 'Statements that were not sent to a cold instance.', registers,
+		}),
+		regionRefusals: new Counter({
+			name: 'sapphirefall_region_refusals_total', help: 'Attempts of statements that found no primary in an allowed region.', registers,
+		}),
 		sessions: new Gauge({
 			name: 'sapphirefall_sessions', help: 'Sessions that are open.', registers,
 		}),
--- a/packages/sessions/host-profile.ts
+++ b/packages/sessions/host-profile.ts
@@ -1,3 +1,5 @@
+import type {RegionMap} from './regions/region-map.ts';
+import type {WarmupBound} from './cold-instances/warmup-bound.ts';
 import type {RateBound} from './rate-bound.ts';
 
 /** An address to listen on or to connect to. */
@@ -11,6 +13,7 @@
 	readonly name: string;
 	/** Availability zone. */
 	readonly zone: string;
+	readonly regions: RegionMap;
 	/** Whether the whole fleet starts for the first time; false when a process starts later. */
 	readonly isFirstStart: boolean;
 	readonly listen: {
@@ -33,6 +36,7 @@
 	/** Milliseconds after which no host may send anything of callers to the instances of an evacuated zone. */
 	readonly evacuationLimitMs: number;
 	readonly rateBound: RateBound;
+	readonly warmupBound: WarmupBound;
 	/** Milliseconds between the request to stop and the kill of the process. */
 	readonly gracePeriodMs: number;
 	/** Milliseconds within which the platform directs new callers to other hosts once a host is not ready. */
--- a/packages/sessions/session-metrics.ts
+++ b/packages/sessions/session-metrics.ts
@@ -17,6 +17,10 @@
 	readonly droppedLines: Counter;
 	/** Availability zones that this host knows to be evacuated. */
 	readonly evacuatedZones: Gauge;
+	/** Statements that were not sent to a cold instance, since this host had no permit. */
+	readonly coldRefusals: Counter;
+	/** Attempts of statements that found their primary, or all instances, outside of the allowed regions. */
+	readonly regionRefusals: Counter;
 	/** Open sessions. */
 	readonly sessions: Gauge;
 };
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -1,4 +1,7 @@
 import type {Caller} from './caller.ts';
+import type {ColdInstances} from './cold-instances/cold-instances.ts';
+import {createPermitKey} from './cold-instances/create-permit-key.ts';
+import {isPermitValid} from './cold-instances/is-permit-valid.ts';
 import {createByteBudget} from './create-byte-budget.ts';
 import {createEvacuations} from './evacuation/create-evacuations.ts';
 import {createFleetController} from './create-fleet-controller.ts';
@@ -15,6 +18,7 @@
 import {findAccess} from './find-access.ts';
 import {findConnectionLimit} from './pools/find-connection-limit.ts';
 import {findElapsed} from './find-elapsed.ts';
+import {findUnrestrictedWorkspace} from './regions/find-unrestricted-workspace.ts';
 import {findGatewayCount} from './find-gateway-count.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {HostProfile} from './host-profile.ts';
@@ -51,6 +55,8 @@
 	readonly startedAt: number;
 	readonly log: SessionLog;
 	readonly onAnswered: SessionContext['onAnswered'];
+	readonly onColdRefused: ColdInstances['onRefused'];
+	readonly onRegionRefused: SessionContext['onRegionRefused'];
 	/** Called with the number of open sessions when it changes. */
 	readonly onSessionCount: (count: number) => void;
 	/** Ends the server of other hosts' calls within a time in milliseconds, without losing calls. */
@@ -97,7 +103,10 @@
 		log,
 	});
 	const {findConfiguration, findFleet, listInstances, findConfirmedAt} = storeCache;
-	const findWorkspace = () => findConfiguration()?.configuration.limits.keys().next().value;
+	const findWorkspace = () => {
+		const cached = findConfiguration();
+		return cached && findUnrestrictedWorkspace(cached.configuration);
+	};
 
 	const findPeer = createPeerFinder({findAddress: name => findFleet()?.hosts.get(name)?.address, createPeer: options.createPeer});
 
@@ -112,6 +121,7 @@
 			const configuration = findConfiguration()?.configuration;
 			return findConnectionLimit(configuration?.connectionLimits.get(group) ?? 0, countGateways()) >= (configuration?.limits.size ?? Number.POSITIVE_INFINITY);
 		},
+		regions: profile.regions,
 		now: () => now().steady,
 	});
 
@@ -140,6 +150,7 @@
 		startedAt: options.startedAt,
 		bound: profile.rateBound,
 		findLimits: () => findConfiguration()?.configuration.limits ?? new Map(),
+		warmup: {findLimits: () => findConfiguration()?.configuration.warmupLimits ?? new Map(), bound: profile.warmupBound},
 		findPeer,
 		findFleetConfirmedAt: () => findConfirmedAt('fleet'),
 		store,
@@ -147,7 +158,20 @@
 		log,
 	});
 
+	const coldInstances: ColdInstances = {
+		findLimit: group => findConfiguration()?.configuration.warmupLimits.get(group),
+		takePermit: async (instance, maxWaitMs) => rateLimiter.takePermit(createPermitKey(instance), maxWaitMs),
+		isValid: permit => isPermitValid(permit, now()),
+		onCold({group, id, born}, span) {
+			log.info({
+				group, id, born, span: Math.round(span),
+			}, 'instances: The host takes the instance for cold.');
+		},
+		onRefused: options.onColdRefused,
+	};
+
 	const groups = createSessionGroups({
+		coldInstances,
 		zone: profile.zone,
 		openConnection: options.openConnection,
 		gateways,
@@ -199,6 +223,7 @@
 	const gateway = createGateway({
 		findInstance: (group, id) => groups.findGroup(group)?.findInstance(id),
 		findAccess: findCallerAccess,
+		regions: profile.regions,
 		now: () => now().steady,
 	});
 
@@ -207,6 +232,8 @@
 		findStopPhase: () => hostStop.findPhase(),
 		findAccess: findCallerAccess,
 		transactionIdleLimit: () => findConfiguration()?.configuration.transactionIdleLimit ?? 0,
+		regions: profile.regions,
+		onRegionRefused: options.onRegionRefused,
 		findGroup: groups.findGroup,
 		takeOperation: rateLimiter.takeOperation,
 		valueBudget: createByteBudget(options.memoryLimits.valueBytes),
