--- a/packages/sessions/cold-instances/permit-model.test.ts
+++ b/packages/sessions/cold-instances/permit-model.test.ts
@@ -178,7 +178,9 @@
 	...plan, frozenFor: Math.max(0, thawsAt - plan.frozenFrom), hasSteadyStop: true,
 });
 
-const createProperty = (omitted: Omitted) => fc.property(fc.array(hostPlan, {minLength: 1, maxLength: 6}), fc.integer({min: 500, max: 4000}), fc.boolean(), (plans, changesAt, isTogether) => {
+const hostPlans = fc.array(hostPlan, {minLength: 1, maxLength: 6});
+
+const createProperty = (omitted: Omitted) => fc.property(hostPlans, fc.integer({min: 500, max: 4000}), fc.boolean(), (plans, changesAt, isTogether) => {
 	const sent = listSent(isTogether ? plans.map(plan => thawTogether(plan)) : plans, changesAt, omitted);
 	expect(findMost(sent)).to.be.at.most(allowed);
 });
--- a/packages/sessions/cold-instances/step-coldness.test.ts
+++ b/packages/sessions/cold-instances/step-coldness.test.ts
@@ -37,22 +37,37 @@
 		name: 'a newer entry that names no time does not end it early', events: [[100, listed(1, {warmupMs: 500})], [300, listed(2)]], cold: [599], warm: [600],
 	},
 	{
-		name: 'an instance is back without anything in its caches, with a new start in its entry', events: [[0, listed(8)], [1000, listed(1, {born: 9})]], cold: [1000, 4999], warm: [5000],
+		name: 'an instance is back without anything in its caches, with a new start in its entry',
+		events: [[0, listed(8)], [1000, listed(1, {born: 9})]],
+		cold: [1000, 4999],
+		warm: [5000],
 	},
 	{
-		name: 'an instance is back without anything in its caches, and says for how long', events: [[0, listed(8)], [1000, listed(1, {warmupMs: 700, born: 9})]], cold: [1699], warm: [1700],
+		name: 'an instance is back without anything in its caches, and says for how long',
+		events: [[0, listed(8)], [1000, listed(1, {warmupMs: 700, born: 9})]],
+		cold: [1699],
+		warm: [1700],
 	},
 	{
-		name: 'an instance is back without anything in its caches, and its entries count anew', events: [[0, listed(8, {born: undefined})], [1000, listed(1, {born: undefined})]], cold: [1000, 4999], warm: [5000],
+		name: 'an instance is back without anything in its caches, and its entries count anew',
+		events: [[0, listed(8, {born: undefined})], [1000, listed(1, {born: undefined})]],
+		cold: [1000, 4999],
+		warm: [5000],
 	},
 	{
 		name: 'an instance is back before its entry tells', events: [[0, listed(8)], [1000, reconnected], [1200, listed(9)]], cold: [1000, 1300, 4999], warm: [5000],
 	},
 	{
-		name: 'an instance that was only unreachable is warm once a later entry names the same start', events: [[0, listed(8)], [1000, reconnected], [4000, listed(9)]], cold: [3999], warm: [4000],
+		name: 'an instance that was only unreachable is warm once a later entry names the same start',
+		events: [[0, listed(8)], [1000, reconnected], [4000, listed(9)]],
+		cold: [3999],
+		warm: [4000],
 	},
 	{
-		name: 'an instance whose entry was late is cold from its new start on', events: [[0, listed(8)], [1000, reconnected], [4100, listed(1, {warmupMs: 2000, born: 9})]], cold: [1000, 4100, 6099], warm: [6100],
+		name: 'an instance whose entry was late is cold from its new start on',
+		events: [[0, listed(8)], [1000, reconnected], [4100, listed(1, {warmupMs: 2000, born: 9})]],
+		cold: [1000, 4100, 6099],
+		warm: [6100],
 	},
 ];
 
