Begin the move out of an evacuated zone at once after earlier failovers

A failover for another reason that left the primary where it was, before its zone was evacuated, held up the move for up to 3 s of the 5 s that there are. Only a failover that left it in its evacuated zone counts now. The test failed before.

--- a/packages/sessions/create-session-group.test.ts
+++ b/packages/sessions/create-session-group.test.ts
@@ -149,6 +149,15 @@
 		expect(group.isMoveDue()).to.equal(false);
 	});
 
+	it('moves the primary at once after a failover that left it where it was before the evacuation', () => {
+		const {group, read, phases} = createEvacuated(['a', 'b']);
+		phases.clear();
+		read({...serving, epoch: 5, state: 'fencing'}, 1, 41);
+		read({...serving, epoch: 5}, 1, 42);
+		phases.set('a', 'leaving');
+		expect(group.isMoveDue()).to.equal(true);
+	});
+
 	it('begins nothing at a primary that cannot be moved, and keeps its lease for open transactions', () => {
 		const {group} = createEvacuated(['a']);
 		expect(group.isMoveDue()).to.equal(false);
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -49,7 +49,7 @@
 	let isRegistered = false;
 	/** Epoch whose primary has refused a statement as only a replica does, or one that has lost its log; undefined if none has. */
 	let demotedEpoch: number | undefined;
-	/** When a failover last left the primary where it was, in milliseconds of the steady clock; undefined if none did. */
+	/** When a failover last left the primary in its evacuated zone, in milliseconds of the steady clock; undefined if none did. */
 	let stayedAt: number | undefined;
 
 	const isDemoted = () => row !== undefined && row.epoch === demotedEpoch;
@@ -80,7 +80,8 @@
 				group: name, epoch: newer.epoch, state: newer.state, primary: newer.primary, successor: newer.successor, version: newer.version,
 			}, 'group: The epoch or state of the primary changed in the store.');
 			fencedAt = newer.state === 'fencing' ? now().steady : undefined;
-			stayedAt = row?.state === 'fencing' && newer.state === 'serving' && newer.primary === row.primary ? now().steady : stayedAt;
+			const hasStayed = row?.state === 'fencing' && newer.state === 'serving' && newer.primary === row.primary;
+			stayedAt = hasStayed && findPrimaryPhase() !== 'open' ? now().steady : stayedAt;
 		}
 
 		row = newer;
--- a/packages/sessions/evacuation/is-move-due.ts
+++ b/packages/sessions/evacuation/is-move-due.ts
@@ -3,7 +3,7 @@
 	readonly isEvacuated: boolean;
 	/** Whether another instance may become the primary; see `hasSuccessorElsewhere`. */
 	readonly hasSuccessor: boolean;
-	/** When a failover last left the primary where it was, in milliseconds of the steady clock; undefined if none did. */
+	/** When a failover last left the primary in its evacuated zone, in milliseconds of the steady clock; undefined if none did. */
 	readonly stayedAt: number | undefined;
 	/** Milliseconds of the steady clock. */
 	readonly now: number;
