Keep acknowledged commits when zones are evacuated

An instance outside of the evacuated zones was promoted even if it lacked commits that the primary, or a replica in an evacuated zone, had acknowledged: with a replica that is behind, an evacuation lost them although the primary was well. A primary that answers now stays until an instance elsewhere has its whole log, and a lost one is replaced by the instance with the newest log, from where the next failover takes it out of the zone. Three cases of replacePrimary failed before.

--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -28,8 +28,8 @@
 
 /**
  * Milliseconds for which an instance is waited for that knows the term of the old primary, when only others answer: they have
- * nothing of that term in their logs, and a promotion would lose all of it. An instance outside of the evacuated zones is
- * waited for as long.
+ * nothing of that term in their logs, and a promotion would lose all of it. An instance outside of the evacuated zones
+ * that has the whole log is waited for as long.
  */
 const betterSuccessorLimitMs = 1500;
 
@@ -57,10 +57,10 @@
 export async function executePromotion(fence: Fence, failover: Failover, logStep: (line: string, fields: Readonly<Record<string, unknown>>) => void): Promise<Promoted | undefined> {
 	const {group, now, orderPromotion, self} = failover;
 	let {row} = fence;
-	if (failover.reason === 'departing' || failover.reason === 'evacuated' || failover.reason === 'missing') {
-		await waitForCatchUp(fence, failover);
-	}
-
+	const isPlanned = failover.reason === 'departing' || failover.reason === 'evacuated' || failover.reason === 'missing';
+	const log = isPlanned ? await waitForCatchUp(fence, failover) : undefined;
+	/** A primary in an evacuated zone goes on where it is, rather than that acknowledged commits are lost. */
+	const wantedLog = failover.reason === 'evacuated' ? log : undefined;
 	let {duty} = fence;
 	const betterSuccessorUntil = now().steady + betterSuccessorLimitMs;
 	let ordered: PromotionOrder | undefined;
@@ -96,7 +96,7 @@
 		}
 
 		const successor = findDueSuccessor(answers, {
-			row, primary: fence.row.primary, isSuccessorAwaited, ordered, promoting, settledAt, now: now().steady,
+			row, primary: fence.row.primary, wantedLog, isSuccessorAwaited, ordered, promoting, settledAt, now: now().steady,
 		});
 		if (successor === undefined) {
 			await sleep(roundIntervalMs);
--- a/packages/sessions/find-due-successor.ts
+++ b/packages/sessions/find-due-successor.ts
@@ -1,3 +1,4 @@
+import {comparePoints, type LogPoint} from '@sapphirefall/decisions';
 import {chooseSuccessor} from './choose-successor.ts';
 import type {GroupRow} from './group-row.ts';
 import type {PromotionOrder} from './promotion-order.ts';
@@ -7,7 +8,12 @@
 	readonly row: GroupRow;
 	/** Instance that is replaced. */
 	readonly primary: string;
-	/** Whether an instance that knows the term of the replaced primary, and one outside of the evacuated zones, are still waited for. */
+	/** End of the log that the successor should have; undefined if it is not known, or the primary cannot stay without one. */
+	readonly wantedLog: LogPoint | undefined;
+	/**
+	 * Whether an instance that knows the term of the replaced primary, and one outside of the evacuated zones that has the
+	 * wanted log, are still waited for.
+	 */
 	readonly isSuccessorAwaited: boolean;
 	/** Last order of this host; undefined if it gave none, or it was refused. */
 	readonly ordered: PromotionOrder | undefined;
@@ -24,7 +30,7 @@
 
 /** Finds the instance whose promotion a host orders now in a failover; undefined if it waits. */
 export function findDueSuccessor(answers: readonly ReportedStatus[], {
-	row, primary, isSuccessorAwaited, ordered, promoting, settledAt, now,
+	row, primary, wantedLog, isSuccessorAwaited, ordered, promoting, settledAt, now,
 }: Options): ReportedStatus | undefined {
 	const candidates = answers.filter(({id}) => id !== primary);
 	const successor = candidates.find(({id}) => id === row.successor) ?? chooseSuccessor(candidates);
@@ -32,7 +38,8 @@
 		return undefined;
 	}
 
-	const isPoor = successor.isEvacuated || successor.status.term < (row.term ?? 0);
+	const isBehind = wantedLog !== undefined && comparePoints(successor.status.received, wantedLog) < 0;
+	const isPoor = successor.isEvacuated || isBehind || successor.status.term < (row.term ?? 0);
 	if (row.successor === '' && isPoor && isSuccessorAwaited) {
 		return undefined;
 	}
--- a/packages/sessions/find-leader.ts
+++ b/packages/sessions/find-leader.ts
@@ -21,8 +21,9 @@
  *
  * Once a successor is stored, its promotion may have been ordered, so no other instance may lead. Before that, and after
  * the successor was refused, the old primary may stay if it was only silent, also as a new instance that took over its
- * log, or if its zone is evacuated and no instance elsewhere answers, and another instance may be taken that was promoted without an order of this failover. An order before the refused
- * one may still take effect: then all instances must answer, and only once it has.
+ * log, or if its zone is evacuated and no instance elsewhere has its whole log, and another instance may be taken that was
+ * promoted without an order of this failover. An order before the refused one may still take effect: then all instances must
+ * answer, and only once it has.
  *
  * A primary that was replaced goes on as one until it learns of it, and may be the only one that answers. It leads an older
  * term than the one that the row names. Terms begin anew where all instances have lost theirs; the promotion of a successor
@@ -59,7 +60,7 @@
 		return false;
 	}
 
-	// The zone may have been taken back meanwhile, or no instance elsewhere answers.
-	const hasSuccessor = answers.some(answer => !answer.isEvacuated && !answer.isDeparting);
+	// The zone may have been taken back meanwhile, or no instance elsewhere answers that would keep all acknowledged commits.
+	const hasSuccessor = answers.some(({isEvacuated, isDeparting, status}) => !isEvacuated && !isDeparting && comparePoints(status.received, leader.status.received) >= 0);
 	return reason !== 'evacuated' || !leader.isEvacuated || !(isSuccessorAwaited || hasSuccessor);
 }
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -326,6 +326,37 @@
 			},
 			expected: {primary: 'i-old', ordered: []},
 		},
+		{
+			// Guards against the loss of acknowledged commits that only an instance of an evacuated zone has received beside the primary.
+			name: 'leaves a primary in its evacuated zone while no instance elsewhere has its whole log',
+			given: {
+				statuses: {'i-old': 'primary 1 1.9', 'i-b': 'replica 1 1.9', 'i-c': 'replica 1 1.5'},
+				statusesAfter: {'i-old': 'replica 2 1.9', 'i-b': 'replica 2 1.9', 'i-c': 'primary 2 1.5'},
+				reason: 'evacuated' as const,
+				evacuated: ['i-old', 'i-b'],
+			},
+			expected: {primary: 'i-old', ordered: []},
+		},
+		{
+			name: 'leaves a primary in its evacuated zone while its only replica lacks a part of its log',
+			given: {
+				statuses: {'i-old': 'primary 1 1.9', 'i-c': 'replica 1 1.5'},
+				statusesAfter: {'i-old': 'replica 2 1.9', 'i-c': 'primary 2 1.5'},
+				reason: 'evacuated' as const,
+				evacuated: ['i-old'],
+			},
+			expected: {primary: 'i-old', ordered: []},
+		},
+		{
+			// Guards against the loss of acknowledged commits; the next failover takes the primary out of the zone.
+			name: 'promotes the instance with the newest log in an evacuated zone if the primary is lost',
+			given: {
+				statuses: {'i-old': undefined, 'i-b': 'replica 1 1.9', 'i-c': 'replica 1 1.5'},
+				statusesAfter: {'i-old': undefined, 'i-b': 'primary 2 1.9', 'i-c': 'replica 2 1.5'},
+				evacuated: ['i-b'],
+			},
+			expected: {primary: 'i-b', ordered: ['i-b']},
+		},
 		{
 			name: 'leaves a primary where it is whose zone was taken back meanwhile',
 			given: {
