Send no setup statement to an evacuated zone after its limit

Values and prepared statements of a session are set up before the job is checked the last time. An instance that answered a reset or a value late, for up to the timeout of the statement, then got the next ones after the limit. Each is now checked when it is sent; the job is answered as not sent. The test failed before (reset, then set).

--- a/packages/sessions/create-instance-runtime.test.ts
+++ b/packages/sessions/create-instance-runtime.test.ts
@@ -125,6 +125,21 @@
 		expect(sent).to.deep.equal(['rollback']);
 	});
 
+	// Guards against an instance that answers one setup statement late, so that the next one would be sent after the limit.
+	it('sends no further setup statement once the zone is closed', async () => {
+		const {runtime, sent, zone, transaction} = await createOpen();
+		await runtime.runLocally({kind: 'rollback', transaction}, () => true);
+		sent.length = 0;
+		const running = runtime.runLocally({...begin, setup: {...setup, variables: new Map([['b', '1']])}}, () => true);
+		while (sent.length === 0) {
+			await Promise.resolve(); // eslint-disable-line no-await-in-loop -- waits until the first setup statement is sent
+		}
+
+		zone.phase = 'closed';
+		expect(await running).to.include({kind: 'notSent'});
+		expect(sent).to.deep.equal(['reset']);
+	});
+
 	const ends = [
 		{
 			name: 'rolls back idle transactions before the limit', phase: 'ending', sent: ['rollback'], isClosed: false,
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -2,6 +2,7 @@
 import {createGuardedDispatch} from './evacuation/create-guarded-dispatch.ts';
 import {createGuardedPool} from './evacuation/create-guarded-pool.ts';
 import {createGuardedRunner} from './evacuation/create-guarded-runner.ts';
+import {createGuardedSend} from './evacuation/create-guarded-send.ts';
 import {createInstancePool} from './pools/create-instance-pool.ts';
 import {createLocalRunner} from './create-local-runner.ts';
 import {createRoutedRunner} from './create-routed-runner.ts';
@@ -74,7 +75,7 @@
 	};
 
 	const local = createLocalRunner({
-		pool: createGuardedPool(pool, () => mayRun('begin')), send, latency: () => health.latency, now,
+		pool: createGuardedPool(pool, () => mayRun('begin')), send: createGuardedSend(send, () => mayRun('within')), latency: () => health.latency, now,
 	});
 	const runLocally = createGuardedRunner(local.run, mayRun);
 
--- a/packages/sessions/evacuation/mod.ts
+++ b/packages/sessions/evacuation/mod.ts
@@ -4,6 +4,7 @@
 export * from './create-guarded-dispatch.ts';
 export * from './create-guarded-pool.ts';
 export * from './create-guarded-runner.ts';
+export * from './create-guarded-send.ts';
 export type * from './evacuation.ts';
 export type * from './evacuations.ts';
 export * from './find-primary-for-new-work.ts';
