Read evacuations only from operators' rows that changed

Each confirmation of the unchanged rows, several a second, built the list of zones and the map of evacuations anew, which costs with thousands of rows. The test now also confirms unchanged rows and expects no call for it.

--- a/packages/sessions/create-store-cache.test.ts
+++ b/packages/sessions/create-store-cache.test.ts
@@ -176,8 +176,10 @@
 			log: {debug: ignore, info: ignore, warn: ignore},
 		});
 		cache.updateTable('configuration', createZoneTable(['other'], 100));
-		cache.updateTable('configuration', createZoneTable(['evacuate/a', 'other'], 200));
+		const evacuated = createZoneTable(['evacuate/a', 'other'], 200);
+		cache.updateTable('configuration', evacuated);
+		cache.updateTable('configuration', {...evacuated, confirmedAt: {steady: 250, wall: 250}});
 		cache.updateTable('configuration', createZoneTable([], 300));
-		expect(told).to.deep.equal([[[], undefined], [['a'], 100], [[], 200]]);
+		expect(told).to.deep.equal([[[], undefined], [['a'], 100], [[], 250]]);
 	});
 });
--- a/packages/sessions/create-store-cache.ts
+++ b/packages/sessions/create-store-cache.ts
@@ -19,7 +19,7 @@
 	readonly decodeInstance: (id: string, text: string) => ListedInstance | undefined;
 	/** Finds the zone that a row of the operators evacuates, by its key; undefined if it evacuates none. Defaults to none. */
 	readonly decodeEvacuatedZone?: (key: string) => string | undefined;
-	/** Called with the evacuated zones whenever the store confirms them. */
+	/** Called with the evacuated zones whenever the operators' rows change. */
 	readonly onEvacuations?: Evacuations['update'];
 	/** Called with the fleet's rows whenever they change. */
 	readonly onFleet: (fleet: FleetRows) => void;
@@ -173,7 +173,9 @@
 			tables.set(table, newer);
 			if (table === 'configuration') {
 				updateConfiguration(newer);
-				updateEvacuations(newer, before?.confirmedAt);
+				if (before?.rows !== newer.rows) {
+					updateEvacuations(newer, before?.confirmedAt);
+				}
 			} else if (before?.rows !== newer.rows) {
 				(table === 'instances' ? updateInstances : updateFleet)(newer);
 			}
