Let another host try after a move out of an evacuated zone failed

The ranks of hosts are the same each time. A host that is first by rank and cannot reach the successor fenced the primary every 3 s and left it where it was; no other host had a turn. The host that ran the last failover now waits 1 s longer. Two cases of isMoveDue cover it.

--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -148,7 +148,7 @@
 		missingSince: instances.missingSince,
 		primary: use => use?.isForNewWork === true ? primaryForNewWork() : primary(),
 		isMoveDue: () => isMoveDue({
-			isEvacuated: findPrimaryPhase() !== 'open', hasSuccessor: hasSuccessor(), stayedAt, now: now().steady,
+			isEvacuated: findPrimaryPhase() !== 'open', hasSuccessor: hasSuccessor(), stayedAt, hasRunLast: row?.holder === options.gateways.self, now: now().steady,
 		}),
 		async waitForPrimary(timeout) {
 			const view = primaryForNewWork();
--- a/packages/sessions/evacuation/is-move-due.test.ts
+++ b/packages/sessions/evacuation/is-move-due.test.ts
@@ -3,7 +3,7 @@
 
 describe('isMoveDue', () => {
 	const evacuated = {
-		isEvacuated: true, hasSuccessor: true, stayedAt: undefined, now: 20_000,
+		isEvacuated: true, hasSuccessor: true, stayedAt: undefined, hasRunLast: false, now: 20_000,
 	};
 	const cases = [
 		{name: 'moves an evacuated primary at once', given: evacuated, expected: true},
@@ -12,6 +12,9 @@
 		// Guards against fencing a primary again and again that no instance can replace.
 		{name: 'waits after a failover that found no other instance', given: {...evacuated, stayedAt: 17_001}, expected: false},
 		{name: 'tries again later', given: {...evacuated, stayedAt: 17_000}, expected: true},
+		// Guards against one host that cannot reach the successor, and is the first to run each failover.
+		{name: 'lets another host try first', given: {...evacuated, stayedAt: 16_001, hasRunLast: true}, expected: false},
+		{name: 'tries again itself if no other host does', given: {...evacuated, stayedAt: 16_000, hasRunLast: true}, expected: true},
 	];
 	for (const {name, given, expected} of cases) {
 		it(name, () => {
