--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -5,6 +5,7 @@
 import {createGuardedDispatch} from './evacuation/create-guarded-dispatch.ts';
 import {createGuardedPool} from './evacuation/create-guarded-pool.ts';
 import {createGuardedRunner} from './evacuation/create-guarded-runner.ts';
+import {createGuardedSend} from './evacuation/create-guarded-send.ts';
 import {createInstancePool} from './pools/create-instance-pool.ts';
 import {createLocalRunner} from './create-local-runner.ts';
 import {createRoutedRunner} from './create-routed-runner.ts';
@@ -100,7 +101,11 @@
 	};
 
 	const local = createLocalRunner({
-		pool: createGuardedPool(pool, () => mayRun('begin')), send, admission, latency: () => health.latency, now,
+		pool: createGuardedPool(pool, () => mayRun('begin')),
+		send: createGuardedSend(send, () => mayRun('within')),
+		admission,
+		latency: () => health.latency,
+		now,
 	});
 	const runLocally = createGuardedRunner(local.run, mayRun);
 
