Take no permit for a job to a cold instance that may not be sent

A job whose key, region, lease or zone no longer allowed it took a permit before that was checked, which others then lacked for a part of a second. admitJob checks it first, only at cold instances.

--- a/packages/sessions/cold-instances/mod.ts
+++ b/packages/sessions/cold-instances/mod.ts
@@ -1,5 +1,6 @@
 /** Limits the statements to instances whose caches are cold, over all hosts, by permits that the rate allocators lend. */
 export * from './add-permits.ts';
+export * from './admit-job.ts';
 export * from './cold-answer.ts';
 export type * from './cold-instances.ts';
 export type * from './coldness.ts';
--- a/packages/sessions/cold-instances/run-cold-instance.test.ts
+++ b/packages/sessions/cold-instances/run-cold-instance.test.ts
@@ -54,7 +54,7 @@
 				onRefused: () => undefined,
 			},
 		});
-		return {runtime, sent};
+		return {runtime, sent, countPermits: () => left};
 	};
 
 	const cases = [
@@ -96,4 +96,23 @@
 		expect(commit).to.deep.equal(coldAnswer);
 		expect(sent).to.deep.equal(['begin', 'rollback']);
 	});
+
+	// Guards against permits that are lost at a job which the lease, the regions or the evacuation of the zone refuse.
+	for (const job of [single, begin]) {
+		it(`takes no permit for a job that may not be sent (${job.kind})`, async () => {
+			const {runtime, sent, countPermits} = createCase({rate: 10, permits: 1});
+			const {kind} = await runtime.runLocally(job, () => false);
+			expect({kind, sent, permits: countPermits()}).to.deep.equal({kind: 'notSent', sent: [], permits: 1});
+		});
+	}
+
+	it('takes no permit for a commit that may not be sent, and rolls the transaction back', async () => {
+		const {runtime, sent, countPermits} = createCase({rate: 10, permits: 2});
+		const begun = await runtime.runLocally(begin, () => true);
+		const transaction = begun.kind === 'answered' ? begun.transaction ?? 0 : 0;
+		const {kind} = await runtime.runLocally({
+			...base, kind: 'commit', transaction, id: '2', text: 'COMMIT',
+		}, () => false);
+		expect({kind, sent, permits: countPermits()}).to.deep.equal({kind: 'notSent', sent: ['begin', 'rollback'], permits: 1});
+	});
 });
--- a/packages/sessions/create-local-runner.ts
+++ b/packages/sessions/create-local-runner.ts
@@ -1,6 +1,6 @@
 import {addSpans} from './add-spans.ts';
 import {createJobTimer} from './create-job-timer.ts';
-import {coldAnswer} from './cold-instances/cold-answer.ts';
+import {admitJob} from './cold-instances/admit-job.ts';
 import type {InstanceAdmission} from './cold-instances/instance-admission.ts';
 import {createTransactionRunner} from './create-transaction-runner.ts';
 import type {InstancePool} from './pools/instance-pool.ts';
@@ -57,10 +57,10 @@
 			return pooled;
 		}
 
-		const admitted = await admission.admit(0);
-		if (admitted === undefined) {
+		const admitted = await admitJob(admission, {maxWaitMs: 0, maySend});
+		if (typeof admitted !== 'function') {
 			pool.release(pooled, true);
-			return coldAnswer;
+			return admitted;
 		}
 
 		const remaining = Math.max(1, deadline - now());
--- a/packages/sessions/create-transaction-runner.ts
+++ b/packages/sessions/create-transaction-runner.ts
@@ -1,6 +1,6 @@
 import {addSpans} from './add-spans.ts';
 import {applySetup} from './apply-setup.ts';
-import {coldAnswer} from './cold-instances/cold-answer.ts';
+import {admitJob} from './cold-instances/admit-job.ts';
 import type {InstanceAdmission} from './cold-instances/instance-admission.ts';
 import {createJobTimer} from './create-job-timer.ts';
 import {createLocalTransactions} from './create-local-transactions.ts';
@@ -66,10 +66,10 @@
 			return pooled;
 		}
 
-		const admitted = await admission.admit(0);
-		if (admitted === undefined) {
+		const admitted = await admitJob(admission, {maxWaitMs: 0, maySend});
+		if (typeof admitted !== 'function') {
 			pool.release(pooled, true);
-			return coldAnswer;
+			return admitted;
 		}
 
 		const {setup, isReadOnly, after, idleLimit} = job;
@@ -98,10 +98,12 @@
 		}
 
 		const timer = createJobTimer(now);
-		const admitted = await admission.admit(Math.min(permitWaitMs, timeout));
-		if (admitted === undefined) {
+		const admitted = await admitJob(admission, {
+			maxWaitMs: Math.min(permitWaitMs, timeout), maySend: () => maySend() && transactions.isOpen(transaction),
+		});
+		if (typeof admitted !== 'function') {
 			transactions.release(transaction);
-			return coldAnswer;
+			return admitted;
 		}
 
 		const answer = await runQuery(pooled, {
@@ -121,10 +123,10 @@
 	};
 
 	const commit: TransactionRunner['commit'] = async ({transaction, id, text, timeout}, maySend) => {
-		const admitted = await admission.admit(Math.min(permitWaitMs, timeout));
-		if (admitted === undefined || !maySend() || !admitted()) {
+		const admitted = await admitJob(admission, {maxWaitMs: Math.min(permitWaitMs, timeout), maySend});
+		if (typeof admitted !== 'function' || !maySend() || !admitted()) {
 			await rollBack(transaction);
-			return admitted === undefined ? coldAnswer : notSentAnswer;
+			return typeof admitted === 'function' ? notSentAnswer : admitted;
 		}
 
 		const pooled = transactions.take(transaction);
