--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -1,4 +1,11 @@
 import {applyObservation} from './apply-observation.ts';
+import type {ColdInstances} from './cold-instances/cold-instances.ts';
+import {createConnectionWatch} from './cold-instances/create-connection-watch.ts';
+import {createInstanceAdmission} from './cold-instances/create-instance-admission.ts';
+import {createGuardedDispatch} from './evacuation/create-guarded-dispatch.ts';
+import {createGuardedPool} from './evacuation/create-guarded-pool.ts';
+import {createGuardedRunner} from './evacuation/create-guarded-runner.ts';
+import {createGuardedSend} from './evacuation/create-guarded-send.ts';
 import {createInstancePool} from './pools/create-instance-pool.ts';
 import {createLocalRunner} from './create-local-runner.ts';
 import {createRoutedRunner} from './create-routed-runner.ts';
@@ -7,6 +14,7 @@
 import type {InstanceHealth} from './instance-health.ts';
 import type {InstanceRequest} from './instance-request.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
+import type {Job} from './job.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenConnectionOutcome} from './open-connection-outcome.ts';
 import type {OpenConnection} from './open-connection.ts';
@@ -15,8 +23,12 @@
 type Options = {
 	readonly openConnection: OpenConnection;
 	readonly gateways: Gateways;
+	/** How cold instances are spared; undefined if they are not. */
+	readonly coldInstances?: ColdInstances | undefined;
 	/** Maximum number of this host's connections to the instance. */
 	readonly limit: number;
+	/** Whether a job may be sent to the instance now, by the evacuation of its zone. Defaults to always. */
+	readonly mayRun?: (kind: Job['kind']) => boolean;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 };
@@ -29,7 +41,7 @@
 
 /** Creates the runtime of an instance: its connection pool, its observed health and the means to run jobs on it. */
 export function createInstanceRuntime(first: ListedInstance, {
-	openConnection, gateways, limit, now,
+	openConnection, gateways, coldInstances, limit, mayRun = () => true, now,
 }: Options): InstanceRuntime {
 	let listed = first;
 	let health: InstanceHealth = {
@@ -40,6 +52,18 @@
 		health = applyObservation(health, {observation, now: now()});
 	};
 
+	const admission = createInstanceAdmission(first, {coldInstances, now});
+	const watch = createConnectionWatch();
+
+	/** Adds an opened connection to those that are watched; an instance that was lost before may have started again. */
+	const watchConnection: typeof watch.add = connection => {
+		if (watch.takeLoss()) {
+			admission.recordReconnection();
+		}
+
+		return watch.add(connection);
+	};
+
 	const pool = createInstancePool({
 		limit,
 		now,
@@ -48,6 +72,14 @@
 			const outcome = await openConnection(listed, {workspace, timeout: connectTimeoutMs});
 			recordObservation(isFromInstance(outcome) ? {kind: 'answered', latency: undefined, position: undefined} : {kind: 'failed'});
 
+			if (outcome.kind === 'opened') {
+				return {...outcome, connection: watchConnection(outcome.connection)};
+			}
+
+			if (!isFromInstance(outcome)) {
+				watch.recordFailedOpen();
+			}
+
 			return outcome;
 		},
 	});
@@ -57,6 +89,7 @@
 		recordObservation({kind: 'sent'});
 		const answer = await waitForAnswer(pooled, request, timeout);
 		if (answer.kind === 'lost') {
+			watch.recordLostAnswer();
 			recordObservation({kind: 'failed'});
 		} else {
 			// Only requests that use an execution slot say how fast the instance runs statements.
@@ -67,16 +100,22 @@
 		return answer;
 	};
 
-	const runLocally = createLocalRunner({
-		pool, send, latency: () => health.latency, now,
+	const local = createLocalRunner({
+		pool: createGuardedPool(pool, () => mayRun('begin')),
+		send: createGuardedSend(send, () => mayRun('within')),
+		admission,
+		latency: () => health.latency,
+		now,
 	});
+	const runLocally = createGuardedRunner(local.run, mayRun);
 
 	return {
 		listed: () => listed,
-		run: createRoutedRunner({
+		run: createGuardedDispatch(createRoutedRunner({
 			listed: () => listed, local: runLocally, gateways, recordObservation, now,
-		}),
+		}), mayRun),
 		runLocally,
+		endIdleTransactions: local.endIdleTransactions,
 		checkGateway(workspace) {
 			const [gateway = gateways.self] = gateways.list(listed, workspace);
 			if (gateway !== gateways.self && !gateways.isAvoided(gateway, listed)) {
@@ -85,8 +124,10 @@
 		},
 		update(newer) {
 			listed = newer;
+			admission.update(newer);
 		},
 		health: () => health,
+		isCold: admission.isCold,
 		pool,
 		send,
 		recordLag(missingPosition) {
--- a/packages/sessions/create-local-runner.ts
+++ b/packages/sessions/create-local-runner.ts
@@ -1,5 +1,7 @@
 import {addSpans} from './add-spans.ts';
 import {createJobTimer} from './create-job-timer.ts';
+import {admitJob} from './cold-instances/admit-job.ts';
+import type {InstanceAdmission} from './cold-instances/instance-admission.ts';
 import {createTransactionRunner} from './create-transaction-runner.ts';
 import type {InstancePool} from './pools/instance-pool.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
@@ -13,12 +15,21 @@
 type Options = {
 	readonly pool: InstancePool;
 	readonly send: InstanceRuntime['send'];
+	/** Admits statements while the instance is cold. */
+	readonly admission: InstanceAdmission;
 	/** Returns the smoothed statement latency of the instance in milliseconds. */
 	readonly latency: () => number;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 };
 
+/** Runs jobs on this host's own connections to an instance. */
+type LocalRunner = {
+	readonly run: JobRunner;
+	/** Ends the transactions that run no job; see `createTransactionRunner`. */
+	readonly endIdleTransactions: (maySend: boolean) => void;
+};
+
 type JobOf<Kind extends Job['kind']> = Extract<Job, {readonly kind: Kind}>;
 
 /** Time within which an instance must answer a read, before the read is tried elsewhere: a multiple of its latency. */
@@ -30,9 +41,13 @@
 /** Time within which an instance must answer a position query. */
 const positionTimeoutMs = 600;
 
-/** Creates the function that runs jobs on this host's own connections to an instance. */
-export function createLocalRunner({pool, send, latency, now}: Options): JobRunner {
-	const transactions = createTransactionRunner({pool, send, now});
+/** Creates the runner of jobs on this host's own connections to an instance. */
+export function createLocalRunner({
+	pool, send, admission, latency, now,
+}: Options): LocalRunner {
+	const transactions = createTransactionRunner({
+		pool, send, admission, now,
+	});
 
 	const runSingle = async (job: JobOf<'single'>, maySend: () => boolean): Promise<JobAnswer> => {
 		const deadline = now() + job.timeout;
@@ -42,6 +57,12 @@
 			return pooled;
 		}
 
+		const admitted = await admitJob(admission, {maxWaitMs: 0, maySend});
+		if (typeof admitted !== 'function') {
+			pool.release(pooled, true);
+			return admitted;
+		}
+
 		const remaining = Math.max(1, deadline - now());
 		const readTimeoutMs = Math.max(readTimeout.minMs, readTimeout.latencyFactor * latency());
 		const {setup, query, after} = job;
@@ -54,7 +75,7 @@
 			timeout: query.access === 'read' ? Math.min(readTimeoutMs, remaining) : remaining,
 			maySend() {
 				timer.recordSent();
-				return maySend() && now() < deadline;
+				return maySend() && now() < deadline && admitted();
 			},
 		});
 		pool.release(pooled, isClean(answer, pooled));
@@ -77,7 +98,7 @@
 		return answer;
 	};
 
-	return async (job, maySend) => {
+	const run: JobRunner = async (job, maySend) => {
 		switch (job.kind) {
 			case 'single': {
 				return runSingle(job, maySend);
@@ -104,4 +125,6 @@
 			}
 		}
 	};
+
+	return {run, endIdleTransactions: transactions.endIdle};
 }
--- a/packages/sessions/instance-runtime.ts
+++ b/packages/sessions/instance-runtime.ts
@@ -14,6 +14,8 @@
 	readonly listed: () => ListedInstance;
 	readonly update: (listed: ListedInstance) => void;
 	readonly health: () => InstanceHealth;
+	/** Whether the instance counts as cold, so that hosts limit the statements to it together. */
+	readonly isCold: () => boolean;
 	/** This host's own connections to the instance. */
 	readonly pool: InstancePool;
 	/** Sends a request on an own connection; closes the connection if no answer comes within `timeout` milliseconds. */
@@ -24,6 +26,8 @@
 	readonly checkGateway: (workspace: string) => void;
 	/** Runs a job on an own connection. */
 	readonly runLocally: JobRunner;
+	/** Ends the transactions on own connections that run no job: rolls them back, or closes their connections if nothing may be sent. */
+	readonly endIdleTransactions: (maySend: boolean) => void;
 	/** Records that the instance answered that its log does not hold a position. */
 	readonly recordLag: (missingPosition: LogPoint) => void;
 };
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -31,9 +31,14 @@
 	readonly fencedAt: () => number | undefined;
 	/** Since when the platform has not listed an instance, in milliseconds of the steady clock; undefined if it is listed. */
 	readonly missingSince: (id: string) => number | undefined;
-	/** Returns whether the primary may be used now, and which instance it is. */
-	readonly primary: () => PrimaryView;
-	/** Waits until the primary may be used, for at most `timeout` milliseconds. */
+	/**
+	 * Returns whether the primary may be used now, and which instance it is. New work may not begin at a primary that is about
+	 * to be closed to callers because its zone is evacuated.
+	 */
+	readonly primary: (use?: {readonly isForNewWork: boolean}) => PrimaryView;
+	/** Whether a planned failover is to take the primary out of an evacuated zone. */
+	readonly isMoveDue: () => boolean;
+	/** Waits until new work may begin at the primary, for at most `timeout` milliseconds. */
 	readonly waitForPrimary: (timeout: number) => Promise<PrimaryView>;
 	/** Finds an instance that the platform lists, or listed a moment ago; takes it into use if it is not. */
 	readonly findInstance: (id: string) => InstanceRuntime | undefined;
@@ -41,8 +46,8 @@
 	readonly listInstances: () => readonly InstanceRuntime[];
 	/** Finds the position that a log must hold to serve a read; undefined when only the primary can serve the read. */
 	readonly findRequiredPosition: (read: {readonly maxStaleness: number; readonly lastWrite: LastWrite | undefined; readonly arrivedAt: Instant}) => LogPoint | undefined;
-	/** Lists the instances that may serve a read, best first. */
-	readonly listReaders: (required: LogPoint) => readonly InstanceRuntime[];
+	/** Lists the instances that may serve a read, best first; `mayUseZone` says whether those of an availability zone may. */
+	readonly listReaders: (required: LogPoint, mayUseZone?: (zone: string) => boolean) => readonly InstanceRuntime[];
 	/**
 	 * Records the position in an answer of the primary; `epoch` is that of the lease on the instance when the request was
 	 * made. Answers of other instances and of other epochs are ignored.
