Wait for the holder before an own earlier process too before permits are lent

A host that took the allocator's lease from a host that was cut off, and whose process started again at once, took the end of its own process for the end of all lending, while the host before it could lend until its confirmation was too old. Permits now begin one lease time after the start of the process; the rates are as before.

--- a/packages/sessions/create-rate-allocator.test.ts
+++ b/packages/sessions/create-rate-allocator.test.ts
@@ -93,6 +93,13 @@
 		expect(await claimPermits(2310, 5)).to.equal(1);
 	});
 
+	// The holder before the earlier process may be cut off and still lend, if that process held the lease for a moment only.
+	it('lends nothing either while a host may lend that held the lease before its own earlier process', async () => {
+		const {claimPermits} = createAllocator({kind: 'ownProcess', endedBefore: 1000});
+		expect(await claimPermits(2200, 5)).to.equal(0);
+		expect(await claimPermits(2310, 5)).to.equal(1);
+	});
+
 	it('lends what the bound allows, and not what was lent before', async () => {
 		const {claimPermits} = createAllocator({kind: 'ownProcess', endedBefore: 0});
 		expect(await claimPermits(5000, 3)).to.equal(3);
--- a/packages/sessions/create-rate-allocator.ts
+++ b/packages/sessions/create-rate-allocator.ts
@@ -85,13 +85,13 @@
 	};
 
 	/** Lends permits for cold instances to the host that sent the claims. */
-	const lend = (claims: readonly RateClaim[], since: number) => {
-		if (options.warmup === undefined || claims.length === 0) {
+	const lend = (claims: readonly RateClaim[]) => {
+		if (options.warmup === undefined || permits === undefined || claims.length === 0) {
 			return [];
 		}
 
 		const {findLimits, bound: warmupBound} = options.warmup;
-		const lent = lendPermits(permits ?? {since, buckets: new Map()}, {
+		const lent = lendPermits(permits, {
 			claims, limits: findLimits(), bound: warmupBound, now: now().steady,
 		});
 		permits = lent.state;
@@ -105,7 +105,7 @@
 		}
 
 		if (state?.epoch !== row.epoch) {
-			permits = undefined;
+			permits = {since: findPermitsFrom(row.epoch), buckets: new Map()};
 			state = {
 				epoch: row.epoch,
 				startedAt: now().steady,
@@ -129,7 +129,7 @@
 			now: now().steady,
 		});
 		({state} = assigned);
-		const lent = lend(permitClaims, state.creditFrom);
+		const lent = lend(permitClaims);
 		return {grants: new Map([...assigned.grants, ...lent]), spanMs: shareSpanMs, isSettled: assigned.isAllKnown};
 	};
 
@@ -140,6 +140,15 @@
 		return {creditFrom: lastGrantAt, handoverEndsAt: lastGrantAt + shareSpanMs + expiryMarginMs};
 	};
 
+	/**
+	 * Finds until when an earlier holder of the lease may have lent permits. An earlier process of this host may have held the
+	 * lease for a moment only, while the holder before it was cut off and went on lending.
+	 */
+	const findPermitsFrom = (epoch: number) => {
+		const previous = expected?.epoch === epoch ? expected.previous : undefined;
+		return (previous?.kind === 'ownProcess' ? previous.endedBefore : now().steady) + allocatorLeaseMs;
+	};
+
 	return {
 		isAllocator,
 		claimRates,
