Drop the buckets of permits for which nothing was claimed lately

An allocator kept one for each instance that was ever cold, by ids that are never used again: 100 after 100 replacements in a test, 1 now. A bucket is kept for 10 s after its last claim, so that no window has permits from before.

--- a/packages/sessions/cold-instances/lend-permits.ts
+++ b/packages/sessions/cold-instances/lend-permits.ts
@@ -23,6 +23,12 @@
 	readonly grants: ReadonlyMap<string, RateGrant>;
 };
 
+/**
+ * Milliseconds after the last claim for which a bucket is kept. It is longer than a window and the lifetime of a permit, so
+ * that no window has permits from before; instances are replaced for as long as the allocator holds its lease.
+ */
+const bucketRetentionMs = 10_000;
+
 /**
  * Lends permits for instances to a host that has statements for them.
  *
@@ -30,7 +36,7 @@
  * both together stay within the bucket. Nothing depends on a list of hosts, and a permit whose answer is lost is not lent again.
  */
 export function lendPermits(state: PermitState, {claims, limits, bound, now}: Options): Lent {
-	const buckets = new Map(state.buckets);
+	const buckets = new Map([...state.buckets].filter(([, {refilledAt}]) => now - refilledAt < bucketRetentionMs));
 	const grants = new Map<string, RateGrant>();
 	for (const {workspace: key, needed} of claims) {
 		const limit = limits.get(findPermitGroup(key) ?? '');
