Send no values of a session to an instance that its statement may not reach

The values and prepared statements of a session are sent before the statement itself is checked. A transaction whose instance a newer configuration does not allow, and a gateway that knows a newer one, sent them. Both check first now; the statement is answered as before.

--- a/packages/sessions/create-gateway.ts
+++ b/packages/sessions/create-gateway.ts
@@ -7,6 +7,7 @@
 import type {RegionMap} from './regions/region-map.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
+import {notSentAnswer} from './not-sent-answer.ts';
 
 type Options = {
 	readonly findInstance: (group: string, id: string) => InstanceRuntime | undefined;
@@ -105,7 +106,9 @@
 		running++;
 		recordStart(job);
 		try {
-			answer = await instance.runLocally(job, () => 'caller' in job && hasAccess(job, instance.listed().zone));
+			const maySend = () => 'caller' in job && hasAccess(job, instance.listed().zone);
+			// A job with a setup sends the session's values before the statement, and so is not begun without access.
+			answer = 'setup' in job && !maySend() ? notSentAnswer : await instance.runLocally(job, maySend);
 			return answer;
 		} finally {
 			recordEnd(instance, job, answer);
--- a/packages/sessions/create-transaction.ts
+++ b/packages/sessions/create-transaction.ts
@@ -106,12 +106,18 @@
 				return failure ?? createFailure('aborted', 'The transaction is over');
 			}
 
-			hasWritten ||= query.access === 'write';
 			const {instance, runner, transaction} = opened;
 			const {zone} = instance.listed();
+			const maySend = () => operation.isAllowed() && operation.mayReachZone(zone) && !hasEnded && (isReadOnly || isLeased());
+			// Checked here too, since the session's values are sent to the instance before the statement.
+			if (!maySend()) {
+				return abort('The statement was not sent: the primary is being replaced, or the key or the allowed regions no longer hold');
+			}
+
+			hasWritten ||= query.access === 'write';
 			const answer = await runner({
 				...createJobBase(operation), kind: 'within', transaction, setup: operation.setup, query,
-			}, () => operation.isAllowed() && operation.mayReachZone(zone) && !hasEnded && (isReadOnly || isLeased()));
+			}, maySend);
 			operation.trace.addStep(`${instance.listed().id}: ${describeAnswer(answer)}`);
 			if (answer.kind === 'answered') {
 				operation.trace.addJobSpans(answer.spans);
