Pass restricted statements to hosts of allowed regions only

A host passed them to others of its own region, as the region of the caller. But callers connect to hosts of another region when none of their own takes connections. Now only hosts of allowed regions receive the text; this host has it already. The gateways of an instance lie in its zone, so only the fallback host is lost. Three cases of tests now expect the refusal.

--- a/packages/sessions/create-gateway.test.ts
+++ b/packages/sessions/create-gateway.test.ts
@@ -27,7 +27,7 @@
 const route: Route = {
 	database: 'ponds', group: 'g', freshness: 'latest', maxStaleness: 0, statementTimeout: 1000, targetLatency: 200, priority: 1, isPublic: false,
 };
-const regions = {own: 'north', byZone: new Map([['a', 'north'], ['c', 'east']])};
+const regions = {byZone: new Map([['a', 'north'], ['c', 'east']])};
 const allowed: Access = {
 	kind: 'allowed', workspace: 'upper', version: 1, route,
 };
--- a/packages/sessions/create-gateways.test.ts
+++ b/packages/sessions/create-gateways.test.ts
@@ -15,7 +15,7 @@
 const instance: ListedInstance = {
 	id: 'i-1', group: 'pondbook', host: '', port: 0, zone: 'a', slots: 5, isDeparting: false, role: 'primary',
 };
-const regions = {own: 'east', byZone: new Map([['a', 'north'], ['b', 'east']])};
+const regions = {byZone: new Map([['a', 'north'], ['b', 'east']])};
 const job: Job = {kind: 'position', workspace: 'upper'};
 const answer: JobAnswer = {
 	kind: 'answered', outcome: {kind: 'done', rows: [], signature: '-'}, state: 'idle', position: undefined,
@@ -56,7 +56,7 @@
 			name: 'lets a host of an allowed region receive them', host: 'a1', allowed: ['north'], expected: true,
 		},
 		{
-			name: 'lets a host of the caller\'s region receive them', host: 'b2', allowed: ['north'], expected: true,
+			name: 'keeps them from a host of this host\'s region, which the caller may not be in', host: 'b2', allowed: ['north'], expected: false,
 		},
 		{
 			name: 'lets this host keep them', host: 'b1', allowed: [], expected: true,
--- a/packages/sessions/create-statement-runner.test.ts
+++ b/packages/sessions/create-statement-runner.test.ts
@@ -93,7 +93,7 @@
 	const context = {
 		now: () => ({steady: 1000, wall: 1000}),
 		findAccess: () => access,
-		regions: {own: 'north', byZone: new Map([['a', 'north']])},
+		regions: {byZone: new Map([['a', 'north']])},
 		transactionIdleLimit: () => 60_000,
 		findGroup: (name: string) => groups.get(name),
 		takeOperation: async () => ({kind: 'taken'}),
--- a/packages/sessions/job.ts
+++ b/packages/sessions/job.ts
@@ -12,7 +12,7 @@
 	readonly caller: Caller;
 	/** Milliseconds within which the job must finish. */
 	readonly timeout: number;
-	/** Regions of the hosts that may receive the job, beside this host's; a gateway does not learn them and relies on its own configuration. */
+	/** Regions of the hosts that may receive the job, beside this host; a gateway does not learn them and relies on its own configuration. */
 	readonly allowedRegions?: AllowedRegions;
 };
 
--- a/packages/sessions/regions/is-host-allowed.test.ts
+++ b/packages/sessions/regions/is-host-allowed.test.ts
@@ -2,8 +2,8 @@
 import {isHostAllowed} from './is-host-allowed.ts';
 import {isZoneAllowed} from './is-zone-allowed.ts';
 
-const regions = {own: 'north', byZone: new Map([['a', 'north'], ['b', 'north'], ['c', 'east'], ['d', 'south']])};
-const unknown = {own: undefined, byZone: new Map<string, string>()};
+const regions = {byZone: new Map([['a', 'north'], ['b', 'north'], ['c', 'east'], ['d', 'south']])};
+const unknown = {byZone: new Map<string, string>()};
 
 describe('isZoneAllowed and isHostAllowed', () => {
 	const cases = [
@@ -14,13 +14,13 @@
 			name: 'a zone of an allowed region', zone: 'c', allowed: ['east'], regions, instance: true, host: true,
 		},
 		{
-			name: 'a zone of the caller\'s region, which is not allowed', zone: 'b', allowed: ['east'], regions, instance: false, host: true,
+			name: 'a zone of this host\'s region, which is not allowed and which the caller may not be in', zone: 'b', allowed: ['east'], regions, instance: false, host: false,
 		},
 		{
 			name: 'a zone of a third region', zone: 'd', allowed: ['east'], regions, instance: false, host: false,
 		},
 		{
-			name: 'a zone of the caller\'s region, when no region is allowed', zone: 'a', allowed: [], regions, instance: false, host: true,
+			name: 'a zone of a known region, when no region is allowed', zone: 'a', allowed: [], regions, instance: false, host: false,
 		},
 		{
 			name: 'a zone whose region is not known', zone: 'e', allowed: ['east'], regions, instance: false, host: false,
