--- a/stand-ins/wire/start-wire-host.ts
+++ b/stand-ins/wire/start-wire-host.ts
@@ -13,11 +13,16 @@
 
 /** Starts a host process of a simulated deployment. */
 export async function startWireHost(name: string, options: WireHostOptions): Promise<WireHost> {
-	const {checkout = thisCheckout, nodeArguments = []} = options;
+	const {checkout = thisCheckout, nodeArguments = [], program, descriptorLimit} = options;
 	const ports = await findWireHostPorts();
 	const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'sapphirefall-wire-')), 'local.conf');
 	writeFileSync(file, formatSettings(name, ports, options));
-	const child = spawn(process.execPath, ['--import=tsx', ...nodeArguments, 'platform/main.ts'], {
+	const run = program === undefined ? ['--import=tsx', ...nodeArguments, 'platform/main.ts'] : [...nodeArguments, program];
+	// The shell is replaced by the program, which keeps its process id.
+	const [command, ...commandArguments] = descriptorLimit === undefined
+		? [process.execPath, ...run]
+		: ['/bin/sh', '-c', `ulimit -n ${descriptorLimit} && exec "$0" "$@"`, process.execPath, ...run];
+	const child = spawn(command ?? '', commandArguments, {
 		cwd: checkout, env: {...process.env, SAPPHIREFALL_BOOT: file}, stdio: ['ignore', 'pipe', 'pipe'],
 	});
 	let output = '';
@@ -30,12 +35,12 @@
 		process.stderr.write(String(chunk));
 	});
 	return {
-		name, process: child, port: ports.callers, readyPort: ports.readiness, output: () => output, errors: () => errors,
+		name, process: child, port: ports.callers, readyPort: ports.readiness, hostsPort: ports.hosts, output: () => output, errors: () => errors,
 	};
 }
 
 /** Formats the settings file of a host. */
-function formatSettings(name: string, ports: WireHostPorts, {zone, storePort, cloudPort, isFirstStart = false, gracePeriodSeconds = 4}: WireHostOptions): string {
+function formatSettings(name: string, ports: WireHostPorts, {zone, storePort, cloudPort, isFirstStart = false, gracePeriodSeconds = 4, settings = []}: WireHostOptions): string {
 	return `node_name=${name}
 ip=127.0.0.1
 zone=${zone}
@@ -51,5 +56,5 @@
 bounds.quota_slack=20
 platform.address=127.0.0.1:${storePort}
 cloud_api.address=127.0.0.1:${cloudPort}
-`;
+${settings.map(line => `${line}\n`).join('')}`;
 }
--- a/stand-ins/wire/wire-host-options.ts
+++ b/stand-ins/wire/wire-host-options.ts
@@ -14,4 +14,10 @@
 	readonly isFirstStart?: boolean;
 	/** Seconds from SIGTERM until the platform kills a host. Defaults to 4. */
 	readonly gracePeriodSeconds?: number;
+	/** Bundled program of the host; the sources of the checkout are run if it is not given. */
+	readonly program?: string;
+	/** Further lines of the settings file. */
+	readonly settings?: readonly string[];
+	/** Descriptors that the operating system lets the process open; as many as this process may by default. */
+	readonly descriptorLimit?: number;
 };
--- a/stand-ins/wire/wire-host.ts
+++ b/stand-ins/wire/wire-host.ts
@@ -8,6 +8,8 @@
 	readonly port: number;
 	/** Port of the HTTP readiness check. */
 	readonly readyPort: number;
+	/** Port for calls of other hosts. */
+	readonly hostsPort: number;
 	/** Returns everything that the process has written to standard output. */
 	readonly output: () => string;
 	/** Returns everything that the process has written to standard error; it is passed on to that of this process as well. */
