Test crowds whose messages and answers hosts pass on to others

Change: two cases of untrusted-clients.test.ts with eight hosts, most of which have no connections to the instances, and a crowd of 60 at each host but the first.

--- a/stand-ins/wire/untrusted-clients.test.ts
+++ b/stand-ins/wire/untrusted-clients.test.ts
@@ -53,12 +53,18 @@
 /** The header of a frame of 8 MiB between hosts, and the first half of the frame. */
 const halfFrame = Buffer.concat([Buffer.from([0, 0x80, 0, 0]), Buffer.alloc(4 * 1024 * 1024)]);
 
-type FindPort = (host: WireHost) => number;
+/** What a crowd does, and where. */
+type Crowd = Parameters<typeof openWireCrowd>[1] & {
+	/** Finds the port that the crowd connects to. Defaults to that of callers. */
+	readonly findPort?: (host: WireHost) => number;
+	/** Whether the crowd comes to all hosts but the first, which gets the ordinary request. Defaults to the first one alone. */
+	readonly isElsewhere?: boolean;
+};
 
-type Case = Parameters<typeof openWireCrowd>[1] & {
+type Case = Crowd & {
 	readonly name: string;
-	/** Finds the port that the crowd connects to. Defaults to that of callers. */
-	readonly findPort?: FindPort;
+	/** Hosts of the deployment. Defaults to 3, each of which has connections to all instances. */
+	readonly hostCount?: number;
 	/** Limits that the hosts are told of, or that the operating system sets. Defaults to the settings of the machine. */
 	readonly machineLimits?: Pick<WireHostOptions, 'settings' | 'descriptorLimit'>;
 };
@@ -70,6 +76,12 @@
 	{
 		name: 'messages of legal size, many at once, in small pieces', count: 150, messages: [start, largeWrite], pieceBytes: 4096, isReading: true,
 	},
+	{
+		name: 'messages of legal size, many at once, that hosts pass on to others', count: 60, messages: [start, largeWrite], isReading: true, hostCount: 8, isElsewhere: true,
+	},
+	{
+		name: 'large answers that hosts pass on to others and nobody reads', count: 60, messages: [start, ...Array.from({length: 20}, () => Buffer.from('QUERY 1 READ large\r\n'))], isReading: false, hostCount: 8, isElsewhere: true,
+	},
 	{
 		name: 'messages far over the limit', count: 300, messages: [start, Buffer.alloc(16_000_000, 'x')], isReading: true,
 	},
@@ -183,15 +195,15 @@
 		}
 	});
 
-	for (const {name, findPort = ({port}: WireHost) => port, machineLimits = {settings}, ...options} of cases) {
+	for (const {name, machineLimits = {settings}, hostCount = 3, ...crowd} of cases) {
 		it(`live, keep to their machines and answer beside ${name}`, async () => { // eslint-disable-line @typescript-eslint/no-loop-func -- `before` sets the program
 			const deployment = await startWireDeployment({
-				hostCount: 3, lag: 40, workMs, ratePerSecond, program, nodeArguments: [heapArgument], ...machineLimits,
+				hostCount, lag: 40, workMs, ratePerSecond, program, nodeArguments: [heapArgument], ...machineLimits,
 			});
 			try {
 				await deployment.waitUntilReady();
 				await sleep(settleMs);
-				await playCrowd(deployment, findPort, options);
+				await playCrowd(deployment, crowd);
 			} finally {
 				deployment.stop();
 			}
@@ -199,22 +211,24 @@
 	}
 });
 
-/** Opens a crowd at the first host, and expects that an ordinary request is answered beside it and that all hosts keep to their bounds. */
-async function playCrowd(deployment: WireDeployment, findPort: FindPort, options: Parameters<typeof openWireCrowd>[1]): Promise<void> {
-	const [host] = deployment.hosts;
+/** Opens a crowd, and expects that the first host answers an ordinary request beside it and that all hosts keep to their bounds. */
+async function playCrowd({hosts}: WireDeployment, {findPort = ({port}) => port, isElsewhere = false, ...options}: Crowd): Promise<void> {
+	const [host, ...others] = hosts;
 	if (host === undefined) {
 		throw new Error('The deployment has no host');
 	}
 
 	await sendStatement({port: host.port, text: `WRITE large ${'x'.repeat(largeBytes)}`});
-	const crowd = openWireCrowd(findPort(host), options);
+	const crowds = (isElsewhere ? others : [host]).map(each => openWireCrowd(findPort(each), options));
 	try {
-		await Promise.race([crowd.hasSent, sleep(2 * holdMs)]);
+		await Promise.race([Promise.all(crowds.map(async ({hasSent}) => hasSent)), sleep(2 * holdMs)]);
 		await sleep(holdMs);
 		const result = await sendOrdinaryRequest(host);
-		const breaches = deployment.hosts.flatMap(each => listBreaches(each));
+		const breaches = hosts.flatMap(each => listBreaches(each));
 		expect({breaches, result: result.split(' ')[0]}).to.deep.equal({breaches: [], result: 'COMPLETE'});
 	} finally {
-		crowd.close();
+		for (const crowd of crowds) {
+			crowd.close();
+		}
 	}
 }
