--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -45,6 +45,8 @@
 	/** When this process started, in milliseconds of the steady clock. */
 	readonly startedAt: number;
 	readonly log: SessionLog;
+	/** Log of the lines that callers cause, which has a limit of its own. */
+	readonly sessionLog: SessionLog;
 	readonly onAnswered: SessionContext['onAnswered'];
 	/** Called with the number of open sessions when it changes. */
 	readonly onSessionCount: (count: number) => void;
@@ -194,7 +196,7 @@
 		valueBudget: createByteBudget(options.memoryLimits.valueBytes),
 		statementBudget,
 		onAnswered: options.onAnswered,
-		log,
+		log: options.sessionLog,
 	};
 
 	const registry = createSessionRegistry({context, onSessionCount: options.onSessionCount});
