--- a/stand-ins/wire/build-host-program.ts
+++ b/stand-ins/wire/create-host-program.ts
@@ -9,7 +9,7 @@
 const optionalPackages = ['dtrace-provider', 'mv', 'safe-json-stringify'];
 
 /** Bundles the program of a host with the options of the deploy file, so that it takes as much memory as in service; returns its path. */
-export function buildHostProgram(): string {
+export function createHostProgram(): string {
 	const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'sapphirefall-program-')), 'sapphirefall.cjs');
 	execFileSync(path.join(checkout, 'node_modules/.bin/esbuild'), [
 		'platform/main.ts',
--- a/stand-ins/wire/untrusted-clients.test.ts
+++ b/stand-ins/wire/untrusted-clients.test.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {buildHostProgram} from './build-host-program.ts';
+import {createHostProgram} from './create-host-program.ts';
 import {openWireClient} from './open-wire-client.ts';
 import {openWireCrowd} from './open-wire-crowd.ts';
 import {readProcessUse} from './read-process-use.ts';
@@ -168,7 +168,7 @@
 describe('hosts beside clients that nobody controls', () => {
 	let program = '';
 	before(() => {
-		program = buildHostProgram();
+		program = createHostProgram();
 	});
 
 	// Guards against limits on crowds that keep a caller within the rules from being served.
