Collect the garbage of answers early, too

Cause: the bytes of answers on their way from instances and between hosts were not told to the decision when garbage is collected. Change: connections to instances and to other hosts tell their bytes, and collection begins at 60 % of the memory of the machine instead of 70 %.

--- a/packages/hosts/call-options.ts
+++ b/packages/hosts/call-options.ts
@@ -16,4 +16,6 @@
 	readonly now: () => number;
 	/** Called with the reason when the other host violates the protocol; the connection is closed then. */
 	readonly onProtocolError: (reason: string) => void;
+	/** Called with the bytes that were read. */
+	readonly onBytes?: (bytes: number) => void;
 };
--- a/packages/hosts/create-fleet-peer.ts
+++ b/packages/hosts/create-fleet-peer.ts
@@ -20,6 +20,8 @@
 	/** Returns the current monotonic time in milliseconds. */
 	readonly now: () => number;
 	readonly log: SessionLog;
+	/** Called with the bytes that were read. */
+	readonly onBytes?: (bytes: number) => void;
 };
 
 /** Milliseconds added to the timeout of a job for the network round trip. */
@@ -41,7 +43,7 @@
  * @param address TCP address on which the host serves calls.
  */
 export function createFleetPeer(address: {readonly host: string; readonly port: number}, {
-	timeoutMs, idleTimeoutMs, now, log,
+	timeoutMs, idleTimeoutMs, now, log, onBytes,
 }: Options): FleetPeer {
 	const encode = (call: Call) => (id: number) => toBinary(FleetRequestSchema, create(FleetRequestSchema, {id, call}));
 	const encodePing = encode({case: 'ping', value: {}});
@@ -52,6 +54,7 @@
 		encodePing,
 		idleTimeoutMs,
 		now,
+		...onBytes && {onBytes},
 		onProtocolError(reason) {
 			log.warn({...address, reason}, 'peer: The host closes the connection to another host, which sent an invalid message.');
 		},
--- a/packages/hosts/open-call-connection.ts
+++ b/packages/hosts/open-call-connection.ts
@@ -182,7 +182,8 @@
 	socket.on('connect', () => {
 		isConnected = true;
 	});
-	socket.on('data', () => {
+	socket.on('data', ({length}: Uint8Array) => {
+		options.onBytes?.(length);
 		lastReceivedAt = now();
 		unansweredPingAt = undefined;
 		isSuspect = false;
--- a/packages/hosts/serve-calls.ts
+++ b/packages/hosts/serve-calls.ts
@@ -174,6 +174,7 @@
 			return;
 		}
 
+		shared.onBytes(message.length);
 		writer.write(message);
 		endIfAnswered();
 		if (writer.bufferedBytes() > maxBufferedBytes) {
--- a/packages/sessions/admission/create-memory-relief.ts
+++ b/packages/sessions/admission/create-memory-relief.ts
@@ -17,7 +17,7 @@
 const checkIntervalBytes = 2 * 1024 * 1024;
 
 /** Share of the limit above which memory is freed. */
-const usedShare = 0.7;
+const usedShare = 0.6;
 
 /** Share of the limit by which the memory has to grow before it is freed again, as it may all be in use. */
 const growthShare = 0.05;
