Collect garbage whenever little memory is left

Collection waits for growth since the last one, which is measured before all of what was collected has been given back.

--- a/packages/sessions/admission/create-memory-relief.test.ts
+++ b/packages/sessions/admission/create-memory-relief.test.ts
@@ -17,6 +17,9 @@
 		{
 			name: 'memory in use that grows', messageMb: 2, usedMb: [75, 79, 81], freedMb: 75, expected: 2,
 		},
+		{
+			name: 'hardly any memory left', messageMb: 2, usedMb: [81, 82, 83], freedMb: 81, expected: 3,
+		},
 		{
 			name: 'small messages beside little memory', messageMb: 0.1, usedMb: [75, 75, 75], freedMb: 50, expected: 0,
 		},
--- a/packages/sessions/admission/create-memory-relief.ts
+++ b/packages/sessions/admission/create-memory-relief.ts
@@ -19,6 +19,9 @@
 /** Share of the limit above which memory is freed. */
 const usedShare = 0.6;
 
+/** Share of the limit above which memory is freed however little it has grown. */
+const urgentShare = 0.8;
+
 /** Share of the limit by which the memory has to grow before it is freed again, as it may all be in use. */
 const growthShare = 0.05;
 
@@ -42,7 +45,8 @@
 			passedBytes = 0;
 			const usedBytes = readUsedBytes();
 			leastBytes = Math.min(leastBytes, usedBytes);
-			if (usedBytes > Math.max(usedShare * limitBytes, leastBytes + (growthShare * limitBytes))) {
+			const dueBytes = Math.max(usedShare * limitBytes, leastBytes + (growthShare * limitBytes));
+			if (usedBytes > Math.min(dueBytes, urgentShare * limitBytes)) {
 				collect();
 				leastBytes = readUsedBytes();
 			}
