--- a/packages/sessions/create-gateway.test.ts
+++ b/packages/sessions/create-gateway.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import type {Access} from './access.ts';
+import {createByteBudget} from './create-byte-budget.ts';
 import {createGateway} from './create-gateway.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {JobAnswer} from './job-answer.ts';
@@ -34,13 +35,14 @@
 const denied: Access = {kind: 'denied', code: 'badKey', reason: ''};
 
 /** Creates a gateway to an instance that runs every job that may still be sent. `now` is a clock in milliseconds. */
-function createCase(access: Access | undefined | (() => Access | undefined), now = () => 0) {
+function createCase(access: Access | undefined | (() => Access | undefined), {now = () => 0, statementBytes = 1_000_000}: {readonly now?: () => number; readonly statementBytes?: number} = {}) {
 	const instance = {
 		listed: () => ({zone: 'a'}),
 		runLocally: async (job: Job, maySend: () => boolean): Promise<JobAnswer> =>
 			maySend() ? {...done, ...job.kind === 'begin' && {transaction: 5}} : {kind: 'notSent', reason: ''},
 	} as unknown as InstanceRuntime;
 	return createGateway({
+		statementBudget: createByteBudget(statementBytes),
 		findInstance: (_, id) => id === 'known' ? instance : undefined,
 		findAccess: () => (typeof access === 'function' ? access() : access) ?? allowed,
 		regions,
@@ -55,6 +57,16 @@
 		expect(await gateway.runJob({group: 'g', id: 'other'}, single)).to.equal('notServed');
 	});
 
+	// Guards against large jobs of other hosts that use up the memory of the process.
+	it('does not send a large statement that it has no memory for, and sends a small one', async () => {
+		const gateway = createCase(undefined, {statementBytes: 50_000});
+		const large: Job = {...single, query: {...query, text: `WRITE a ${'x'.repeat(30_000)}`}};
+		const [first, second, small] = await Promise.all([large, large, single].map(async job => gateway.runJob({group: 'g', id: 'known'}, job)));
+		expect({first, small}).to.deep.equal({first: done, small: done});
+		expect(second).to.include({kind: 'notSent'});
+		expect(await gateway.runJob({group: 'g', id: 'known'}, large)).to.deep.equal(done);
+	});
+
 	it('sends nothing for a key that was revoked while the job was in transit', async () => {
 		expect(await createCase(denied).runJob({group: 'g', id: 'known'}, single)).to.include({kind: 'notSent'});
 	});
@@ -95,7 +107,7 @@
 		const gateway = createGateway({
 			findInstance: () => instance, findAccess: () => ({
 				kind: 'allowed', workspace: 'upper', version: 2, route, allowedRegions: new Set(['east']),
-			}), regions, now: () => 0,
+			}), regions, statementBudget: createByteBudget(1_000_000), now: () => 0,
 		});
 		for (const job of [single, begin, within]) {
 			expect(await gateway.runJob({group: 'g', id: 'known'}, job)).to.include({kind: 'notSent'}); // eslint-disable-line no-await-in-loop -- jobs run one after another
@@ -131,7 +143,7 @@
 			},
 		} as unknown as InstanceRuntime;
 		const gateway = createGateway({
-			findInstance: () => instance, findAccess: () => allowed, regions, now: () => 0,
+			findInstance: () => instance, findAccess: () => allowed, regions, statementBudget: createByteBudget(1_000_000), now: () => 0,
 		});
 		const [{status}] = await Promise.allSettled([gateway.runJob({group: 'g', id: 'known'}, single)]);
 		expect(status).to.equal('rejected');
@@ -141,7 +153,7 @@
 	// A stopping host waited its whole grace period for a transaction that its runtime had rolled back long before.
 	it('counts a transaction until its runtime rolls it back because nothing was sent for too long', async () => {
 		let at = 0;
-		const gateway = createCase(undefined, () => at);
+		const gateway = createCase(undefined, {now: () => at});
 		await gateway.runJob({group: 'g', id: 'known'}, begin);
 		at = 2000;
 		await gateway.runJob({group: 'g', id: 'known'}, within);
@@ -182,7 +194,7 @@
 				},
 			} as unknown as InstanceRuntime;
 			const gateway = createGateway({
-				findInstance: () => instance, findAccess: () => allowed, regions, now: () => 0,
+				findInstance: () => instance, findAccess: () => allowed, regions, statementBudget: createByteBudget(1_000_000), now: () => 0,
 			});
 			await gateway.runJob({group: 'g', id: 'known'}, begin);
 			return {
--- a/packages/sessions/create-session-metrics.ts
+++ b/packages/sessions/create-session-metrics.ts
@@ -36,6 +36,9 @@
 		regionRefusals: new Counter({
 			name: 'sapphirefall_region_refusals_total', help: 'Attempts of statements that found no primary in an allowed region.', registers,
 		}),
+		closedConnections: new Counter({
+			name: 'sapphirefall_connections_closed_total', help: 'Connections that the host refused or closed to keep to its limits, by port and reason.', labelNames: ['port', 'reason'], registers,
+		}),
 		sessions: new Gauge({
 			name: 'sapphirefall_sessions', help: 'Sessions that are open.', registers,
 		}),
--- a/packages/sessions/host-profile.ts
+++ b/packages/sessions/host-profile.ts
@@ -1,5 +1,6 @@
 import type {RegionMap} from './regions/region-map.ts';
 import type {WarmupBound} from './cold-instances/warmup-bound.ts';
+import type {MachineLimits} from './admission/machine-limits.ts';
 import type {RateBound} from './rate-bound.ts';
 
 /** An address to listen on or to connect to. */
@@ -37,6 +38,8 @@
 	readonly evacuationLimitMs: number;
 	readonly rateBound: RateBound;
 	readonly warmupBound: WarmupBound;
+	/** What the machine lets the process take. */
+	readonly machine: MachineLimits;
 	/** Milliseconds between the request to stop and the kill of the process. */
 	readonly gracePeriodMs: number;
 	/** Milliseconds within which the platform directs new callers to other hosts once a host is not ready. */
--- a/packages/sessions/session-metrics.ts
+++ b/packages/sessions/session-metrics.ts
@@ -21,6 +21,8 @@
 	readonly coldRefusals: Counter;
 	/** Attempts of statements that found their primary, or all instances, outside of the allowed regions. */
 	readonly regionRefusals: Counter;
+	/** Connections refused or closed to keep to the host's limits, by port and reason. */
+	readonly closedConnections: Counter<'port' | 'reason'>;
 	/** Open sessions. */
 	readonly sessions: Gauge;
 };
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -54,6 +54,8 @@
 	/** When this process started, in milliseconds of the steady clock. */
 	readonly startedAt: number;
 	readonly log: SessionLog;
+	/** Log of the lines that callers cause, which has a limit of its own. */
+	readonly sessionLog: SessionLog;
 	readonly onAnswered: SessionContext['onAnswered'];
 	readonly onColdRefused: ColdInstances['onRefused'];
 	readonly onRegionRefused: SessionContext['onRegionRefused'];
@@ -220,10 +222,13 @@
 		...caller, revocationLimitMs: profile.revocationLimitMs, configurationLimitMs: profile.configurationLimitMs, now: now(),
 	});
 
+	const statementBudget = createByteBudget(options.memoryLimits.statementBytes);
+
 	const gateway = createGateway({
 		findInstance: (group, id) => groups.findGroup(group)?.findInstance(id),
 		findAccess: findCallerAccess,
 		regions: profile.regions,
+		statementBudget,
 		now: () => now().steady,
 	});
 
@@ -237,8 +242,9 @@
 		findGroup: groups.findGroup,
 		takeOperation: rateLimiter.takeOperation,
 		valueBudget: createByteBudget(options.memoryLimits.valueBytes),
+		statementBudget,
 		onAnswered: options.onAnswered,
-		log,
+		log: options.sessionLog,
 	};
 
 	const registry = createSessionRegistry({context, onSessionCount: options.onSessionCount});
