Serve waiting statements by priority, slack and share, and refuse early those that cannot be served in time

Cause: the queue for a connection was strictly by priority, so that less urgent requests could wait for ever, and it did not compare the time that a request has left with the time that it will wait; what could not be served was refused only at its deadline, with a constant time to come back.

Change: within a priority each workspace is served once a round, those on time by target and the late ones behind them by deadline; between priorities the most urgent goes first, with a bounded share and bounded overtaking for the others. A request whose predicted wait exceeds its time is refused at once, once more wait than are served at a time and the pace was measured. The target and the time to come back travel between hosts in optional fields.

--- a/packages/hosts/decode-job-answer.ts
+++ b/packages/hosts/decode-job-answer.ts
@@ -14,7 +14,10 @@
 		}
 
 		case JobResult.NOT_SENT: {
-			return {kind: 'notSent', reason, isUnreachable: message.unreachable};
+			const {unreachable: isUnreachable, retryAfterMs} = message;
+			return {
+				kind: 'notSent', reason, isUnreachable, ...retryAfterMs !== undefined && {retryAfterMs},
+			};
 		}
 
 		case JobResult.LOST: {
--- a/packages/hosts/decode-job.ts
+++ b/packages/hosts/decode-job.ts
@@ -8,6 +8,7 @@
 		priority: message.priority,
 		caller: {database: message.database, keyDigest: message.keyDigest},
 		timeout: message.timeoutMs,
+		...message.targetLatencyMs !== undefined && {targetLatency: message.targetLatencyMs},
 	};
 	const transaction = Number(message.transaction);
 	const after = message.after && decodePoint(message.after);
--- a/packages/hosts/encode-job-answer.ts
+++ b/packages/hosts/encode-job-answer.ts
@@ -20,7 +20,10 @@
 		}
 
 		case 'notSent': {
-			return {result: JobResult.NOT_SENT, reason: answer.reason, unreachable: answer.isUnreachable ?? false};
+			const {reason, isUnreachable = false, retryAfterMs} = answer;
+			return {
+				result: JobResult.NOT_SENT, reason, unreachable: isUnreachable, ...retryAfterMs !== undefined && {retryAfterMs},
+			};
 		}
 
 		case 'answered': {
--- a/packages/hosts/encode-job.test.ts
+++ b/packages/hosts/encode-job.test.ts
@@ -41,7 +41,8 @@
 const queryParts = fc.oneof(plainParts, executeParts);
 const after = fc.option(point, {nil: undefined});
 const transaction = fc.nat(2 ** 30);
-const job: fc.Arbitrary<Job> = fc.oneof(
+const targetLatency = fc.option(fc.double({min: -60_000, max: 60_000, noNaN: true}), {nil: undefined});
+const untargetedJob: fc.Arbitrary<Job> = fc.oneof(
 	fc.tuple(fc.record({...base, kind: fc.constant('single' as const), after}), queryParts).map(([single, parts]) => ({...single, ...parts})),
 	fc.record({
 		...base, kind: fc.constant('begin' as const), setup: plainSetup, isReadOnly: fc.boolean(), after, idleLimit: fc.nat(60_000),
@@ -53,10 +54,16 @@
 	fc.record({kind: fc.constant('rollback' as const), transaction}),
 	fc.record({kind: fc.constant('position' as const), workspace: name}),
 );
+/** A job of this host, or of one of an earlier version, whose jobs have no target. */
+const job: fc.Arbitrary<Job> = fc.tuple(untargetedJob, targetLatency)
+	.map(([untargeted, target]) => 'caller' in untargeted && target !== undefined ? {...untargeted, targetLatency: target} : untargeted);
 const answer: fc.Arbitrary<JobAnswer | 'notServed' | 'stopping'> = fc.oneof(
 	fc.constantFrom('notServed' as const, 'stopping' as const),
 	fc.record({kind: fc.constant('lost' as const), reason: fc.string()}),
 	fc.record({kind: fc.constant('notSent' as const), reason: fc.string(), isUnreachable: fc.boolean()}),
+	fc.record({
+		kind: fc.constant('notSent' as const), reason: fc.string(), isUnreachable: fc.boolean(), retryAfterMs: fc.double({min: 0, max: 60_000, noNaN: true}),
+	}),
 	fc.record({
 		kind: fc.constant('answered' as const),
 		outcome: fc.oneof(
--- a/packages/hosts/encode-job.ts
+++ b/packages/hosts/encode-job.ts
@@ -28,11 +28,14 @@
 }
 
 function encodeBase(job: Job): Message {
-	return 'caller' in job
-		? {
-			workspace: job.workspace, priority: job.priority, database: job.caller.database, keyDigest: job.caller.keyDigest, timeoutMs: job.timeout,
-		}
-		: {};
+	if (!('caller' in job)) {
+		return {};
+	}
+
+	const {workspace, priority, caller: {database, keyDigest}, timeout, targetLatency} = job;
+	return {
+		workspace, priority, database, keyDigest, timeoutMs: timeout, ...targetLatency !== undefined && {targetLatencyMs: targetLatency},
+	};
 }
 
 function encodeDetails(job: Job): Message {
--- a/packages/sessions/_create-session-harness.ts
+++ b/packages/sessions/_create-session-harness.ts
@@ -69,7 +69,7 @@
 		now: () => ({steady: now, wall: now}),
 		findAccess: () => ({
 			kind: 'allowed', workspace: 'upper', version: 1, route: {
-				group: 'g', freshness: 'latest', priority: 1, statementTimeout: 2000,
+				group: 'g', freshness: 'latest', priority: 1, statementTimeout: 2000, targetLatency: 200,
 			},
 		}),
 		transactionIdleLimit: () => 60_000,
--- a/packages/sessions/job-answer.ts
+++ b/packages/sessions/job-answer.ts
@@ -15,4 +15,6 @@
 		readonly reason: string;
 		/** Whether the host that tried to run the job cannot reach the instance. */
 		readonly isUnreachable?: boolean;
+		/** Milliseconds after which the host expects to have room for the job, if it knows. */
+		readonly retryAfterMs?: number;
 	};
--- a/packages/sessions/job.ts
+++ b/packages/sessions/job.ts
@@ -11,6 +11,8 @@
 	readonly caller: Caller;
 	/** Milliseconds within which the job must finish. */
 	readonly timeout: number;
+	/** Milliseconds within which the job should finish, 0 or less if it is late; undefined from a host of an earlier version. */
+	readonly targetLatency?: number | undefined;
 };
 
 /**
--- a/packages/sessions/open-transaction.ts
+++ b/packages/sessions/open-transaction.ts
@@ -12,6 +12,8 @@
 import type {PrimaryLease} from './primary-lease.ts';
 import type {StatementOutcome} from './statement-outcome.ts';
 import type {Target} from './target.ts';
+import {createRetryHint} from './waiting/create-retry-hint.ts';
+import type {RetryHint} from './waiting/retry-hint.ts';
 
 /** A transaction that has begun on an instance. */
 type OpenedTransaction = {
@@ -32,7 +34,8 @@
 export async function openTransaction(operation: Operation, isReadOnly: boolean): Promise<OpenedTransaction | {readonly kind: 'failed'; readonly outcome: StatementOutcome}> {
 	const {context, deadline} = operation;
 	const tried = new Set<string>();
-	let outcome: StatementOutcome = createBusyFailure('No instance can begin the transaction', 100);
+	const hint = createRetryHint();
+	let outcome: StatementOutcome = createBusyFailure('No instance can begin the transaction', hint.find());
 	for (let attempt = 0; attempt < maxAttempts; attempt++) {
 		const remainingMs = deadline - context.now().steady;
 		const target = remainingMs > 0 ? await chooseTarget(operation, {isReadOnly, tried, remainingMs}) : undefined;
@@ -44,18 +47,25 @@
 			tried.add(target.instance.listed().id);
 		}
 
-		const result = await tryTarget(operation, target, isReadOnly);
+		const result = await tryTarget(operation, target, {isReadOnly, hint});
 		if (result.kind === 'opened') {
 			return result;
 		}
 
 		({outcome} = result);
+		if (result.isFinal) {
+			break;
+		}
 	}
 
 	return {kind: 'failed', outcome};
 }
 
-async function tryTarget(operation: Operation, target: Target, isReadOnly: boolean): Promise<OpenedTransaction | {readonly kind: 'failed'; readonly outcome: StatementOutcome}> {
+type AttemptOptions = {readonly isReadOnly: boolean; readonly hint: RetryHint};
+
+type FailedAttempt = {readonly kind: 'failed'; readonly outcome: StatementOutcome; readonly isFinal: boolean};
+
+async function tryTarget(operation: Operation, target: Target, {isReadOnly, hint}: AttemptOptions): Promise<OpenedTransaction | FailedAttempt> {
 	const {context} = operation;
 	const {instance, after, lease} = target;
 	const {id} = instance.listed();
@@ -82,5 +92,7 @@
 		lease?.group.setDemoted(lease.epoch, true);
 	}
 
-	return {kind: 'failed', outcome: createBusyFailure(`Instance ${id} did not begin the transaction: ${describeAnswer(answer)}`, 100)};
+	// A primary without room for the transaction refuses another attempt as well.
+	const isFinal = hint.record(answer) && lease !== undefined;
+	return {kind: 'failed', outcome: createBusyFailure(`Instance ${id} did not begin the transaction: ${describeAnswer(answer)}`, hint.find()), isFinal};
 }
--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -1,6 +1,8 @@
 import type {OpenConnectionOutcome} from '../open-connection-outcome.ts';
+import {createServiceTimer, type EndedWait} from '../waiting/mod.ts';
 import type {AcquireOutcome} from './acquire-outcome.ts';
 import {createWaitingQueue} from './create-waiting-queue.ts';
+import type {AcquireRequest} from './acquire-request.ts';
 import type {InstancePool} from './instance-pool.ts';
 import type {PooledConnection} from './pooled-connection.ts';
 import type {WaitingRequest} from './waiting-request.ts';
@@ -12,11 +14,14 @@
 	readonly limit: number;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
+	/** Called when a request no longer waits for a connection. */
+	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
 /** A request that waits for a connection. */
 type Waiter = WaitingRequest & {
-	readonly resolve: (outcome: AcquireOutcome) => void;
+	/** Ends the wait with a connection, or with the cause of a refusal. */
+	readonly end: (outcome: AcquireOutcome, cause?: 'expired' | 'overdue') => void;
 };
 
 /**
@@ -27,8 +32,15 @@
  */
 export function createInstancePool(options: Options): InstancePool {
 	const connections = new Set<PooledConnection>();
-	const queue = createWaitingQueue<Waiter>();
+	const timer = createServiceTimer(options.now);
 	let {limit} = options;
+	const queue = createWaitingQueue<Waiter>({
+		findPace: () => ({serviceMs: timer.findAverage(), limit}),
+		onRefused(waiter, {cause, ...refusal}) {
+			waiter.end({kind: 'busy', ...refusal}, cause);
+		},
+		jitter: Math.random,
+	});
 	let opening = 0;
 	let isClosed = false;
 
@@ -87,6 +99,7 @@
 			connection: outcome.connection, workspace, variables: new Map(), prepared: new Map(), isBusy: true, idleSince: 0,
 		};
 		connections.add(pooled);
+		timer.begin(pooled);
 		return {kind: 'acquired', connection: pooled, openMs: options.now() - startedAt};
 	};
 
@@ -94,6 +107,7 @@
 		const pooled = listIdle().findLast(idle => idle.workspace === workspace);
 		if (pooled !== undefined) {
 			pooled.isBusy = true;
+			timer.begin(pooled);
 		}
 
 		return pooled;
@@ -115,25 +129,29 @@
 		const pooled = take(waiter.workspace);
 		if (pooled === undefined) {
 			makeRoom();
-			waiter.resolve(await open(waiter.workspace));
+			waiter.end(await open(waiter.workspace));
 		} else {
-			waiter.resolve({kind: 'acquired', connection: pooled, openMs: 0});
+			waiter.end({kind: 'acquired', connection: pooled, openMs: 0});
 		}
 	};
 
-	/** Waits for a connection; resolves to `busy` after `timeout` milliseconds. */
-	const wait = async (workspace: string, priority: number, timeout: number) => new Promise<AcquireOutcome>(resolve => {
-		const timer = setTimeout(() => {
+	/** Waits for a connection; resolves to `busy` after `timeout` milliseconds, or earlier if it cannot be served in time. */
+	const wait = async ({workspace, priority, timeout, targetLatency}: AcquireRequest) => new Promise<AcquireOutcome>(resolve => {
+		const since = options.now();
+		const waitTimer = setTimeout(() => {
 			if (queue.remove(waiter)) {
-				resolve({kind: 'busy'});
+				waiter.end({kind: 'busy'}, 'expired');
 			}
 		}, timeout);
 		const waiter: Waiter = {
 			workspace,
 			priority,
-			deadline: options.now() + timeout,
-			resolve(outcome) {
-				clearTimeout(timer);
+			since,
+			deadline: since + timeout,
+			target: targetLatency === undefined ? undefined : since + targetLatency,
+			end(outcome, cause) {
+				clearTimeout(waitTimer);
+				options.onWaitEnded?.({outcome: cause ?? 'served', priority, waitedMs: options.now() - since});
 				resolve(outcome);
 			},
 		};
@@ -141,7 +159,8 @@
 	});
 
 	return {
-		async acquire({workspace, priority, timeout}) {
+		async acquire(request) {
+			const {workspace} = request;
 			const idle = queue.count() === 0 ? take(workspace) : undefined;
 			if (idle !== undefined) {
 				return {kind: 'acquired', connection: idle, openMs: 0};
@@ -151,11 +170,12 @@
 				return open(workspace);
 			}
 
-			return timeout > 0 ? wait(workspace, priority, timeout) : {kind: 'busy'};
+			return request.timeout > 0 ? wait(request) : {kind: 'busy'};
 		},
 		release(pooled, isClean) {
 			pooled.isBusy = false;
 			pooled.idleSince = options.now();
+			timer.end(pooled);
 			if (!isClean || isClosed || connections.size > limit || pooled.connection.isClosed()) {
 				closeConnection(pooled);
 			}
--- a/packages/sessions/pools/create-waiting-queue.ts
+++ b/packages/sessions/pools/create-waiting-queue.ts
@@ -1,45 +1,153 @@
 import {
-	addItem, createFairQueue, takeItem, type FairQueue,
-} from '@sapphirefall/decisions';
+	choosePriority, countAhead, createPriorityHead, createRetryReservations, createWaitingClass, isOverdue, listOverdue, type ServicePace, type WaitingClass, type WaitingRefusal,
+} from '../waiting/mod.ts';
 import type {WaitingQueue} from './waiting-queue.ts';
 import type {WaitingRequest} from './waiting-request.ts';
 
-/** Creates an empty queue that serves requests by priority, and fairly between workspaces within a priority. */
-export function createWaitingQueue<Request extends WaitingRequest>(): WaitingQueue<Request> {
-	const queues = new Map<number, FairQueue<Request>>();
-	/** Requests that were added and neither taken nor removed; the queues also hold removed ones. */
+type Options<Request> = {
+	/** Returns how fast requests are served. While it is not known, no request is refused before its deadline. */
+	readonly findPace?: () => ServicePace;
+	/** Called with each request that is refused, which waits no longer. Without it, none is refused. */
+	readonly onRefused?: (request: Request, refusal: WaitingRefusal) => void;
+	/** Returns a random number from 0 to 1, which spreads the times at which refused callers come back. */
+	readonly jitter?: () => number;
+};
+
+/** Milliseconds between two searches for requests that cannot be served in time any more. */
+const overdueCheckIntervalMs = 50;
+
+const unknownPace: ServicePace = {serviceMs: undefined, limit: undefined};
+
+/**
+ * Creates an empty queue.
+ *
+ * It serves requests by priority (`choosePriority`), fairly between workspaces within a priority (`chooseLane`), and by
+ * their due times within a workspace. It refuses those whose deadline has passed or cannot be met.
+ */
+export function createWaitingQueue<Request extends WaitingRequest>({
+	findPace = () => unknownPace, onRefused, jitter = () => 0,
+}: Options<Request> = {}): WaitingQueue<Request> {
 	const waiting = new Set<Request>();
+	const classes = new Map<number, WaitingClass<Request>>();
+	/** Number of requests of other priorities that were served since the last one, by priority. */
+	const passes = new Map<number, number>();
+	const reservations = createRetryReservations(jitter);
+	let takesSinceOvertaking = Number.POSITIVE_INFINITY;
+	let checkedAt = Number.NEGATIVE_INFINITY;
+
+	/** Lists the priorities with waiting requests, the most urgent first. */
+	const listClasses = () => [...classes.values()].toSorted((a, b) => a.priority - b.priority);
 
-	/** Takes the next request of a priority, removed or not. */
-	const takeFrom = (priority: number): Request | undefined => {
-		const {queue, item} = takeItem(queues.get(priority) ?? createFairQueue<Request>(), () => 1);
-		if (item === undefined) {
-			queues.delete(priority);
+	/** Removes a request; a place that it leaves without being served counts for no workspace. */
+	const drop = (request: Request, isServed: boolean) => {
+		waiting.delete(request);
+		const waitingClass = classes.get(request.priority);
+		if (isServed) {
+			waitingClass?.take(request);
 		} else {
-			queues.set(priority, queue);
+			waitingClass?.remove(request);
+		}
+
+		if (waitingClass?.count().all === 0) {
+			classes.delete(request.priority);
+			passes.delete(request.priority);
+		}
+	};
+
+	const refuse = (request: Request, {ahead, now}: {readonly ahead: number; readonly now: number}) => {
+		drop(request, false);
+		const retryAfterMs = reservations.add({
+			priority: request.priority, pace: findPace(), ahead, remainingMs: request.deadline - now, now,
+		});
+		onRefused?.(request, {cause: request.deadline <= now ? 'expired' : 'overdue', ahead, retryAfterMs});
+	};
+
+	/** Refuses the requests that cannot be served in time, as when they are served more slowly than they were when they came. */
+	const refuseOverdue = (now: number) => {
+		if (onRefused === undefined || now - checkedAt < overdueCheckIntervalMs) {
+			return;
+		}
+
+		checkedAt = now;
+		for (const {request, ahead} of listOverdue(listClasses(), {pace: findPace(), now})) {
+			refuse(request, {ahead, now});
+		}
+	};
+
+	/** Refuses a request that has just been added if it cannot be served in time. */
+	const refuseAdded = (request: Request) => {
+		const pace = findPace();
+		const {since: now, deadline} = request;
+		if (onRefused === undefined || now === undefined || pace.limit === undefined || waiting.size <= pace.limit) {
+			return;
+		}
+
+		const ahead = countAhead(classes.values(), request) ?? 0;
+		if (isOverdue({pace, ahead, remainingMs: deadline - now})) {
+			refuse(request, {ahead, now});
 		}
+	};
+
+	/** Chooses the request that is served next; undefined if none waits. */
+	const choose = (now: number, isPreferred: (workspace: string) => boolean): Request | undefined => {
+		const pace = findPace();
+		const heads = listClasses()
+			.map(waitingClass => createPriorityHead(waitingClass, {
+				pace, passes: passes.get(waitingClass.priority) ?? 0, isPreferred, now,
+			}))
+			.filter(head => head !== undefined);
+		const chosen = choosePriority(heads, {takesSinceOvertaking});
+		return heads.find(({priority}) => priority === chosen?.priority)?.request;
+	};
 
-		return item;
+	/** Counts that a request is served, for the priorities that are passed over. */
+	const recordServed = ({priority}: Request) => {
+		const [first] = listClasses();
+		takesSinceOvertaking = first !== undefined && priority > first.priority ? 0 : takesSinceOvertaking + 1;
+		for (const other of classes.keys()) {
+			passes.set(other, other === priority ? 0 : (passes.get(other) ?? 0) + 1);
+		}
 	};
 
 	return {
 		add(request) {
-			const {workspace, priority} = request;
+			const {priority} = request;
+			const waitingClass = classes.get(priority) ?? createWaitingClass<Request>(priority);
+			classes.set(priority, waitingClass);
 			waiting.add(request);
-			queues.set(priority, addItem(queues.get(priority) ?? createFairQueue<Request>(), {workspace, item: request}));
+			waitingClass.add(request);
+			refuseAdded(request);
 		},
-		take() {
-			for (const priority of [...queues.keys()].toSorted((a, b) => a - b)) {
-				for (let request = takeFrom(priority); request !== undefined; request = takeFrom(priority)) {
-					if (waiting.delete(request)) {
-						return request;
-					}
+		take(now, isPreferred = () => false) {
+			refuseOverdue(now);
+			for (;;) {
+				const request = choose(now, isPreferred);
+				if (request === undefined) {
+					return undefined;
+				}
+
+				if (request.deadline > now || onRefused === undefined) {
+					recordServed(request);
+					drop(request, true);
+					return request;
 				}
+
+				refuse(request, {ahead: 0, now});
+			}
+		},
+		remove(request) {
+			const isWaiting = waiting.has(request);
+			if (isWaiting) {
+				drop(request, false);
 			}
 
-			return undefined;
+			return isWaiting;
 		},
-		remove: request => waiting.delete(request),
 		count: () => waiting.size,
+		findWait(request) {
+			const {serviceMs, limit} = findPace();
+			const ahead = countAhead(classes.values(), request);
+			return ahead === undefined || serviceMs === undefined || limit === undefined ? undefined : (ahead + 1) * serviceMs / Math.max(1, limit);
+		},
 	};
 }
--- a/packages/sessions/pools/instance-pool.ts
+++ b/packages/sessions/pools/instance-pool.ts
@@ -1,15 +1,7 @@
 import type {AcquireOutcome} from './acquire-outcome.ts';
+import type {AcquireRequest} from './acquire-request.ts';
 import type {PooledConnection} from './pooled-connection.ts';
 
-/** For whom a connection is acquired, and how long it may take. */
-type AcquireRequest = {
-	readonly workspace: string;
-	/** 0 is the most urgent. */
-	readonly priority: number;
-	/** Milliseconds to wait for a connection when none is free; 0 to not wait. */
-	readonly timeout: number;
-};
-
 /** The pool of this host's connections to one instance. */
 export type InstancePool = {
 	readonly acquire: (request: AcquireRequest) => Promise<AcquireOutcome>;
--- a/packages/sessions/pools/mod.ts
+++ b/packages/sessions/pools/mod.ts
@@ -1,5 +1,6 @@
 /** The connections of a host to an instance, and the requests that wait for one. */
 export type * from './acquire-outcome.ts';
+export type * from './acquire-request.ts';
 export * from './create-instance-pool.ts';
 export * from './create-waiting-queue.ts';
 export * from './find-connection-limit.ts';
--- a/packages/sessions/pools/waiting-queue.ts
+++ b/packages/sessions/pools/waiting-queue.ts
@@ -1,12 +1,18 @@
 import type {WaitingRequest} from './waiting-request.ts';
 
-/** The requests that wait for a connection to an instance. */
+/** The requests that wait for a connection to an instance. Times are in milliseconds of the steady clock. */
 export type WaitingQueue<Request extends WaitingRequest> = {
+	/** Adds a request, which may be refused at once. */
 	readonly add: (request: Request) => void;
-	/** Removes and returns the request that is served next; undefined if none waits. `now` is in milliseconds of the steady clock. */
-	readonly take: (now: number) => Request | undefined;
+	/**
+	 * Removes and returns the request that is served next; undefined if none waits. Of the workspaces whose turn it is, a
+	 * preferred one goes first.
+	 */
+	readonly take: (now: number, isPreferred?: (workspace: string) => boolean) => Request | undefined;
 	/** Removes a request that waits no longer; returns whether it was still waiting. */
 	readonly remove: (request: Request) => boolean;
 	/** Counts the requests that wait. */
 	readonly count: () => number;
+	/** Predicts how many milliseconds a waiting request still waits; undefined if it does not wait, or the pace was not measured. */
+	readonly findWait: (request: Request) => number | undefined;
 };
--- a/packages/sessions/run-read.test.ts
+++ b/packages/sessions/run-read.test.ts
@@ -56,7 +56,9 @@
 	const operation = {
 		context: {now: () => ({...time})} as unknown as SessionContext,
 		group,
-		route: {freshness: 'bounded', maxStaleness: 5000, priority: 1},
+		route: {
+			freshness: 'bounded', maxStaleness: 5000, targetLatency: 200, priority: 1,
+		},
 		workspace: 'upper',
 		caller: {database: 'ponds', keyDigest: ''},
 		setup: {variables: new Map(), prepared: new Map()},
--- a/packages/sessions/run-read.ts
+++ b/packages/sessions/run-read.ts
@@ -12,6 +12,8 @@
 import type {StatementOutcome} from './statement-outcome.ts';
 import type {Target} from './target.ts';
 import type {Query} from './query.ts';
+import {createRetryHint} from './waiting/create-retry-hint.ts';
+import type {RetryHint} from './waiting/retry-hint.ts';
 
 /** Largest number of attempts for a read. */
 const maxAttempts = 6;
@@ -24,7 +26,8 @@
 export async function runRead(query: Query, operation: Operation): Promise<StatementOutcome> {
 	const {context, deadline} = operation;
 	const tried = new Set<string>();
-	let lastOutcome: StatementOutcome = createBusyFailure('No instance can serve the read', 100);
+	const hint = createRetryHint();
+	let lastOutcome: StatementOutcome = createBusyFailure('No instance can serve the read', hint.find());
 	for (let attempt = 0; attempt < maxAttempts; attempt++) {
 		const remainingMs = deadline - context.now().steady;
 		if (remainingMs <= 0) {
@@ -37,7 +40,7 @@
 		}
 
 		tried.add(target.instance.listed().id);
-		const outcome = await tryTarget(query, operation, target);
+		const outcome = await tryTarget(query, operation, {...target, hint});
 		if (outcome.kind === 'done' || outcome.isFinal) {
 			return outcome.outcome;
 		}
@@ -52,7 +55,7 @@
 	| {readonly kind: 'done'; readonly outcome: StatementOutcome}
 	| {readonly kind: 'failed'; readonly outcome: StatementOutcome; readonly isFinal: boolean};
 
-async function tryTarget(query: Query, operation: Operation, {instance, after, lease}: Target): Promise<AttemptResult> {
+async function tryTarget(query: Query, operation: Operation, {instance, after, lease, hint}: Target & {readonly hint: RetryHint}): Promise<AttemptResult> {
 	const {context, group} = operation;
 	const {id} = instance.listed();
 	const requestedAt = context.now();
@@ -63,7 +66,9 @@
 	}, () => operation.isAllowed() && (lease === undefined || hasLease(lease)));
 	operation.trace.addStep(`${id}: ${describeAnswer(answer)}${describeLease(lease)}`);
 	if (answer.kind === 'notSent') {
-		return {kind: 'failed', outcome: createBusyFailure(`The read was not sent to instance ${id}: ${answer.reason}`, 100), isFinal: !operation.isAllowed()};
+		// The primary is tried last. It has no room for the read now, so that another attempt there would be refused as well.
+		const isPrimaryFull = hint.record(answer) && lease !== undefined;
+		return {kind: 'failed', outcome: createBusyFailure(`The read was not sent to instance ${id}: ${answer.reason}`, hint.find()), isFinal: isPrimaryFull || !operation.isAllowed()};
 	}
 
 	if (answer.kind === 'lost') {
@@ -82,6 +87,6 @@
 		lease?.group.setDemoted(lease.epoch, true);
 	}
 
-	const outcome = hasNotRun(code) ? createBusyFailure(`Instance ${id} answered ${code}`, 100) : answer.outcome;
+	const outcome = hasNotRun(code) ? createBusyFailure(`Instance ${id} answered ${code}`, hint.find()) : answer.outcome;
 	return {kind: 'failed', outcome, isFinal: code === 'malformed' || code === 'timeout'};
 }
--- a/packages/sessions/run-write.ts
+++ b/packages/sessions/run-write.ts
@@ -13,6 +13,8 @@
 import type {StatementOutcome} from './statement-outcome.ts';
 import {waitForExpectedPrimary} from './wait-for-expected-primary.ts';
 import type {Query} from './query.ts';
+import {createRetryHint} from './waiting/create-retry-hint.ts';
+import type {RetryHint} from './waiting/retry-hint.ts';
 
 /** Milliseconds between two attempts of a write that did not run. */
 const retryDelayMs = 40;
@@ -28,7 +30,8 @@
  */
 export async function runWrite(query: Query, operation: Operation): Promise<StatementOutcome> {
 	const {context, group, deadline} = operation;
-	let lastOutcome: StatementOutcome = createBusyFailure('The write found no primary', 100);
+	const hint = createRetryHint();
+	let lastOutcome: StatementOutcome = createBusyFailure('The write found no primary', hint.find());
 	for (let attempt = 0; attempt < maxAttempts; attempt++) {
 		const remainingMs = deadline - context.now().steady;
 		if (remainingMs <= 0) {
@@ -41,7 +44,7 @@
 			return createBusyFailure(`The group has no primary now (${view.reason})`, view.retryAfter);
 		}
 
-		const outcome = await tryPrimary(query, operation, view);
+		const outcome = await tryPrimary(query, operation, {...view, hint});
 		if (outcome.isFinal) {
 			return outcome.outcome;
 		}
@@ -55,7 +58,7 @@
 
 type AttemptResult = {readonly outcome: StatementOutcome; readonly isFinal: boolean};
 
-async function tryPrimary(query: Query, operation: Operation, {instance: id, epoch}: PrimaryView & {readonly kind: 'leased'}): Promise<AttemptResult> {
+async function tryPrimary(query: Query, operation: Operation, {instance: id, epoch, hint}: PrimaryView & {readonly kind: 'leased'; readonly hint: RetryHint}): Promise<AttemptResult> {
 	const {context, group} = operation;
 	const instance = group.findInstance(id);
 	if (instance === undefined) {
@@ -74,7 +77,9 @@
 	operation.trace.addStep(`${id}: ${describeAnswer(answer)}${describeLease(lease)}`);
 	if (answer.kind === 'notSent') {
 		operation.setMayTakeEffect(false);
-		return {outcome: createBusyFailure(`The write was not sent to the primary ${id}: ${answer.reason}`, 100), isFinal: !operation.isAllowed()};
+		// A primary without room for the write refuses another attempt as well.
+		const isPrimaryFull = hint.record(answer);
+		return {outcome: createBusyFailure(`The write was not sent to the primary ${id}: ${answer.reason}`, hint.find()), isFinal: isPrimaryFull || !operation.isAllowed()};
 	}
 
 	if (answer.kind === 'lost') {
@@ -90,7 +95,7 @@
 
 		operation.setMayTakeEffect(!hasNotRun(answer.outcome.code));
 		return hasNotRun(answer.outcome.code)
-			? {outcome: createBusyFailure(`The primary ${id} answered ${answer.outcome.code}`, 100), isFinal: false}
+			? {outcome: createBusyFailure(`The primary ${id} answered ${answer.outcome.code}`, hint.find()), isFinal: false}
 			: {outcome: answer.outcome, isFinal: true};
 	}
 
--- /dev/null
+++ b/packages/sessions/waiting/list-overdue.ts
@@ -0,0 +1,55 @@
+import type {WaitingRequest} from '../pools/waiting-request.ts';
+import {compareTurns} from './compare-turns.ts';
+import {findLaneTurn} from './find-lane-turn.ts';
+import {isOverdue} from './is-overdue.ts';
+import type {LaneTurn} from './lane-turn.ts';
+import type {ServicePace} from './service-pace.ts';
+import type {WaitingClass} from './waiting-class.ts';
+
+type Options = {
+	readonly pace: ServicePace;
+	readonly now: number;
+};
+
+type Overdue<Request> = {
+	readonly request: Request;
+	/** Number of requests that are served before it. */
+	readonly ahead: number;
+};
+
+/**
+ * Lists the requests whose deadline has passed or will have passed when they are served, in the order of service.
+ *
+ * Those that are listed do not count as being ahead of others.
+ *
+ * @param classes Priorities, the most urgent first.
+ */
+export function listOverdue<Request extends WaitingRequest>(classes: ReadonlyArray<WaitingClass<Request>>, {pace, now}: Options): ReadonlyArray<Overdue<Request>> {
+	const overdue: Array<Overdue<Request>> = [];
+	let ahead = 0;
+	for (const request of classes.flatMap(waitingClass => listInOrder(waitingClass))) {
+		if (request.deadline <= now || isOverdue({pace, ahead, remainingMs: request.deadline - now})) {
+			overdue.push({request, ahead});
+		} else {
+			ahead++;
+		}
+	}
+
+	return overdue;
+}
+
+function listInOrder<Request extends WaitingRequest>({listLanes}: WaitingClass<Request>): readonly Request[] {
+	const turns: Array<{readonly request: Request; readonly turn: LaneTurn}> = [];
+	for (const lane of listLanes()) {
+		for (const [index, request] of [...lane.onTime, ...lane.late].entries()) {
+			const turn = findLaneTurn(lane, index);
+			if (turn !== undefined) {
+				turns.push({request, turn});
+			}
+		}
+	}
+
+	return turns
+		.toSorted((a, b) => compareTurns(a.turn, b.turn))
+		.map(({request}) => request);
+}
--- /dev/null
+++ b/packages/sessions/waiting/service-pace.ts
@@ -0,0 +1,7 @@
+/** How fast requests are served, as measured by the owner of a queue. */
+export type ServicePace = {
+	/** Milliseconds for which a request is served on average; undefined if that was not measured. */
+	readonly serviceMs: number | undefined;
+	/** Number of requests that are served at a time; undefined if it is not known. */
+	readonly limit: number | undefined;
+};
