--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -10,6 +10,7 @@
 import {rankReaders} from './rank-readers.ts';
 import type {ReadCandidate} from './read-candidate.ts';
 import type {SessionLog} from './session-log.ts';
+import type {EndedWait} from './waiting/ended-wait.ts';
 
 type Options = {
 	/** Name of the group. */
@@ -23,6 +24,8 @@
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 	readonly log: Pick<SessionLog, 'warn'>;
+	/** Called when a request no longer waits for a connection of this host. */
+	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
 /** The instances of a group, as this host uses them. */
@@ -58,7 +61,7 @@
 
 /** Creates the instances of a group; there are none until the platform lists them. */
 export function createGroupInstances({
-	group, zone, openConnection, gateways, findRow, now, log,
+	group, zone, openConnection, gateways, findRow, now, log, onWaitEnded,
 }: Options): GroupInstances {
 	/** All instances that the platform lists, by id. */
 	let listed: ReadonlyMap<string, ListedInstance> = new Map();
@@ -79,7 +82,7 @@
 		}
 
 		const instance = createInstanceRuntime(entry, {
-			openConnection, gateways, limit: connectionLimit, now,
+			openConnection, gateways, limit: connectionLimit, now, onWaitEnded,
 		});
 		instances.set(id, instance);
 		return instance;
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -11,6 +11,7 @@
 import type {OpenConnectionOutcome} from './open-connection-outcome.ts';
 import type {OpenConnection} from './open-connection.ts';
 import type {PooledConnection} from './pools/pooled-connection.ts';
+import type {EndedWait} from './waiting/ended-wait.ts';
 
 type Options = {
 	readonly openConnection: OpenConnection;
@@ -19,6 +20,8 @@
 	readonly limit: number;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
+	/** Called when a request no longer waits for a connection of this host. */
+	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
 /** Time within which an instance must accept a connection. */
@@ -29,7 +32,7 @@
 
 /** Creates the runtime of an instance: its connection pool, its observed health and the means to run jobs on it. */
 export function createInstanceRuntime(first: ListedInstance, {
-	openConnection, gateways, limit, now,
+	openConnection, gateways, limit, now, onWaitEnded,
 }: Options): InstanceRuntime {
 	let listed = first;
 	let health: InstanceHealth = {
@@ -43,6 +46,7 @@
 	const pool = createInstancePool({
 		limit,
 		now,
+		onWaitEnded,
 		async open(workspace) {
 			recordObservation({kind: 'sent'});
 			const outcome = await openConnection(listed, {workspace, timeout: connectTimeoutMs});
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -11,6 +11,7 @@
 import type {SessionGroup} from './session-group.ts';
 import type {SessionLog} from './session-log.ts';
 import type {Versioned} from './versioned.ts';
+import type {EndedWait} from './waiting/ended-wait.ts';
 
 type Options = {
 	/** Availability zone of this host. */
@@ -23,6 +24,8 @@
 	readonly log: SessionLog;
 	/** Finds a workspace on whose behalf the primary's position may be queried. */
 	readonly findWorkspace: () => string | undefined;
+	/** Called when a request no longer waits for a connection of this host. */
+	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
 /** Creates this host's state of a group: its instances, its primary and samples of the primary's log position. */
--- a/packages/sessions/pools/create-instance-pool.test.ts
+++ b/packages/sessions/pools/create-instance-pool.test.ts
@@ -4,12 +4,12 @@
 import {createInstancePool} from './create-instance-pool.ts';
 
 /** Creates a pool and records which connections it opens and how many it closes. */
-function createPool(limit: number, outcome?: OpenConnectionOutcome) {
+function createPool(limit: number, {outcome, time = {now: 0}}: {readonly outcome?: OpenConnectionOutcome; readonly time?: {readonly now: number}} = {}) {
 	const opened: string[] = [];
 	let closed = 0;
 	const pool = createInstancePool({
 		limit,
-		now: () => 0,
+		now: () => time.now,
 		async open(workspace) {
 			opened.push(workspace);
 			let isClosed = false;
@@ -93,8 +93,8 @@
 	});
 
 	it('distinguishes a full instance from an unreachable one', async () => {
-		const full = createPool(1, {kind: 'refused', code: 'tooManyConnections'});
-		const unreachable = createPool(1, {kind: 'notListening'});
+		const full = createPool(1, {outcome: {kind: 'refused', code: 'tooManyConnections'}});
+		const unreachable = createPool(1, {outcome: {kind: 'notListening'}});
 		const request = {workspace: 'upper', priority: 1, timeout: 10};
 		const outcomes = await Promise.all([full.pool.acquire(request), unreachable.pool.acquire(request)]);
 		expect(outcomes).to.deep.equal([{kind: 'busy'}, {kind: 'unreachable'}]);
@@ -118,4 +118,22 @@
 		expect(pool.readLoad()).to.include({busy: 0, waiting: 0});
 		expect(attempts).to.equal(3);
 	});
+
+	it('refuses at once a request that cannot be served in time, and says when there is room', async () => {
+		const time = {now: 0};
+		const {pool, acquire} = createPool(1, {time});
+		for (let count = 0; count < 12; count++) {
+			const held = await acquire('upper'); // eslint-disable-line no-await-in-loop -- measures one after another
+			time.now += 100;
+			pool.release(held!, true);
+		}
+
+		await acquire('upper');
+		const request = {workspace: 'upper', priority: 1, timeout: 400};
+		const waiting = Array.from({length: 4}, async () => pool.acquire(request));
+		const refused = await pool.acquire(request);
+		expect(refused).to.deep.include({kind: 'busy', ahead: 4});
+		expect(refused).to.have.property('retryAfterMs').that.is.within(200, 400);
+		expect(pool.readLoad().waiting).to.equal(waiting.length);
+	});
 });
--- a/packages/sessions/pools/create-waiting-queue.ts
+++ b/packages/sessions/pools/create-waiting-queue.ts
@@ -14,7 +14,7 @@
 };
 
 /** Milliseconds between two searches for requests that cannot be served in time any more. */
-const overdueCheckIntervalMs = 50;
+const overdueCheckIntervalMs = 100;
 
 const unknownPace: ServicePace = {serviceMs: undefined, limit: undefined};
 
--- a/packages/sessions/session-metrics.ts
+++ b/packages/sessions/session-metrics.ts
@@ -11,6 +11,8 @@
 	readonly statementSeconds: Histogram<'kind'>;
 	/** Total seconds that statements spent in each phase; see `StatementTrace.spans`. */
 	readonly phaseSeconds: Counter<'part'>;
+	/** Seconds for which requests waited for a connection, by priority and by whether they were served or why not. */
+	readonly waitSeconds: Histogram<'priority' | 'outcome'>;
 	/** Calls to the store, by kind and result. */
 	readonly storeCalls: Counter<'kind' | 'result'>;
 	/** Log lines dropped by the rate limit or a full output. */
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -30,6 +30,7 @@
 import type {SessionLog} from './session-log.ts';
 import type {Store} from './store.ts';
 import type {StoreTable} from './store-table.ts';
+import type {EndedWait} from './waiting/ended-wait.ts';
 
 type Options = {
 	readonly profile: HostProfile;
@@ -46,6 +47,8 @@
 	readonly startedAt: number;
 	readonly log: SessionLog;
 	readonly onAnswered: SessionContext['onAnswered'];
+	/** Called when a request no longer waits for a connection of this host. */
+	readonly onWaitEnded: (wait: EndedWait) => void;
 	/** Called with the number of open sessions when it changes. */
 	readonly onSessionCount: (count: number) => void;
 	/** Ends the server of other hosts' calls within a time in milliseconds, without losing calls. */
@@ -130,6 +133,7 @@
 	const groups = createSessionGroups({
 		zone: profile.zone,
 		openConnection: options.openConnection,
+		onWaitEnded: options.onWaitEnded,
 		gateways,
 		now,
 		log,
--- a/packages/sessions/waiting/choose-priority.ts
+++ b/packages/sessions/waiting/choose-priority.ts
@@ -1,11 +1,11 @@
 import {maxPasses} from './max-passes.ts';
 import type {PriorityHead} from './priority-head.ts';
 
-/** How many times more slack the most urgent priority must have, for each place between them, to be overtaken. */
+/** How many times the slack of a request a more urgent one must have to be overtaken, for each place between them. */
 const slackRatio = 4;
 
 /** Number of requests that are served in order before another one may overtake. */
-const minTakesBetween = 3;
+const minTakesBetween = 7;
 
 type Options = {
 	/** Number of requests that were served since one overtook a more urgent priority. */
@@ -35,9 +35,13 @@
 		return leading;
 	}
 
-	const spareMs = leading.slackMs - leading.backlogMs;
-	const [pressed] = others
-		.filter(({isOnTime, slackMs}, index) => isOnTime && slackMs * (slackRatio ** (index + 1)) < spareMs)
+	const [pressed] = heads
+		.filter((head, index) => head.isOnTime && heads.slice(0, index).every((other, place) => isRelaxed(other, head.slackMs * (slackRatio ** (index - place)))))
 		.toSorted((a, b) => a.slackMs - b.slackMs);
 	return pressed ?? leading;
 }
+
+/** Whether a priority has time to spare beyond a limit, and its next request has waited for less than half of its time. */
+function isRelaxed({slackMs, backlogMs, patienceMs}: PriorityHead, limitMs: number): boolean {
+	return slackMs - backlogMs > limitMs && slackMs > patienceMs / 2;
+}
--- a/packages/sessions/waiting/create-priority-head.ts
+++ b/packages/sessions/waiting/create-priority-head.ts
@@ -30,6 +30,7 @@
 		priority: waitingClass.priority,
 		passes,
 		slackMs: Math.max(0, due - now - serviceMs),
+		patienceMs: due - (request.since ?? due),
 		backlogMs: waitingClass.count().onTime * serviceMs / Math.max(1, limit),
 	};
 }
--- a/packages/sessions/waiting/create-waiting-class.ts
+++ b/packages/sessions/waiting/create-waiting-class.ts
@@ -12,6 +12,15 @@
 	const lanes = new Map<string, WaitingLane<Request>>();
 	/** Number of the present round. */
 	let round = 0;
+	let all = 0;
+	let onTime = 0;
+
+	const setLane = (lane: WaitingLane<Request>) => {
+		const previous = lanes.get(lane.workspace);
+		all += countLane(lane) - (previous === undefined ? 0 : countLane(previous));
+		onTime += lane.onTime.length - (previous?.onTime.length ?? 0);
+		lanes.set(lane.workspace, lane);
+	};
 
 	/** Begins the next round if all workspaces were served in the present one. */
 	const updateRound = () => {
@@ -32,7 +41,7 @@
 		const lane = lanes.get(request.workspace);
 		if (lane !== undefined) {
 			const shorter = dropFromLane(lane, request);
-			lanes.set(lane.workspace, {...shorter, round: lane.round + turns});
+			setLane({...shorter, round: lane.round + turns});
 			updateRound();
 		}
 	};
@@ -44,14 +53,17 @@
 			const lane = lanes.get(workspace) ?? {
 				workspace, onTime: [], late: [], round,
 			};
-			lanes.set(workspace, addToLane(lane, request));
+			setLane(addToLane(lane, request));
 		},
 		remove(request) {
 			drop(request, 0);
 		},
 		update(options) {
 			for (const lane of lanes.values()) {
-				lanes.set(lane.workspace, updateLane(lane, options));
+				const updated = updateLane(lane, options);
+				if (updated !== lane) {
+					setLane(updated);
+				}
 			}
 		},
 		findNext(options) {
@@ -63,16 +75,7 @@
 			drop(request, 1);
 		},
 		listLanes: () => lanes.values(),
-		count() {
-			let all = 0;
-			let onTime = 0;
-			for (const lane of lanes.values()) {
-				all += countLane(lane);
-				onTime += lane.onTime.length;
-			}
-
-			return {all, onTime};
-		},
+		count: () => ({all, onTime}),
 	};
 }
 
--- a/packages/sessions/waiting/priority-head.ts
+++ b/packages/sessions/waiting/priority-head.ts
@@ -8,6 +8,8 @@
 	readonly isOnTime: boolean;
 	/** Milliseconds for which the next request can wait and still be served by its target, or by its deadline if it is late. */
 	readonly slackMs: number;
+	/** Milliseconds from its arrival to its target, or to its deadline if it is late; 0 if the arrival is not known. */
+	readonly patienceMs: number;
 	/** Milliseconds that it takes to serve all requests of the priority that are on time. */
 	readonly backlogMs: number;
 };
