Refuse only by the least time of service, and order by the average one

Cause: the average time for which a connection is held includes the pauses of transactions, so that it says too little of a single statement to call it impossible.

--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -32,10 +32,11 @@
  */
 export function createInstancePool(options: Options): InstancePool {
 	const connections = new Set<PooledConnection>();
-	const timer = createServiceTimer(options.now);
+	const serviceTimer = createServiceTimer(options.now);
 	let {limit} = options;
 	const queue = createWaitingQueue<Waiter>({
-		findPace: () => ({serviceMs: timer.findAverage(), limit}),
+		// After the limit was lowered, the connections that are left over still serve requests.
+		findPace: () => ({...serviceTimer.findPace(), limit: Math.max(limit, connections.size)}),
 		onRefused(waiter, {cause, ...refusal}) {
 			waiter.end({kind: 'busy', ...refusal}, cause);
 		},
@@ -99,7 +100,7 @@
 			connection: outcome.connection, workspace, variables: new Map(), prepared: new Map(), isBusy: true, idleSince: 0,
 		};
 		connections.add(pooled);
-		timer.begin(pooled);
+		serviceTimer.begin(pooled);
 		return {kind: 'acquired', connection: pooled, openMs: options.now() - startedAt};
 	};
 
@@ -107,7 +108,7 @@
 		const pooled = listIdle().findLast(idle => idle.workspace === workspace);
 		if (pooled !== undefined) {
 			pooled.isBusy = true;
-			timer.begin(pooled);
+			serviceTimer.begin(pooled);
 		}
 
 		return pooled;
@@ -175,7 +176,7 @@
 		release(pooled, isClean) {
 			pooled.isBusy = false;
 			pooled.idleSince = options.now();
-			timer.end(pooled);
+			serviceTimer.end(pooled);
 			if (!isClean || isClosed || connections.size > limit || pooled.connection.isClosed()) {
 				closeConnection(pooled);
 			}
--- a/packages/sessions/waiting/create-service-timer.ts
+++ b/packages/sessions/waiting/create-service-timer.ts
@@ -1,20 +1,22 @@
+import type {ServicePace} from './service-pace.ts';
+
 /** Measures for how long requests are served. */
 type ServiceTimer = {
 	/** Records that what serves a request, such as a connection, is taken for it. */
 	readonly begin: (server: object) => void;
 	/** Records that it is free again; ignored if its beginning was not recorded. */
 	readonly end: (server: object) => void;
-	/** Returns the smoothed milliseconds for which a request is served; undefined if too few were measured lately. */
-	readonly findAverage: () => number | undefined;
+	/** Returns the smoothed milliseconds for which a request is served, and the least of the last ones; undefined if too few were measured lately. */
+	readonly findPace: () => Pick<ServicePace, 'serviceMs' | 'leastServiceMs'>;
 };
 
 /** Weight of the newest time in the exponential moving average. */
 const newestWeight = 0.1;
 
-/** Number of measured times below which the average is not used. */
-const minSamples = 10;
+/** Number of measured times below which they are not used, and of the last ones that are kept. */
+const sampleCount = 10;
 
-/** Milliseconds after the last measured time for which the average is used. */
+/** Milliseconds after the last measured time for which they are used. */
 const maxAgeMs = 5000;
 
 /**
@@ -24,6 +26,8 @@
  */
 export function createServiceTimer(now: () => number): ServiceTimer {
 	const startedAt = new WeakMap<object, number>();
+	/** The last measured times, in milliseconds. */
+	const lastMs: number[] = [];
 	let average = 0;
 	let samples = 0;
 	let measuredAt = 0;
@@ -40,10 +44,15 @@
 
 			startedAt.delete(server);
 			measuredAt = now();
+			const serviceMs = measuredAt - started;
+			lastMs[samples % sampleCount] = serviceMs;
 			samples++;
 			// Until the average has enough times, each of them counts the same.
-			average += (measuredAt - started - average) * Math.max(newestWeight, 1 / samples);
+			average += (serviceMs - average) * Math.max(newestWeight, 1 / samples);
+		},
+		findPace() {
+			const isKnown = samples >= sampleCount && now() - measuredAt <= maxAgeMs;
+			return isKnown ? {serviceMs: average, leastServiceMs: Math.min(...lastMs)} : {serviceMs: undefined};
 		},
-		findAverage: () => samples >= minSamples && now() - measuredAt <= maxAgeMs ? average : undefined,
 	};
 }
--- a/packages/sessions/waiting/is-overdue.ts
+++ b/packages/sessions/waiting/is-overdue.ts
@@ -16,11 +16,11 @@
  *
  * Never while no more requests are ahead than are served at a time, and never if the pace was not measured.
  */
-export function isOverdue({pace: {serviceMs, limit}, ahead, remainingMs}: Options): boolean {
+export function isOverdue({pace: {serviceMs, leastServiceMs = 0, limit}, ahead, remainingMs}: Options): boolean {
 	if (serviceMs === undefined || limit === undefined || ahead < limit) {
 		return false;
 	}
 
 	const waitMs = (ahead + 1) * serviceMs / Math.max(1, limit);
-	return waitMs + serviceMs > remainingMs * certainRatio;
+	return waitMs + leastServiceMs > remainingMs * certainRatio;
 }
--- a/packages/sessions/waiting/update-lane.ts
+++ b/packages/sessions/waiting/update-lane.ts
@@ -5,13 +5,13 @@
 import type {WaitingLane} from './waiting-lane.ts';
 
 type Options = {
-	/** Milliseconds for which a request is served. */
+	/** Milliseconds for which a request is served on average. */
 	readonly serviceMs: number;
 	readonly now: number;
 };
 
 /**
- * Moves the requests that miss their target, even if they are served now, to the late ones of a lane.
+ * Moves the requests that would miss their target, even if they were served now, to the late ones of a lane.
  *
  * A late request is worth less than one that is on time, so that a backlog does not make each later request late as well.
  */
