Judge by the times of a priority whether its requests can still meet their target

Cause: the mean of all priorities is too short for the long ones, which were served when they were about to miss their target and then missed it.

--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -18,6 +18,9 @@
 	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
+/** For whom a connection is taken. */
+type Taker = Pick<AcquireRequest, 'workspace' | 'priority'>;
+
 /** A request that waits for a connection. */
 type Waiter = WaitingRequest & {
 	/** Ends the wait with a connection, or with the cause of a refusal. */
@@ -88,7 +91,7 @@
 		}
 	};
 
-	const open = async (workspace: string): Promise<AcquireOutcome> => {
+	const open = async ({workspace, priority}: Taker): Promise<AcquireOutcome> => {
 		const startedAt = options.now();
 		const outcome = await tryOpen(workspace);
 		if (outcome.kind !== 'opened') {
@@ -100,15 +103,15 @@
 			connection: outcome.connection, workspace, variables: new Map(), prepared: new Map(), isBusy: true, idleSince: 0,
 		};
 		connections.add(pooled);
-		serviceTimer.begin(pooled);
+		serviceTimer.begin(pooled, priority);
 		return {kind: 'acquired', connection: pooled, openMs: options.now() - startedAt};
 	};
 
-	const take = (workspace: string): PooledConnection | undefined => {
+	const take = ({workspace, priority}: Taker): PooledConnection | undefined => {
 		const pooled = listIdle().findLast(idle => idle.workspace === workspace);
 		if (pooled !== undefined) {
 			pooled.isBusy = true;
-			serviceTimer.begin(pooled);
+			serviceTimer.begin(pooled, priority);
 		}
 
 		return pooled;
@@ -127,10 +130,10 @@
 	};
 
 	const serve = async (waiter: Waiter) => {
-		const pooled = take(waiter.workspace);
+		const pooled = take(waiter);
 		if (pooled === undefined) {
 			makeRoom();
-			waiter.end(await open(waiter.workspace));
+			waiter.end(await open(waiter));
 		} else {
 			waiter.end({kind: 'acquired', connection: pooled, openMs: 0});
 		}
@@ -161,14 +164,13 @@
 
 	return {
 		async acquire(request) {
-			const {workspace} = request;
-			const idle = queue.count() === 0 ? take(workspace) : undefined;
+			const idle = queue.count() === 0 ? take(request) : undefined;
 			if (idle !== undefined) {
 				return {kind: 'acquired', connection: idle, openMs: 0};
 			}
 
 			if (queue.count() === 0 && makeRoom()) {
-				return open(workspace);
+				return open(request);
 			}
 
 			return request.timeout > 0 ? wait(request) : {kind: 'busy'};
--- a/packages/sessions/pools/create-waiting-queue.test.ts
+++ b/packages/sessions/pools/create-waiting-queue.test.ts
@@ -45,10 +45,13 @@
 	};
 
 	let busyUntil = 0;
-	let servedCount = 0;
-	let servedMs = 0;
+	const served: Load[] = [];
 	const queue = createWaitingQueue<Request>({
-		findPace: () => ({serviceMs: servedCount < 10 ? undefined : servedMs / servedCount, limit: 1}),
+		findPace: () => ({
+			serviceMs: served.length < 10 ? undefined : served.reduce((sum, {serviceMs}) => sum + serviceMs, 0) / served.length,
+			findServiceMs: priority => served.find(load => load.priority === priority)?.serviceMs,
+			limit: 1,
+		}),
 		onRefused(request, {cause}) {
 			record(request, cause === 'expired' ? 'expired' : 'refused');
 		},
@@ -61,8 +64,7 @@
 		const request = now >= busyUntil ? queue.take(now) : undefined;
 		if (request !== undefined) {
 			busyUntil = now + request.load.serviceMs;
-			servedMs += request.load.serviceMs;
-			servedCount++;
+			served.push(request.load);
 			record(request, busyUntil <= request.target ? 'onTime' : (busyUntil <= request.deadline ? 'late' : 'expired'));
 		}
 	}
--- a/packages/sessions/waiting/create-priority-head.ts
+++ b/packages/sessions/waiting/create-priority-head.ts
@@ -15,7 +15,9 @@
 export function createPriorityHead<Request extends WaitingRequest>(waitingClass: WaitingClass<Request>, {
 	pace, passes, isPreferred, now,
 }: Options): PriorityHead & {readonly request: Request} | undefined {
-	const {serviceMs = 0, limit = 1} = pace;
+	const {priority} = waitingClass;
+	const {limit = 1} = pace;
+	const serviceMs = pace.findServiceMs?.(priority) ?? pace.serviceMs ?? 0;
 	waitingClass.update({serviceMs, now});
 	const next = waitingClass.findNext({isPreferred});
 	if (next === undefined) {
@@ -27,7 +29,7 @@
 	return {
 		request,
 		isOnTime,
-		priority: waitingClass.priority,
+		priority,
 		passes,
 		slackMs: Math.max(0, due - now - serviceMs),
 		patienceMs: due - (request.since ?? due),
--- a/packages/sessions/waiting/service-pace.ts
+++ b/packages/sessions/waiting/service-pace.ts
@@ -4,6 +4,8 @@
 	readonly serviceMs: number | undefined;
 	/** Least milliseconds for which a request is served; 0 if undefined. */
 	readonly leastServiceMs?: number | undefined;
+	/** Returns the same average for the requests of a priority, if it was measured. */
+	readonly findServiceMs?: ((priority: number) => number | undefined) | undefined;
 	/** Number of requests that are served at a time; undefined if it is not known. */
 	readonly limit: number | undefined;
 };
