Predict waits by the times of each priority

Cause: the mean of all priorities is too long for short ones, whose requests could be refused though they would be served.

--- a/packages/sessions/pools/create-waiting-queue.test.ts
+++ b/packages/sessions/pools/create-waiting-queue.test.ts
@@ -202,15 +202,24 @@
 });
 
 describe('createWaitingQueue, refusals', () => {
-	/** Adds requests with some time left to a queue that serves `limit` at a time, in 100 ms each. Returns those that are refused. */
-	const refuse = ({count, timeoutMs, serviceMs, jitter = () => 0}: {readonly count: number; readonly timeoutMs: number; readonly serviceMs: number | undefined; readonly jitter?: () => number}) => {
+	type Options = {
+		readonly count: number;
+		readonly timeoutMs: number;
+		readonly serviceMs: number | undefined;
+		/** Average for the priority of the requests. */
+		readonly ownServiceMs?: number;
+	};
+
+	/** Adds requests to a queue that serves four at a time. Returns the times to come back of those that are refused. */
+	const refuse = ({count, timeoutMs, serviceMs, ownServiceMs = serviceMs}: Options) => {
 		const refused: Array<number | undefined> = [];
 		const queue = createWaitingQueue<typeof requestDefaults & {readonly since: number}>({
-			findPace: () => ({serviceMs, leastServiceMs: serviceMs, limit: 4}),
+			findPace: () => ({
+				serviceMs, leastServiceMs: ownServiceMs, findServiceMs: () => ownServiceMs, limit: 4,
+			}),
 			onRefused(_, {retryAfterMs}) {
 				refused.push(retryAfterMs);
 			},
-			jitter,
 		});
 		for (let index = 0; index < count; index++) {
 			queue.add({...requestDefaults, since: 0, deadline: timeoutMs});
@@ -219,11 +228,18 @@
 		return refused;
 	};
 
-	const cases = [
+	const cases: ReadonlyArray<{readonly name: string; readonly options: Options; readonly expected: number}> = [
 		{name: 'none while fewer wait than are served at a time, however little time they have', options: {count: 4, timeoutMs: 1, serviceMs: 100}, expected: 0},
 		{name: 'none while the pace is not known', options: {count: 500, timeoutMs: 400, serviceMs: undefined}, expected: 0},
 		{name: 'none that can be served in time', options: {count: 12, timeoutMs: 400, serviceMs: 100}, expected: 0},
 		{name: 'those behind as many as can be served in time', options: {count: 40, timeoutMs: 400, serviceMs: 100}, expected: 24},
+		{
+			name: 'none of a short kind that is slow on average only because of the others',
+			options: {
+				count: 40, timeoutMs: 400, serviceMs: 100, ownServiceMs: 10,
+			},
+			expected: 0,
+		},
 	];
 	for (const {name, options, expected} of cases) {
 		it(name, () => {
--- a/packages/sessions/pools/create-waiting-queue.ts
+++ b/packages/sessions/pools/create-waiting-queue.ts
@@ -1,5 +1,6 @@
 import {
-	choosePriority, countAhead, createPriorityHead, createRetryReservations, createWaitingClass, isOverdue, listOverdue, type ServicePace, type WaitingClass, type WaitingRefusal,
+	choosePriority, createPriorityHead, createRetryReservations, createWaitingClass, findWait, findWorkAhead, isOverdue, listOverdue,
+	type ServicePace, type WaitingClass, type WaitingRefusal, type WorkAhead,
 } from '../waiting/mod.ts';
 import type {WaitingQueue} from './waiting-queue.ts';
 import type {WaitingRequest} from './waiting-request.ts';
@@ -18,6 +19,8 @@
 
 const unknownPace: ServicePace = {serviceMs: undefined, limit: undefined};
 
+const nothingAhead: WorkAhead = {count: 0, serviceMs: 0};
+
 /**
  * Creates an empty queue.
  *
@@ -54,12 +57,12 @@
 		}
 	};
 
-	const refuse = (request: Request, {ahead, now}: {readonly ahead: number; readonly now: number}) => {
+	const refuse = (request: Request, {ahead, now}: {readonly ahead: WorkAhead; readonly now: number}) => {
 		drop(request, false);
 		const retryAfterMs = reservations.add({
 			priority: request.priority, pace: findPace(), ahead, remainingMs: request.deadline - now, now,
 		});
-		onRefused?.(request, {cause: request.deadline <= now ? 'expired' : 'overdue', ahead, retryAfterMs});
+		onRefused?.(request, {cause: request.deadline <= now ? 'expired' : 'overdue', ahead: ahead.count, retryAfterMs});
 	};
 
 	/** Refuses the requests that cannot be served in time, as when they are served more slowly than they were when they came. */
@@ -77,13 +80,15 @@
 	/** Refuses a request that has just been added if it cannot be served in time. */
 	const refuseAdded = (request: Request) => {
 		const pace = findPace();
-		const {since: now, deadline} = request;
+		const {since: now, deadline, priority} = request;
 		if (onRefused === undefined || now === undefined || pace.limit === undefined || waiting.size <= pace.limit) {
 			return;
 		}
 
-		const ahead = countAhead(classes.values(), request) ?? 0;
-		if (isOverdue({pace, ahead, remainingMs: deadline - now})) {
+		const ahead = findWorkAhead(listClasses(), {request, pace}) ?? nothingAhead;
+		if (isOverdue({
+			pace, ahead, priority, remainingMs: deadline - now,
+		})) {
 			refuse(request, {ahead, now});
 		}
 	};
@@ -132,7 +137,7 @@
 					return request;
 				}
 
-				refuse(request, {ahead: 0, now});
+				refuse(request, {ahead: nothingAhead, now});
 			}
 		},
 		remove(request) {
@@ -145,9 +150,9 @@
 		},
 		count: () => waiting.size,
 		findWait(request) {
-			const {serviceMs, limit} = findPace();
-			const ahead = countAhead(classes.values(), request);
-			return ahead === undefined || serviceMs === undefined || limit === undefined ? undefined : (ahead + 1) * serviceMs / Math.max(1, limit);
+			const pace = findPace();
+			const ahead = findWorkAhead(listClasses(), {request, pace});
+			return ahead && findWait({pace, ahead, priority: request.priority});
 		},
 	};
 }
--- a/packages/sessions/waiting/create-priority-head.ts
+++ b/packages/sessions/waiting/create-priority-head.ts
@@ -1,5 +1,6 @@
 import type {WaitingRequest} from '../pools/waiting-request.ts';
 import type {chooseLane} from './choose-lane.ts';
+import {findServiceMs} from './find-service-ms.ts';
 import {findTarget} from './find-target.ts';
 import type {PriorityHead} from './priority-head.ts';
 import type {ServicePace} from './service-pace.ts';
@@ -17,7 +18,7 @@
 }: Options): PriorityHead & {readonly request: Request} | undefined {
 	const {priority} = waitingClass;
 	const {limit = 1} = pace;
-	const serviceMs = pace.findServiceMs?.(priority) ?? pace.serviceMs ?? 0;
+	const serviceMs = findServiceMs(pace, priority);
 	waitingClass.update({serviceMs, now});
 	const next = waitingClass.findNext({isPreferred});
 	if (next === undefined) {
--- a/packages/sessions/waiting/find-retry-delay.ts
+++ b/packages/sessions/waiting/find-retry-delay.ts
@@ -1,9 +1,9 @@
 import type {ServicePace} from './service-pace.ts';
+import type {WorkAhead} from './work-ahead.ts';
 
 type Options = {
 	readonly pace: ServicePace;
-	/** Number of requests that are served before it. */
-	readonly ahead: number;
+	readonly ahead: WorkAhead;
 	/** Milliseconds until its deadline. */
 	readonly remainingMs: number;
 	/** Milliseconds until the room is given to those that were refused before. */
@@ -29,8 +29,8 @@
 		return undefined;
 	}
 
-	const perRequestMs = serviceMs / Math.max(1, limit);
-	const roomMs = (ahead * perRequestMs) - (Math.max(0, remainingMs) * waitFraction);
-	const delay = Math.max(roomMs, reservedMs, 0) + perRequestMs;
+	const servedAtOnce = Math.max(1, limit);
+	const roomMs = (ahead.serviceMs / servedAtOnce) - (Math.max(0, remainingMs) * waitFraction);
+	const delay = Math.max(roomMs, reservedMs, 0) + (serviceMs / servedAtOnce);
 	return Math.max(retryDelayMs.min, Math.min(retryDelayMs.max, delay));
 }
--- a/packages/sessions/waiting/count-ahead.ts
+++ b/packages/sessions/waiting/find-work-ahead.ts
@@ -1,33 +1,42 @@
 import type {WaitingRequest} from '../pools/waiting-request.ts';
 import {compareTurns} from './compare-turns.ts';
 import {findLaneTurn} from './find-lane-turn.ts';
+import {findServiceMs} from './find-service-ms.ts';
 import type {LaneTurn} from './lane-turn.ts';
 import {maxPasses} from './max-passes.ts';
+import type {ServicePace} from './service-pace.ts';
 import type {WaitingClass} from './waiting-class.ts';
 import type {WaitingLane} from './waiting-lane.ts';
+import type {WorkAhead} from './work-ahead.ts';
+
+type Options<Request> = {
+	readonly request: Request;
+	readonly pace: ServicePace;
+};
 
 /**
- * Counts the requests that are served before a waiting one: those of more urgent priorities, those of its own whose turn
- * comes first, and of the others as many as may pass it.
+ * Finds the requests that are served before a waiting one: those of more urgent priorities, those of its own whose turn
+ * comes first, and of each other as many as may pass it.
  *
  * Undefined if the request does not wait. Requests that come later are not foreseen.
+ *
+ * @param classes Priorities, the most urgent first.
  */
-export function countAhead<Request extends WaitingRequest>(classes: Iterable<WaitingClass<Request>>, request: Request): number | undefined {
-	let ahead: number | undefined;
-	let moreUrgent = 0;
-	let lessUrgent = 0;
-	for (const waitingClass of classes) {
-		const {priority} = waitingClass;
-		if (priority === request.priority) {
-			ahead = countAheadInClass(waitingClass, request);
-		} else if (priority < request.priority) {
-			moreUrgent += waitingClass.count().all;
-		} else {
-			lessUrgent += waitingClass.count().all;
-		}
+export function findWorkAhead<Request extends WaitingRequest>(classes: ReadonlyArray<WaitingClass<Request>>, {request, pace}: Options<Request>): WorkAhead | undefined {
+	const own = classes.find(({priority}) => priority === request.priority);
+	const ownCount = own && countAheadInClass(own, request);
+	if (ownCount === undefined) {
+		return undefined;
+	}
+
+	let work: WorkAhead = {count: 0, serviceMs: 0};
+	for (const {priority, count} of classes) {
+		const passing = Math.min(count().all, Math.floor(work.count / maxPasses));
+		const added = priority < request.priority ? count().all : (priority === request.priority ? ownCount : passing);
+		work = {count: work.count + added, serviceMs: work.serviceMs + (added * findServiceMs(pace, priority))};
 	}
 
-	return ahead === undefined ? undefined : ahead + moreUrgent + Math.min(lessUrgent, Math.floor((ahead + moreUrgent) / maxPasses));
+	return work;
 }
 
 function countAheadInClass<Request extends WaitingRequest>({listLanes}: WaitingClass<Request>, request: Request): number | undefined {
--- a/packages/sessions/waiting/is-overdue.ts
+++ b/packages/sessions/waiting/is-overdue.ts
@@ -1,10 +1,7 @@
-import type {ServicePace} from './service-pace.ts';
+import {findWait} from './find-wait.ts';
 
-type Options = {
-	readonly pace: ServicePace;
-	/** Number of requests that are served before it. */
-	readonly ahead: number;
-	/** Milliseconds until its deadline. */
+type Options = Parameters<typeof findWait>[0] & {
+	/** Milliseconds until the deadline of the request. */
 	readonly remainingMs: number;
 };
 
@@ -14,13 +11,10 @@
 /**
  * Whether a request would certainly be served after its deadline.
  *
- * Never while no more requests are ahead than are served at a time, and never if the pace was not measured.
+ * Never while fewer requests are ahead than are served at a time, and never if the pace was not measured.
  */
-export function isOverdue({pace: {serviceMs, leastServiceMs = 0, limit}, ahead, remainingMs}: Options): boolean {
-	if (serviceMs === undefined || limit === undefined || ahead < limit) {
-		return false;
-	}
-
-	const waitMs = (ahead + 1) * serviceMs / Math.max(1, limit);
-	return waitMs + leastServiceMs > remainingMs * certainRatio;
+export function isOverdue({remainingMs, ...options}: Options): boolean {
+	const {pace: {leastServiceMs = 0, limit = 1}, ahead} = options;
+	const waitMs = findWait(options);
+	return waitMs !== undefined && ahead.count >= limit && waitMs + leastServiceMs > remainingMs * certainRatio;
 }
--- a/packages/sessions/waiting/list-overdue.ts
+++ b/packages/sessions/waiting/list-overdue.ts
@@ -1,10 +1,12 @@
 import type {WaitingRequest} from '../pools/waiting-request.ts';
 import {compareTurns} from './compare-turns.ts';
 import {findLaneTurn} from './find-lane-turn.ts';
+import {findServiceMs} from './find-service-ms.ts';
 import {isOverdue} from './is-overdue.ts';
 import type {LaneTurn} from './lane-turn.ts';
 import type {ServicePace} from './service-pace.ts';
 import type {WaitingClass} from './waiting-class.ts';
+import type {WorkAhead} from './work-ahead.ts';
 
 type Options = {
 	readonly pace: ServicePace;
@@ -13,8 +15,7 @@
 
 type Overdue<Request> = {
 	readonly request: Request;
-	/** Number of requests that are served before it. */
-	readonly ahead: number;
+	readonly ahead: WorkAhead;
 };
 
 /**
@@ -26,12 +27,16 @@
  */
 export function listOverdue<Request extends WaitingRequest>(classes: ReadonlyArray<WaitingClass<Request>>, {pace, now}: Options): ReadonlyArray<Overdue<Request>> {
 	const overdue: Array<Overdue<Request>> = [];
-	let ahead = 0;
+	let ahead: WorkAhead = {count: 0, serviceMs: 0};
 	for (const request of classes.flatMap(waitingClass => listInOrder(waitingClass))) {
-		if (request.deadline <= now || isOverdue({pace, ahead, remainingMs: request.deadline - now})) {
+		const {priority, deadline} = request;
+		const remainingMs = deadline - now;
+		if (remainingMs <= 0 || isOverdue({
+			pace, ahead, priority, remainingMs,
+		})) {
 			overdue.push({request, ahead});
 		} else {
-			ahead++;
+			ahead = {count: ahead.count + 1, serviceMs: ahead.serviceMs + findServiceMs(pace, priority)};
 		}
 	}
 
--- a/packages/sessions/waiting/update-lane.ts
+++ b/packages/sessions/waiting/update-lane.ts
@@ -5,7 +5,7 @@
 import type {WaitingLane} from './waiting-lane.ts';
 
 type Options = {
-	/** Milliseconds for which a request is served on average. */
+	/** Milliseconds for which a request of the lane is served on average. */
 	readonly serviceMs: number;
 	readonly now: number;
 };
