Limit the statements in progress at an instance by the pace at which it answers

A gateway sent as many statements at once as it held connections, so that an instance of few slots queued them itself, first come first served. A gate now bounds what a gateway has in progress; requests wait there, by priority. The pool learns from refused connections, and keeps the connections for which there is demand. Unit tests pass; not measured under load yet.

--- a/packages/sessions/create-gateways.ts
+++ b/packages/sessions/create-gateways.ts
@@ -138,6 +138,7 @@
 	return {
 		self: own.name,
 		list,
+		count: countGateways,
 		isAvoided: (host, instance) => isStopping(host) || Math.max(findReachability(host).avoidedUntil, unreachableUntil.get(createPairKey(host, instance)) ?? 0) > now(),
 		async isAnswering(host, {isRetryable}) {
 			const reachability = findReachability(host);
--- a/packages/sessions/create-group-instances.test.ts
+++ b/packages/sessions/create-group-instances.test.ts
@@ -40,6 +40,7 @@
 		findRow: () => known,
 		now: () => time.now,
 		log: {
+			info: () => undefined,
 			warn(fields) {
 				warnings.push(fields);
 			},
--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -7,6 +7,7 @@
 import {isProven} from './is-proven.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenConnection} from './open-connection.ts';
+import {createPaceLog} from './pace/create-pace-log.ts';
 import {rankReaders} from './rank-readers.ts';
 import type {ReadCandidate} from './read-candidate.ts';
 import type {SessionLog} from './session-log.ts';
@@ -22,7 +23,7 @@
 	readonly findRow: () => Pick<GroupRow, 'primary' | 'successor'> | undefined;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
-	readonly log: Pick<SessionLog, 'warn'>;
+	readonly log: Pick<SessionLog, 'info' | 'warn'>;
 };
 
 /** The instances of a group, as this host uses them. */
@@ -79,7 +80,9 @@
 		}
 
 		const instance = createInstanceRuntime(entry, {
-			openConnection, gateways, limit: connectionLimit, now,
+			openConnection, gateways, limit: connectionLimit, onPaceChanged: createPaceLog({
+				group, instance: id, now, log,
+			}), now,
 		});
 		instances.set(id, instance);
 		return instance;
@@ -147,14 +150,14 @@
 	};
 
 	const createCandidate = (instance: InstanceRuntime): ReadCandidate => {
-		const {busy, waiting, limit} = instance.pool.readLoad();
+		const {inProgress, waiting, limit} = instance.pace.readLoad();
 		const {id, zone: instanceZone} = instance.listed();
 		return {
 			id,
 			isSameZone: instanceZone === zone,
 			isPrimary: id === findRow()?.primary,
 			health: instance.health(),
-			load: (busy + waiting) / Math.max(1, limit),
+			load: (inProgress + waiting) / limit,
 		};
 	};
 
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -1,5 +1,4 @@
 import {applyObservation} from './apply-observation.ts';
-import {createInstancePool} from './pools/create-instance-pool.ts';
 import {createLocalRunner} from './create-local-runner.ts';
 import {createRoutedRunner} from './create-routed-runner.ts';
 import type {Gateways} from './gateways.ts';
@@ -10,6 +9,9 @@
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenConnectionOutcome} from './open-connection-outcome.ts';
 import type {OpenConnection} from './open-connection.ts';
+import {createStatementGate} from './pace/create-statement-gate.ts';
+import {findPaceBounds} from './pace/find-pace-bounds.ts';
+import {createInstancePool} from './pools/create-instance-pool.ts';
 import type {PooledConnection} from './pools/pooled-connection.ts';
 
 type Options = {
@@ -17,6 +19,8 @@
 	readonly gateways: Gateways;
 	/** Maximum number of this host's connections to the instance. */
 	readonly limit: number;
+	/** Called when the pace of the instance has changed. */
+	readonly onPaceChanged?: Parameters<typeof createStatementGate>[0]['onChanged'];
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 };
@@ -29,7 +33,7 @@
 
 /** Creates the runtime of an instance: its connection pool, its observed health and the means to run jobs on it. */
 export function createInstanceRuntime(first: ListedInstance, {
-	openConnection, gateways, limit, now,
+	openConnection, gateways, limit, onPaceChanged = () => undefined, now,
 }: Options): InstanceRuntime {
 	let listed = first;
 	let health: InstanceHealth = {
@@ -67,8 +71,16 @@
 		return answer;
 	};
 
+	const gate = createStatementGate({
+		findBounds: () => findPaceBounds({slots: listed.slots, gatewayCount: gateways.count()}),
+		findConnectionLimit: pool.findLimit,
+		hasIdle: pool.hasIdle,
+		onChanged: onPaceChanged,
+		now,
+	});
+
 	const runLocally = createLocalRunner({
-		pool, send, latency: () => health.latency, now,
+		pool, gate, send, latency: () => health.latency, now,
 	});
 
 	return {
@@ -84,10 +96,15 @@
 			}
 		},
 		update(newer) {
+			const hasMoved = newer.host !== listed.host || newer.port !== listed.port;
 			listed = newer;
+			if (hasMoved) {
+				gate.restart();
+			}
 		},
 		health: () => health,
 		pool,
+		pace: gate,
 		send,
 		recordLag(missingPosition) {
 			recordObservation({kind: 'lagging', missingPosition});
--- a/packages/sessions/create-local-runner.ts
+++ b/packages/sessions/create-local-runner.ts
@@ -1,5 +1,6 @@
 import {addSpans} from './add-spans.ts';
 import {createJobTimer} from './create-job-timer.ts';
+import {createNotEnteredAnswer} from './create-not-entered-answer.ts';
 import {createTransactionRunner} from './create-transaction-runner.ts';
 import type {InstancePool} from './pools/instance-pool.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
@@ -7,11 +8,14 @@
 import type {JobAnswer} from './job-answer.ts';
 import type {JobRunner} from './job-runner.ts';
 import type {Job} from './job.ts';
+import {findPaceObservation} from './pace/find-pace-observation.ts';
+import type {StatementGate} from './pace/statement-gate.ts';
 import {runQuery} from './run-query.ts';
 import {takeConnection} from './pools/take-connection.ts';
 
 type Options = {
 	readonly pool: InstancePool;
+	readonly gate: StatementGate;
 	readonly send: InstanceRuntime['send'];
 	/** Returns the smoothed statement latency of the instance in milliseconds. */
 	readonly latency: () => number;
@@ -31,14 +35,27 @@
 const positionTimeoutMs = 600;
 
 /** Creates the function that runs jobs on this host's own connections to an instance. */
-export function createLocalRunner({pool, send, latency, now}: Options): JobRunner {
-	const transactions = createTransactionRunner({pool, send, now});
+export function createLocalRunner({
+	pool, gate, send, latency, now,
+}: Options): JobRunner {
+	const transactions = createTransactionRunner({
+		pool, gate, send, now,
+	});
 
 	const runSingle = async (job: JobOf<'single'>, maySend: () => boolean): Promise<JobAnswer> => {
 		const deadline = now() + job.timeout;
 		const timer = createJobTimer(now);
-		const pooled = await takeConnection(pool, {request: job, timer});
+		const {workspace, priority} = job;
+		const entered = await gate.enter({
+			kind: 'single', workspace, priority, deadline,
+		});
+		if (entered.kind !== 'entered') {
+			return createNotEnteredAnswer(entered);
+		}
+
+		const pooled = await takeConnection(pool, {request: {workspace, priority, timeout: deadline - now()}, timer});
 		if ('kind' in pooled) {
+			entered.place.leave(findPaceObservation(pooled, undefined));
 			return pooled;
 		}
 
@@ -58,6 +75,7 @@
 			},
 		});
 		pool.release(pooled, isClean(answer, pooled));
+		entered.place.leave(findPaceObservation(answer, timer.finish().instance));
 		return addSpans(answer, timer);
 	};
 
--- a/packages/sessions/create-routed-runner.test.ts
+++ b/packages/sessions/create-routed-runner.test.ts
@@ -88,6 +88,7 @@
 			const requested: string[] = [];
 			let isLocal = false;
 			const gateways: Gateways = {
+				count: () => 1,
 				self: 'self',
 				list: () => Object.keys(answers),
 				isAvoided: host => answers[host] === 'avoided',
@@ -130,6 +131,7 @@
 			listed: () => listed,
 			local: async () => done,
 			gateways: {
+				count: () => 1,
 				self: 'self',
 				list: () => ['b1', 'b2'],
 				isAvoided: () => false,
--- a/packages/sessions/create-transaction-runner.ts
+++ b/packages/sessions/create-transaction-runner.ts
@@ -2,17 +2,22 @@
 import {applySetup} from './apply-setup.ts';
 import {createJobTimer} from './create-job-timer.ts';
 import {createLocalTransactions} from './create-local-transactions.ts';
+import {createNotEnteredAnswer} from './create-not-entered-answer.ts';
 import type {InstancePool} from './pools/instance-pool.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import {isClean} from './is-clean.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
 import {notSentAnswer} from './not-sent-answer.ts';
+import {findPaceObservation} from './pace/find-pace-observation.ts';
+import type {StatementGate} from './pace/statement-gate.ts';
 import {runQuery} from './run-query.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 import {takeConnection} from './pools/take-connection.ts';
 
 type Options = {
 	readonly pool: InstancePool;
+	readonly gate: StatementGate;
 	readonly send: InstanceRuntime['send'];
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
@@ -29,6 +34,13 @@
 	readonly rollBack: (transaction: number) => Promise<JobAnswer>;
 };
 
+type BeginOptions = {
+	/** Time in milliseconds of the steady clock at which the transaction must have begun. */
+	readonly deadline: number;
+	readonly timer: ReturnType<typeof createJobTimer>;
+	readonly maySend: () => boolean;
+};
+
 /** Time within which an instance must answer each request that sets up and begins a transaction. */
 const beginTimeoutMs = 600;
 
@@ -39,7 +51,9 @@
 const notOpenAnswer: JobAnswer = {kind: 'notSent', reason: 'the transaction is not open any more'};
 
 /** Creates what runs the jobs of transactions; one that is idle for too long is rolled back. */
-export function createTransactionRunner({pool, send, now}: Options): TransactionRunner {
+export function createTransactionRunner({
+	pool, gate, send, now,
+}: Options): TransactionRunner {
 	const transactions = createLocalTransactions(transaction => {
 		void rollBack(transaction);
 	});
@@ -47,7 +61,28 @@
 	const begin: TransactionRunner['begin'] = async (job, maySend) => {
 		const deadline = now() + job.timeout;
 		const timer = createJobTimer(now);
-		const pooled = await takeConnection(pool, {request: job, timer});
+		const {workspace, priority} = job;
+		const entered = await gate.enter({
+			kind: 'begin', workspace, priority, deadline,
+		});
+		if (entered.kind !== 'entered') {
+			return createNotEnteredAnswer(entered);
+		}
+
+		const answer = await beginOnConnection(job, {deadline, timer, maySend});
+		const hasBegun = answer.kind === 'answered' && answer.transaction !== undefined;
+		// A transaction that begins takes no execution slot, so its answer does not tell how fast the instance runs statements.
+		entered.place.leave(hasBegun ? {kind: 'neutral'} : findPaceObservation(answer, undefined));
+		if (!hasBegun) {
+			gate.endTransaction();
+		}
+
+		return answer;
+	};
+
+	const beginOnConnection = async (job: JobOf<'begin'>, {deadline, timer, maySend}: BeginOptions): Promise<JobAnswer> => {
+		const {workspace, priority} = job;
+		const pooled = await takeConnection(pool, {request: {workspace, priority, timeout: deadline - now()}, timer});
 		if ('kind' in pooled) {
 			return pooled;
 		}
@@ -71,6 +106,12 @@
 		return {...answer, transaction: transactions.add(pooled, idleLimit), spans: timer.finish()};
 	};
 
+	/** Gives back the connection of a transaction that has ended. */
+	const end = (pooled: PooledConnection, answer: JobAnswer) => {
+		pool.release(pooled, isClean(answer, pooled));
+		gate.endTransaction();
+	};
+
 	const runWithin: TransactionRunner['runWithin'] = async ({transaction, setup, query, timeout}, maySend) => {
 		const pooled = transactions.use(transaction);
 		if (pooled === undefined) {
@@ -78,6 +119,13 @@
 		}
 
 		const timer = createJobTimer(now);
+		const place = await gate.enterWithin();
+		if (!transactions.isOpen(transaction)) {
+			place.leave({kind: 'neutral'});
+			return notOpenAnswer;
+		}
+
+		timer.recordAcquired(0);
 		const answer = await runQuery(pooled, {
 			send,
 			setup,
@@ -91,6 +139,7 @@
 			},
 		});
 		transactions.release(transaction);
+		place.leave(findPaceObservation(answer, timer.finish().instance));
 		return addSpans(answer, timer);
 	};
 
@@ -107,8 +156,10 @@
 
 		const timer = createJobTimer(now);
 		timer.recordSent();
+		const place = gate.enterCommit();
 		const answer = await send(pooled, {kind: 'forward', id, text}, timeout);
-		pool.release(pooled, isClean(answer, pooled));
+		end(pooled, answer);
+		place.leave(findPaceObservation(answer, undefined));
 		return addSpans(answer, timer);
 	};
 
@@ -119,7 +170,7 @@
 		}
 
 		const answer = await send(pooled, {kind: 'rollback'}, rollbackTimeoutMs);
-		pool.release(pooled, isClean(answer, pooled));
+		end(pooled, answer);
 		return answer;
 	};
 
--- a/packages/sessions/gateways.ts
+++ b/packages/sessions/gateways.ts
@@ -6,6 +6,8 @@
 export type Gateways = {
 	/** Lists the hosts through which work of a workspace may reach an instance, best first; see `rankGateways`. */
 	readonly list: (instance: ListedInstance, workspace: string | undefined) => readonly string[];
+	/** Returns the present number of gateways of each instance; see `findGatewayCount`. */
+	readonly count: () => number;
 	/** Name of this host. */
 	readonly self: string;
 	/**
--- a/packages/sessions/instance-runtime.ts
+++ b/packages/sessions/instance-runtime.ts
@@ -5,6 +5,7 @@
 import type {InstanceRequest} from './instance-request.ts';
 import type {JobRunner} from './job-runner.ts';
 import type {ListedInstance} from './listed-instance.ts';
+import type {StatementGate} from './pace/statement-gate.ts';
 import type {PooledConnection} from './pools/pooled-connection.ts';
 import type {DispatchJob} from './dispatch-job.ts';
 
@@ -16,6 +17,8 @@
 	readonly health: () => InstanceHealth;
 	/** This host's own connections to the instance. */
 	readonly pool: InstancePool;
+	/** Statements of this host that are in progress or wait, and a way to begin a slow start. */
+	readonly pace: Pick<StatementGate, 'readLoad' | 'restart'>;
 	/** Sends a request on an own connection; closes the connection if no answer comes within `timeout` milliseconds. */
 	readonly send: (pooled: PooledConnection, request: InstanceRequest, timeout: number) => Promise<InstanceAnswer>;
 	/** Runs a job on an own connection or through a gateway. */
--- a/packages/sessions/mod.ts
+++ b/packages/sessions/mod.ts
@@ -131,6 +131,7 @@
 export * from './parse-fleet-rows.ts';
 export * from './parse-socket-address.ts';
 export * from './parse-status.ts';
+export * from './pace/mod.ts';
 export * from './pools/mod.ts';
 export type * from './position-sample.ts';
 export type * from './primary-position.ts';
--- /dev/null
+++ b/packages/sessions/pace/apply-pace-observation.ts
@@ -0,0 +1,158 @@
+import {createPaceState} from './create-pace-state.ts';
+import type {PaceBounds} from './pace-bounds.ts';
+import type {PaceObservation} from './pace-observation.ts';
+import type {PaceState} from './pace-state.ts';
+
+type Options = {
+	readonly observation: PaceObservation;
+	readonly bounds: PaceBounds;
+	/** Statements that were in progress, the observed one included. */
+	readonly inProgress: number;
+	/** Current time in milliseconds of the steady clock. */
+	readonly now: number;
+};
+
+/** Fewest answers on which a step of the steady phase is decided, since the work of single statements differs much. */
+const minRoundAnswers = 16;
+
+/** Multiple of the calm latency above which statements count as waiting at the instance. */
+const latencyTolerance = {slowStart: 3, steady: 2};
+
+/** Weight of a round's mean in the calm latency: low means count soon, high ones slowly. */
+const calmWeight = {lower: 0.2, higher: 0.02, atShare: 0.5};
+
+/** Weight of the newest latency in the moving average. */
+const recentWeight = 0.1;
+
+/** Milliseconds in which the limit falls once at most, since answers that come together tell of one cause. */
+const fallIntervalMs = 50;
+
+/** Failures in a row that lower the limit; a single one among answers tells nothing about the load. */
+const failuresBeforeFall = 2;
+
+/** Failures in a row after which the instance counts as recovered when it answers again. */
+const failuresBeforeRestart = 3;
+
+const {round: emptyRound} = createPaceState();
+
+/**
+ * Updates the pace of an instance by what the end of a statement says about it.
+ *
+ * A slow start doubles the limit after as many answers as the limit. Afterwards the limit rises by one for each round of
+ * answers, and falls when their mean latency shows that statements wait at the instance. Latency lowers it to this
+ * host's share at most: there the host causes no wait, so what it measures is the calm latency, however long it is.
+ */
+export function applyPaceObservation(state: PaceState, {observation, bounds, inProgress, now}: Options): PaceState {
+	switch (observation.kind) {
+		case 'answered': {
+			const answering = state.failures >= failuresBeforeRestart ? restart(state) : {...state, failures: 0};
+			const counted = countAnswer(answering, observation.latency, inProgress);
+			return counted.phase === 'slowStart' ? stepSlowStart(counted, bounds) : stepSteady(counted, bounds, now);
+		}
+
+		case 'busy': {
+			return halve({...state, failures: 0}, bounds, now);
+		}
+
+		case 'failed':
+		case 'unreachable': {
+			const failing = {...state, failures: state.failures + 1};
+			return failing.failures < failuresBeforeFall ? failing : halve(failing, bounds, now);
+		}
+
+		case 'restarted': {
+			return restart(state);
+		}
+
+		case 'neutral': {
+			return state;
+		}
+	}
+}
+
+/** Begins a slow start; the latencies that are known still tell a calm instance from a loaded one. */
+function restart({calmLatency, recentLatency}: PaceState): PaceState {
+	return {...createPaceState(), calmLatency, recentLatency};
+}
+
+function halve(state: PaceState, {share}: PaceBounds, now: number): PaceState {
+	if (now - state.fellAt < fallIntervalMs) {
+		return state;
+	}
+
+	const limit = Math.max(1, Math.floor(state.limit / 2));
+	// Up to the share the limit doubles again: the shares of all gateways do not overload the instance.
+	return {
+		...state, limit, phase: limit < share ? 'slowStart' : 'steady', target: share, round: emptyRound, fellAt: now,
+	};
+}
+
+function countAnswer(state: PaceState, latency: number | undefined, inProgress: number): PaceState {
+	const {round, recentLatency} = state;
+	const answers = round.answers + 1;
+	const peak = Math.max(round.peak, inProgress);
+	if (latency === undefined) {
+		return {...state, round: {...round, answers, peak}};
+	}
+
+	return {
+		...state,
+		recentLatency: moveAverage(recentLatency, latency, recentWeight),
+		round: {
+			answers, peak, measured: round.measured + 1, totalLatency: round.totalLatency + latency,
+		},
+	};
+}
+
+function stepSlowStart(state: PaceState, {ceiling}: PaceBounds): PaceState {
+	const {limit, calmLatency, round} = state;
+	if (round.answers < limit) {
+		return state;
+	}
+
+	const target = Math.min(state.target, ceiling);
+	const mean = findMean(round);
+	const isCalm = mean === undefined || calmLatency === undefined || mean <= latencyTolerance.slowStart * calmLatency;
+	const next = isCalm ? Math.min(target, limit * 2) : limit;
+	return {
+		...state, limit: next, phase: isCalm && next < target ? 'slowStart' : 'steady', round: emptyRound,
+	};
+}
+
+function stepSteady(state: PaceState, {share, ceiling}: PaceBounds, now: number): PaceState {
+	const {limit, calmLatency, round} = state;
+	if (round.answers < Math.max(minRoundAnswers, 2 * limit)) {
+		return state;
+	}
+
+	const mean = findMean(round);
+	const closed = {...state, limit: Math.min(ceiling, limit), round: emptyRound};
+	if (mean === undefined || calmLatency === undefined || mean <= latencyTolerance.steady * calmLatency) {
+		return {...closed, limit: Math.min(ceiling, limit + 1), calmLatency: moveCalm(calmLatency, mean)};
+	}
+
+	if (round.peak <= share) {
+		return {...closed, limit: Math.max(limit, share), calmLatency: moveAverage(calmLatency, mean, calmWeight.atShare)};
+	}
+
+	const fitting = Math.floor(limit * latencyTolerance.steady * calmLatency / mean);
+	return {
+		...closed, limit: Math.max(share, Math.min(limit - 1, fitting)), calmLatency: moveCalm(calmLatency, mean), fellAt: now,
+	};
+}
+
+function findMean({measured, totalLatency}: PaceState['round']): number | undefined {
+	return measured === 0 ? undefined : totalLatency / measured;
+}
+
+function moveCalm(calm: number | undefined, mean: number | undefined): number | undefined {
+	if (mean === undefined) {
+		return calm;
+	}
+
+	return moveAverage(calm, mean, calm !== undefined && mean > calm ? calmWeight.higher : calmWeight.lower);
+}
+
+function moveAverage(average: number | undefined, value: number, weight: number): number {
+	return average === undefined ? value : average + ((value - average) * weight);
+}
--- /dev/null
+++ b/packages/sessions/pace/pace-bounds.ts
@@ -0,0 +1,7 @@
+/** What the statements in progress of one host at an instance are bounded by. */
+export type PaceBounds = {
+	/** This host's equal share of the instance's slots; the shares of all gateways cover the slots. */
+	readonly share: number;
+	/** Highest limit, for a host that uses the instance alone. */
+	readonly ceiling: number;
+};
--- /dev/null
+++ b/packages/sessions/pace/statement-gate.ts
@@ -0,0 +1,49 @@
+import type {PaceObservation} from './pace-observation.ts';
+
+/** What is to enter: a single statement, or a transaction that begins. */
+type EnterRequest = {
+	readonly kind: 'single' | 'begin';
+	readonly workspace: string;
+	/** 0 is the most urgent. */
+	readonly priority: number;
+	/** Time in milliseconds of the steady clock after which the request waits no longer. */
+	readonly deadline: number;
+};
+
+/** The place of a statement in progress. */
+export type StatementPlace = {
+	/** Gives the place back, with what the end of the statement says about the instance. Further calls have no effect. */
+	readonly leave: (observation: PaceObservation) => void;
+};
+
+/** The outcome of asking for a place. */
+export type EnterOutcome =
+	| {readonly kind: 'entered'; readonly place: StatementPlace}
+	/** There was no place in time. */
+	| {readonly kind: 'busy'}
+	/** The instance cannot be reached; others that waited are told at once. */
+	| {readonly kind: 'unreachable'};
+
+/** What a gate counts. */
+type GateLoad = {
+	readonly inProgress: number;
+	readonly waiting: number;
+	readonly limit: number;
+	readonly openTransactions: number;
+	/** How often the limit has fallen, by cause. */
+	readonly falls: Readonly<Record<'latency' | 'busy' | 'failed', number>>;
+};
+
+/** Limits the statements of this host that are in progress at an instance, at the pace at which the instance answers. */
+export type StatementGate = {
+	/** Waits for a place. A transaction that has entered counts as open until `endTransaction`. */
+	readonly enter: (request: EnterRequest) => Promise<EnterOutcome>;
+	/** Waits for the place of a statement of an open transaction, which goes first and soon. */
+	readonly enterWithin: () => Promise<StatementPlace>;
+	/** Takes a place for a commit, which does not wait. */
+	readonly enterCommit: () => StatementPlace;
+	readonly endTransaction: () => void;
+	/** Begins a slow start. */
+	readonly restart: () => void;
+	readonly readLoad: () => GateLoad;
+};
--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -1,6 +1,10 @@
 import type {OpenConnectionOutcome} from '../open-connection-outcome.ts';
 import type {AcquireOutcome} from './acquire-outcome.ts';
+import {chooseEviction} from './choose-eviction.ts';
+import type {ConnectionRefusal} from './connection-refusal.ts';
 import {createWaitingQueue} from './create-waiting-queue.ts';
+import {createWorkspaceDemand} from './create-workspace-demand.ts';
+import {findAllowedConnections} from './find-allowed-connections.ts';
 import type {InstancePool} from './instance-pool.ts';
 import type {PooledConnection} from './pooled-connection.ts';
 import type {WaitingRequest} from './waiting-request.ts';
@@ -14,6 +18,9 @@
 	readonly now: () => number;
 };
 
+/** Milliseconds within which an attempt to connect that ends without an answer was reset, and not given up. */
+const resetLimitMs = 200;
+
 /** A request that waits for a connection. */
 type Waiter = WaitingRequest & {
 	readonly resolve: (outcome: AcquireOutcome) => void;
@@ -22,13 +29,16 @@
 /**
  * Creates the pool of connections to an instance.
  *
- * A connection belongs to one workspace. At the limit, the connection that has been idle for longest is closed to make
- * room for a new one. Requests wait in the order of `createWaitingQueue`.
+ * A connection belongs to one workspace. At the limit, an idle connection is closed to make room for a new one; see
+ * `chooseEviction`. The limit falls when the instance refuses a connection because it has too many; see
+ * `findAllowedConnections`. Requests wait in the order of `createWaitingQueue`.
  */
 export function createInstancePool(options: Options): InstancePool {
 	const connections = new Set<PooledConnection>();
 	const queue = createWaitingQueue<Waiter>();
+	const demand = createWorkspaceDemand();
 	let {limit} = options;
+	let refusal: ConnectionRefusal | undefined;
 	let opening = 0;
 	let isClosed = false;
 
@@ -48,18 +58,22 @@
 		return [...connections].filter(({isBusy}) => !isBusy).toSorted((a, b) => a.idleSince - b.idleSince);
 	};
 
+	const findAllowed = () => findAllowedConnections(refusal, {limit, now: options.now()});
+
+	const hasRoom = () => connections.size + opening < findAllowed();
+
 	/** Closes an idle connection if the limit is reached; returns whether another may be opened. */
 	const makeRoom = (): boolean => {
-		if (connections.size + opening < limit) {
+		if (hasRoom()) {
 			return true;
 		}
 
-		const [oldest] = listIdle();
-		if (oldest !== undefined) {
-			closeConnection(oldest);
+		const evicted = chooseEviction(listIdle(), workspace => demand.findRecent(workspace, options.now()));
+		if (evicted !== undefined) {
+			closeConnection(evicted);
 		}
 
-		return connections.size + opening < limit;
+		return hasRoom();
 	};
 
 	/** Opens a connection; an exception counts as an instance that did not answer, so that the waiter is answered. */
@@ -75,10 +89,20 @@
 		}
 	};
 
+	/** Records a refusal for too many connections. A reset is one if other connections that were idle stay open. */
+	const recordRefusal = (outcome: Exclude<OpenConnectionOutcome, {readonly kind: 'opened'}>, startedAt: number) => {
+		const held = [...connections].filter(({connection}) => !connection.isClosed()).length;
+		const isReset = outcome.kind === 'unanswered' && held > 0 && options.now() - startedAt < resetLimitMs;
+		if (isReset || (outcome.kind === 'refused' && outcome.code === 'tooManyConnections')) {
+			refusal = {held, at: options.now()};
+		}
+	};
+
 	const open = async (workspace: string): Promise<AcquireOutcome> => {
 		const startedAt = options.now();
 		const outcome = await tryOpen(workspace);
 		if (outcome.kind !== 'opened') {
+			recordRefusal(outcome, startedAt);
 			serveNext();
 			return {kind: outcome.kind === 'refused' && outcome.code !== 'moved' ? 'busy' : 'unreachable'};
 		}
@@ -101,7 +125,7 @@
 
 	/** Serves waiters, next first, while the pool has an idle connection or room for a new one. */
 	const serveNext = () => {
-		while (connections.size + opening < limit || listIdle().length > 0) {
+		while (hasRoom() || listIdle().length > 0) {
 			const waiter = queue.take(options.now());
 			if (waiter === undefined) {
 				return;
@@ -142,6 +166,7 @@
 
 	return {
 		async acquire({workspace, priority, timeout}) {
+			demand.record(workspace, options.now());
 			const idle = queue.count() === 0 ? take(workspace) : undefined;
 			if (idle !== undefined) {
 				return {kind: 'acquired', connection: idle, openMs: 0};
@@ -151,12 +176,13 @@
 				return open(workspace);
 			}
 
-			return timeout > 0 ? wait(workspace, priority, timeout) : {kind: 'busy'};
+			// Without a connection that could become idle, waiting is of no use.
+			return timeout > 0 && connections.size + opening > 0 ? wait(workspace, priority, timeout) : {kind: 'busy'};
 		},
 		release(pooled, isClean) {
 			pooled.isBusy = false;
 			pooled.idleSince = options.now();
-			if (!isClean || isClosed || connections.size > limit || pooled.connection.isClosed()) {
+			if (!isClean || isClosed || connections.size > findAllowed() || pooled.connection.isClosed()) {
 				closeConnection(pooled);
 			}
 
@@ -173,9 +199,10 @@
 		readLoad() {
 			const idle = listIdle().length;
 			return {
-				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit,
+				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit: findAllowed(),
 			};
 		},
+		hasIdle: workspace => [...connections].some(pooled => !pooled.isBusy && pooled.workspace === workspace && !pooled.connection.isClosed()),
 		closeIdle(before) {
 			for (const pooled of listIdle()) {
 				if (pooled.idleSince < before) {
@@ -183,6 +210,7 @@
 				}
 			}
 		},
+		findLimit: findAllowed,
 		setLimit(newLimit) {
 			limit = newLimit;
 		},
--- a/packages/sessions/rank-readers.ts
+++ b/packages/sessions/rank-readers.ts
@@ -38,7 +38,7 @@
 /**
  * Ranks the instances that may serve a read by their cost, lowest first.
  *
- * The cost in milliseconds is the smoothed latency, scaled by the load of the connection pool, plus penalties. The platform may
+ * The cost in milliseconds is the smoothed latency, scaled by the load of the instance at this host, plus penalties. The platform may
  * list any number of instances that do not answer, so one that is not known to answer costs more than the others, except for
  * one when a trial is due: the first one that was never tried, whatever its cost, else the best one of those that have failed.
  *
--- a/packages/sessions/read-candidate.ts
+++ b/packages/sessions/read-candidate.ts
@@ -7,6 +7,6 @@
 	readonly isSameZone: boolean;
 	readonly isPrimary: boolean;
 	readonly health: InstanceHealth;
-	/** Connections in use plus sessions waiting for one, divided by the size of the connection pool. */
+	/** Statements in progress plus those that wait, divided by the number that may be in progress. */
 	readonly load: number;
 };
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -68,13 +68,21 @@
 			},
 			release: () => undefined,
 			takeIdle: () => undefined,
+			hasIdle: () => false,
 			readLoad: () => ({
 				busy: 0, idle: 0, waiting: 0, limit: 1,
 			}),
 			closeIdle: () => undefined,
+			findLimit: () => 1,
 			setLimit: () => undefined,
 			close: () => undefined,
 		},
+		pace: {
+			readLoad() {
+				throw new Error('The test ranks no readers');
+			},
+			restart: () => undefined,
+		},
 		send: async () => answer(),
 		run() {
 			throw new Error('The test runs no jobs');
--- a/packages/sessions/run-read.test.ts
+++ b/packages/sessions/run-read.test.ts
@@ -17,7 +17,7 @@
 };
 const point = (position: bigint) => ({term: 1, position});
 const createInstance = (id: string, isDeparting: boolean): ListedInstance => ({
-	id, group: 'pondbook', host: '127.0.0.1', port: 1, zone: 'a', isDeparting,
+	id, group: 'pondbook', host: '127.0.0.1', port: 1, zone: 'a', slots: 4, isDeparting,
 } as unknown as ListedInstance);
 
 /** Creates a group whose primary is `i-a` and whose replica `i-b` serves reads. Instances hold requests until they are answered, or `respond` does. */
@@ -36,7 +36,7 @@
 				isClosed: () => false,
 			},
 		}),
-		gateways: {self: 'a1', list: () => ['a1']} as unknown as Gateways,
+		gateways: {self: 'a1', count: () => 1, list: () => ['a1']} as unknown as Gateways,
 		isStoreReader: () => false,
 		now: () => ({...time}),
 		log: {debug: ignore, info: ignore, warn: ignore},
