--- a/packages/sessions/pace/apply-pace-observation.ts
+++ b/packages/sessions/pace/apply-pace-observation.ts
@@ -13,13 +13,16 @@
 };
 
 /** Fewest answers on which a step of the steady phase is decided, since the work of single statements differs much. */
-const minRoundAnswers = 16;
+const minRoundAnswers = 24;
 
 /** Multiple of the calm latency above which statements count as waiting at the instance. */
-const latencyTolerance = {slowStart: 3, steady: 2};
+const latencyTolerance = {slowStart: 3, steady: 1.5};
 
-/** Weight of a round's mean in the calm latency: low means count soon, high ones slowly. */
-const calmWeight = {lower: 0.2, higher: 0.02, atShare: 0.5};
+/** Weight of a round's mean in the calm latency: of a round within this host's share, and of any other that is lower. */
+const calmWeight = {withinShare: 0.2, slower: 0.1, lower: 0.1};
+
+/** Fewest latencies from which the calm latency of an unknown instance is found. */
+const minCalmAnswers = 8;
 
 /** Weight of the newest latency in the moving average. */
 const recentWeight = 0.1;
@@ -40,7 +43,8 @@
  *
  * A slow start doubles the limit after as many answers as the limit. Afterwards the limit rises by one for each round of
  * answers, and falls when their mean latency shows that statements wait at the instance. Latency lowers it to this
- * host's share at most: there the host causes no wait, so what it measures is the calm latency, however long it is.
+ * host's share at most: there the host causes no wait, so what it measures is the calm latency, however long it is. A
+ * slow start stays at the share for as long as it takes to measure it.
  */
 export function applyPaceObservation(state: PaceState, {observation, bounds, inProgress, now}: Options): PaceState {
 	switch (observation.kind) {
@@ -104,53 +108,57 @@
 	};
 }
 
-function stepSlowStart(state: PaceState, {ceiling}: PaceBounds): PaceState {
-	const {limit, calmLatency, round} = state;
-	if (round.answers < limit) {
+function stepSlowStart(state: PaceState, {share, ceiling}: PaceBounds): PaceState {
+	const {limit, round} = state;
+	const isMeasuring = state.calmLatency === undefined && limit >= share;
+	if (round.answers < (isMeasuring ? Math.max(minCalmAnswers, limit) : limit)) {
 		return state;
 	}
 
-	const target = Math.min(state.target, ceiling);
 	const mean = findMean(round);
+	const calmLatency = isMeasuring ? mean : state.calmLatency;
+	const target = Math.min(state.target, ceiling);
 	const isCalm = mean === undefined || calmLatency === undefined || mean <= latencyTolerance.slowStart * calmLatency;
-	const next = isCalm ? Math.min(target, limit * 2) : limit;
+	const doubled = Math.min(target, limit < share ? Math.min(share, limit * 2) : limit * 2);
+	const next = isCalm ? doubled : limit;
 	return {
-		...state, limit: next, phase: isCalm && next < target ? 'slowStart' : 'steady', round: emptyRound,
+		...state, limit: next, calmLatency, phase: isCalm && next < target ? 'slowStart' : 'steady', round: emptyRound,
 	};
 }
 
-function stepSteady(state: PaceState, {share, ceiling}: PaceBounds, now: number): PaceState {
+function stepSteady(state: PaceState, {slots, share, ceiling}: PaceBounds, now: number): PaceState {
 	const {limit, calmLatency, round} = state;
 	if (round.answers < Math.max(minRoundAnswers, 2 * limit)) {
 		return state;
 	}
 
 	const mean = findMean(round);
-	const closed = {...state, limit: Math.min(ceiling, limit), round: emptyRound};
-	if (mean === undefined || calmLatency === undefined || mean <= latencyTolerance.steady * calmLatency) {
-		return {...closed, limit: Math.min(ceiling, limit + 1), calmLatency: moveCalm(calmLatency, mean)};
-	}
-
-	if (round.peak <= share) {
-		return {...closed, limit: Math.max(limit, share), calmLatency: moveAverage(calmLatency, mean, calmWeight.atShare)};
+	const isWithinShare = round.peak <= share;
+	// More statements than slots wait for each other; only what they wait beyond this is caused by other hosts.
+	const tolerance = latencyTolerance.steady * Math.max(1, limit / slots);
+	const closed: PaceState = {...state, calmLatency: moveCalm(calmLatency, mean, isWithinShare), round: emptyRound};
+	if (isWithinShare || mean === undefined || calmLatency === undefined || mean <= tolerance * calmLatency) {
+		return {...closed, limit: Math.min(ceiling, limit + 1)};
 	}
 
-	const fitting = Math.floor(limit * latencyTolerance.steady * calmLatency / mean);
-	return {
-		...closed, limit: Math.max(share, Math.min(limit - 1, fitting)), calmLatency: moveCalm(calmLatency, mean), fellAt: now,
-	};
+	const fitting = Math.floor(limit * tolerance * calmLatency / mean);
+	return {...closed, limit: Math.max(share, Math.min(limit - 1, ceiling, fitting)), fellAt: now};
 }
 
 function findMean({measured, totalLatency}: PaceState['round']): number | undefined {
 	return measured === 0 ? undefined : totalLatency / measured;
 }
 
-function moveCalm(calm: number | undefined, mean: number | undefined): number | undefined {
-	if (mean === undefined) {
-		return calm;
+function moveCalm(calm: number | undefined, mean: number | undefined, isWithinShare: boolean): number | undefined {
+	if (mean === undefined || calm === undefined) {
+		return calm ?? mean;
+	}
+
+	if (isWithinShare) {
+		return moveAverage(calm, mean, mean > latencyTolerance.steady * calm ? calmWeight.slower : calmWeight.withinShare);
 	}
 
-	return moveAverage(calm, mean, calm !== undefined && mean > calm ? calmWeight.higher : calmWeight.lower);
+	return mean < calm ? moveAverage(calm, mean, calmWeight.lower) : calm;
 }
 
 function moveAverage(average: number | undefined, value: number, weight: number): number {
--- a/packages/sessions/pace/find-pace-bounds.ts
+++ b/packages/sessions/pace/find-pace-bounds.ts
@@ -8,15 +8,16 @@
 };
 
 /** Statements beyond the slots, which keep the instance busy while an answer and the next statement are on their way. */
-const statementsOnTheirWay = 2;
+const extraStatements = 1;
 
 /**
  * Finds the bounds of a gateway's statements in progress. All gateways together have at most
- * `gatewayCount * (slots + 2)` in progress, apart from commits and statements that are overdue.
+ * `gatewayCount * (slots + 1)` in progress, apart from commits and statements that are overdue.
  */
 export function findPaceBounds({slots, gatewayCount}: Options): PaceBounds {
 	return {
+		slots,
 		share: Math.max(1, Math.ceil(slots / Math.max(1, gatewayCount))),
-		ceiling: slots + statementsOnTheirWay,
+		ceiling: slots + extraStatements,
 	};
 }
