--- a/packages/sessions/pace/create-statement-gate.ts
+++ b/packages/sessions/pace/create-statement-gate.ts
@@ -62,6 +62,7 @@
 	const places = new Set<TakenPlace>();
 	let counted = 0;
 	let openTransactions = 0;
+	let isUsed = false;
 	let answeredAt = Number.NEGATIVE_INFINITY;
 	let overdueTimer: NodeJS.Timeout | undefined;
 	const falls = {latency: 0, busy: 0, failed: 0};
@@ -92,6 +93,7 @@
 	const takePlace = (): StatementPlace => {
 		const taken: TakenPlace = {startedAt: now(), isCounted: true};
 		places.add(taken);
+		isUsed = true;
 		counted++;
 		return {
 			leave(observation) {
@@ -259,7 +261,7 @@
 			apply({kind: 'restarted'});
 		},
 		readLoad: () => ({
-			inProgress: places.size, waiting: countWaiting() + within.length, limit: findLimit(), openTransactions, falls: {...falls},
+			inProgress: places.size, waiting: countWaiting() + within.length, limit: findLimit(), openTransactions, isUsed, falls: {...falls},
 		}),
 	};
 }
--- a/packages/sessions/pace/mod.ts
+++ b/packages/sessions/pace/mod.ts
@@ -2,10 +2,12 @@
 export * from './apply-pace-observation.ts';
 export * from './choose-waiter.ts';
 export * from './create-pace-log.ts';
+export * from './create-pace-metrics.ts';
 export * from './create-pace-state.ts';
 export * from './create-statement-gate.ts';
 export * from './find-pace-bounds.ts';
 export * from './find-pace-observation.ts';
+export type * from './instance-pace.ts';
 export type * from './pace-bounds.ts';
 export type * from './pace-observation.ts';
 export type * from './pace-state.ts';
--- a/packages/sessions/pace/statement-gate.ts
+++ b/packages/sessions/pace/statement-gate.ts
@@ -30,6 +30,8 @@
 	readonly waiting: number;
 	readonly limit: number;
 	readonly openTransactions: number;
+	/** Whether a statement has entered. */
+	readonly isUsed: boolean;
 	/** How often the limit has fallen, by cause. */
 	readonly falls: Readonly<Record<'latency' | 'busy' | 'failed', number>>;
 };
--- a/packages/sessions/session-host.ts
+++ b/packages/sessions/session-host.ts
@@ -1,5 +1,6 @@
 import type {ClientAnswer} from './client-answer.ts';
 import type {FleetPeer} from './fleet-peer.ts';
+import type {InstancePace} from './pace/instance-pace.ts';
 import type {Session} from './session.ts';
 
 /** Connection of a caller. */
@@ -19,6 +20,8 @@
 	readonly openSession: (connection: CallerConnection) => Session;
 	/** Whether the host accepts callers; the readiness check reports it. */
 	readonly isReady: () => boolean;
+	/** Lists the paces of the instances at which this host has had statements in progress. */
+	readonly listPaces: () => readonly InstancePace[];
 	/** Calls that other hosts may make to this host. */
 	readonly peer: FleetPeer;
 	/**
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -213,6 +213,10 @@
 	return {
 		openSession: registry.openSession,
 		isReady: () => !hostStop.hasBegun() && findConfiguration() !== undefined && listInstances().length > 0 && fleetController.isRegistered(),
+		listPaces: () => groups.listGroups()
+			.flatMap(group => group.listInstances())
+			.map(({listed, pace}) => ({instance: listed().id, ...pace.readLoad()}))
+			.filter(({isUsed}) => isUsed),
 		peer: {
 			readTables: tableSync.readTables,
 			claimRates: rateLimiter.claimRates,
