--- a/packages/sessions/pace/create-statement-gate.test.ts
+++ b/packages/sessions/pace/create-statement-gate.test.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createStatementGate} from './create-statement-gate.ts';
-import type {StatementPlace} from './statement-gate.ts';
+import type {StatementPlace} from './statement-place.ts';
 
 /** Creates the gate of an instance that has just started, and lets statements of workspaces enter one after the other. */
 function createCase({connectionLimit = 20} = {}) {
--- a/packages/sessions/pace/create-statement-gate.ts
+++ b/packages/sessions/pace/create-statement-gate.ts
@@ -3,10 +3,12 @@
 import {applyPaceObservation} from './apply-pace-observation.ts';
 import {chooseWaiter} from './choose-waiter.ts';
 import {createPaceState} from './create-pace-state.ts';
+import type {EnterOutcome} from './enter-outcome.ts';
 import type {PaceBounds} from './pace-bounds.ts';
 import type {PaceObservation} from './pace-observation.ts';
 import type {PaceState} from './pace-state.ts';
-import type {EnterOutcome, StatementGate, StatementPlace} from './statement-gate.ts';
+import type {StatementGate} from './statement-gate.ts';
+import type {StatementPlace} from './statement-place.ts';
 
 type Options = {
 	readonly findBounds: () => PaceBounds;
--- a/packages/sessions/pace/statement-gate.ts
+++ b/packages/sessions/pace/statement-gate.ts
@@ -1,4 +1,5 @@
-import type {PaceObservation} from './pace-observation.ts';
+import type {EnterOutcome} from './enter-outcome.ts';
+import type {StatementPlace} from './statement-place.ts';
 
 /** What is to enter: a single statement, or a transaction that begins. */
 type EnterRequest = {
@@ -10,20 +11,6 @@
 	readonly deadline: number;
 };
 
-/** The place of a statement in progress. */
-export type StatementPlace = {
-	/** Gives the place back, with what the end of the statement says about the instance. Further calls have no effect. */
-	readonly leave: (observation: PaceObservation) => void;
-};
-
-/** The outcome of asking for a place. */
-export type EnterOutcome =
-	| {readonly kind: 'entered'; readonly place: StatementPlace}
-	/** There was no place in time. */
-	| {readonly kind: 'busy'}
-	/** The instance cannot be reached; others that waited are told at once. */
-	| {readonly kind: 'unreachable'};
-
 /** What a gate counts. */
 type GateLoad = {
 	readonly inProgress: number;
