--- /dev/null
+++ b/packages/sessions/create-local-runner.test.ts
@@ -0,0 +1,127 @@
+import {expect} from 'chai';
+import {createInstanceRuntime} from './create-instance-runtime.ts';
+import type {Gateways} from './gateways.ts';
+import type {InstanceAnswer} from './instance-answer.ts';
+import type {InstanceRequest} from './instance-request.ts';
+import type {Job} from './job.ts';
+import type {OpenConnectionOutcome} from './open-connection-outcome.ts';
+
+const listed = {
+	id: 'i-1', group: 'pondbook', host: '127.0.0.1', port: 9, zone: 'a', slots: 5, isDeparting: false, role: 'primary',
+} as const;
+const base = {
+	workspace: 'upper', priority: 1, caller: {database: 'pond', keyDigest: ''}, timeout: 300,
+};
+const setup = {variables: new Map(), prepared: new Map()};
+const query = {
+	id: 'q-1', text: 'READ a', access: 'read', execute: undefined,
+} as const;
+const single: Job = {
+	...base, kind: 'single', setup, query, after: undefined,
+};
+const begin: Job = {
+	...base, kind: 'begin', setup, isReadOnly: false, after: undefined, idleLimit: 1000,
+};
+
+function createAnswer(kind: InstanceRequest['kind'], state: 'idle' | 'open'): InstanceAnswer {
+	return {
+		kind: 'answered', outcome: {kind: 'done', rows: [], signature: kind}, state, position: undefined,
+	};
+}
+
+/** Creates the runtime of an instance whose answers and openings a case chooses. */
+function createRuntime({answer = request => createAnswer(request.kind, request.kind === 'forward' ? 'idle' : 'open'), opened}: {
+	readonly answer?: (request: InstanceRequest) => InstanceAnswer;
+	readonly opened?: OpenConnectionOutcome;
+} = {}) {
+	let isClosed = false;
+	return createInstanceRuntime(listed, {
+		openConnection: async () => opened ?? {
+			kind: 'opened',
+			connection: {
+				send: async request => answer(request),
+				close() {
+					isClosed = true;
+				},
+				isClosed: () => isClosed,
+			},
+		},
+		gateways: {count: () => 2} as unknown as Gateways,
+		limit: 4,
+		now: () => performance.now(),
+	});
+}
+
+type Runtime = ReturnType<typeof createRuntime>;
+
+const mayAlwaysSend = () => true;
+
+/** Begins a transaction and returns its number. */
+async function openTransaction({runLocally}: Runtime): Promise<number> {
+	const answer = await runLocally(begin, mayAlwaysSend);
+	return (answer.kind === 'answered' ? answer.transaction : undefined) ?? 0;
+}
+
+const refused: OpenConnectionOutcome = {kind: 'refused', code: 'tooManyConnections'};
+const fail = (code: 'busy' | 'lagging'): InstanceAnswer => ({
+	kind: 'answered', outcome: {kind: 'failed', code, reason: ''}, state: 'idle', position: undefined,
+});
+
+describe('createLocalRunner', () => {
+	// A place that is not given back would be missing for as long as the process runs.
+	const cases: ReadonlyArray<{readonly name: string; readonly runtime: Runtime; readonly run: (runtime: Runtime) => Promise<unknown>}> = [
+		{name: 'a statement that is answered', runtime: createRuntime(), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
+		{name: 'a statement that must not be sent', runtime: createRuntime(), run: async ({runLocally}) => runLocally(single, () => false)},
+		{name: 'a statement whose answer is lost', runtime: createRuntime({answer: () => ({kind: 'lost', reason: ''})}), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
+		{name: 'a statement that a busy instance refuses', runtime: createRuntime({answer: () => fail('busy')}), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
+		{name: 'a statement without a connection', runtime: createRuntime({opened: refused}), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
+		{name: 'a statement at an instance that is not there', runtime: createRuntime({opened: {kind: 'notListening'}}), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
+		{name: 'a transaction without a connection', runtime: createRuntime({opened: refused}), run: async ({runLocally}) => runLocally(begin, mayAlwaysSend)},
+		{name: 'a transaction that must not begin', runtime: createRuntime(), run: async ({runLocally}) => runLocally(begin, () => false)},
+		{name: 'a transaction that a replica which lags does not begin', runtime: createRuntime({answer: () => fail('lagging')}), run: async ({runLocally}) => runLocally(begin, mayAlwaysSend)},
+		{
+			name: 'a transaction that is committed',
+			runtime: createRuntime(),
+			async run(runtime) {
+				const transaction = await openTransaction(runtime);
+				await runtime.runLocally({
+					...base, kind: 'within', transaction, setup, query,
+				}, mayAlwaysSend);
+				await runtime.runLocally({
+					...base, kind: 'commit', transaction, id: 'c-1', text: 'COMMIT',
+				}, mayAlwaysSend);
+			},
+		},
+		{
+			name: 'a transaction whose commit must not be sent',
+			runtime: createRuntime(),
+			async run(runtime) {
+				const transaction = await openTransaction(runtime);
+				await runtime.runLocally({
+					...base, kind: 'commit', transaction, id: 'c-1', text: 'COMMIT',
+				}, () => false);
+			},
+		},
+		{
+			name: 'a transaction that is rolled back twice',
+			runtime: createRuntime(),
+			async run(runtime) {
+				const transaction = await openTransaction(runtime);
+				await runtime.runLocally({kind: 'rollback', transaction}, mayAlwaysSend);
+				await runtime.runLocally({kind: 'rollback', transaction}, mayAlwaysSend);
+			},
+		},
+	];
+	for (const {name, runtime, run} of cases) {
+		it(`gives back the place of ${name}`, async () => {
+			await run(runtime);
+			expect(runtime.pace.readLoad()).to.include({inProgress: 0, waiting: 0, openTransactions: 0});
+		});
+	}
+
+	it('answers a job that finds no place as not sent, and one at an instance that is not there as unreachable', async () => {
+		const {runLocally} = createRuntime({opened: {kind: 'notListening'}});
+		const answers = await Promise.all([runLocally(single, mayAlwaysSend), runLocally(single, mayAlwaysSend)]);
+		expect(answers.map(answer => answer.kind === 'notSent' && answer.isUnreachable)).to.deep.equal([true, true]);
+	});
+});
