--- a/packages/sessions/pace/create-statement-gate.ts
+++ b/packages/sessions/pace/create-statement-gate.ts
@@ -1,8 +1,8 @@
-import {createWaitingQueue} from '../pools/create-waiting-queue.ts';
 import type {WaitingRequest} from '../pools/waiting-request.ts';
 import {applyPaceObservation} from './apply-pace-observation.ts';
-import {chooseWaiter} from './choose-waiter.ts';
+import {createEntryQueue} from './create-entry-queue.ts';
 import {createPaceState} from './create-pace-state.ts';
+import {createTakenPlaces} from './create-taken-places.ts';
 import type {EnterOutcome} from './enter-outcome.ts';
 import type {PaceBounds} from './pace-bounds.ts';
 import type {PaceObservation} from './pace-observation.ts';
@@ -16,7 +16,7 @@
 	readonly findConnectionLimit: () => number;
 	/** Whether a workspace has an idle connection. */
 	readonly hasIdle: (workspace: string) => boolean;
-	/** Called when the state has changed. */
+	/** Called when the limit or the phase has changed. */
 	readonly onChanged: (change: {readonly previous: PaceState; readonly state: PaceState}) => void;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
@@ -30,24 +30,11 @@
 	readonly resolve: (outcome: EnterOutcome) => void;
 };
 
-/** A place that is taken. */
-type TakenPlace = {
-	readonly startedAt: number;
-	/** Whether the place counts; see `expireOverdue`. */
-	isCounted: boolean;
-};
-
-/** Requests that are compared when a place is free, the next ones of the queue. */
-const comparedCount = 8;
-
-/** Open transactions for each statement in progress; their callers use some of the time between two statements. */
-const transactionsPerStatement = 2;
-
 /**
- * Milliseconds for which a statement of an open transaction waits at most. Statements in progress may wait for a lock that
- * its transaction holds.
+ * How long a statement of an open transaction waits at most: a multiple of the recent latency, and at least so many
+ * milliseconds. Statements in progress may wait for a lock that its transaction holds.
  */
-const maxWithinWaitMs = 50;
+const withinWait = {latencyFactor: 4, minMs: 50};
 
 /** When a statement is overdue: a multiple of the recent latency, and at least so many milliseconds. */
 const overdue = {latencyFactor: 6, minMs: 150};
@@ -55,33 +42,39 @@
 /** Creates the gate of an instance that has just started. */
 export function createStatementGate({findBounds, findConnectionLimit, hasIdle, onChanged, now}: Options): StatementGate {
 	let state = createPaceState();
-	const queue = createWaitingQueue<Waiter>();
-	/** Requests that were taken from the queue to be compared, in its order. */
-	const compared: Waiter[] = [];
-	/** Statements of open transactions that wait. */
-	const within: Array<() => void> = [];
-	/** Places that are taken, the longest first. */
-	const places = new Set<TakenPlace>();
-	let counted = 0;
 	let openTransactions = 0;
 	let isUsed = false;
 	let answeredAt = Number.NEGATIVE_INFINITY;
-	let overdueTimer: NodeJS.Timeout | undefined;
 	const falls = {latency: 0, busy: 0, failed: 0};
 
 	const findLimit = () => Math.max(1, Math.min(state.limit, findConnectionLimit()));
 
 	/** Transactions keep their connections, so those that are open leave enough for the statements in progress. */
-	const findTransactionLimit = () => Math.max(1, Math.min(transactionsPerStatement * findLimit(), findConnectionLimit() - findLimit()));
+	const findTransactionLimit = () => Math.max(1, findConnectionLimit() - findLimit());
+
+	const findWaitMs = ({latencyFactor, minMs}: typeof overdue) => Math.max(minMs, latencyFactor * (state.recentLatency ?? 0));
+
+	const isBlocked = (kind: EnterRequest['kind']) => kind === 'begin' && openTransactions >= findTransactionLimit();
+
+	const queue = createEntryQueue<Waiter>({isBlocked, hasIdle, now});
+	/** Statements of open transactions that wait. */
+	const within: Array<() => void> = [];
 
-	const isBlocked = ({kind}: Pick<Waiter, 'kind'>) => kind === 'begin' && openTransactions >= findTransactionLimit();
+	const countWaiting = () => queue.count() + within.length;
 
-	const countWaiting = () => queue.count() + compared.length;
+	const places = createTakenPlaces({
+		findLimit,
+		findOverdueMs: () => findWaitMs(overdue),
+		onOverdue() {
+			serve();
+		},
+		now,
+	});
 
 	const apply = (observation: PaceObservation) => {
 		const previous = state;
 		state = applyPaceObservation(state, {
-			observation, bounds: findBounds(), inProgress: places.size + 1, now: now(),
+			observation, bounds: findBounds(), inProgress: places.count() + 1, now: now(),
 		});
 		if (state.limit < previous.limit && observation.kind !== 'restarted') {
 			falls[findFallCause(observation)]++;
@@ -93,22 +86,19 @@
 	};
 
 	const takePlace = (): StatementPlace => {
-		const taken: TakenPlace = {startedAt: now(), isCounted: true};
-		places.add(taken);
+		const taken = places.take();
 		isUsed = true;
-		counted++;
 		return {
 			leave(observation) {
-				if (places.delete(taken)) {
-					counted -= taken.isCounted ? 1 : 0;
-					recordEnd(taken, observation);
+				if (places.giveBack(taken)) {
+					recordEnd(observation, taken.takenAt);
 					serve();
 				}
 			},
 		};
 	};
 
-	const recordEnd = ({startedAt}: TakenPlace, observation: PaceObservation) => {
+	const recordEnd = (observation: PaceObservation, startedAt: number) => {
 		apply(observation);
 		if (observation.kind === 'answered' || observation.kind === 'busy') {
 			answeredAt = now();
@@ -119,95 +109,43 @@
 
 	/** Tells all requests that wait for a place that the instance cannot be reached, so that they are tried elsewhere. */
 	const refuseAll = () => {
-		for (let waiter = compared.shift() ?? queue.take(now()); waiter !== undefined; waiter = compared.shift() ?? queue.take(now())) {
+		for (let waiter = queue.takeAny(); waiter !== undefined; waiter = queue.takeAny()) {
 			waiter.resolve({kind: 'unreachable'});
 		}
 	};
 
-	const enterNow = (kind: Waiter['kind']): EnterOutcome => {
+	const enterNow = (kind: EnterRequest['kind']): EnterOutcome => {
 		openTransactions += kind === 'begin' ? 1 : 0;
 		return {kind: 'entered', place: takePlace()};
 	};
 
-	/** Takes the request that enters next; undefined if none may. */
-	const takeNext = (): Waiter | undefined => {
-		while (compared.filter(waiter => !isBlocked(waiter)).length < comparedCount) {
-			const waiter = queue.take(now());
-			if (waiter === undefined) {
-				break;
-			}
-
-			compared.push(waiter);
+	/** Lets the next request enter; returns whether one may. */
+	const serveNext = (): boolean => {
+		const enterWithin = within.shift();
+		if (enterWithin !== undefined) {
+			enterWithin();
+			return true;
 		}
 
-		const next = chooseWaiter(compared, {isBlocked, hasIdle});
-		if (next === undefined) {
-			return undefined;
-		}
-
-		const index = compared.indexOf(next);
-		for (const passed of compared.slice(0, index)) {
-			passed.passes += isBlocked(passed) ? 0 : 1;
-		}
-
-		compared.splice(index, 1);
-		return next;
+		const next = queue.takeNext();
+		next?.resolve(enterNow(next.kind));
+		return next !== undefined;
 	};
 
 	/** Lets waiting requests enter while there are places. */
 	const serve = () => {
-		expireOverdue();
-		while (counted < findLimit()) {
-			const enterWaiting = within.shift();
-			const next = enterWaiting === undefined ? takeNext() : undefined;
-			if (enterWaiting === undefined && next === undefined) {
-				break;
-			}
-
-			enterWaiting?.();
-			next?.resolve(enterNow(next.kind));
+		while (places.hasFree() && serveNext()) {
+			// Each turn takes a place.
 		}
 
-		watchOverdue();
-	};
-
-	const findOverdueMs = () => Math.max(overdue.minMs, overdue.latencyFactor * (state.recentLatency ?? 0));
-
-	/**
-	 * Counts overdue statements no longer: the instance may have lost their answers and freed their slots. As many as the
-	 * limit are left out, so that an instance that has become slow gets twice the limit at most.
-	 */
-	const expireOverdue = () => {
-		const before = now() - findOverdueMs();
-		for (const taken of places) {
-			if (taken.startedAt > before || places.size - counted >= findLimit()) {
-				return;
-			}
-
-			if (taken.isCounted) {
-				taken.isCounted = false;
-				counted--;
-			}
+		if (countWaiting() > 0) {
+			places.watch();
 		}
 	};
 
-	/** Wakes the gate when a statement becomes overdue while requests wait. */
-	const watchOverdue = () => {
-		clearTimeout(overdueTimer);
-		const oldest = [...places].find(({isCounted}) => isCounted);
-		if (countWaiting() + within.length > 0 && oldest !== undefined && places.size - counted < findLimit()) {
-			overdueTimer = setTimeout(serve, Math.max(1, oldest.startedAt + findOverdueMs() - now()));
-		}
-	};
-
-	const removeWaiter = (waiter: Waiter): boolean => {
-		const index = compared.indexOf(waiter);
-		return index === -1 ? queue.remove(waiter) : compared.splice(index, 1).length > 0;
-	};
-
 	const wait = async ({kind, workspace, priority, deadline}: EnterRequest) => new Promise<EnterOutcome>(resolve => {
 		const timer = setTimeout(() => {
-			if (removeWaiter(waiter)) {
+			if (queue.remove(waiter)) {
 				resolve({kind: 'busy'});
 			}
 		}, deadline - now());
@@ -227,33 +165,29 @@
 		serve();
 	});
 
+	const waitWithin = async () => new Promise<StatementPlace>(resolve => {
+		const enter = () => {
+			clearTimeout(timer);
+			resolve(takePlace());
+		};
+
+		const timer = setTimeout(() => {
+			within.splice(within.indexOf(enter), 1);
+			enter();
+		}, findWaitMs(withinWait));
+		within.push(enter);
+		serve();
+	});
+
 	return {
 		async enter(request) {
-			if (countWaiting() + within.length === 0 && counted < findLimit() && !isBlocked(request)) {
+			if (countWaiting() === 0 && places.hasFree() && !isBlocked(request.kind)) {
 				return enterNow(request.kind);
 			}
 
 			return request.deadline > now() ? wait(request) : {kind: 'busy'};
 		},
-		async enterWithin() {
-			if (within.length === 0 && counted < findLimit()) {
-				return takePlace();
-			}
-
-			return new Promise(resolve => {
-				const timer = setTimeout(() => {
-					within.splice(within.indexOf(enter), 1);
-					resolve(takePlace());
-				}, maxWithinWaitMs);
-				const enter = () => {
-					clearTimeout(timer);
-					resolve(takePlace());
-				};
-
-				within.push(enter);
-				serve();
-			});
-		},
+		enterWithin: async () => within.length === 0 && places.hasFree() ? takePlace() : waitWithin(),
 		enterCommit: takePlace,
 		endTransaction() {
 			openTransactions--;
@@ -263,7 +197,7 @@
 			apply({kind: 'restarted'});
 		},
 		readLoad: () => ({
-			inProgress: places.size, waiting: countWaiting() + within.length, limit: findLimit(), openTransactions, isUsed, falls: {...falls},
+			inProgress: places.count(), waiting: countWaiting(), limit: findLimit(), openTransactions, isUsed, falls: {...falls},
 		}),
 	};
 }
