--- a/packages/sessions/pace/apply-pace-observation.test.ts
+++ b/packages/sessions/pace/apply-pace-observation.test.ts
@@ -30,6 +30,7 @@
 }
 
 const failed: PaceObservation = {kind: 'failed'};
+const busy: PaceObservation = {kind: 'busy'};
 const calm = applyAll(createPaceState(), answer(50));
 
 describe('applyPaceObservation', () => {
@@ -65,10 +66,13 @@
 			name: 'is back within a few answers at an instance that goes up and down', from: calm, observations: [...repeat(40, failed), ...answer(8)], limit: 5,
 		},
 		{
-			name: 'halves once for refusals of a busy instance that come together', from: calm, observations: repeat(5, {kind: 'busy'}), limit: 2,
+			name: 'does not fall because of single refusals among answers', from: calm, observations: Array.from({length: 20}, () => [...answer(9), busy]).flat(), limit: 5,
 		},
 		{
-			name: 'falls further while an instance stays busy', from: calm, observations: repeat(40, {kind: 'busy'}), limit: 1,
+			name: 'halves once for refusals of a busy instance that come together', from: calm, observations: repeat(5, busy), limit: 2,
+		},
+		{
+			name: 'falls further while an instance stays busy', from: calm, observations: repeat(40, busy), limit: 1,
 		},
 		{
 			name: 'begins a slow start when it is told to', from: calm, observations: [{kind: 'restarted'}], limit: 1, phase: 'slowStart',
--- a/packages/sessions/pace/apply-pace-observation.ts
+++ b/packages/sessions/pace/apply-pace-observation.ts
@@ -18,7 +18,10 @@
 /** Multiple of the calm latency above which statements count as waiting at the instance. */
 const latencyTolerance = {slowStart: 3, steady: 1.5};
 
-/** Weight of a round's mean in the calm latency: of a round within this host's share, and of any other that is lower. */
+/**
+ * Weight of a round's mean in the calm latency: of a round within this host's share, of one that is so much slower that
+ * other hosts may be the cause, and of any other round that is lower.
+ */
 const calmWeight = {withinShare: 0.2, slower: 0.1, lower: 0.1};
 
 /** Fewest latencies from which the calm latency of an unknown instance is found. */
@@ -30,8 +33,8 @@
 /** Milliseconds in which the limit falls once at most, since answers that come together tell of one cause. */
 const fallIntervalMs = 50;
 
-/** Failures in a row that lower the limit; a single one among answers tells nothing about the load. */
-const failuresBeforeFall = 2;
+/** Refusals or failures without an answer between them that lower the limit; one among answers tells little about the load. */
+const failuresBeforeFall = {busy: 2, failed: 3};
 
 /** Failures in a row after which the instance counts as recovered when it answers again. */
 const failuresBeforeRestart = 3;
@@ -49,19 +52,20 @@
 export function applyPaceObservation(state: PaceState, {observation, bounds, inProgress, now}: Options): PaceState {
 	switch (observation.kind) {
 		case 'answered': {
-			const answering = state.failures >= failuresBeforeRestart ? restart(state) : {...state, failures: 0};
+			const answering = state.failures >= failuresBeforeRestart ? restart(state) : {...state, failures: 0, refusals: 0};
 			const counted = countAnswer(answering, observation.latency, inProgress);
 			return counted.phase === 'slowStart' ? stepSlowStart(counted, bounds) : stepSteady(counted, bounds, now);
 		}
 
 		case 'busy': {
-			return halve({...state, failures: 0}, bounds, now);
+			const refusing = {...state, refusals: state.refusals + 1, failures: 0};
+			return refusing.refusals < failuresBeforeFall.busy ? refusing : halve(refusing, bounds, now);
 		}
 
 		case 'failed':
 		case 'unreachable': {
 			const failing = {...state, failures: state.failures + 1};
-			return failing.failures < failuresBeforeFall ? failing : halve(failing, bounds, now);
+			return failing.failures < failuresBeforeFall.failed ? failing : halve(failing, bounds, now);
 		}
 
 		case 'restarted': {
--- a/packages/sessions/pace/create-pace-state.ts
+++ b/packages/sessions/pace/create-pace-state.ts
@@ -12,6 +12,7 @@
 			answers: 0, measured: 0, totalLatency: 0, peak: 0,
 		},
 		failures: 0,
+		refusals: 0,
 		fellAt: Number.NEGATIVE_INFINITY,
 	};
 }
--- a/packages/sessions/pace/create-statement-gate.ts
+++ b/packages/sessions/pace/create-statement-gate.ts
@@ -37,7 +37,7 @@
 const withinWait = {latencyFactor: 4, minMs: 50};
 
 /** When a statement is overdue: a multiple of the recent latency, and at least so many milliseconds. */
-const overdue = {latencyFactor: 6, minMs: 150};
+const overdue = {latencyFactor: 8, minMs: 80};
 
 /** Creates the gate of an instance that has just started. */
 export function createStatementGate({findBounds, findConnectionLimit, hasIdle, onChanged, now}: Options): StatementGate {
@@ -64,6 +64,8 @@
 
 	const places = createTakenPlaces({
 		findLimit,
+		// They hold connections, so some of these are kept for others.
+		findOverdueLimit: () => Math.max(findLimit(), Math.floor(findConnectionLimit() / 2)),
 		findOverdueMs: () => findWaitMs(overdue),
 		onOverdue() {
 			serve();
--- a/packages/sessions/pace/create-taken-places.ts
+++ b/packages/sessions/pace/create-taken-places.ts
@@ -1,5 +1,7 @@
 type Options = {
 	readonly findLimit: () => number;
+	/** Returns how many overdue statements are left out of the count at most. */
+	readonly findOverdueLimit: () => number;
 	/** Returns the milliseconds after which a statement is overdue. */
 	readonly findOverdueMs: () => number;
 	/** Called when a place may be free because a statement is overdue, if `watch` was called. */
@@ -31,16 +33,18 @@
 /**
  * Creates the places of an instance, none of which is taken.
  *
- * Overdue statements do not count towards the limit: the instance may have lost their answers and freed their slots. As
- * many as the limit are left out, so that an instance that has become slow gets twice the limit at most.
+ * Overdue statements do not count towards the limit: the instance may have lost their answers and freed their slots. Only
+ * some are left out, since the instance may also have become slow.
  */
-export function createTakenPlaces({findLimit, findOverdueMs, onOverdue, now}: Options): TakenPlaces {
+export function createTakenPlaces({
+	findLimit, findOverdueLimit, findOverdueMs, onOverdue, now,
+}: Options): TakenPlaces {
 	/** The places, the one that was taken first in front. */
 	const places = new Set<TakenPlace>();
 	let counted = 0;
 	let timer: NodeJS.Timeout | undefined;
 
-	const mayLeaveOut = () => places.size - counted < findLimit();
+	const mayLeaveOut = () => places.size - counted < findOverdueLimit();
 
 	const leaveOutOverdue = () => {
 		const before = now() - findOverdueMs();
--- a/packages/sessions/pace/pace-state.ts
+++ b/packages/sessions/pace/pace-state.ts
@@ -21,6 +21,8 @@
 	};
 	/** Failures since the last answer. */
 	readonly failures: number;
+	/** Refusals of a busy instance since it last ran a statement. */
+	readonly refusals: number;
 	/** When the limit last fell, in milliseconds of the steady clock. */
 	readonly fellAt: number;
 };
