--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -1,8 +1,12 @@
 import type {OpenConnectionOutcome} from '../open-connection-outcome.ts';
 import {createServiceTimer, type EndedWait} from '../waiting/mod.ts';
 import type {AcquireOutcome} from './acquire-outcome.ts';
-import {createWaitingQueue} from './create-waiting-queue.ts';
 import type {AcquireRequest} from './acquire-request.ts';
+import {chooseEviction} from './choose-eviction.ts';
+import type {ConnectionRefusal} from './connection-refusal.ts';
+import {createWaitingQueue} from './create-waiting-queue.ts';
+import {createWorkspaceDemand} from './create-workspace-demand.ts';
+import {findAllowedConnections} from './find-allowed-connections.ts';
 import type {InstancePool} from './instance-pool.ts';
 import type {PooledConnection} from './pooled-connection.ts';
 import type {WaitingRequest} from './waiting-request.ts';
@@ -21,6 +25,9 @@
 /** For whom a connection is taken. */
 type Taker = Pick<AcquireRequest, 'workspace' | 'priority'>;
 
+/** Milliseconds within which an attempt to connect that ends without an answer was reset, and not given up. */
+const resetLimitMs = 200;
+
 /** A request that waits for a connection. */
 type Waiter = WaitingRequest & {
 	/** Ends the wait with a connection, or with the cause of a refusal. */
@@ -30,16 +37,19 @@
 /**
  * Creates the pool of connections to an instance.
  *
- * A connection belongs to one workspace. At the limit, the connection that has been idle for longest is closed to make
- * room for a new one. Requests wait in the order of `createWaitingQueue`.
+ * A connection belongs to one workspace. At the limit, an idle connection is closed to make room for a new one; see
+ * `chooseEviction`. The limit falls when the instance refuses a connection because it has too many; see
+ * `findAllowedConnections`. Requests wait in the order of `createWaitingQueue`.
  */
 export function createInstancePool(options: Options): InstancePool {
 	const connections = new Set<PooledConnection>();
 	const serviceTimer = createServiceTimer(options.now);
+	const demand = createWorkspaceDemand();
 	let {limit} = options;
+	let refusal: ConnectionRefusal | undefined;
 	const queue = createWaitingQueue<Waiter>({
 		// After the limit was lowered, the connections that are left over still serve requests.
-		findPace: () => ({...serviceTimer.findPace(), limit: Math.max(limit, connections.size)}),
+		findPace: () => ({...serviceTimer.findPace(), limit: Math.max(findAllowed(), connections.size)}),
 		onRefused(waiter, {cause, ...refusal}) {
 			waiter.end({kind: 'busy', ...refusal}, cause);
 		},
@@ -64,18 +74,22 @@
 		return [...connections].filter(({isBusy}) => !isBusy).toSorted((a, b) => a.idleSince - b.idleSince);
 	};
 
+	const findAllowed = () => findAllowedConnections(refusal, {limit, now: options.now()});
+
+	const hasRoom = () => connections.size + opening < findAllowed();
+
 	/** Closes an idle connection if the limit is reached; returns whether another may be opened. */
 	const makeRoom = (): boolean => {
-		if (connections.size + opening < limit) {
+		if (hasRoom()) {
 			return true;
 		}
 
-		const [oldest] = listIdle();
-		if (oldest !== undefined) {
-			closeConnection(oldest);
+		const evicted = chooseEviction(listIdle(), workspace => demand.findRecent(workspace, options.now()));
+		if (evicted !== undefined) {
+			closeConnection(evicted);
 		}
 
-		return connections.size + opening < limit;
+		return hasRoom();
 	};
 
 	/** Opens a connection; an exception counts as an instance that did not answer, so that the waiter is answered. */
@@ -91,10 +105,20 @@
 		}
 	};
 
+	/** Records a refusal for too many connections. A reset is one if other connections that were idle stay open. */
+	const recordRefusal = (outcome: Exclude<OpenConnectionOutcome, {readonly kind: 'opened'}>, startedAt: number) => {
+		const held = [...connections].filter(({connection}) => !connection.isClosed()).length;
+		const isReset = outcome.kind === 'unanswered' && held > 0 && options.now() - startedAt < resetLimitMs;
+		if (isReset || (outcome.kind === 'refused' && outcome.code === 'tooManyConnections')) {
+			refusal = {held, at: options.now()};
+		}
+	};
+
 	const open = async ({workspace, priority}: Taker): Promise<AcquireOutcome> => {
 		const startedAt = options.now();
 		const outcome = await tryOpen(workspace);
 		if (outcome.kind !== 'opened') {
+			recordRefusal(outcome, startedAt);
 			serveNext();
 			return {kind: outcome.kind === 'refused' && outcome.code !== 'moved' ? 'busy' : 'unreachable'};
 		}
@@ -119,7 +143,7 @@
 
 	/** Serves waiters, next first, while the pool has an idle connection or room for a new one. */
 	const serveNext = () => {
-		while (connections.size + opening < limit || listIdle().length > 0) {
+		while (hasRoom() || listIdle().length > 0) {
 			const waiter = queue.take(options.now());
 			if (waiter === undefined) {
 				return;
@@ -164,6 +188,7 @@
 
 	return {
 		async acquire(request) {
+			demand.record(request.workspace, options.now());
 			const idle = queue.count() === 0 ? take(request) : undefined;
 			if (idle !== undefined) {
 				return {kind: 'acquired', connection: idle, openMs: 0};
@@ -173,13 +198,14 @@
 				return open(request);
 			}
 
-			return request.timeout > 0 ? wait(request) : {kind: 'busy'};
+			// Without a connection that could become idle, waiting is of no use.
+			return request.timeout > 0 && connections.size + opening > 0 ? wait(request) : {kind: 'busy'};
 		},
 		release(pooled, isClean) {
 			pooled.isBusy = false;
 			pooled.idleSince = options.now();
 			serviceTimer.end(pooled);
-			if (!isClean || isClosed || connections.size > limit || pooled.connection.isClosed()) {
+			if (!isClean || isClosed || connections.size > findAllowed() || pooled.connection.isClosed()) {
 				closeConnection(pooled);
 			}
 
@@ -196,9 +222,10 @@
 		readLoad() {
 			const idle = listIdle().length;
 			return {
-				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit,
+				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit: findAllowed(),
 			};
 		},
+		hasIdle: workspace => [...connections].some(pooled => !pooled.isBusy && pooled.workspace === workspace && !pooled.connection.isClosed()),
 		closeIdle(before) {
 			for (const pooled of listIdle()) {
 				if (pooled.idleSince < before) {
@@ -206,6 +233,7 @@
 				}
 			}
 		},
+		findLimit: findAllowed,
 		setLimit(newLimit) {
 			limit = newLimit;
 		},
