--- a/packages/sessions/waiting/create-service-timer.test.ts
+++ b/packages/sessions/waiting/create-service-timer.test.ts
@@ -31,4 +31,58 @@
 			expect(measured).to.deep.equal(expected);
 		});
 	}
+
+	type Load = {
+		readonly count: number;
+		readonly priority: number;
+		readonly serviceMs: number;
+		/** Pause before it, in milliseconds. */
+		readonly pauseMs?: number;
+	};
+
+	/** Serves loads one after another, while one request of priority 0 is served all the while if `isHeld` is true. */
+	const serve = (loads: readonly Load[], isHeld = false) => {
+		let now = 0;
+		const timer = createServiceTimer(() => now);
+		const held = {};
+		if (isHeld) {
+			timer.begin(held, 0);
+		}
+
+		for (const {count, priority, serviceMs, pauseMs = 0} of loads) {
+			now += pauseMs;
+			for (let index = 0; index < count; index++) {
+				const server = {};
+				timer.begin(server, priority);
+				now += serviceMs;
+				timer.end(server);
+			}
+		}
+
+		timer.end(held);
+		return timer.findPace();
+	};
+
+	it('hardly changes by one transaction that holds its connection for 30 s', () => {
+		expect(serve([{count: 3000, priority: 0, serviceMs: 10}], true).serviceMs).to.be.within(10, 20);
+	});
+
+	it('follows an instance that turns a hundred times slower', () => {
+		expect(serve([{count: 50, priority: 0, serviceMs: 10}, {count: 30, priority: 0, serviceMs: 1000}]).serviceMs).to.be.above(800);
+	});
+
+	it('does not use old times of a priority that is above the others, as after it was slow', () => {
+		const {findServiceMs} = serve([{count: 50, priority: 3, serviceMs: 2000}, {count: 5000, priority: 0, serviceMs: 10}]);
+		expect(findServiceMs?.(3)).to.be.closeTo(10, 1);
+	});
+
+	it('begins anew after a pause, as when an instance that was slow recovers', () => {
+		const slow: Load = {count: 50, priority: 0, serviceMs: 2000};
+		expect(serve([slow, {
+			count: 9, priority: 0, serviceMs: 10, pauseMs: 6000,
+		}]).serviceMs).to.equal(undefined);
+		expect(serve([slow, {
+			count: 10, priority: 0, serviceMs: 10, pauseMs: 6000,
+		}])).to.deep.include({serviceMs: 10, leastServiceMs: 10});
+	});
 });
--- a/packages/sessions/waiting/create-service-timer.ts
+++ b/packages/sessions/waiting/create-service-timer.ts
@@ -17,13 +17,13 @@
 /** Number of measured times below which they are not used, and of the last ones that are kept. */
 const sampleCount = 10;
 
-/** Milliseconds after the last measured time for which they are used. */
+/** Milliseconds after the last measured time for which they are used; the next one begins a new average. */
 const maxAgeMs = 5000;
 
 /** Maximum number of priorities whose times are kept apart. */
 const maxPriorities = 32;
 
-const emptyAverage: ServiceAverage = {serviceMs: 0, samples: 0};
+const emptyAverage: ServiceAverage = {serviceMs: 0, samples: 0, measuredAt: Number.NEGATIVE_INFINITY};
 
 /**
  * Creates a timer without measured times.
@@ -36,16 +36,26 @@
 	const lastMs: number[] = [];
 	const byPriority = new Map<number, ServiceAverage>();
 	let average = emptyAverage;
-	let measuredAt = 0;
+
+	const isRecent = ({measuredAt}: ServiceAverage): boolean => now() - measuredAt <= maxAgeMs;
+
+	const update = (previous: ServiceAverage, serviceMs: number): ServiceAverage =>
+		updateServiceAverage(isRecent(previous) ? previous : emptyAverage, {serviceMs, now: now()});
 
 	const record = (serviceMs: number, priority: number) => {
-		lastMs[average.samples % sampleCount] = serviceMs;
-		average = updateServiceAverage(average, serviceMs);
+		average = update(average, serviceMs);
+		lastMs[(average.samples - 1) % sampleCount] = serviceMs;
 		if (byPriority.has(priority) || byPriority.size < maxPriorities) {
-			byPriority.set(priority, updateServiceAverage(byPriority.get(priority) ?? emptyAverage, serviceMs));
+			byPriority.set(priority, update(byPriority.get(priority) ?? emptyAverage, serviceMs));
 		}
 	};
 
+	/** Finds the average of a priority; an old one only counts as far as it is below that of all. */
+	const findPriorityMs = (priority: number): number | undefined => {
+		const own = byPriority.get(priority);
+		return own === undefined || isRecent(own) ? own?.serviceMs : Math.min(own.serviceMs, average.serviceMs);
+	};
+
 	return {
 		begin(server, priority) {
 			started.set(server, {at: now(), priority});
@@ -54,19 +64,18 @@
 			const service = started.get(server);
 			if (service !== undefined) {
 				started.delete(server);
-				measuredAt = now();
-				record(measuredAt - service.at, service.priority);
+				record(now() - service.at, service.priority);
 			}
 		},
 		findPace() {
-			if (average.samples < sampleCount || now() - measuredAt > maxAgeMs) {
+			if (average.samples < sampleCount || !isRecent(average)) {
 				return {serviceMs: undefined};
 			}
 
 			return {
 				serviceMs: average.serviceMs,
 				leastServiceMs: Math.min(...lastMs),
-				findServiceMs: priority => byPriority.get(priority)?.serviceMs,
+				findServiceMs: findPriorityMs,
 			};
 		},
 	};
--- a/packages/sessions/waiting/service-average.ts
+++ b/packages/sessions/waiting/service-average.ts
@@ -4,4 +4,6 @@
 	readonly serviceMs: number;
 	/** Number of measured times. */
 	readonly samples: number;
+	/** When the last one was measured, in milliseconds of the steady clock. */
+	readonly measuredAt: number;
 };
