Refuse waiting statements by the order in which they are served

Cause: a statement was refused early although it would have been served in time: behind ones that had become late since the last statement was served, behind more urgent ones that it was about to overtake, or behind more of them than may pass it. One that was late on arrival counted as the first one and stayed. One that had waited to its deadline was given a count, and a time to come back. Change: the late ones are found before the requests ahead are counted, more urgent ones count as far as they may pass, and the one that is about to overtake is kept. The search is left out where all waiting ones together leave time. Refusals of expired ones name neither a count nor a time.

--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -40,8 +40,8 @@
 	const queue = createWaitingQueue<Waiter>({
 		// After the limit was lowered, the connections that are left over still serve requests.
 		findPace: () => ({...serviceTimer.findPace(), limit: Math.max(limit, connections.size)}),
-		onRefused(waiter, {cause, ...refusal}) {
-			waiter.end({kind: 'busy', ...refusal}, cause);
+		onRefused(waiter, {cause, ...room}) {
+			waiter.end({kind: 'busy', ...room}, cause);
 		},
 		jitter: Math.random,
 	});
--- a/packages/sessions/pools/create-waiting-queue.test.ts
+++ b/packages/sessions/pools/create-waiting-queue.test.ts
@@ -217,8 +217,8 @@
 			findPace: () => ({
 				serviceMs, leastServiceMs: ownServiceMs, findServiceMs: () => ownServiceMs, limit: 4,
 			}),
-			onRefused(_, {retryAfterMs}) {
-				refused.push(retryAfterMs);
+			onRefused(_, refusal) {
+				refused.push(refusal.cause === 'overdue' ? refusal.retryAfterMs : undefined);
 			},
 		});
 		for (let index = 0; index < count; index++) {
@@ -247,6 +247,79 @@
 		});
 	}
 
+	/** Requests wait in the priority 1 with 5 s, then another one comes at a queue that serves one at a time. */
+	const orderCases: ReadonlyArray<{
+		readonly name: string;
+		readonly waiting: {readonly count: number; readonly target: number};
+		readonly added: Omit<typeof requestDefaults, 'workspace'> & {readonly since: number};
+		readonly expected: number;
+	}> = [
+		{
+			name: 'one that is late when it comes, and so waits behind those on time',
+			waiting: {count: 100, target: 4000},
+			added: {
+				priority: 1, since: 0, target: -10, deadline: 500,
+			},
+			expected: 1,
+		},
+		{
+			name: 'none that goes before those that have become late while nothing was served',
+			waiting: {count: 100, target: 1000},
+			added: {
+				priority: 1, since: 1500, target: 2100, deadline: 2300,
+			},
+			expected: 0,
+		},
+		{
+			name: 'none that overtakes patient ones of a more urgent priority',
+			waiting: {count: 30, target: 4900},
+			added: {
+				priority: 2, since: 0, target: 200, deadline: 200,
+			},
+			expected: 0,
+		},
+		{
+			name: 'none that is served once its priority was passed over often enough',
+			waiting: {count: 100, target: 900},
+			added: {
+				priority: 2, since: 0, target: 400, deadline: 600,
+			},
+			expected: 0,
+		},
+	];
+	for (const {name, waiting: {count, target}, added, expected} of orderCases) {
+		it(name, () => {
+			const refused: object[] = [];
+			const queue = createWaitingQueue<typeof requestDefaults & {readonly since: number}>({
+				findPace: () => ({serviceMs: 10, limit: 1}),
+				onRefused(request) {
+					refused.push(request);
+				},
+			});
+			for (let index = 0; index < count; index++) {
+				queue.add({
+					...requestDefaults, since: 0, target, deadline: 5000,
+				});
+			}
+
+			queue.add({...requestDefaults, ...added});
+			expect(refused).to.have.length(expected);
+		});
+	}
+
+	it('name no count and no time to come back for one that waited to its deadline', () => {
+		const refusals: object[] = [];
+		const queue = createWaitingQueue<typeof requestDefaults>({
+			findPace: () => ({serviceMs: 10, limit: 1}),
+			onRefused(_, refusal) {
+				refusals.push(refusal);
+			},
+		});
+		queue.add(requestDefaults);
+		expect(queue.take(requestDefaults.deadline)).to.equal(undefined);
+		expect(refusals).to.deep.equal([{cause: 'expired'}]);
+	});
+
 	it('let callers come back one after another', () => {
 		const delays = refuse({count: 40, timeoutMs: 400, serviceMs: 100});
 		const gaps = delays.slice(1).map((delay, index) => (delay ?? 0) - (delays[index] ?? 0));
--- a/packages/sessions/pools/create-waiting-queue.ts
+++ b/packages/sessions/pools/create-waiting-queue.ts
@@ -1,6 +1,6 @@
 import {
-	choosePriority, createPriorityHead, createRetryReservations, createWaitingClass, findWait, findWorkAhead, isOverdue, listOverdue,
-	type ServicePace, type WaitingClass, type WaitingRefusal, type WorkAhead,
+	addWork, choosePriority, createPriorityHead, createRetryReservations, createWaitingClass, findServiceMs, findWait, findWorkAhead,
+	isOverdue, listOverdue, type ServicePace, type WaitingClass, type WaitingRefusal, type WorkAhead,
 } from '../waiting/mod.ts';
 import type {WaitingQueue} from './waiting-queue.ts';
 import type {WaitingRequest} from './waiting-request.ts';
@@ -59,10 +59,33 @@
 
 	const refuse = (request: Request, {ahead, now}: {readonly ahead: WorkAhead; readonly now: number}) => {
 		drop(request, false);
+		const {priority, deadline} = request;
+		if (deadline <= now) {
+			onRefused?.(request, {cause: 'expired'});
+			return;
+		}
+
 		const retryAfterMs = reservations.add({
-			priority: request.priority, pace: findPace(), ahead, remainingMs: request.deadline - now, now,
+			priority, pace: findPace(), ahead, remainingMs: deadline - now, now,
 		});
-		onRefused?.(request, {cause: request.deadline <= now ? 'expired' : 'overdue', ahead: ahead.count, retryAfterMs});
+		onRefused?.(request, {cause: 'overdue', ahead: ahead.count, retryAfterMs});
+	};
+
+	/** Describes the request of each priority that is served next, the most urgent first. */
+	const listHeads = (now: number, isPreferred: (workspace: string) => boolean) => {
+		const pace = findPace();
+		return listClasses()
+			.map(waitingClass => createPriorityHead(waitingClass, {
+				pace, passes: passes.get(waitingClass.priority) ?? 0, isPreferred, now,
+			}))
+			.filter(head => head !== undefined);
+	};
+
+	/** Finds the request that is served next if it may overtake more urgent ones, and finds out which requests miss their target by now. */
+	const findOvertaker = (now: number): Request | undefined => {
+		const heads = listHeads(now, () => false);
+		const chosen = choosePriority(heads, {takesSinceOvertaking: Number.POSITIVE_INFINITY});
+		return heads.find(({priority}) => priority === chosen?.priority)?.request;
 	};
 
 	/** Refuses the requests that cannot be served in time, as when they are served more slowly than they were when they came. */
@@ -72,11 +95,23 @@
 		}
 
 		checkedAt = now;
+		const overtaker = findOvertaker(now);
 		for (const {request, ahead} of listOverdue(listClasses(), {pace: findPace(), now})) {
-			refuse(request, {ahead, now});
+			if (request !== overtaker || request.deadline <= now) {
+				refuse(request, {ahead, now});
+			}
 		}
 	};
 
+	const findAllWork = (pace: ServicePace): WorkAhead => {
+		let work = nothingAhead;
+		for (const {priority, count} of classes.values()) {
+			work = addWork(work, {count: count().all, serviceMs: findServiceMs(pace, priority)});
+		}
+
+		return work;
+	};
+
 	/** Refuses a request that has just been added if it cannot be served in time. */
 	const refuseAdded = (request: Request) => {
 		const pace = findPace();
@@ -85,22 +120,26 @@
 			return;
 		}
 
+		const remainingMs = deadline - now;
+		// The search for the requests ahead is left out where even all of them would leave time enough.
+		if (!isOverdue({
+			pace, ahead: findAllWork(pace), priority, remainingMs,
+		})) {
+			return;
+		}
+
+		classes.get(priority)?.update({serviceMs: findServiceMs(pace, priority), now});
 		const ahead = findWorkAhead(listClasses(), {request, pace}) ?? nothingAhead;
 		if (isOverdue({
-			pace, ahead, priority, remainingMs: deadline - now,
-		})) {
+			pace, ahead, priority, remainingMs,
+		}) && findOvertaker(now) !== request) {
 			refuse(request, {ahead, now});
 		}
 	};
 
 	/** Chooses the request that is served next; undefined if none waits. */
 	const choose = (now: number, isPreferred: (workspace: string) => boolean): Request | undefined => {
-		const pace = findPace();
-		const heads = listClasses()
-			.map(waitingClass => createPriorityHead(waitingClass, {
-				pace, passes: passes.get(waitingClass.priority) ?? 0, isPreferred, now,
-			}))
-			.filter(head => head !== undefined);
+		const heads = listHeads(now, isPreferred);
 		const chosen = choosePriority(heads, {takesSinceOvertaking});
 		return heads.find(({priority}) => priority === chosen?.priority)?.request;
 	};
--- a/packages/sessions/waiting/find-work-ahead.ts
+++ b/packages/sessions/waiting/find-work-ahead.ts
@@ -1,6 +1,8 @@
 import type {WaitingRequest} from '../pools/waiting-request.ts';
+import {addWork} from './add-work.ts';
 import {compareTurns} from './compare-turns.ts';
 import {findLaneTurn} from './find-lane-turn.ts';
+import {findPassingWork} from './find-passing-work.ts';
 import {findServiceMs} from './find-service-ms.ts';
 import type {LaneTurn} from './lane-turn.ts';
 import {maxPasses} from './max-passes.ts';
@@ -15,8 +17,8 @@
 };
 
 /**
- * Finds the requests that are served before a waiting one: those of more urgent priorities, those of its own whose turn
- * comes first, and of each other as many as may pass it.
+ * Finds the requests that are served before a waiting one: those of more urgent priorities as far as they may pass it,
+ * those of its own whose turn comes first, and of each other as many as may pass it.
  *
  * Undefined if the request does not wait. Requests that come later are not foreseen.
  *
@@ -29,11 +31,16 @@
 		return undefined;
 	}
 
-	let work: WorkAhead = {count: 0, serviceMs: 0};
+	let urgent: WorkAhead = {count: 0, serviceMs: 0};
 	for (const {priority, count} of classes) {
-		const passing = Math.min(count().all, Math.floor(work.count / maxPasses));
-		const added = priority < request.priority ? count().all : (priority === request.priority ? ownCount : passing);
-		work = {count: work.count + added, serviceMs: work.serviceMs + (added * findServiceMs(pace, priority))};
+		urgent = priority < request.priority ? addWork(urgent, {count: count().all, serviceMs: findServiceMs(pace, priority)}) : urgent;
+	}
+
+	const passing = findPassingWork({urgent, ownCount});
+	let work = addWork(passing, {count: ownCount, serviceMs: findServiceMs(pace, request.priority)});
+	for (const {priority, count} of classes) {
+		const lower = priority > request.priority ? Math.min(count().all, Math.floor(work.count / maxPasses)) : 0;
+		work = addWork(work, {count: lower, serviceMs: findServiceMs(pace, priority)});
 	}
 
 	return work;
--- a/packages/sessions/waiting/list-overdue.ts
+++ b/packages/sessions/waiting/list-overdue.ts
@@ -1,6 +1,8 @@
 import type {WaitingRequest} from '../pools/waiting-request.ts';
+import {addWork} from './add-work.ts';
 import {compareTurns} from './compare-turns.ts';
 import {findLaneTurn} from './find-lane-turn.ts';
+import {findPassingWork} from './find-passing-work.ts';
 import {findServiceMs} from './find-service-ms.ts';
 import {isOverdue} from './is-overdue.ts';
 import type {LaneTurn} from './lane-turn.ts';
@@ -27,17 +29,24 @@
  */
 export function listOverdue<Request extends WaitingRequest>(classes: ReadonlyArray<WaitingClass<Request>>, {pace, now}: Options): ReadonlyArray<Overdue<Request>> {
 	const overdue: Array<Overdue<Request>> = [];
-	let ahead: WorkAhead = {count: 0, serviceMs: 0};
-	for (const request of classes.flatMap(waitingClass => listInOrder(waitingClass))) {
-		const {priority, deadline} = request;
-		const remainingMs = deadline - now;
-		if (remainingMs <= 0 || isOverdue({
-			pace, ahead, priority, remainingMs,
-		})) {
-			overdue.push({request, ahead});
-		} else {
-			ahead = {count: ahead.count + 1, serviceMs: ahead.serviceMs + findServiceMs(pace, priority)};
+	let urgent: WorkAhead = {count: 0, serviceMs: 0};
+	for (const waitingClass of classes) {
+		const {priority} = waitingClass;
+		const serviceMs = findServiceMs(pace, priority);
+		let ownCount = 0;
+		for (const request of listInOrder(waitingClass)) {
+			const ahead = addWork(findPassingWork({urgent, ownCount}), {count: ownCount, serviceMs});
+			const remainingMs = request.deadline - now;
+			if (remainingMs <= 0 || isOverdue({
+				pace, ahead, priority, remainingMs,
+			})) {
+				overdue.push({request, ahead});
+			} else {
+				ownCount++;
+			}
 		}
+
+		urgent = addWork(urgent, {count: ownCount, serviceMs});
 	}
 
 	return overdue;
--- a/packages/sessions/waiting/waiting-refusal.ts
+++ b/packages/sessions/waiting/waiting-refusal.ts
@@ -1,9 +1,12 @@
 /** Why a waiting request is refused, and when its caller may come back. */
-export type WaitingRefusal = {
-	/** `expired`: its deadline has passed. `overdue`: it would be served after its deadline. */
-	readonly cause: 'expired' | 'overdue';
-	/** Number of requests that would have been served before it. */
-	readonly ahead: number;
-	/** Milliseconds after which there is room for the request; undefined if the pace is not known. */
-	readonly retryAfterMs: number | undefined;
-};
+export type WaitingRefusal =
+	/** Its deadline has passed. */
+	| {readonly cause: 'expired'}
+	/** It would be served after its deadline. */
+	| {
+		readonly cause: 'overdue';
+		/** Number of requests that would have been served before it. */
+		readonly ahead: number;
+		/** Milliseconds after which there is room for the request; undefined if the pace is not known. */
+		readonly retryAfterMs: number | undefined;
+	};
