Let statements wait in one order, at the gate of the instance

Cause: the gate in front of the connections had a queue of its own that compared the next eight requests, and refused none before its deadline; the queue of the pool, which does, was hardly reached any more. A transaction that could not begin was passed over there, but counted as ahead of others. An exception between entering and leaving kept a place for as long as the process ran. Change: requests wait at the gate in the order of `createWaitingQueue`, with their target, and are refused early by the measured time of a statement in its place. A transaction waits for a permit first, by the measured time of transactions, and for a place then. Statements of open transactions and commits are not refused. Workspaces with an idle connection go first within their round, instead of by the count of passes that `chooseWaiter` had. Places are given back in any case.

--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -25,7 +25,7 @@
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 	readonly log: Pick<SessionLog, 'info' | 'warn'>;
-	/** Called when a request no longer waits for a connection of this host. */
+	/** Called when a request no longer waits for a place or a connection of this host. */
 	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -24,7 +24,7 @@
 	readonly onPaceChanged?: Parameters<typeof createStatementGate>[0]['onChanged'];
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
-	/** Called when a request no longer waits for a connection of this host. */
+	/** Called when a request no longer waits for a place or a connection of this host. */
 	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
@@ -78,8 +78,9 @@
 	const gate = createStatementGate({
 		findBounds: () => findPaceBounds({slots: listed.slots, gatewayCount: gateways.count()}),
 		findConnectionLimit: pool.findLimit,
-		hasIdle: pool.hasIdle,
+		listIdleWorkspaces: pool.listIdleWorkspaces,
 		onChanged: onPaceChanged,
+		onWaitEnded,
 		now,
 	});
 
--- a/packages/sessions/create-local-runner.ts
+++ b/packages/sessions/create-local-runner.ts
@@ -2,16 +2,19 @@
 import {createJobTimer} from './create-job-timer.ts';
 import {createNotEnteredAnswer} from './create-not-entered-answer.ts';
 import {createTransactionRunner} from './create-transaction-runner.ts';
-import type {InstancePool} from './pools/instance-pool.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import {isClean} from './is-clean.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {JobRunner} from './job-runner.ts';
 import type {Job} from './job.ts';
+import {createAcquireRequest} from './pace/create-acquire-request.ts';
+import {createEnterRequest} from './pace/create-enter-request.ts';
 import {findPaceObservation} from './pace/find-pace-observation.ts';
 import type {StatementGate} from './pace/statement-gate.ts';
-import {runQuery} from './run-query.ts';
+import type {InstancePool} from './pools/instance-pool.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 import {takeConnection} from './pools/take-connection.ts';
+import {runQuery} from './run-query.ts';
 
 type Options = {
 	readonly pool: InstancePool;
@@ -25,6 +28,14 @@
 
 type JobOf<Kind extends Job['kind']> = Extract<Job, {readonly kind: Kind}>;
 
+type RunOptions = {
+	readonly pooled: PooledConnection;
+	readonly timer: ReturnType<typeof createJobTimer>;
+	/** Time in milliseconds of the steady clock after which nothing is sent. */
+	readonly deadline: number;
+	readonly maySend: () => boolean;
+};
+
 /** Time within which an instance must answer a read, before the read is tried elsewhere: a multiple of its latency. */
 const readTimeout = {minMs: 500, latencyFactor: 10};
 
@@ -43,40 +54,56 @@
 	});
 
 	const runSingle = async (job: JobOf<'single'>, maySend: () => boolean): Promise<JobAnswer> => {
-		const deadline = now() + job.timeout;
 		const timer = createJobTimer(now);
-		const {workspace, priority} = job;
-		const entered = await gate.enter({
-			kind: 'single', workspace, priority, deadline,
-		});
+		const request = createEnterRequest(job, now());
+		const entered = await gate.enter(request);
 		if (entered.kind !== 'entered') {
 			return createNotEnteredAnswer(entered);
 		}
 
-		const pooled = await takeConnection(pool, {request: {workspace, priority, timeout: deadline - now()}, timer});
-		if ('kind' in pooled) {
-			entered.place.leave(findPaceObservation(pooled, undefined));
-			return pooled;
+		const {place} = entered;
+		try {
+			const pooled = await takeConnection(pool, {request: createAcquireRequest(request, now()), timer});
+			if ('kind' in pooled) {
+				place.leave(findPaceObservation(pooled, undefined));
+				return pooled;
+			}
+
+			const answer = await runOnConnection(job, {
+				pooled, timer, deadline: request.deadline, maySend,
+			});
+			place.leave(findPaceObservation(answer, timer.finish().instance));
+			return addSpans(answer, timer);
+		} finally {
+			// Gives the place back after an exception as well.
+			place.leave({kind: 'neutral'});
 		}
+	};
 
+	const runOnConnection = async ({setup, query, after}: JobOf<'single'>, {
+		pooled, timer, deadline, maySend,
+	}: RunOptions): Promise<JobAnswer> => {
 		const remaining = Math.max(1, deadline - now());
 		const readTimeoutMs = Math.max(readTimeout.minMs, readTimeout.latencyFactor * latency());
-		const {setup, query, after} = job;
-		const answer = await runQuery(pooled, {
-			send,
-			setup,
-			query,
-			after,
-			isInTransaction: false,
-			timeout: query.access === 'read' ? Math.min(readTimeoutMs, remaining) : remaining,
-			maySend() {
-				timer.recordSent();
-				return maySend() && now() < deadline;
-			},
-		});
-		pool.release(pooled, isClean(answer, pooled));
-		entered.place.leave(findPaceObservation(answer, timer.finish().instance));
-		return addSpans(answer, timer);
+		let isReusable = false;
+		try {
+			const answer = await runQuery(pooled, {
+				send,
+				setup,
+				query,
+				after,
+				isInTransaction: false,
+				timeout: query.access === 'read' ? Math.min(readTimeoutMs, remaining) : remaining,
+				maySend() {
+					timer.recordSent();
+					return maySend() && now() < deadline;
+				},
+			});
+			isReusable = isClean(answer, pooled);
+			return answer;
+		} finally {
+			pool.release(pooled, isReusable);
+		}
 	};
 
 	/** Queries the position with a reset, which any idle connection can run and which uses no execution slot. */
--- a/packages/sessions/create-transaction-runner.ts
+++ b/packages/sessions/create-transaction-runner.ts
@@ -4,11 +4,16 @@
 import {createLocalTransactions} from './create-local-transactions.ts';
 import {createNotEnteredAnswer} from './create-not-entered-answer.ts';
 import type {InstancePool} from './pools/instance-pool.ts';
+import type {InstanceAnswer} from './instance-answer.ts';
+import type {InstanceRequest} from './instance-request.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import {isClean} from './is-clean.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
 import {notSentAnswer} from './not-sent-answer.ts';
+import {createAcquireRequest} from './pace/create-acquire-request.ts';
+import {createEnterRequest} from './pace/create-enter-request.ts';
+import type {EnteringRequest} from './pace/entering-request.ts';
 import {findPaceObservation} from './pace/find-pace-observation.ts';
 import type {StatementGate} from './pace/statement-gate.ts';
 import {runQuery} from './run-query.ts';
@@ -34,11 +39,18 @@
 	readonly rollBack: (transaction: number) => Promise<JobAnswer>;
 };
 
+type EndOptions = {
+	readonly request: InstanceRequest;
+	/** Milliseconds to wait for the answer. */
+	readonly timeout: number;
+};
+
 type BeginOptions = {
-	/** Time in milliseconds of the steady clock at which the transaction must have begun. */
-	readonly deadline: number;
+	readonly request: EnteringRequest;
 	readonly timer: ReturnType<typeof createJobTimer>;
 	readonly maySend: () => boolean;
+	/** Records that the transaction has ended. */
+	readonly endTransaction: () => void;
 };
 
 /** Time within which an instance must answer each request that sets up and begins a transaction. */
@@ -57,59 +69,97 @@
 	const transactions = createLocalTransactions(transaction => {
 		void rollBack(transaction);
 	});
+	/** What to call when the transaction on a connection has ended. */
+	const endings = new WeakMap<PooledConnection, () => void>();
 
 	const begin: TransactionRunner['begin'] = async (job, maySend) => {
-		const deadline = now() + job.timeout;
 		const timer = createJobTimer(now);
-		const {workspace, priority} = job;
-		const entered = await gate.enter({
-			kind: 'begin', workspace, priority, deadline,
-		});
+		const request = createEnterRequest(job, now());
+		const entered = await gate.enter(request);
 		if (entered.kind !== 'entered') {
 			return createNotEnteredAnswer(entered);
 		}
 
-		const answer = await beginOnConnection(job, {deadline, timer, maySend});
-		const hasBegun = answer.kind === 'answered' && answer.transaction !== undefined;
-		// A transaction that begins takes no execution slot, so its answer does not tell how fast the instance runs statements.
-		entered.place.leave(hasBegun ? {kind: 'neutral'} : findPaceObservation(answer, undefined));
-		if (!hasBegun) {
-			gate.endTransaction();
+		const {place, endTransaction} = entered;
+		let hasBegun = false;
+		try {
+			const answer = await beginOnConnection(job, {
+				request, timer, maySend, endTransaction,
+			});
+			hasBegun = answer.kind === 'answered' && answer.transaction !== undefined;
+			// A transaction that begins takes no execution slot, so its answer does not tell how fast the instance runs statements.
+			place.leave(hasBegun ? {kind: 'neutral'} : findPaceObservation(answer, undefined));
+			return answer;
+		} finally {
+			// Gives the place back after an exception as well.
+			place.leave({kind: 'neutral'});
+			if (!hasBegun) {
+				endTransaction();
+			}
 		}
-
-		return answer;
 	};
 
-	const beginOnConnection = async (job: JobOf<'begin'>, {deadline, timer, maySend}: BeginOptions): Promise<JobAnswer> => {
-		const {workspace, priority} = job;
-		const pooled = await takeConnection(pool, {request: {workspace, priority, timeout: deadline - now()}, timer});
+	const beginOnConnection = async (job: JobOf<'begin'>, options: BeginOptions): Promise<JobAnswer> => {
+		const {request, timer, endTransaction} = options;
+		const pooled = await takeConnection(pool, {request: createAcquireRequest(request, now()), timer});
 		if ('kind' in pooled) {
 			return pooled;
 		}
 
-		const {setup, isReadOnly, after, idleLimit} = job;
+		let hasBegun = false;
+		let isReusable = false;
+		try {
+			const answer = await sendBegin(pooled, job, options);
+			if (answer.kind !== 'answered' || answer.outcome.kind !== 'done' || answer.state !== 'open') {
+				isReusable = isClean(answer, pooled);
+				return answer;
+			}
+
+			hasBegun = true;
+			endings.set(pooled, endTransaction);
+			return {...answer, transaction: transactions.add(pooled, job.idleLimit), spans: timer.finish()};
+		} finally {
+			if (!hasBegun) {
+				pool.release(pooled, isReusable);
+			}
+		}
+	};
+
+	/** Sends the session's values and the beginning of a transaction. */
+	const sendBegin = async (pooled: PooledConnection, {setup, isReadOnly, after}: JobOf<'begin'>, {request: {deadline}, timer, maySend}: BeginOptions): Promise<JobAnswer> => {
 		const isReady = await applySetup(pooled, {
 			setup, prepared: undefined, isInTransaction: false, send: async request => send(pooled, request, beginTimeoutMs),
 		});
-		if (!isReady || !maySend() || now() >= deadline) {
-			pool.release(pooled, isReady);
-			return isReady ? notSentAnswer : {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
+		if (!isReady) {
+			pooled.connection.close();
+			return {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
 		}
 
-		timer.recordSent();
-		const answer = await send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeoutMs, deadline - now())));
-		if (answer.kind !== 'answered' || answer.outcome.kind !== 'done' || answer.state !== 'open') {
-			pool.release(pooled, isClean(answer, pooled));
-			return answer;
+		if (!maySend() || now() >= deadline) {
+			return notSentAnswer;
 		}
 
-		return {...answer, transaction: transactions.add(pooled, idleLimit), spans: timer.finish()};
+		timer.recordSent();
+		return send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeoutMs, deadline - now())));
 	};
 
 	/** Gives back the connection of a transaction that has ended. */
-	const end = (pooled: PooledConnection, answer: JobAnswer) => {
-		pool.release(pooled, isClean(answer, pooled));
-		gate.endTransaction();
+	const end = (pooled: PooledConnection, isReusable: boolean) => {
+		pool.release(pooled, isReusable);
+		endings.get(pooled)?.();
+		endings.delete(pooled);
+	};
+
+	/** Sends the request that ends a transaction, and gives back its connection, also after an exception. */
+	const sendEnd = async (pooled: PooledConnection, {request, timeout}: EndOptions): Promise<InstanceAnswer> => {
+		let isReusable = false;
+		try {
+			const answer = await send(pooled, request, timeout);
+			isReusable = isClean(answer, pooled);
+			return answer;
+		} finally {
+			end(pooled, isReusable);
+		}
 	};
 
 	const runWithin: TransactionRunner['runWithin'] = async ({transaction, setup, query, timeout}, maySend) => {
@@ -126,21 +176,25 @@
 		}
 
 		timer.recordAcquired(0);
-		const answer = await runQuery(pooled, {
-			send,
-			setup,
-			query,
-			after: undefined,
-			isInTransaction: true,
-			timeout,
-			maySend() {
-				timer.recordSent();
-				return maySend() && transactions.isOpen(transaction);
-			},
-		});
-		transactions.release(transaction);
-		place.leave(findPaceObservation(answer, timer.finish().instance));
-		return addSpans(answer, timer);
+		try {
+			const answer = await runQuery(pooled, {
+				send,
+				setup,
+				query,
+				after: undefined,
+				isInTransaction: true,
+				timeout,
+				maySend() {
+					timer.recordSent();
+					return maySend() && transactions.isOpen(transaction);
+				},
+			});
+			place.leave(findPaceObservation(answer, timer.finish().instance));
+			return addSpans(answer, timer);
+		} finally {
+			transactions.release(transaction);
+			place.leave({kind: 'neutral'});
+		}
 	};
 
 	const commit: TransactionRunner['commit'] = async ({transaction, id, text, timeout}, maySend) => {
@@ -157,10 +211,13 @@
 		const timer = createJobTimer(now);
 		timer.recordSent();
 		const place = gate.enterCommit();
-		const answer = await send(pooled, {kind: 'forward', id, text}, timeout);
-		end(pooled, answer);
-		place.leave(findPaceObservation(answer, undefined));
-		return addSpans(answer, timer);
+		try {
+			const answer = await sendEnd(pooled, {request: {kind: 'forward', id, text}, timeout});
+			place.leave(findPaceObservation(answer, undefined));
+			return addSpans(answer, timer);
+		} finally {
+			place.leave({kind: 'neutral'});
+		}
 	};
 
 	const rollBack: TransactionRunner['rollBack'] = async transaction => {
@@ -169,9 +226,7 @@
 			return notOpenAnswer;
 		}
 
-		const answer = await send(pooled, {kind: 'rollback'}, rollbackTimeoutMs);
-		end(pooled, answer);
-		return answer;
+		return sendEnd(pooled, {request: {kind: 'rollback'}, timeout: rollbackTimeoutMs});
 	};
 
 	return {
--- a/packages/sessions/pace/create-entry-queue.ts
+++ b/packages/sessions/pace/create-entry-queue.ts
@@ -1,77 +1,79 @@
 import {createWaitingQueue} from '../pools/create-waiting-queue.ts';
-import type {WaitingRequest} from '../pools/waiting-request.ts';
-import {chooseWaiter} from './choose-waiter.ts';
+import type {createTransactionPermits} from './create-transaction-permits.ts';
+import type {EnteringRequest} from './entering-request.ts';
 
-type Options = {
-	/** Whether a request of a kind cannot enter now. */
-	readonly isBlocked: (kind: EnteringRequest['kind']) => boolean;
-	/** Whether a workspace has an idle connection. */
-	readonly hasIdle: (workspace: string) => boolean;
-	/** Returns the current time of the steady clock in milliseconds. */
-	readonly now: () => number;
-};
-
-/** A request that waits for a place. */
-type EnteringRequest = WaitingRequest & {
-	readonly kind: 'single' | 'begin';
-	/** How many later requests have entered before this one. */
-	passes: number;
+type Options<Request extends EnteringRequest> = Required<NonNullable<Parameters<typeof createWaitingQueue<Request>>[0]>> & {
+	readonly permits: ReturnType<typeof createTransactionPermits>;
 };
 
 /** The requests that wait to enter. */
 type EntryQueue<Request extends EnteringRequest> = {
+	/** Adds a request, which may be refused at once. */
 	readonly add: (request: Request) => void;
-	/** Removes and returns the request that enters next; undefined if none may. */
-	readonly takeNext: () => Request | undefined;
-	/** Removes and returns any request; undefined if none waits. */
-	readonly takeAny: () => Request | undefined;
-	/** Removes a request that waits no longer; returns whether it was still waiting. */
-	readonly remove: (request: Request) => boolean;
+	/** Removes and returns the request that enters next; undefined if none may. Preferred workspaces go first within their round. */
+	readonly take: (now: number, isPreferred: (workspace: string) => boolean) => Request | undefined;
+	/** Refuses a request because its deadline has passed, if it is still waiting. */
+	readonly expire: (request: Request, now: number) => void;
+	/** Removes and returns all requests. */
+	readonly takeAll: () => readonly Request[];
+	/** Whether a request of a kind would be the only one that can enter. */
+	readonly isFree: (kind: EnteringRequest['kind']) => boolean;
 	readonly count: () => number;
 };
 
-/** Requests that are compared when a place is free, the next ones of the queue. */
-const comparedCount = 8;
+/**
+ * Creates an empty queue in the order of `createWaitingQueue`.
+ *
+ * A transaction waits for its permit first and for a place then, so that those that cannot begin delay no statement, and
+ * each wait is predicted by the pace of what it waits for.
+ */
+export function createEntryQueue<Request extends EnteringRequest>({permits, findPace, onRefused, jitter}: Options<Request>): EntryQueue<Request> {
+	const forPlace = createWaitingQueue<Request>({findPace, onRefused, jitter});
+	const forPermit = createWaitingQueue<Request>({findPace: permits.findPace, onRefused, jitter});
 
-/** Creates an empty queue in the order of `createWaitingQueue`, from which `chooseWaiter` takes one of the next. */
-export function createEntryQueue<Request extends EnteringRequest>({isBlocked, hasIdle, now}: Options): EntryQueue<Request> {
-	const queue = createWaitingQueue<Request>();
-	/** Requests that were taken from the queue to be compared, in its order. */
-	const compared: Request[] = [];
-
-	/** Fetches the next requests, at least one, so that an urgent one is compared at once. */
-	const fetchNext = () => {
-		let request: Request | undefined;
-		do {
-			request = queue.take(now());
-			if (request !== undefined) {
-				compared.push(request);
+	/** Lets transactions wait for a place as far as there are permits; returns whether one does. */
+	const grantPermits = (now: number): boolean => {
+		let hasGranted = false;
+		while (permits.hasFree()) {
+			const request = forPermit.take(now);
+			if (request === undefined) {
+				return hasGranted;
 			}
-		} while (request !== undefined && compared.filter(({kind}) => !isBlocked(kind)).length < comparedCount);
+
+			request.permit = permits.take(request.priority);
+			forPlace.add(request);
+			hasGranted = true;
+		}
+
+		return hasGranted;
 	};
 
 	return {
-		add: queue.add,
-		takeNext() {
-			fetchNext();
-			const next = chooseWaiter(compared, {isBlocked: ({kind}) => isBlocked(kind), hasIdle});
-			if (next === undefined) {
-				return undefined;
-			}
-
-			const index = compared.indexOf(next);
-			for (const passed of compared.slice(0, index)) {
-				passed.passes += isBlocked(passed.kind) ? 0 : 1;
+		add(request) {
+			if (request.kind === 'begin') {
+				forPermit.add(request);
+				grantPermits(request.since);
+			} else {
+				forPlace.add(request);
 			}
+		},
+		take(now, isPreferred) {
+			let request: Request | undefined;
+			let hasGranted: boolean;
+			do {
+				hasGranted = grantPermits(now);
+				request = forPlace.take(now, isPreferred);
+				// Refusals may have left permits for other transactions.
+			} while (request === undefined && hasGranted);
 
-			compared.splice(index, 1);
-			return next;
+			return request;
 		},
-		takeAny: () => compared.shift() ?? queue.take(now()),
-		remove(request) {
-			const index = compared.indexOf(request);
-			return index === -1 ? queue.remove(request) : compared.splice(index, 1).length > 0;
+		expire(request, now) {
+			forPlace.expire(request, now);
+			forPermit.expire(request, now);
 		},
-		count: () => queue.count() + compared.length,
+		takeAll: () => [...forPlace.takeAll(), ...forPermit.takeAll()],
+		isFree: kind => forPlace.count() === 0 && (kind === 'single' || (forPermit.count() === 0 && permits.hasFree())),
+		count: () => forPlace.count() + forPermit.count(),
 	};
 }
--- a/packages/sessions/pace/create-statement-gate.ts
+++ b/packages/sessions/pace/create-statement-gate.ts
@@ -1,33 +1,36 @@
-import type {WaitingRequest} from '../pools/waiting-request.ts';
+import {createServiceTimer, type EndedWait} from '../waiting/mod.ts';
 import {applyPaceObservation} from './apply-pace-observation.ts';
 import {createEntryQueue} from './create-entry-queue.ts';
 import {createPaceState} from './create-pace-state.ts';
 import {createTakenPlaces} from './create-taken-places.ts';
+import {createTransactionPermits} from './create-transaction-permits.ts';
 import type {EnterOutcome} from './enter-outcome.ts';
+import type {EnteringRequest} from './entering-request.ts';
 import type {PaceBounds} from './pace-bounds.ts';
 import type {PaceObservation} from './pace-observation.ts';
 import type {PaceState} from './pace-state.ts';
 import type {StatementGate} from './statement-gate.ts';
 import type {StatementPlace} from './statement-place.ts';
+import type {TransactionPermit} from './transaction-permit.ts';
 
 type Options = {
 	readonly findBounds: () => PaceBounds;
 	/** Returns the maximum number of connections to the instance. */
 	readonly findConnectionLimit: () => number;
-	/** Whether a workspace has an idle connection. */
-	readonly hasIdle: (workspace: string) => boolean;
+	/** Lists the workspaces that have an idle connection. */
+	readonly listIdleWorkspaces: () => ReadonlySet<string>;
 	/** Called when the limit or the phase has changed. */
 	readonly onChanged: (change: {readonly previous: PaceState; readonly state: PaceState}) => void;
+	/** Called when a request no longer waits for a place. */
+	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 };
 
-type EnterRequest = Parameters<StatementGate['enter']>[0];
-
 /** A request that waits for a place. */
-type Waiter = WaitingRequest & Pick<EnterRequest, 'kind'> & {
-	passes: number;
-	readonly resolve: (outcome: EnterOutcome) => void;
+type Waiter = EnteringRequest & {
+	/** Ends the wait. */
+	readonly end: (outcome: EnterOutcome, ended: EndedWait['outcome']) => void;
 };
 
 /**
@@ -40,9 +43,10 @@
 const overdue = {latencyFactor: 8, minMs: 80};
 
 /** Creates the gate of an instance that has just started. */
-export function createStatementGate({findBounds, findConnectionLimit, hasIdle, onChanged, now}: Options): StatementGate {
+export function createStatementGate({
+	findBounds, findConnectionLimit, listIdleWorkspaces, onChanged, onWaitEnded, now,
+}: Options): StatementGate {
 	let state = createPaceState();
-	let openTransactions = 0;
 	let isUsed = false;
 	let answeredAt = Number.NEGATIVE_INFINITY;
 	const falls = {latency: 0, busy: 0, failed: 0};
@@ -54,9 +58,17 @@
 
 	const findWaitMs = ({latencyFactor, minMs}: typeof overdue) => Math.max(minMs, latencyFactor * (state.recentLatency ?? 0));
 
-	const isBlocked = (kind: EnterRequest['kind']) => kind === 'begin' && openTransactions >= findTransactionLimit();
-
-	const queue = createEntryQueue<Waiter>({isBlocked, hasIdle, now});
+	const permits = createTransactionPermits({findLimit: findTransactionLimit, now});
+	const serviceTimer = createServiceTimer(now);
+	const queue = createEntryQueue<Waiter>({
+		permits,
+		// A limit below the share rises within a few answers.
+		findPace: () => ({...serviceTimer.findPace(), limit: Math.max(findLimit(), Math.min(findBounds().share, findConnectionLimit()))}),
+		onRefused(waiter, {cause, ...room}) {
+			waiter.end({kind: 'busy', ...room}, cause);
+		},
+		jitter: Math.random,
+	});
 	/** Statements of open transactions that wait. */
 	const within: Array<() => void> = [];
 
@@ -87,39 +99,53 @@
 		}
 	};
 
-	const takePlace = (): StatementPlace => {
+	/** Takes a place; the time for which it is taken counts for predictions if a priority is given. */
+	const takePlace = (priority?: number): StatementPlace => {
 		const taken = places.take();
+		if (priority !== undefined) {
+			serviceTimer.begin(taken, priority);
+		}
+
 		isUsed = true;
 		return {
 			leave(observation) {
 				if (places.giveBack(taken)) {
-					recordEnd(observation, taken.takenAt);
+					recordEnd(observation, taken);
 					serve();
 				}
 			},
 		};
 	};
 
-	const recordEnd = (observation: PaceObservation, startedAt: number) => {
+	const recordEnd = (observation: PaceObservation, taken: ReturnType<typeof places.take>) => {
 		apply(observation);
+		// The place of a statement that gets no answer is passed on before its time is over.
+		if (observation.kind === 'answered' || observation.kind === 'neutral') {
+			serviceTimer.end(taken);
+		}
+
 		if (observation.kind === 'answered' || observation.kind === 'busy') {
 			answeredAt = now();
-		} else if (observation.kind === 'unreachable' && answeredAt < startedAt) {
+		} else if (observation.kind === 'unreachable' && answeredAt < taken.takenAt) {
 			refuseAll();
 		}
 	};
 
 	/** Tells all requests that wait for a place that the instance cannot be reached, so that they are tried elsewhere. */
 	const refuseAll = () => {
-		for (let waiter = queue.takeAny(); waiter !== undefined; waiter = queue.takeAny()) {
-			waiter.resolve({kind: 'unreachable'});
+		for (const waiter of queue.takeAll()) {
+			waiter.end({kind: 'unreachable'}, 'unreachable');
 		}
 	};
 
-	const enterNow = (kind: EnterRequest['kind']): EnterOutcome => {
-		openTransactions += kind === 'begin' ? 1 : 0;
-		return {kind: 'entered', place: takePlace()};
-	};
+	const enterNow = ({priority}: Pick<EnteringRequest, 'priority'>, permit: TransactionPermit | undefined): EnterOutcome => ({
+		kind: 'entered',
+		place: takePlace(priority),
+		endTransaction() {
+			permit?.end();
+			serve();
+		},
+	});
 
 	/** Lets the next request enter; returns whether one may. */
 	const serveNext = (): boolean => {
@@ -129,8 +155,9 @@
 			return true;
 		}
 
-		const next = queue.takeNext();
-		next?.resolve(enterNow(next.kind));
+		const idle = listIdleWorkspaces();
+		const next = queue.take(now(), workspace => idle.has(workspace));
+		next?.end(enterNow(next, next.permit), 'served');
 		return next !== undefined;
 	};
 
@@ -145,20 +172,21 @@
 		}
 	};
 
-	const wait = async ({kind, workspace, priority, deadline}: EnterRequest) => new Promise<EnterOutcome>(resolve => {
+	const wait = async (request: EnteringRequest) => new Promise<EnterOutcome>(resolve => {
 		const timer = setTimeout(() => {
-			if (queue.remove(waiter)) {
-				resolve({kind: 'busy'});
-			}
-		}, deadline - now());
+			queue.expire(waiter, now());
+			// Another transaction may have its permit.
+			serve();
+		}, request.deadline - now());
 		const waiter: Waiter = {
-			kind,
-			workspace,
-			priority,
-			deadline,
-			passes: 0,
-			resolve(outcome) {
+			...request,
+			end(outcome, ended) {
 				clearTimeout(timer);
+				if (outcome.kind !== 'entered') {
+					waiter.permit?.end();
+				}
+
+				onWaitEnded?.({outcome: ended, priority: request.priority, waitedMs: now() - request.since});
 				resolve(outcome);
 			},
 		};
@@ -183,23 +211,19 @@
 
 	return {
 		async enter(request) {
-			if (countWaiting() === 0 && places.hasFree() && !isBlocked(request.kind)) {
-				return enterNow(request.kind);
+			if (within.length === 0 && queue.isFree(request.kind) && places.hasFree()) {
+				return enterNow(request, request.kind === 'begin' ? permits.take(request.priority) : undefined);
 			}
 
 			return request.deadline > now() ? wait(request) : {kind: 'busy'};
 		},
 		enterWithin: async () => within.length === 0 && places.hasFree() ? takePlace() : waitWithin(),
-		enterCommit: takePlace,
-		endTransaction() {
-			openTransactions--;
-			serve();
-		},
+		enterCommit: () => takePlace(),
 		restart() {
 			apply({kind: 'restarted'});
 		},
 		readLoad: () => ({
-			inProgress: places.count(), waiting: countWaiting(), limit: findLimit(), openTransactions, isUsed, falls: {...falls},
+			inProgress: places.count(), waiting: countWaiting(), limit: findLimit(), openTransactions: permits.count(), isUsed, falls: {...falls},
 		}),
 	};
 }
--- a/packages/sessions/pace/mod.ts
+++ b/packages/sessions/pace/mod.ts
@@ -1,13 +1,16 @@
 /** The pace of an instance: how many statements a host has in progress there, found from how the instance answers. */
 export * from './apply-pace-observation.ts';
-export * from './choose-waiter.ts';
+export * from './create-acquire-request.ts';
+export * from './create-enter-request.ts';
 export * from './create-entry-queue.ts';
 export * from './create-pace-log.ts';
 export * from './create-pace-metrics.ts';
 export * from './create-pace-state.ts';
 export * from './create-statement-gate.ts';
 export * from './create-taken-places.ts';
+export * from './create-transaction-permits.ts';
 export type * from './enter-outcome.ts';
+export type * from './entering-request.ts';
 export * from './find-pace-bounds.ts';
 export * from './find-pace-observation.ts';
 export type * from './instance-pace.ts';
@@ -16,3 +19,4 @@
 export type * from './pace-state.ts';
 export type * from './statement-gate.ts';
 export type * from './statement-place.ts';
+export type * from './transaction-permit.ts';
--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -167,9 +167,7 @@
 	const wait = async ({workspace, priority, timeout, targetLatency}: AcquireRequest) => new Promise<AcquireOutcome>(resolve => {
 		const since = options.now();
 		const waitTimer = setTimeout(() => {
-			if (queue.remove(waiter)) {
-				waiter.end({kind: 'busy'}, 'expired');
-			}
+			queue.expire(waiter, options.now());
 		}, timeout);
 		const waiter: Waiter = {
 			workspace,
@@ -225,7 +223,7 @@
 				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit: findAllowed(),
 			};
 		},
-		hasIdle: workspace => [...connections].some(pooled => !pooled.isBusy && pooled.workspace === workspace && !pooled.connection.isClosed()),
+		listIdleWorkspaces: () => new Set(listIdle().map(({workspace}) => workspace)),
 		closeIdle(before) {
 			for (const pooled of listIdle()) {
 				if (pooled.idleSince < before) {
--- a/packages/sessions/pools/create-waiting-queue.ts
+++ b/packages/sessions/pools/create-waiting-queue.ts
@@ -14,6 +14,12 @@
 	readonly jitter?: () => number;
 };
 
+type RefusalOptions = {
+	/** What would have been served before the request. */
+	readonly ahead: WorkAhead;
+	readonly now: number;
+};
+
 /** Milliseconds between two searches for requests that cannot be served in time any more. */
 const overdueCheckIntervalMs = 100;
 
@@ -57,14 +63,26 @@
 		}
 	};
 
-	const refuse = (request: Request, {ahead, now}: {readonly ahead: WorkAhead; readonly now: number}) => {
+	/** Refuses a request whose deadline has passed; its caller comes back with as much time as it had. */
+	const refuseExpired = (request: Request, {ahead, now}: RefusalOptions) => {
 		drop(request, false);
+		const {priority, deadline, since} = request;
+		const retryAfterMs = since === undefined
+			? undefined
+			: reservations.add({
+				priority, pace: findPace(), ahead, remainingMs: deadline - since, now,
+			});
+		onRefused?.(request, {cause: 'expired', ...retryAfterMs !== undefined && {retryAfterMs}});
+	};
+
+	const refuse = (request: Request, {ahead, now}: RefusalOptions) => {
 		const {priority, deadline} = request;
 		if (deadline <= now) {
-			onRefused?.(request, {cause: 'expired'});
+			refuseExpired(request, {ahead, now});
 			return;
 		}
 
+		drop(request, false);
 		const retryAfterMs = reservations.add({
 			priority, pace: findPace(), ahead, remainingMs: deadline - now, now,
 		});
@@ -187,6 +205,18 @@
 
 			return isWaiting;
 		},
+		expire(request, now) {
+			if (waiting.has(request)) {
+				refuseExpired(request, {ahead: findWorkAhead(listClasses(), {request, pace: findPace()}) ?? nothingAhead, now});
+			}
+		},
+		takeAll() {
+			const all = [...waiting];
+			waiting.clear();
+			classes.clear();
+			passes.clear();
+			return all;
+		},
 		count: () => waiting.size,
 		findWait(request) {
 			const pace = findPace();
--- a/packages/sessions/pools/instance-pool.ts
+++ b/packages/sessions/pools/instance-pool.ts
@@ -11,8 +11,8 @@
 	readonly takeIdle: () => PooledConnection | undefined;
 	/** Counts the connections and the waiting requests. */
 	readonly readLoad: () => {readonly busy: number; readonly idle: number; readonly waiting: number; readonly limit: number};
-	/** Whether a workspace has an idle connection. */
-	readonly hasIdle: (workspace: string) => boolean;
+	/** Lists the workspaces that have an idle connection. */
+	readonly listIdleWorkspaces: () => ReadonlySet<string>;
 	/** Closes connections that have been idle since before a time in milliseconds of the steady clock. */
 	readonly closeIdle: (before: number) => void;
 	/** Returns the number of connections that are allowed now; lower than the limit after the instance refused one. */
--- a/packages/sessions/pools/waiting-queue.ts
+++ b/packages/sessions/pools/waiting-queue.ts
@@ -11,6 +11,10 @@
 	readonly take: (now: number, isPreferred?: (workspace: string) => boolean) => Request | undefined;
 	/** Removes a request that waits no longer; returns whether it was still waiting. */
 	readonly remove: (request: Request) => boolean;
+	/** Refuses a request because its deadline has passed, if it is still waiting. */
+	readonly expire: (request: Request, now: number) => void;
+	/** Removes and returns all requests. */
+	readonly takeAll: () => readonly Request[];
 	/** Counts the requests that wait. */
 	readonly count: () => number;
 	/** Predicts how many milliseconds a waiting request still waits; undefined if it does not wait, or the pace was not measured. */
