Give connections back after exceptions, and pass permits on

Cause: a connection whose job ended with an exception stayed busy. A permit that was free after the transaction that had it expired was passed on only with the next event. Tests of the runner are two tables.

--- a/packages/sessions/create-local-runner.test.ts
+++ b/packages/sessions/create-local-runner.test.ts
@@ -56,6 +56,31 @@
 
 const mayAlwaysSend = () => true;
 
+const throwError = () => {
+	throw new Error('The check failed.');
+};
+
+/** Creates a job of an open transaction. */
+function createStep(kind: 'within' | 'commit' | 'rollback', transaction: number): Job {
+	switch (kind) {
+		case 'within': {
+			return {
+				...base, kind, transaction, setup, query,
+			};
+		}
+
+		case 'commit': {
+			return {
+				...base, kind, transaction, id: 'c-1', text: 'COMMIT',
+			};
+		}
+
+		case 'rollback': {
+			return {kind, transaction};
+		}
+	}
+}
+
 /** Begins a transaction and returns its number. */
 async function openTransaction({runLocally}: Runtime): Promise<number> {
 	const answer = await runLocally(begin, mayAlwaysSend);
@@ -69,53 +94,46 @@
 
 describe('createLocalRunner', () => {
 	// A place that is not given back would be missing for as long as the process runs.
-	const cases: ReadonlyArray<{readonly name: string; readonly runtime: Runtime; readonly run: (runtime: Runtime) => Promise<unknown>}> = [
-		{name: 'a statement that is answered', runtime: createRuntime(), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
-		{name: 'a statement that must not be sent', runtime: createRuntime(), run: async ({runLocally}) => runLocally(single, () => false)},
-		{name: 'a statement whose answer is lost', runtime: createRuntime({answer: () => ({kind: 'lost', reason: ''})}), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
-		{name: 'a statement that a busy instance refuses', runtime: createRuntime({answer: () => fail('busy')}), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
-		{name: 'a statement without a connection', runtime: createRuntime({opened: refused}), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
-		{name: 'a statement at an instance that is not there', runtime: createRuntime({opened: {kind: 'notListening'}}), run: async ({runLocally}) => runLocally(single, mayAlwaysSend)},
-		{name: 'a transaction without a connection', runtime: createRuntime({opened: refused}), run: async ({runLocally}) => runLocally(begin, mayAlwaysSend)},
-		{name: 'a transaction that must not begin', runtime: createRuntime(), run: async ({runLocally}) => runLocally(begin, () => false)},
-		{name: 'a transaction that a replica which lags does not begin', runtime: createRuntime({answer: () => fail('lagging')}), run: async ({runLocally}) => runLocally(begin, mayAlwaysSend)},
-		{
-			name: 'a transaction that is committed',
-			runtime: createRuntime(),
-			async run(runtime) {
-				const transaction = await openTransaction(runtime);
-				await runtime.runLocally({
-					...base, kind: 'within', transaction, setup, query,
-				}, mayAlwaysSend);
-				await runtime.runLocally({
-					...base, kind: 'commit', transaction, id: 'c-1', text: 'COMMIT',
-				}, mayAlwaysSend);
-			},
-		},
-		{
-			name: 'a transaction whose commit must not be sent',
-			runtime: createRuntime(),
-			async run(runtime) {
-				const transaction = await openTransaction(runtime);
-				await runtime.runLocally({
-					...base, kind: 'commit', transaction, id: 'c-1', text: 'COMMIT',
-				}, () => false);
-			},
-		},
-		{
-			name: 'a transaction that is rolled back twice',
-			runtime: createRuntime(),
-			async run(runtime) {
-				const transaction = await openTransaction(runtime);
-				await runtime.runLocally({kind: 'rollback', transaction}, mayAlwaysSend);
-				await runtime.runLocally({kind: 'rollback', transaction}, mayAlwaysSend);
-			},
-		},
+	type Case = {readonly name: string; readonly runtime?: Runtime; readonly job?: Job; readonly maySend?: () => boolean};
+	const cases: readonly Case[] = [
+		{name: 'a statement that is answered'},
+		{name: 'a statement that must not be sent', maySend: () => false},
+		{name: 'a statement whose answer is lost', runtime: createRuntime({answer: () => ({kind: 'lost', reason: ''})})},
+		{name: 'a statement that a busy instance refuses', runtime: createRuntime({answer: () => fail('busy')})},
+		{name: 'a statement without a connection', runtime: createRuntime({opened: refused})},
+		{name: 'a statement at an instance that is not there', runtime: createRuntime({opened: {kind: 'notListening'}})},
+		{name: 'a statement that ends with an exception', maySend: throwError},
+		{name: 'a transaction without a connection', runtime: createRuntime({opened: refused}), job: begin},
+		{name: 'a transaction that must not begin', job: begin, maySend: () => false},
+		{name: 'a transaction that a replica which lags does not begin', runtime: createRuntime({answer: () => fail('lagging')}), job: begin},
+		{name: 'a transaction whose beginning ends with an exception', job: begin, maySend: throwError},
 	];
-	for (const {name, runtime, run} of cases) {
-		it(`gives back the place of ${name}`, async () => {
-			await run(runtime);
+	for (const {name, runtime = createRuntime(), job = single, maySend = mayAlwaysSend} of cases) {
+		it(`gives back the place and the connection of ${name}`, async () => {
+			await Promise.allSettled([runtime.runLocally(job, maySend)]);
+			expect(runtime.pace.readLoad()).to.include({inProgress: 0, waiting: 0, openTransactions: 0});
+			expect(runtime.pool.readLoad()).to.include({busy: 0});
+		});
+	}
+
+	type Step = {readonly kind: 'within' | 'commit' | 'rollback'; readonly maySend?: () => boolean};
+	const transactionCases: ReadonlyArray<{readonly name: string; readonly steps: readonly Step[]}> = [
+		{name: 'is committed', steps: [{kind: 'within'}, {kind: 'commit'}]},
+		{name: 'must not be committed', steps: [{kind: 'commit', maySend: () => false}]},
+		{name: 'is rolled back twice', steps: [{kind: 'rollback'}, {kind: 'rollback'}]},
+		{name: 'has a statement that ends with an exception', steps: [{kind: 'within', maySend: throwError}, {kind: 'rollback'}]},
+	];
+	for (const {name, steps} of transactionCases) {
+		it(`gives back the places and the connection of a transaction that ${name}`, async () => {
+			const runtime = createRuntime();
+			const transaction = await openTransaction(runtime);
+			expect(runtime.pace.readLoad()).to.include({inProgress: 0, openTransactions: 1});
+			for (const {kind, maySend = mayAlwaysSend} of steps) {
+				await Promise.allSettled([runtime.runLocally(createStep(kind, transaction), maySend)]); // eslint-disable-line no-await-in-loop -- one after the other
+			}
+
 			expect(runtime.pace.readLoad()).to.include({inProgress: 0, waiting: 0, openTransactions: 0});
+			expect(runtime.pool.readLoad()).to.include({busy: 0});
 		});
 	}
 
--- a/packages/sessions/create-session-metrics.ts
+++ b/packages/sessions/create-session-metrics.ts
@@ -22,7 +22,7 @@
 			name: 'sapphirefall_statement_part_seconds_total', help: 'Seconds of statements, by the part in which they went by.', labelNames: ['part'], registers,
 		}),
 		waitSeconds: new Histogram({
-			name: 'sapphirefall_wait_seconds', help: 'Seconds of waits for a place or a connection at an instance, by priority and outcome.', labelNames: ['priority', 'outcome'], buckets: secondsBuckets, registers,
+			name: 'sapphirefall_wait_seconds', help: 'Seconds of waits for a place or connection, by priority and outcome.', labelNames: ['priority', 'outcome'], buckets: secondsBuckets, registers,
 		}),
 		storeCalls: new Counter({
 			name: 'sapphirefall_store_calls_total', help: 'Calls to the platform\'s store, by kind and result.', labelNames: ['kind', 'result'], registers,
--- a/packages/sessions/pace/create-entry-queue.ts
+++ b/packages/sessions/pace/create-entry-queue.ts
@@ -58,13 +58,12 @@
 			}
 		},
 		take(now, isPreferred) {
-			let request: Request | undefined;
-			let hasGranted: boolean;
-			do {
-				hasGranted = grantPermits(now);
+			grantPermits(now);
+			let request = forPlace.take(now, isPreferred);
+			// Refusals may have left permits for other transactions.
+			while (request === undefined && grantPermits(now)) {
 				request = forPlace.take(now, isPreferred);
-				// Refusals may have left permits for other transactions.
-			} while (request === undefined && hasGranted);
+			}
 
 			return request;
 		},
--- a/packages/sessions/pace/create-statement-gate.ts
+++ b/packages/sessions/pace/create-statement-gate.ts
@@ -155,6 +155,10 @@
 			return true;
 		}
 
+		if (queue.count() === 0) {
+			return false;
+		}
+
 		const idle = listIdleWorkspaces();
 		const next = queue.take(now(), workspace => idle.has(workspace));
 		next?.end(enterNow(next, next.permit), 'served');
