Move the queue of waiting requests to the room of its decisions

Cause: the gate and the pool both use the queue, whose decisions are in `waiting`; the rooms imported each other.

--- a/packages/sessions/pace/create-entry-queue.ts
+++ b/packages/sessions/pace/create-entry-queue.ts
@@ -1,4 +1,4 @@
-import {createWaitingQueue} from '../pools/create-waiting-queue.ts';
+import {createWaitingQueue} from '../waiting/create-waiting-queue.ts';
 import type {createTransactionPermits} from './create-transaction-permits.ts';
 import type {EnteringRequest} from './entering-request.ts';
 
--- a/packages/sessions/pace/entering-request.ts
+++ b/packages/sessions/pace/entering-request.ts
@@ -1,4 +1,4 @@
-import type {WaitingRequest} from '../pools/waiting-request.ts';
+import type {WaitingRequest} from '../waiting/waiting-request.ts';
 import type {TransactionPermit} from './transaction-permit.ts';
 
 /** A request that waits to enter. */
--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -1,15 +1,15 @@
 import type {OpenConnectionOutcome} from '../open-connection-outcome.ts';
-import {createServiceTimer, type EndedWait} from '../waiting/mod.ts';
+import {
+	createServiceTimer, createWaitingQueue, type EndedWait, type WaitingRequest,
+} from '../waiting/mod.ts';
 import type {AcquireOutcome} from './acquire-outcome.ts';
 import type {AcquireRequest} from './acquire-request.ts';
 import {chooseEviction} from './choose-eviction.ts';
 import type {ConnectionRefusal} from './connection-refusal.ts';
-import {createWaitingQueue} from './create-waiting-queue.ts';
 import {createWorkspaceDemand} from './create-workspace-demand.ts';
 import {findAllowedConnections} from './find-allowed-connections.ts';
 import type {InstancePool} from './instance-pool.ts';
 import type {PooledConnection} from './pooled-connection.ts';
-import type {WaitingRequest} from './waiting-request.ts';
 
 type Options = {
 	/** Opens a connection for a workspace. */
--- a/packages/sessions/waiting/create-priority-head.ts
+++ b/packages/sessions/waiting/create-priority-head.ts
@@ -1,4 +1,4 @@
-import type {WaitingRequest} from '../pools/waiting-request.ts';
+import type {WaitingRequest} from './waiting-request.ts';
 import type {chooseLane} from './choose-lane.ts';
 import {findServiceMs} from './find-service-ms.ts';
 import {findTarget} from './find-target.ts';
--- a/packages/sessions/waiting/create-waiting-class.ts
+++ b/packages/sessions/waiting/create-waiting-class.ts
@@ -1,4 +1,4 @@
-import type {WaitingRequest} from '../pools/waiting-request.ts';
+import type {WaitingRequest} from './waiting-request.ts';
 import {addToLane} from './add-to-lane.ts';
 import {chooseLane} from './choose-lane.ts';
 import {dropFromLane} from './drop-from-lane.ts';
--- a/packages/sessions/pools/create-waiting-queue.ts
+++ b/packages/sessions/waiting/create-waiting-queue.ts
@@ -1,9 +1,19 @@
-import {
-	addWork, choosePriority, createPriorityHead, createRetryReservations, createWaitingClass, findServiceMs, findWait, findWorkAhead,
-	isOverdue, listOverdue, type ServicePace, type WaitingClass, type WaitingRefusal, type WorkAhead,
-} from '../waiting/mod.ts';
+import {addWork} from './add-work.ts';
+import {choosePriority} from './choose-priority.ts';
+import {createPriorityHead} from './create-priority-head.ts';
+import {createRetryReservations} from './create-retry-reservations.ts';
+import {createWaitingClass} from './create-waiting-class.ts';
+import {findServiceMs} from './find-service-ms.ts';
+import {findWait} from './find-wait.ts';
+import {findWorkAhead} from './find-work-ahead.ts';
+import {isOverdue} from './is-overdue.ts';
+import {listOverdue} from './list-overdue.ts';
+import type {ServicePace} from './service-pace.ts';
+import type {WaitingClass} from './waiting-class.ts';
 import type {WaitingQueue} from './waiting-queue.ts';
+import type {WaitingRefusal} from './waiting-refusal.ts';
 import type {WaitingRequest} from './waiting-request.ts';
+import type {WorkAhead} from './work-ahead.ts';
 
 type Options<Request> = {
 	/** Returns how fast requests are served. While it is not known, no request is refused before its deadline. */
--- a/packages/sessions/waiting/find-lane-turn.ts
+++ b/packages/sessions/waiting/find-lane-turn.ts
@@ -1,4 +1,4 @@
-import type {WaitingRequest} from '../pools/waiting-request.ts';
+import type {WaitingRequest} from './waiting-request.ts';
 import {findTarget} from './find-target.ts';
 import type {LaneTurn} from './lane-turn.ts';
 import type {WaitingLane} from './waiting-lane.ts';
--- a/packages/sessions/waiting/find-work-ahead.ts
+++ b/packages/sessions/waiting/find-work-ahead.ts
@@ -1,4 +1,4 @@
-import type {WaitingRequest} from '../pools/waiting-request.ts';
+import type {WaitingRequest} from './waiting-request.ts';
 import {addWork} from './add-work.ts';
 import {compareTurns} from './compare-turns.ts';
 import {findLaneTurn} from './find-lane-turn.ts';
--- a/packages/sessions/waiting/waiting-class.ts
+++ b/packages/sessions/waiting/waiting-class.ts
@@ -1,4 +1,4 @@
-import type {WaitingRequest} from '../pools/waiting-request.ts';
+import type {WaitingRequest} from './waiting-request.ts';
 import type {chooseLane} from './choose-lane.ts';
 import type {updateLane} from './update-lane.ts';
 import type {WaitingLane} from './waiting-lane.ts';
--- a/packages/sessions/pools/waiting-queue.ts
+++ b/packages/sessions/waiting/waiting-queue.ts
@@ -1,6 +1,6 @@
 import type {WaitingRequest} from './waiting-request.ts';
 
-/** The requests that wait for a connection to an instance. Times are in milliseconds of the steady clock. */
+/** The requests that wait for a place or a connection at an instance. Times are in milliseconds of the steady clock. */
 export type WaitingQueue<Request extends WaitingRequest> = {
 	/** Adds a request, which may be refused at once. */
 	readonly add: (request: Request) => void;
--- a/packages/sessions/pools/waiting-request.ts
+++ b/packages/sessions/waiting/waiting-request.ts
@@ -1,4 +1,4 @@
-/** What decides when a request that waits for a connection is served. */
+/** What decides when a waiting request is served. */
 export type WaitingRequest = {
 	readonly workspace: string;
 	/** 0 is the most urgent. */
