--- a/packages/sessions/create-group-instances.test.ts
+++ b/packages/sessions/create-group-instances.test.ts
@@ -41,6 +41,7 @@
 		findRow: () => known,
 		now: () => time.now,
 		log: {
+			info: () => undefined,
 			warn(fields) {
 				warnings.push(fields);
 			},
--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -10,9 +10,11 @@
 import {isProven} from './is-proven.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenConnection} from './open-connection.ts';
+import {createPaceLog} from './pace/create-pace-log.ts';
 import {rankReaders} from './rank-readers.ts';
 import type {ReadCandidate} from './read-candidate.ts';
 import type {SessionLog} from './session-log.ts';
+import type {EndedWait} from './waiting/ended-wait.ts';
 
 type Options = {
 	/** Name of the group. */
@@ -29,7 +31,9 @@
 	readonly findRow: () => Pick<GroupRow, 'primary' | 'successor'> | undefined;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
-	readonly log: Pick<SessionLog, 'warn'>;
+	readonly log: Pick<SessionLog, 'info' | 'warn'>;
+	/** Called when a request no longer waits for a place or a connection of this host. */
+	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
 /** The instances of a group, as this host uses them. */
@@ -65,7 +69,7 @@
 
 /** Creates the instances of a group; there are none until the platform lists them. */
 export function createGroupInstances({
-	group, zone, openConnection, gateways, findZonePhase = () => 'open', coldInstances, findRow, now, log,
+	group, zone, openConnection, gateways, findZonePhase = () => 'open', coldInstances, findRow, now, log, onWaitEnded,
 }: Options): GroupInstances {
 	/** All instances that the platform lists, by id. */
 	let listed: ReadonlyMap<string, ListedInstance> = new Map();
@@ -91,7 +95,11 @@
 			coldInstances,
 			limit: connectionLimit,
 			mayRun: kind => isJobAllowed(kind, {phase: findZonePhase(instance.listed().zone), isPrimary: findRow()?.primary === id}),
+			onPaceChanged: createPaceLog({
+				group, instance: id, now, log,
+			}),
 			now,
+			onWaitEnded,
 		});
 		instances.set(id, instance);
 		return instance;
@@ -169,7 +177,7 @@
 	};
 
 	const createCandidate = (instance: InstanceRuntime): ReadCandidate => {
-		const {busy, waiting, limit} = instance.pool.readLoad();
+		const {inProgress, waiting, limit} = instance.pace.readLoad();
 		const {id, zone: instanceZone} = instance.listed();
 		return {
 			id,
@@ -177,7 +185,7 @@
 			isPrimary: id === findRow()?.primary,
 			isCold: instance.isCold(),
 			health: instance.health(),
-			load: (busy + waiting) / Math.max(1, limit),
+			load: (inProgress + waiting) / limit,
 		};
 	};
 
--- a/packages/sessions/create-instance-runtime.ts
+++ b/packages/sessions/create-instance-runtime.ts
@@ -6,7 +6,6 @@
 import {createGuardedPool} from './evacuation/create-guarded-pool.ts';
 import {createGuardedRunner} from './evacuation/create-guarded-runner.ts';
 import {createGuardedSend} from './evacuation/create-guarded-send.ts';
-import {createInstancePool} from './pools/create-instance-pool.ts';
 import {createLocalRunner} from './create-local-runner.ts';
 import {createRoutedRunner} from './create-routed-runner.ts';
 import type {Gateways} from './gateways.ts';
@@ -18,7 +17,11 @@
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenConnectionOutcome} from './open-connection-outcome.ts';
 import type {OpenConnection} from './open-connection.ts';
+import {createStatementGate} from './pace/create-statement-gate.ts';
+import {findPaceBounds} from './pace/find-pace-bounds.ts';
+import {createInstancePool} from './pools/create-instance-pool.ts';
 import type {PooledConnection} from './pools/pooled-connection.ts';
+import type {EndedWait} from './waiting/ended-wait.ts';
 
 type Options = {
 	readonly openConnection: OpenConnection;
@@ -29,8 +32,12 @@
 	readonly limit: number;
 	/** Whether a job may be sent to the instance now, by the evacuation of its zone. Defaults to always. */
 	readonly mayRun?: (kind: Job['kind']) => boolean;
+	/** Called when the pace of the instance has changed. */
+	readonly onPaceChanged?: Parameters<typeof createStatementGate>[0]['onChanged'];
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
+	/** Called when a request no longer waits for a place or a connection of this host. */
+	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
 /** Time within which an instance must accept a connection. */
@@ -41,7 +48,7 @@
 
 /** Creates the runtime of an instance: its connection pool, its observed health and the means to run jobs on it. */
 export function createInstanceRuntime(first: ListedInstance, {
-	openConnection, gateways, coldInstances, limit, mayRun = () => true, now,
+	openConnection, gateways, coldInstances, limit, mayRun = () => true, onPaceChanged = () => undefined, now, onWaitEnded,
 }: Options): InstanceRuntime {
 	let listed = first;
 	let health: InstanceHealth = {
@@ -67,6 +74,7 @@
 	const pool = createInstancePool({
 		limit,
 		now,
+		onWaitEnded,
 		async open(workspace) {
 			recordObservation({kind: 'sent'});
 			const outcome = await openConnection(listed, {workspace, timeout: connectTimeoutMs});
@@ -100,8 +108,18 @@
 		return answer;
 	};
 
+	const gate = createStatementGate({
+		findBounds: () => findPaceBounds({slots: listed.slots, gatewayCount: gateways.count()}),
+		findConnectionLimit: pool.findLimit,
+		listIdleWorkspaces: pool.listIdleWorkspaces,
+		onChanged: onPaceChanged,
+		onWaitEnded,
+		now,
+	});
+
 	const local = createLocalRunner({
 		pool: createGuardedPool(pool, () => mayRun('begin')),
+		gate,
 		send: createGuardedSend(send, () => mayRun('within')),
 		admission,
 		latency: () => health.latency,
@@ -123,12 +141,17 @@
 			}
 		},
 		update(newer) {
+			const hasMoved = newer.host !== listed.host || newer.port !== listed.port;
 			listed = newer;
 			admission.update(newer);
+			if (hasMoved) {
+				gate.restart();
+			}
 		},
 		health: () => health,
 		isCold: admission.isCold,
 		pool,
+		pace: gate,
 		send,
 		recordLag(missingPosition) {
 			recordObservation({kind: 'lagging', missingPosition});
--- a/packages/sessions/job.ts
+++ b/packages/sessions/job.ts
@@ -14,6 +14,8 @@
 	readonly timeout: number;
 	/** Regions of the hosts that may receive the job, beside this host; a gateway does not learn them and relies on its own configuration. */
 	readonly allowedRegions?: AllowedRegions;
+	/** Milliseconds within which the job should finish, 0 or less if it is late; undefined from a host of an earlier version. */
+	readonly targetLatency?: number | undefined;
 };
 
 /**
--- a/packages/sessions/read-candidate.ts
+++ b/packages/sessions/read-candidate.ts
@@ -9,6 +9,6 @@
 	/** Whether the instance has started lately, so that it is slow and gets few statements. */
 	readonly isCold?: boolean;
 	readonly health: InstanceHealth;
-	/** Connections in use plus sessions waiting for one, divided by the size of the connection pool. */
+	/** Statements in progress plus those that wait, divided by the number that may be in progress. */
 	readonly load: number;
 };
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -35,6 +35,7 @@
 import type {SessionLog} from './session-log.ts';
 import type {Store} from './store.ts';
 import type {StoreTable} from './store-table.ts';
+import type {EndedWait} from './waiting/ended-wait.ts';
 
 type Options = {
 	readonly profile: HostProfile;
@@ -59,6 +60,8 @@
 	readonly onAnswered: SessionContext['onAnswered'];
 	readonly onColdRefused: ColdInstances['onRefused'];
 	readonly onRegionRefused: SessionContext['onRegionRefused'];
+	/** Called when a request no longer waits for a connection of this host. */
+	readonly onWaitEnded: (wait: EndedWait) => void;
 	/** Called with the number of open sessions when it changes. */
 	readonly onSessionCount: (count: number) => void;
 	/** Ends the server of other hosts' calls within a time in milliseconds, without losing calls. */
@@ -87,6 +90,7 @@
 		onReturned(instance) {
 			const {id, zone} = instance.listed();
 			log.debug({id, zone}, 'evacuation: The host may use the instance again.');
+			instance.pace.restart();
 		},
 		onCount: options.onEvacuatedZoneCount,
 		now,
@@ -176,6 +180,7 @@
 		coldInstances,
 		zone: profile.zone,
 		openConnection: options.openConnection,
+		onWaitEnded: options.onWaitEnded,
 		gateways,
 		findZonePhase: evacuations.findPhase,
 		now,
@@ -267,6 +272,10 @@
 	return {
 		openSession: registry.openSession,
 		isReady: () => !hostStop.hasBegun() && findConfiguration() !== undefined && listInstances().length > 0 && fleetController.isRegistered(),
+		listPaces: () => groups.listGroups()
+			.flatMap(group => group.listInstances())
+			.map(({listed, pace}) => ({instance: listed().id, ...pace.readLoad()}))
+			.filter(({isUsed}) => isUsed),
 		peer: {
 			readTables: tableSync.readTables,
 			claimRates: rateLimiter.claimRates,
