Let a slow start reach the share also at an instance that is slower than it was calm

Cause: a round above three times the calm latency ended a slow start at the limit that it had reached, also below the share. An instance that came back six times slower, as while it warms up, was left at one statement, with one more for each 24 answers. Besides, a fall began at the limit, however far that was above what was in progress.

Change: below the share a slow start goes on whatever the latency is, since the shares together cause no wait. A fall halves what was in progress, if the limit was not reached.

--- a/packages/sessions/pace/apply-pace-observation.test.ts
+++ b/packages/sessions/pace/apply-pace-observation.test.ts
@@ -34,6 +34,12 @@
 const calm = applyAll(createPaceState(), answer(50));
 
 describe('applyPaceObservation', () => {
+	it('halves what was in progress when the limit is far above it, as with absurdly many slots', () => {
+		const options = {bounds: {slots: 10_000_000, share: 5_000_000, ceiling: 10_000_001}, inProgress: 20, now: 100};
+		const refusing = applyPaceObservation({...createPaceState(), limit: 65_536, refusals: 1}, {...options, observation: busy});
+		expect(refusing.limit).to.equal(10);
+	});
+
 	const cases: ReadonlyArray<{name: string; from: PaceState; observations: readonly PaceObservation[]; limit: number; phase?: PaceState['phase']}> = [
 		{
 			name: 'begins with one statement at an instance that has just started', from: createPaceState(), observations: [], limit: 1, phase: 'slowStart',
@@ -62,6 +68,12 @@
 		{
 			name: 'begins a slow start when an instance is up again', from: calm, observations: [...repeat(40, failed), ...answer(1)], limit: 2, phase: 'slowStart',
 		},
+		{
+			name: 'is back at the share within a few answers when an instance is up again and six times slower', from: createPaceState(), observations: [...answer(50), ...repeat(40, failed), ...answer(4, 48)], limit: 2,
+		},
+		{
+			name: 'is back at the share within a few answers when a busy instance recovers and is six times slower', from: calm, observations: [...repeat(40, busy), ...answer(4, 48)], limit: 2,
+		},
 		{
 			name: 'is back within a few answers at an instance that goes up and down', from: calm, observations: [...repeat(40, failed), ...answer(8)], limit: 5,
 		},
--- a/packages/sessions/pace/apply-pace-observation.ts
+++ b/packages/sessions/pace/apply-pace-observation.ts
@@ -59,13 +59,13 @@
 
 		case 'busy': {
 			const refusing = {...state, refusals: state.refusals + 1, failures: 0};
-			return refusing.refusals < failuresBeforeFall.busy ? refusing : halve(refusing, bounds, now);
+			return refusing.refusals < failuresBeforeFall.busy ? refusing : halve(refusing, {bounds, inProgress, now});
 		}
 
 		case 'failed':
 		case 'unreachable': {
 			const failing = {...state, failures: state.failures + 1};
-			return failing.failures < failuresBeforeFall.failed ? failing : halve(failing, bounds, now);
+			return failing.failures < failuresBeforeFall.failed ? failing : halve(failing, {bounds, inProgress, now});
 		}
 
 		case 'restarted': {
@@ -83,12 +83,14 @@
 	return {...createPaceState(), calmLatency, recentLatency};
 }
 
-function halve(state: PaceState, {share}: PaceBounds, now: number): PaceState {
+function halve(state: PaceState, {bounds: {share}, inProgress, now}: Omit<Options, 'observation'>): PaceState {
 	if (now - state.fellAt < fallIntervalMs) {
 		return state;
 	}
 
-	const limit = Math.max(1, Math.floor(state.limit / 2));
+	// A limit that was not reached, for want of demand or of connections, did not cause the failure.
+	const reached = Math.min(state.limit, Math.max(state.round.peak, inProgress));
+	const limit = Math.max(1, Math.floor(reached / 2));
 	// Up to the share the limit doubles again: the shares of all gateways do not overload the instance.
 	return {
 		...state, limit, phase: limit < share ? 'slowStart' : 'steady', target: share, round: emptyRound, fellAt: now,
@@ -122,7 +124,8 @@
 	const mean = findMean(round);
 	const calmLatency = isMeasuring ? mean : state.calmLatency;
 	const target = Math.min(state.target, ceiling);
-	const isCalm = mean === undefined || calmLatency === undefined || mean <= latencyTolerance.slowStart * calmLatency;
+	// Below the share this host causes no wait: a latency above the calm one means an instance that is slow, as after its start.
+	const isCalm = limit < share || mean === undefined || calmLatency === undefined || mean <= latencyTolerance.slowStart * calmLatency;
 	const doubled = Math.min(target, limit < share ? Math.min(share, limit * 2) : limit * 2);
 	const next = isCalm ? doubled : limit;
 	return {
