Open a connection for a request that waits when a further one is allowed, and tell a reset for want of room from a lost instance

Cause: after a refusal the number of allowed connections rises with time, but requests that waited were served only when a connection was given back; with all of them held by open transactions they waited until their time was over. A reset beside open connections lowered the limit, but was answered as an unreachable instance, so the gate refused all that waited there; and the first reset of an instance that was lost lowered the limit, as the others broke a moment later.

Change: a timer serves those that wait while the limit is lowered. A reset counts as a refusal if others are still open 10 ms later, and is answered as one of a full instance.

--- a/packages/sessions/pools/create-instance-pool.test.ts
+++ b/packages/sessions/pools/create-instance-pool.test.ts
@@ -118,4 +118,45 @@
 		expect(pool.readLoad()).to.include({busy: 0, waiting: 0});
 		expect(attempts).to.equal(3);
 	});
+
+	describe('after the instance refused a connection', () => {
+		/** Creates a pool with a limit of 3, in which one connection is held and the second attempt to open one is refused. */
+		async function createRefused(outcome: OpenConnectionOutcome, isClosed = () => false) {
+			const outcomes: Array<OpenConnectionOutcome | undefined> = [undefined, outcome];
+			const pool = createInstancePool({
+				limit: 3,
+				now: () => performance.now(),
+				open: async () => outcomes.shift() ?? {
+					kind: 'opened', connection: {send: async () => ({kind: 'lost', reason: ''}), close: () => undefined, isClosed},
+				},
+			});
+			const request = {workspace: 'upper', priority: 1, timeout: 1000};
+			await pool.acquire(request);
+			return {pool, request, refused: await pool.acquire(request)};
+		}
+
+		it('opens one for a request that waits as soon as a further one is allowed, though none is given back', async () => {
+			const {pool, request} = await createRefused({kind: 'refused', code: 'tooManyConnections'});
+			const startedAt = performance.now();
+			const {kind} = await pool.acquire(request);
+			expect(kind).to.equal('acquired');
+			expect(performance.now() - startedAt).to.be.below(400);
+		});
+
+		it('tells that the instance is full, and not unreachable, when it reset the attempt while others stayed open', async () => {
+			const {refused, pool} = await createRefused({kind: 'unanswered'});
+			expect(refused).to.deep.equal({kind: 'busy'});
+			expect(pool.findLimit()).to.equal(1);
+		});
+
+		it('keeps its limit when the other connections break right after the one that was reset, as the instance is lost', async () => {
+			let isLost = false;
+			setTimeout(() => {
+				isLost = true;
+			}, 2);
+			const {refused, pool} = await createRefused({kind: 'unanswered'}, () => isLost);
+			expect(refused).to.deep.equal({kind: 'unreachable'});
+			expect(pool.findLimit()).to.equal(3);
+		});
+	});
 });
--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {OpenConnectionOutcome} from '../open-connection-outcome.ts';
 import type {AcquireOutcome} from './acquire-outcome.ts';
 import {chooseEviction} from './choose-eviction.ts';
@@ -7,6 +8,7 @@
 import {findAllowedConnections} from './find-allowed-connections.ts';
 import type {InstancePool} from './instance-pool.ts';
 import type {PooledConnection} from './pooled-connection.ts';
+import {riseIntervalMs} from './rise-interval-ms.ts';
 import type {WaitingRequest} from './waiting-request.ts';
 
 type Options = {
@@ -21,6 +23,9 @@
 /** Milliseconds within which an attempt to connect that ends without an answer was reset, and not given up. */
 const resetLimitMs = 200;
 
+/** Milliseconds after a reset in which the other connections break as well if the instance is lost. */
+const lossDelayMs = 10;
+
 /** A request that waits for a connection. */
 type Waiter = WaitingRequest & {
 	readonly resolve: (outcome: AcquireOutcome) => void;
@@ -41,6 +46,7 @@
 	let refusal: ConnectionRefusal | undefined;
 	let opening = 0;
 	let isClosed = false;
+	let riseTimer: NodeJS.Timeout | undefined;
 
 	const closeConnection = (pooled: PooledConnection) => {
 		connections.delete(pooled);
@@ -89,22 +95,47 @@
 		}
 	};
 
-	/** Records a refusal for too many connections. A reset is one if other connections that were idle stay open. */
-	const recordRefusal = (outcome: Exclude<OpenConnectionOutcome, {readonly kind: 'opened'}>, startedAt: number) => {
-		const held = [...connections].filter(({connection}) => !connection.isClosed()).length;
-		const isReset = outcome.kind === 'unanswered' && held > 0 && options.now() - startedAt < resetLimitMs;
-		if (isReset || (outcome.kind === 'refused' && outcome.code === 'tooManyConnections')) {
-			refusal = {held, at: options.now()};
+	const countOpen = () => [...connections].filter(({connection}) => !connection.isClosed()).length;
+
+	/** Whether an attempt was reset while other connections stayed open, so that the instance is there and has too many. */
+	const isResetAlone = async (startedAt: number): Promise<boolean> => {
+		if (countOpen() === 0 || options.now() - startedAt >= resetLimitMs) {
+			return false;
+		}
+
+		await sleep(lossDelayMs);
+		return countOpen() > 0;
+	};
+
+	/** Has requests that wait served when a further connection is allowed, as none may be given back until then. */
+	const watchAllowance = () => {
+		if (riseTimer === undefined && queue.count() > 0 && findAllowed() < limit) {
+			riseTimer = setTimeout(() => {
+				riseTimer = undefined;
+				serveNext();
+				watchAllowance();
+			}, riseIntervalMs);
 		}
 	};
 
+	const fail = async (outcome: Exclude<OpenConnectionOutcome, {readonly kind: 'opened'}>, startedAt: number): Promise<AcquireOutcome> => {
+		const isFull = outcome.kind === 'unanswered'
+			? await isResetAlone(startedAt)
+			: outcome.kind === 'refused' && outcome.code === 'tooManyConnections';
+		if (isFull) {
+			refusal = {held: countOpen(), at: options.now()};
+			watchAllowance();
+		}
+
+		serveNext();
+		return {kind: isFull || (outcome.kind === 'refused' && outcome.code !== 'moved') ? 'busy' : 'unreachable'};
+	};
+
 	const open = async (workspace: string): Promise<AcquireOutcome> => {
 		const startedAt = options.now();
 		const outcome = await tryOpen(workspace);
 		if (outcome.kind !== 'opened') {
-			recordRefusal(outcome, startedAt);
-			serveNext();
-			return {kind: outcome.kind === 'refused' && outcome.code !== 'moved' ? 'busy' : 'unreachable'};
+			return fail(outcome, startedAt);
 		}
 
 		const pooled: PooledConnection = {
@@ -162,6 +193,7 @@
 			},
 		};
 		queue.add(waiter);
+		watchAllowance();
 	});
 
 	return {
--- a/packages/sessions/pools/find-allowed-connections.ts
+++ b/packages/sessions/pools/find-allowed-connections.ts
@@ -1,4 +1,5 @@
 import type {ConnectionRefusal} from './connection-refusal.ts';
+import {riseIntervalMs} from './rise-interval-ms.ts';
 
 type Options = {
 	/** Maximum number of this host's connections. */
@@ -7,9 +8,6 @@
 	readonly now: number;
 };
 
-/** Milliseconds after a refusal in which one further connection is allowed. */
-const riseIntervalMs = 150;
-
 /**
  * Finds how many connections a pool may hold after the instance refused one because it had too many.
  *
