End idle transactions whose connections were lost when others are to begin, and bound the wait of their statements

Cause: only few transactions may be open at an instance, and one whose connection was lost while it was idle counted until its session asked or its idle time was over; until then none began there, also when the instance was up again. Besides, the wait of a statement of an open transaction was not part of its time, so it could be sent after its time was over, and then had its whole time again.

Change: a transaction that is to begin has those ended first whose connections are closed; the instance has rolled them back. The time of a statement includes its wait.

Result: tests of both cases.

--- a/packages/sessions/create-local-runner.test.ts
+++ b/packages/sessions/create-local-runner.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createInstanceRuntime} from './create-instance-runtime.ts';
 import type {Gateways} from './gateways.ts';
@@ -31,7 +32,7 @@
 
 /** Creates the runtime of an instance whose answers and openings a case chooses. */
 function createRuntime({answer = request => createAnswer(request.kind, request.kind === 'forward' ? 'idle' : 'open'), opened}: {
-	readonly answer?: (request: InstanceRequest) => InstanceAnswer;
+	readonly answer?: (request: InstanceRequest) => InstanceAnswer | Promise<InstanceAnswer>;
 	readonly opened?: OpenConnectionOutcome;
 } = {}) {
 	let isClosed = false;
@@ -124,4 +125,46 @@
 		const answers = await Promise.all([runLocally(single, mayAlwaysSend), runLocally(single, mayAlwaysSend)]);
 		expect(answers.map(answer => answer.kind === 'notSent' && answer.isUnreachable)).to.deep.equal([true, true]);
 	});
+
+	// The sessions of these transactions are told when they ask next, which may take until they are idle for too long.
+	it('lets transactions begin in place of idle ones whose connections were lost', async () => {
+		let losses = 0;
+		const runtime = createInstanceRuntime(listed, {
+			async openConnection() {
+				const lossesBefore = losses;
+				return {
+					kind: 'opened',
+					connection: {
+						send: async ({kind}) => createAnswer(kind, 'open'), close: () => undefined, isClosed: () => losses > lossesBefore,
+					},
+				};
+			},
+			gateways: {count: () => 2} as unknown as Gateways,
+			limit: 4,
+			now: () => performance.now(),
+		});
+		await Promise.all([openTransaction(runtime), openTransaction(runtime), openTransaction(runtime)]);
+		losses++;
+		expect(await openTransaction(runtime)).to.be.above(0);
+		expect(runtime.pace.readLoad()).to.include({openTransactions: 1});
+		expect(runtime.pool.readLoad()).to.include({busy: 1});
+	});
+
+	it('does not send a statement of a transaction whose time is over while it waits for a place', async () => {
+		const sent: string[] = [];
+		const runtime = createRuntime({
+			async answer(request) {
+				sent.push(request.kind);
+				await sleep(request.kind === 'forward' ? 100 : 0);
+				return createAnswer(request.kind, 'open');
+			},
+		});
+		const transaction = await openTransaction(runtime);
+		void runtime.runLocally(single, mayAlwaysSend);
+		const answer = await runtime.runLocally({
+			...base, kind: 'within', transaction, setup, query, timeout: 20,
+		}, mayAlwaysSend);
+		expect(answer.kind).to.equal('notSent');
+		expect(sent).to.deep.equal(['begin', 'forward']);
+	});
 });
--- a/packages/sessions/create-local-transactions.ts
+++ b/packages/sessions/create-local-transactions.ts
@@ -6,7 +6,8 @@
 	readonly pooled: PooledConnection;
 	/** Milliseconds for which the transaction may be idle. */
 	readonly idleLimit: number;
-	idleTimer?: NodeJS.Timeout;
+	/** Undefined while the transaction is being used. */
+	idleTimer?: NodeJS.Timeout | undefined;
 };
 
 /**
@@ -33,8 +34,13 @@
 
 	const stopIdleTimer = (transaction: number) => {
 		const open = transactions.get(transaction);
-		clearTimeout(open?.idleTimer);
-		return open?.pooled;
+		if (open === undefined) {
+			return undefined;
+		}
+
+		clearTimeout(open.idleTimer);
+		open.idleTimer = undefined;
+		return open.pooled;
 	};
 
 	return {
@@ -51,6 +57,9 @@
 			transactions.delete(transaction);
 			return pooled;
 		},
+		listLost: () => [...transactions]
+			.filter(([, {pooled, idleTimer}]) => idleTimer !== undefined && pooled.connection.isClosed())
+			.map(([transaction]) => transaction),
 		isOpen: transaction => transactions.has(transaction),
 	};
 }
--- a/packages/sessions/create-transaction-runner.ts
+++ b/packages/sessions/create-transaction-runner.ts
@@ -58,7 +58,18 @@
 		void rollBack(transaction);
 	});
 
+	/** Ends the transactions whose connections were lost while they were idle; the instance has rolled them back. */
+	const endLost = () => {
+		for (const transaction of transactions.listLost()) {
+			const pooled = transactions.take(transaction);
+			if (pooled !== undefined) {
+				end(pooled, notOpenAnswer);
+			}
+		}
+	};
+
 	const begin: TransactionRunner['begin'] = async (job, maySend) => {
+		endLost();
 		const deadline = now() + job.timeout;
 		const timer = createJobTimer(now);
 		const {workspace, priority} = job;
@@ -118,6 +129,7 @@
 			return notOpenAnswer;
 		}
 
+		const deadline = now() + timeout;
 		const timer = createJobTimer(now);
 		const place = await gate.enterWithin();
 		if (!transactions.isOpen(transaction)) {
@@ -132,10 +144,10 @@
 			query,
 			after: undefined,
 			isInTransaction: true,
-			timeout,
+			timeout: Math.max(1, deadline - now()),
 			maySend() {
 				timer.recordSent();
-				return maySend() && transactions.isOpen(transaction);
+				return maySend() && transactions.isOpen(transaction) && now() < deadline;
 			},
 		});
 		transactions.release(transaction);
--- a/packages/sessions/local-transactions.ts
+++ b/packages/sessions/local-transactions.ts
@@ -10,5 +10,7 @@
 	readonly release: (transaction: number) => void;
 	/** Ends the bookkeeping of a transaction and returns its connection, which the caller must release; undefined if it is not open. */
 	readonly take: (transaction: number) => PooledConnection | undefined;
+	/** Lists the transactions that are idle and whose connections are closed. */
+	readonly listLost: () => readonly number[];
 	readonly isOpen: (transaction: number) => boolean;
 };
