Send no statement of a transaction that waited for its place while the host ended its transactions

Cause: a gateway that stops checks whether its transactions are ended when a job comes. With the limit of statements in progress, one that came before may wait, and was sent afterwards although its transaction is rolled back.

Change: the gateway checks it again before sending; single statements are let through as before.

Result: a test of the three kinds of jobs that wait.

--- a/packages/sessions/create-gateway.test.ts
+++ b/packages/sessions/create-gateway.test.ts
@@ -174,5 +174,28 @@
 			expect(jobs).to.deep.equal(['begin', 'within', 'rollback']);
 			expect(gateway.countActive()).to.equal(0);
 		});
+
+		it('does not send what still waits for its place, except single statements', async () => {
+			let maySendLater = () => true;
+			const instance = {
+				async runLocally(_: Job, maySend: () => boolean): Promise<JobAnswer> {
+					maySendLater = maySend;
+					return done;
+				},
+			} as unknown as InstanceRuntime;
+			const findAccess = (): Access => ({
+				kind: 'allowed', workspace: 'upper', version: 1, route,
+			});
+			const gateway = createGateway({findInstance: () => instance, findAccess, now: () => 0});
+			const later: Array<() => boolean> = [];
+			for (const job of [single, begin, within]) {
+				void gateway.runJob({group: 'g', id: 'known'}, job);
+				later.push(maySendLater);
+			}
+
+			expect(later.map(maySend => maySend())).to.deep.equal([true, true, true]);
+			gateway.endTransactions();
+			expect(later.map(maySend => maySend())).to.deep.equal([true, false, false]);
+		});
 	});
 });
--- a/packages/sessions/create-gateway.ts
+++ b/packages/sessions/create-gateway.ts
@@ -99,7 +99,7 @@
 		running++;
 		recordStart(job);
 		try {
-			answer = await instance.runLocally(job, () => 'caller' in job && hasAccess(job));
+			answer = await instance.runLocally(job, () => 'caller' in job && hasAccess(job) && (job.kind === 'single' || !areTransactionsEnded));
 			return answer;
 		} finally {
 			recordEnd(instance, job, answer);
