--- a/packages/sessions/create-gateway.test.ts
+++ b/packages/sessions/create-gateway.test.ts
@@ -232,5 +232,28 @@
 			expect(jobs).to.deep.equal(['begin', 'within', 'rollback']);
 			expect(gateway.countActive()).to.equal(0);
 		});
+
+		it('does not send what still waits for its place, except single statements', async () => {
+			let maySendLater = () => true;
+			const instance = {
+				listed: () => ({zone: 'a'}),
+				async runLocally(_: Job, maySend: () => boolean): Promise<JobAnswer> {
+					maySendLater = maySend;
+					return done;
+				},
+			} as unknown as InstanceRuntime;
+			const gateway = createGateway({
+				findInstance: () => instance, findAccess: () => allowed, regions, statementBudget: createByteBudget(1_000_000), now: () => 0,
+			});
+			const later: Array<() => boolean> = [];
+			for (const job of [single, begin, within]) {
+				await gateway.runJob({group: 'g', id: 'known'}, job); // eslint-disable-line no-await-in-loop -- each job is recorded in turn
+				later.push(maySendLater);
+			}
+
+			expect(later.map(maySend => maySend())).to.deep.equal([true, true, true]);
+			gateway.endTransactions();
+			expect(later.map(maySend => maySend())).to.deep.equal([true, false, false]);
+		});
 	});
 });
--- a/packages/sessions/create-gateway.ts
+++ b/packages/sessions/create-gateway.ts
@@ -116,7 +116,7 @@
 		running++;
 		recordStart(job);
 		try {
-			const maySend = () => 'caller' in job && hasAccess(job, instance.listed().zone);
+			const maySend = () => 'caller' in job && hasAccess(job, instance.listed().zone) && (job.kind === 'single' || !areTransactionsEnded);
 			// A job with a setup sends the session's values before the statement, and so is not begun without access.
 			answer = 'setup' in job && !maySend() ? notSentAnswer : await instance.runLocally(job, maySend);
 			return answer;
--- a/packages/sessions/create-local-transactions.ts
+++ b/packages/sessions/create-local-transactions.ts
@@ -34,12 +34,13 @@
 
 	const stopIdleTimer = (transaction: number) => {
 		const open = transactions.get(transaction);
-		clearTimeout(open?.idleTimer);
-		if (open !== undefined) {
-			open.idleTimer = undefined;
+		if (open === undefined) {
+			return undefined;
 		}
 
-		return open?.pooled;
+		clearTimeout(open.idleTimer);
+		open.idleTimer = undefined;
+		return open.pooled;
 	};
 
 	return {
@@ -57,6 +58,9 @@
 			return pooled;
 		},
 		listIdle: () => [...transactions].filter(([, {idleTimer}]) => idleTimer !== undefined).map(([transaction]) => transaction),
+		listLost: () => [...transactions]
+			.filter(([, {pooled, idleTimer}]) => idleTimer !== undefined && pooled.connection.isClosed())
+			.map(([transaction]) => transaction),
 		isOpen: transaction => transactions.has(transaction),
 	};
 }
--- a/packages/sessions/create-transaction-runner.ts
+++ b/packages/sessions/create-transaction-runner.ts
@@ -84,7 +84,18 @@
 	/** What to call when the transaction on a connection has ended. */
 	const endings = new WeakMap<PooledConnection, () => void>();
 
+	/** Ends the transactions whose connections were lost while they were idle; the instance has rolled them back. */
+	const endLost = () => {
+		for (const transaction of transactions.listLost()) {
+			const pooled = transactions.take(transaction);
+			if (pooled !== undefined) {
+				end(pooled, false);
+			}
+		}
+	};
+
 	const begin: TransactionRunner['begin'] = async (job, maySend) => {
+		endLost();
 		const timer = createJobTimer(now);
 		const request = createEnterRequest(job, now());
 		const entered = await gate.enter(request);
@@ -185,6 +196,7 @@
 			return notOpenAnswer;
 		}
 
+		const deadline = now() + timeout;
 		const timer = createJobTimer(now);
 		const place = await gate.enterWithin();
 		if (!transactions.isOpen(transaction)) {
@@ -207,10 +219,10 @@
 				query,
 				after: undefined,
 				isInTransaction: true,
-				timeout,
+				timeout: Math.max(1, deadline - now()),
 				maySend() {
 					timer.recordSent();
-					return maySend() && transactions.isOpen(transaction) && admitted();
+					return maySend() && transactions.isOpen(transaction) && now() < deadline && admitted();
 				},
 			});
 			place.leave(findPaceObservation(answer, timer.finish().instance));
--- a/packages/sessions/local-transactions.ts
+++ b/packages/sessions/local-transactions.ts
@@ -12,5 +12,7 @@
 	readonly take: (transaction: number) => PooledConnection | undefined;
 	/** Lists the transactions that are not being used. */
 	readonly listIdle: () => readonly number[];
+	/** Lists the transactions that are idle and whose connections are closed. */
+	readonly listLost: () => readonly number[];
 	readonly isOpen: (transaction: number) => boolean;
 };
--- a/packages/sessions/pace/create-statement-gate.ts
+++ b/packages/sessions/pace/create-statement-gate.ts
@@ -39,6 +39,9 @@
  */
 const withinWait = {latencyFactor: 4, minMs: 50};
 
+/** Largest share of the connections that open transactions hold, so that some are left for single statements. */
+const transactionConnectionShare = 0.75;
+
 /** When a statement is overdue: a multiple of the recent latency, and at least so many milliseconds. */
 const overdue = {latencyFactor: 8, minMs: 80};
 
@@ -53,8 +56,7 @@
 
 	const findLimit = () => Math.max(1, Math.min(state.limit, findConnectionLimit()));
 
-	/** Transactions keep their connections, so those that are open leave enough for the statements in progress. */
-	const findTransactionLimit = () => Math.max(1, findConnectionLimit() - findLimit());
+	const findTransactionLimit = () => Math.max(1, Math.floor(findConnectionLimit() * transactionConnectionShare));
 
 	const findWaitMs = ({latencyFactor, minMs}: typeof overdue) => Math.max(minMs, latencyFactor * (state.recentLatency ?? 0));
 
