--- a/packages/sessions/cold-instances/run-cold-instance.test.ts
+++ b/packages/sessions/cold-instances/run-cold-instance.test.ts
@@ -40,7 +40,7 @@
 					isClosed: () => false,
 				},
 			}),
-			gateways: {} as Gateways, // eslint-disable-line @typescript-eslint/consistent-type-assertions -- no gateway is used
+			gateways: {count: () => 1} as Gateways, // eslint-disable-line @typescript-eslint/consistent-type-assertions -- no other gateway is used
 			limit: 1,
 			now: () => 0,
 			coldInstances: {
--- a/packages/sessions/evacuation/run-evacuated-instance.test.ts
+++ b/packages/sessions/evacuation/run-evacuated-instance.test.ts
@@ -39,7 +39,7 @@
 					isClosed: () => isClosed,
 				},
 			}),
-			gateways: {} as Gateways, // eslint-disable-line @typescript-eslint/consistent-type-assertions -- no gateway is used
+			gateways: {count: () => 1} as Gateways, // eslint-disable-line @typescript-eslint/consistent-type-assertions -- no other gateway is used
 			limit: 1,
 			mayRun: kind => isJobAllowed(kind, {phase: zone.phase, isPrimary: false}),
 			now: () => 0,
--- a/packages/sessions/waiting/create-retry-hint.test.ts
+++ b/packages/sessions/waiting/create-retry-hint.test.ts
@@ -75,6 +75,8 @@
 				arrivedAt: {steady: 0, wall: 0},
 				deadline: 1000,
 				isAllowed: () => true,
+				findAllowedRegions: () => undefined,
+				mayReachZone: () => true,
 				setMayTakeEffect: () => undefined,
 				lastWrite: () => undefined,
 				trace: createStatementTrace(),
