Let connections of ended sessions give way to new callers

Cause: a connection stays for up to 1 s behind its last answers, and kept its place among those of the limit. Many short sessions could fill a host, which then refused ordinary callers with BUSY.

--- a/packages/sessions/admission/create-connection-admission.ts
+++ b/packages/sessions/admission/create-connection-admission.ts
@@ -12,6 +12,8 @@
 	readonly keep: (connection: AdmittedConnection) => void;
 	/** Sets whether a connection that is kept has stalled, so that it may give way. */
 	readonly setStalled: (connection: AdmittedConnection, isStalled: boolean) => void;
+	/** Lets a connection give way before all others, whose session has ended. */
+	readonly end: (connection: AdmittedConnection) => void;
 	readonly remove: (connection: AdmittedConnection) => void;
 	readonly count: () => number;
 };
@@ -19,28 +21,32 @@
 /**
  * Creates the decision which connections a host keeps at a port.
  *
- * A new connection beyond the limit takes the place of the one that has gone for longest without the start of its session,
- * or of the one that has stalled for longest, so that neither keeps out other clients. There is no place if all sessions
- * have started and none has stalled.
+ * A new connection beyond the limit takes the place of one whose session has ended, else of the one that has gone for
+ * longest without the start of its session, else of the one that has stalled for longest, so that none of them keeps out
+ * other clients. There is no place if all sessions are open and none has stalled.
  */
 export function createConnectionAdmission(limit: number): ConnectionAdmission {
+	/** Connections whose session has ended, which stay until their last answers have arrived. */
+	const ended = new Set<AdmittedConnection>();
 	/** Connections without a started session, the oldest first. */
 	const waiting = new Set<AdmittedConnection>();
 	/** Connections that have stalled, the one that did so first at the start. */
 	const stalled = new Set<AdmittedConnection>();
 	const kept = new Set<AdmittedConnection>();
-	const count = () => waiting.size + stalled.size + kept.size;
+	const groups = [ended, waiting, stalled, kept];
+	const count = () => ended.size + waiting.size + stalled.size + kept.size;
+
+	/** Removes a connection; returns whether it had a place. */
+	const removeFromGroup = (connection: AdmittedConnection) => groups.some(group => group.delete(connection));
 
 	const remove = (connection: AdmittedConnection) => {
-		waiting.delete(connection);
-		stalled.delete(connection);
-		kept.delete(connection);
+		removeFromGroup(connection);
 	};
 
 	return {
 		admit(connection) {
 			if (count() >= limit) {
-				const [oldest] = waiting.size > 0 ? waiting : stalled;
+				const [oldest] = [ended, waiting, stalled].find(({size}) => size > 0) ?? [];
 				if (oldest === undefined) {
 					return false;
 				}
@@ -63,6 +69,11 @@
 				(isStalled ? stalled : kept).add(connection);
 			}
 		},
+		end(connection) {
+			if (removeFromGroup(connection)) {
+				ended.add(connection);
+			}
+		},
 		remove,
 		count,
 	};
