Bound the time that urgent collections of garbage take

Cause: above 80 % of the memory each 2 MiB that passed collected the garbage, also if memory was in use or stays high after a crowd, so that a host with legitimate traffic could collect all the time. Change: while memory has grown by less than 5 % since, such a collection waits 20 times as long as the last one took. Growth frees memory at once as before.

--- a/packages/sessions/admission/create-memory-relief.test.ts
+++ b/packages/sessions/admission/create-memory-relief.test.ts
@@ -3,6 +3,9 @@
 
 const mebibyte = 1024 * 1024;
 
+/** Milliseconds that the collection of garbage takes. */
+const collectionMs = 40;
+
 describe('createMemoryRelief', () => {
 	const cases = [
 		{
@@ -20,24 +23,36 @@
 		{
 			name: 'hardly any memory left', messageMb: 2, usedMb: [81, 82, 83], freedMb: 81, expected: 3,
 		},
+		{
+			name: 'hardly any memory left, in quick succession', messageMb: 2, usedMb: [81, 82, 83], freedMb: 81, intervalMs: 100, expected: 1,
+		},
+		{
+			name: 'memory that runs out in quick succession', messageMb: 2, usedMb: [81, 87, 93], freedMb: 81, intervalMs: 100, expected: 3,
+		},
 		{
 			name: 'small messages beside little memory', messageMb: 0.1, usedMb: [75, 75, 75], freedMb: 50, expected: 0,
 		},
 	];
-	for (const {name, messageMb, usedMb, freedMb, expected} of cases) {
+	for (const {
+		name, messageMb, usedMb, freedMb, intervalMs = 1000, expected,
+	} of cases) {
 		it(`frees memory as often as it has to: ${name}`, () => {
 			let count = 0;
 			let used = 0;
+			let time = 0;
 			const relief = createMemoryRelief({
 				limitBytes: 100 * mebibyte,
 				readUsedBytes: () => used * mebibyte,
 				collect() {
 					count++;
 					used = freedMb;
+					time += collectionMs;
 				},
+				now: () => time,
 			});
 			for (const next of usedMb) {
 				used = next;
+				time += intervalMs;
 				relief.record(messageMb * mebibyte);
 			}
 
@@ -52,6 +67,7 @@
 			collect() {
 				throw new Error('not expected');
 			},
+			now: () => 0,
 		});
 		relief.record(100 * mebibyte);
 	});
--- a/packages/sessions/admission/create-memory-relief.ts
+++ b/packages/sessions/admission/create-memory-relief.ts
@@ -5,6 +5,8 @@
 	readonly readUsedBytes: () => number;
 	/** Frees memory that is not in use any more. */
 	readonly collect: () => void;
+	/** Returns the current time of the steady clock in milliseconds. */
+	readonly now: () => number;
 };
 
 /** Frees the memory of messages that are done with before the process takes too much. */
@@ -22,6 +24,9 @@
 /** Share of the limit above which memory is freed however little it has grown. */
 const urgentShare = 0.8;
 
+/** Share of the time that freeing memory may take while it has hardly grown, as the process does nothing else meanwhile. */
+const urgentTimeShare = 0.05;
+
 /** Share of the limit by which the memory has to grow before it is freed again, as it may all be in use. */
 const growthShare = 0.05;
 
@@ -31,10 +36,23 @@
  * The garbage collector of Node.js waits until far more memory is garbage than a small machine has, since most of what
  * passes through a host lies outside of the heap that it watches.
  */
-export function createMemoryRelief({limitBytes, readUsedBytes, collect}: Options): MemoryRelief {
+export function createMemoryRelief({
+	limitBytes, readUsedBytes, collect, now,
+}: Options): MemoryRelief {
 	let passedBytes = 0;
 	/** Least memory that the process has taken since it was last freed. */
 	let leastBytes = 0;
+	/** When memory may be freed again that has hardly grown, in milliseconds of the steady clock. */
+	let restsUntil = Number.NEGATIVE_INFINITY;
+
+	const free = () => {
+		const startedAt = now();
+		collect();
+		const endedAt = now();
+		restsUntil = endedAt + ((endedAt - startedAt) / urgentTimeShare);
+		leastBytes = readUsedBytes();
+	};
+
 	return {
 		record(bytes) {
 			passedBytes += bytes;
@@ -46,9 +64,9 @@
 			const usedBytes = readUsedBytes();
 			leastBytes = Math.min(leastBytes, usedBytes);
 			const dueBytes = Math.max(usedShare * limitBytes, leastBytes + (growthShare * limitBytes));
-			if (usedBytes > Math.min(dueBytes, urgentShare * limitBytes)) {
-				collect();
-				leastBytes = readUsedBytes();
+			const isUrgent = usedBytes > urgentShare * limitBytes && now() >= restsUntil;
+			if (isUrgent || usedBytes > dueBytes) {
+				free();
 			}
 		},
 	};
