Take the callers and hosts of a large fleet within the limits of connections

Cause: of 4,200 descriptors a host gave 2,800 to callers, fewer than the 2,870 that docs/CAPACITY.md counts for a host, and 400 to other hosts, though all 939 others claim rates from the first allocator. Change: 72 % for callers, and 25 % for other hosts: 2,880 and 1,000.

--- a/packages/sessions/admission/find-connection-limits.ts
+++ b/packages/sessions/admission/find-connection-limits.ts
@@ -4,8 +4,11 @@
 /** Descriptors that stay free of connections, for files and pipes. */
 const reservedDescriptors = 200;
 
-/** Shares of the other descriptors. What they leave is for connections that the host opens: to the store, other hosts and instances. */
-const descriptorShares = {callers: 0.7, hosts: 0.1};
+/**
+ * Shares of the other descriptors. What they leave is for connections that the host opens: to the store, other hosts and
+ * instances. All hosts of a large fleet connect to one that allocates rates.
+ */
+const descriptorShares = {callers: 0.72, hosts: 0.25};
 
 /** Connections of other hosts that are always accepted. */
 const minHostConnections = 32;
