Tell hosts whose connection is refused that their calls are not run

Cause: a host without a place for another connection of a host reset it. Calls that were on their way had an unknown outcome, though they never ran, and a write among them was answered UNKNOWN. Change: such a connection, and one of which no call was read that gives way, is closed behind the message with the last call that was read, which is none.

--- a/packages/hosts/serve-calls.ts
+++ b/packages/hosts/serve-calls.ts
@@ -74,14 +74,19 @@
 		onClosed: limits?.onClosed ?? ignore,
 	};
 	const server = createServer({noDelay: true}, socket => {
-		const place = createPlace(socket, shared);
+		const place = {
+			giveWay() {
+				shared.onClosed('gaveWay');
+				dismiss(socket, connection);
+			},
+		};
+		const connection = serveSocket(socket, {...options, shared, place});
 		if (!shared.admission.admit(place)) {
 			shared.onClosed('noPlace');
-			socket.destroy();
+			dismiss(socket, connection);
 			return;
 		}
 
-		const connection = serveSocket(socket, {...options, shared, place});
 		connections.add(connection);
 		socket.on('close', () => {
 			connections.delete(connection);
@@ -117,13 +122,12 @@
 	// Servers without metrics are told nothing.
 }
 
-function createPlace(socket: Socket, {onClosed}: Shared): Place {
-	return {
-		giveWay() {
-			onClosed('gaveWay');
-			socket.destroy();
-		},
-	};
+/** Closes a connection of which no call was read, behind the message that says so: its calls are not run. */
+function dismiss(socket: Socket, {stop}: ServedConnection): void {
+	socket.on('finish', () => {
+		socket.destroy();
+	});
+	stop();
 }
 
 function serveSocket<Request extends {readonly id: number}>(socket: Socket, {
--- a/packages/hosts/serve-fleet.test.ts
+++ b/packages/hosts/serve-fleet.test.ts
@@ -6,6 +6,7 @@
 } from '@sapphirefall/sessions';
 import {expect} from 'chai';
 import fc from 'fast-check';
+import type {CallServerLimits} from './call-server-limits.ts';
 import {createFleetPeer} from './create-fleet-peer.ts';
 import {serveFleet} from './serve-fleet.ts';
 
@@ -90,7 +91,7 @@
 const answerNothing = async () => undefined;
 
 /** Starts a host that runs jobs, or answers calls as `overrides` says, and a client that calls it. */
-async function createCase(overrides: Partial<FleetPeer> = {}) {
+async function createCase(overrides: Partial<FleetPeer> = {}, limits?: CallServerLimits) {
 	const warnings: string[] = [];
 	const log: SessionLog = {
 		debug: () => undefined, info: () => undefined, warn(_, message) {
@@ -111,14 +112,14 @@
 		ping: async () => true,
 		...overrides,
 	};
-	const {server, stop} = serveFleet({host: '127.0.0.1', port: 0}, {own, log});
+	const {server, stop} = serveFleet({host: '127.0.0.1', port: 0}, {own, log, ...limits && {limits}});
 	await once(server, 'listening');
 	const {port} = server.address() as AddressInfo;
-	const peer = createFleetPeer({host: '127.0.0.1', port}, {
+	const createPeer = () => createFleetPeer({host: '127.0.0.1', port}, {
 		timeoutMs: 500, idleTimeoutMs: 1000, now: () => performance.now(), log,
 	});
 	return {
-		peer, stop, warnings, countStarted: () => started,
+		createPeer, peer: createPeer(), stop, warnings, countStarted: () => started,
 	};
 }
 
@@ -140,6 +141,32 @@
 		expect(warnings).to.deep.equal([]);
 	});
 
+	// A write to a host without a place for another connection ended with an unknown outcome, though it never ran.
+	it('says that it does not serve the job of a host whose connection it refuses', async () => {
+		const {
+			createPeer, peer, stop, warnings, countStarted,
+		} = await createCase({}, {
+			connections: 1, frameBytes: 1e9, onBytes: () => undefined, onClosed: () => undefined, onAcceptError: () => undefined,
+		});
+		expect(await peer.runJob({group: 'g', id: 'i'}, job)).to.deep.equal(done);
+		const refused = [createPeer(), createPeer()].map(async other => other.runJob({group: 'g', id: 'i'}, job));
+		expect(await Promise.all(refused)).to.deep.equal(['notServed', 'notServed']);
+		expect(countStarted()).to.equal(1);
+		expect(warnings).to.deep.equal([]);
+		await stop(200);
+	});
+
+	// Guards against a job that runs though the host has said that it does not serve it.
+	it('says that it does not serve the job of a host whose connection gives way to another one', async () => {
+		const {createPeer, stop, countStarted} = await createCase({}, {
+			connections: 1, frameBytes: 1e9, onBytes: () => undefined, onClosed: () => undefined, onAcceptError: () => undefined,
+		});
+		const answers = await Promise.all([createPeer(), createPeer(), createPeer()].map(async other => other.runJob({group: 'g', id: 'i'}, job)));
+		expect(answers.filter(answer => answer === 'notServed')).to.have.length(2);
+		expect(countStarted()).to.equal(1);
+		await stop(200);
+	});
+
 	const tooLong = [
 		{name: 'an answer', text: longAnswerText, expected: undefined},
 		{name: 'a job', text: ''.padEnd(10 * 1024 * 1024), expected: {kind: 'notSent', reason: 'the job is too long for a message between hosts'}},
