Let idle connections of other hosts give way, the one idle for longest first

Cause: a connection with one call kept its place until 360 s without data, also if its host was gone, and other hosts were refused meanwhile. Change: beyond the limit the connection without a call in progress for longest is closed behind the message with the last call that was read, so that no call is lost. The test of refused hosts holds the place by a running job now.

--- a/packages/hosts/serve-calls.ts
+++ b/packages/hosts/serve-calls.ts
@@ -35,7 +35,7 @@
 /** Milliseconds without data after which a connection is closed, since the other host may be gone; longer than the idle timeout of callers. */
 const idleTimeoutMs = 360_000;
 
-/** Milliseconds left at the end of a stop for the last messages to arrive and the other hosts to close their connections. */
+/** Milliseconds left at the end of a connection for the last messages to arrive and the other host to close it. */
 const closingMarginMs = 100;
 
 /** What all connections share. */
@@ -122,11 +122,15 @@
 	// Servers without metrics are told nothing.
 }
 
-/** Closes a connection of which no call was read, behind the message that says so: its calls are not run. */
+/** Closes a connection without calls in progress, behind the message with the last call that was read: later ones are not run. */
 function dismiss(socket: Socket, {stop}: ServedConnection): void {
-	socket.on('finish', () => {
+	const destroy = () => {
 		socket.destroy();
-	});
+	};
+
+	socket.on('finish', destroy);
+	// The other host may be gone, and earlier answers with it.
+	setTimeout(destroy, closingMarginMs).unref();
 	stop();
 }
 
@@ -164,6 +168,7 @@
 
 	const run = async (request: Request) => {
 		callsInProgress++;
+		shared.admission.setStalled(place, false);
 		if (callsInProgress === maxCallsInProgress) {
 			socket.pause();
 		}
@@ -174,6 +179,7 @@
 			socket.resume();
 		}
 
+		shared.admission.setStalled(place, callsInProgress === 0);
 		if (isEnded) {
 			return;
 		}
--- a/packages/hosts/serve-fleet.test.ts
+++ b/packages/hosts/serve-fleet.test.ts
@@ -148,9 +148,11 @@
 		} = await createCase({}, {
 			connections: 1, frameBytes: 1e9, onBytes: () => undefined, onClosed: () => undefined, onAcceptError: () => undefined,
 		});
-		expect(await peer.runJob({group: 'g', id: 'i'}, job)).to.deep.equal(done);
+		const running = peer.runJob({group: 'g', id: 'i'}, job);
+		await sleep(jobMs / 2);
 		const refused = [createPeer(), createPeer()].map(async other => other.runJob({group: 'g', id: 'i'}, job));
 		expect(await Promise.all(refused)).to.deep.equal(['notServed', 'notServed']);
+		expect(await running).to.deep.equal(done);
 		expect(countStarted()).to.equal(1);
 		expect(warnings).to.deep.equal([]);
 		await stop(200);
@@ -167,6 +169,22 @@
 		await stop(200);
 	});
 
+	// Guards against idle connections, among them those of hosts that are gone, that keep other hosts out.
+	it('gives the place of a connection without calls in progress to another host, and loses no job', async () => {
+		const {createPeer, peer, stop} = await createCase({}, {
+			connections: 1, frameBytes: 1e9, onBytes: () => undefined, onClosed: () => undefined, onAcceptError: () => undefined,
+		});
+		const other = createPeer();
+		const answers: unknown[] = [];
+		for (const next of [peer, other, peer]) {
+			answers.push(await next.runJob({group: 'g', id: 'i'}, job)); // eslint-disable-line no-await-in-loop -- one after the other
+			await sleep(jobMs); // eslint-disable-line no-await-in-loop -- until the other host has closed its connection
+		}
+
+		expect(answers).to.deep.equal([done, done, done]);
+		await stop(200);
+	});
+
 	const tooLong = [
 		{name: 'an answer', text: longAnswerText, expected: undefined},
 		{name: 'a job', text: ''.padEnd(10 * 1024 * 1024), expected: {kind: 'notSent', reason: 'the job is too long for a message between hosts'}},
--- a/packages/sessions/admission/create-connection-admission.test.ts
+++ b/packages/sessions/admission/create-connection-admission.test.ts
@@ -28,7 +28,9 @@
 			name: 'gives the place of a session that has ended away before all others', events: ['open a', 'open b', 'start b', 'finish b', 'open c'], expected: {closed: ['b'], refused: []},
 		},
 		{
-			name: 'gives no place back to a session that ends after it gave way', events: ['open a', 'open b', 'start b', 'open c', 'start c', 'finish a', 'open d'], expected: {closed: ['a'], refused: ['d']},
+			name: 'gives no place back to a session that ends after it gave way',
+			events: ['open a', 'open b', 'start b', 'open c', 'start c', 'finish a', 'open d'],
+			expected: {closed: ['a'], refused: ['d']},
 		},
 		{
 			name: 'gives no place back to a connection that starts a session after it gave way', events: ['open a', 'open b', 'open c', 'start a', 'start b', 'start c', 'open d'], expected: {closed: ['a'], refused: ['d']},
--- a/packages/sessions/admission/create-connection-admission.ts
+++ b/packages/sessions/admission/create-connection-admission.ts
@@ -10,7 +10,7 @@
 	readonly admit: (connection: AdmittedConnection) => boolean;
 	/** Keeps the place of a connection from now on, whose session has started. */
 	readonly keep: (connection: AdmittedConnection) => void;
-	/** Sets whether a connection that is kept has stalled, so that it may give way. */
+	/** Sets whether a connection that is kept has stalled, or does nothing that it would lose, so that it may give way. */
 	readonly setStalled: (connection: AdmittedConnection, isStalled: boolean) => void;
 	/** Lets a connection give way before all others, whose session has ended. */
 	readonly end: (connection: AdmittedConnection) => void;
