--- a/packages/sessions/create-gateway.ts
+++ b/packages/sessions/create-gateway.ts
@@ -1,14 +1,23 @@
 import {abandonedMarginMs} from './abandoned-margin-ms.ts';
+import {findJobBytes} from './admission/find-job-bytes.ts';
+import {runWithinBudget} from './admission/run-within-budget.ts';
 import type {Access} from './access.ts';
+import type {ByteBudget} from './byte-budget.ts';
 import type {Caller} from './caller.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
+import {isZoneAllowed} from './regions/is-zone-allowed.ts';
+import type {RegionMap} from './regions/region-map.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
+import {notSentAnswer} from './not-sent-answer.ts';
 
 type Options = {
 	readonly findInstance: (group: string, id: string) => InstanceRuntime | undefined;
 	readonly findAccess: (caller: Caller) => Access;
+	readonly regions: RegionMap;
+	/** Bytes that large statements may take while they run. */
+	readonly statementBudget: ByteBudget;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 };
@@ -40,23 +49,31 @@
 /** The answer to a statement or commit of a transaction that was rolled back because this host is stopping. */
 const transactionEndedAnswer: JobAnswer = {kind: 'notSent', reason: 'the gateway is stopping'};
 
+/** The answer to a job whose statement is too large for the memory that is left. */
+const noMemoryAnswer: JobAnswer = {kind: 'notSent', reason: 'the gateway has no memory for another large statement now'};
+
 /**
  * Creates the gateway of a host.
  *
  * A message between hosts may be delayed until after the caller's key or permission was revoked. The gateway therefore
- * checks the caller's access again, against its own copy of the configuration, before it sends anything to the instance.
+ * checks the caller's access and the allowed regions again, against its own copy of the configuration, before it sends anything to the instance.
  */
-export function createGateway({findInstance, findAccess, now}: Options): Gateway {
+export function createGateway({
+	findInstance, findAccess, regions, statementBudget, now,
+}: Options): Gateway {
 	let running = 0;
 	/** Open transactions by number. */
 	const transactions = new Map<number, GatewayTransaction>();
 	let isClosed = false;
 	let areTransactionsEnded = false;
 
-	/** Whether the caller of a job still has access in the name of the job's workspace. A public route is open to every workspace. */
-	const hasAccess = ({caller, workspace}: {readonly caller: Caller; readonly workspace: string}) => {
+	/**
+	 * Whether the caller of a job still has access in the name of the job's workspace, and to instances of a zone. A public
+	 * route is open to every workspace.
+	 */
+	const hasAccess = ({caller, workspace}: {readonly caller: Caller; readonly workspace: string}, zone: string) => {
 		const access = findAccess(caller);
-		return access.kind === 'allowed' && (access.route.isPublic || access.workspace === workspace);
+		return access.kind === 'allowed' && (access.route.isPublic || access.workspace === workspace) && isZoneAllowed(zone, {allowed: access.allowedRegions, regions});
 	};
 
 	/** Drops transactions that the runtime has rolled back because their sessions sent nothing any more. */
@@ -99,7 +116,9 @@
 		running++;
 		recordStart(job);
 		try {
-			answer = await instance.runLocally(job, () => 'caller' in job && hasAccess(job));
+			const maySend = () => 'caller' in job && hasAccess(job, instance.listed().zone) && (job.kind === 'single' || !areTransactionsEnded);
+			// A job with a setup sends the session's values before the statement, and so is not begun without access.
+			answer = 'setup' in job && !maySend() ? notSentAnswer : await instance.runLocally(job, maySend);
 			return answer;
 		} finally {
 			recordEnd(instance, job, answer);
@@ -133,7 +152,11 @@
 			}
 
 			const instance = findInstance(group, id);
-			return instance === undefined ? 'notServed' : run(instance, job);
+			if (instance === undefined) {
+				return 'notServed';
+			}
+
+			return await runWithinBudget(async () => run(instance, job), {budget: statementBudget, bytes: findJobBytes(job)}) ?? noMemoryAnswer;
 		},
 		close() {
 			isClosed = true;
--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -1,15 +1,20 @@
 import type {LogPoint} from '@sapphirefall/decisions';
 import {chooseInstances} from './choose-instances.ts';
+import type {ColdInstances} from './cold-instances/cold-instances.ts';
 import {createInstanceRuntime} from './create-instance-runtime.ts';
+import type {Evacuations} from './evacuation/evacuations.ts';
+import {isJobAllowed} from './evacuation/is-job-allowed.ts';
 import type {Gateways} from './gateways.ts';
 import type {GroupRow} from './group-row.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import {isProven} from './is-proven.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {OpenConnection} from './open-connection.ts';
+import {createPaceLog} from './pace/create-pace-log.ts';
 import {rankReaders} from './rank-readers.ts';
 import type {ReadCandidate} from './read-candidate.ts';
 import type {SessionLog} from './session-log.ts';
+import type {EndedWait} from './waiting/ended-wait.ts';
 
 type Options = {
 	/** Name of the group. */
@@ -18,11 +23,17 @@
 	readonly zone: string;
 	readonly openConnection: OpenConnection;
 	readonly gateways: Gateways;
+	/** Finds how the instances of a zone may be used. Defaults to open zones. */
+	readonly findZonePhase?: Evacuations['findPhase'] | undefined;
+	/** How cold instances are spared; undefined if they are not. */
+	readonly coldInstances?: ColdInstances | undefined;
 	/** Returns the store's row about the primary; undefined if it is not known. */
 	readonly findRow: () => Pick<GroupRow, 'primary' | 'successor'> | undefined;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
-	readonly log: Pick<SessionLog, 'warn'>;
+	readonly log: Pick<SessionLog, 'info' | 'warn'>;
+	/** Called when a request no longer waits for a place or a connection of this host. */
+	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
 /** The instances of a group, as this host uses them. */
@@ -36,8 +47,8 @@
 	/** Lists the instances in use. */
 	readonly list: () => readonly InstanceRuntime[];
 	/** Lists the instances that may serve a read, best first; `required` is the position that their logs must have reached. */
-	readonly listReaders: (required: LogPoint) => readonly InstanceRuntime[];
-	/** Drops instances that stay unlisted, except the primary, and those that are too many, and closes surplus connections. */
+	readonly listReaders: (required: LogPoint, mayUseZone?: (zone: string) => boolean) => readonly InstanceRuntime[];
+	/** Drops instances that stay unlisted, except the primary, and those that are too many, ends transactions in evacuated zones, and closes surplus connections. */
 	readonly step: () => void;
 };
 
@@ -58,7 +69,7 @@
 
 /** Creates the instances of a group; there are none until the platform lists them. */
 export function createGroupInstances({
-	group, zone, openConnection, gateways, findRow, now, log,
+	group, zone, openConnection, gateways, findZonePhase = () => 'open', coldInstances, findRow, now, log, onWaitEnded,
 }: Options): GroupInstances {
 	/** All instances that the platform lists, by id. */
 	let listed: ReadonlyMap<string, ListedInstance> = new Map();
@@ -78,8 +89,17 @@
 			return instances.get(id);
 		}
 
-		const instance = createInstanceRuntime(entry, {
-			openConnection, gateways, limit: connectionLimit, now,
+		const instance: InstanceRuntime = createInstanceRuntime(entry, {
+			openConnection,
+			gateways,
+			coldInstances,
+			limit: connectionLimit,
+			mayRun: kind => isJobAllowed(kind, {phase: findZonePhase(instance.listed().zone), isPrimary: findRow()?.primary === id}),
+			onPaceChanged: createPaceLog({
+				group, instance: id, now, log,
+			}),
+			now,
+			onWaitEnded,
 		});
 		instances.set(id, instance);
 		return instance;
@@ -146,15 +166,26 @@
 		}
 	};
 
+	/** Ends the transactions at instances of evacuated zones, as soon as they run no statement. */
+	const endTransactions = () => {
+		for (const instance of instances.values()) {
+			const phase = findZonePhase(instance.listed().zone);
+			if (phase === 'ending' || phase === 'closed') {
+				instance.endIdleTransactions(phase === 'ending');
+			}
+		}
+	};
+
 	const createCandidate = (instance: InstanceRuntime): ReadCandidate => {
-		const {busy, waiting, limit} = instance.pool.readLoad();
+		const {inProgress, waiting, limit} = instance.pace.readLoad();
 		const {id, zone: instanceZone} = instance.listed();
 		return {
 			id,
 			isSameZone: instanceZone === zone,
 			isPrimary: id === findRow()?.primary,
+			isCold: instance.isCold(),
 			health: instance.health(),
-			load: (busy + waiting) / Math.max(1, limit),
+			load: (inProgress + waiting) / limit,
 		};
 	};
 
@@ -177,9 +208,12 @@
 		missingSince: id => missing.get(id),
 		find,
 		list: () => [...instances.values()],
-		listReaders(required) {
+		listReaders(required, mayUseZone = () => true) {
 			const candidates = [...instances.values()]
-				.filter(instance => !instance.listed().isDeparting)
+				.filter(instance => {
+					const {isDeparting, zone: instanceZone} = instance.listed();
+					return !isDeparting && findZonePhase(instanceZone) === 'open' && mayUseZone(instanceZone);
+				})
 				.map(instance => createCandidate(instance));
 			const ranked = rankReaders(candidates, {required, isTrialDue: now() - triedAt >= trialIntervalMs, now: now()});
 			const [first] = ranked;
@@ -197,6 +231,7 @@
 				useChosen();
 			}
 
+			endTransactions();
 			closeNonGatewayConnections();
 		},
 	};
--- a/packages/sessions/create-transaction-runner.ts
+++ b/packages/sessions/create-transaction-runner.ts
@@ -1,19 +1,33 @@
 import {addSpans} from './add-spans.ts';
 import {applySetup} from './apply-setup.ts';
+import {admitJob} from './cold-instances/admit-job.ts';
+import type {InstanceAdmission} from './cold-instances/instance-admission.ts';
 import {createJobTimer} from './create-job-timer.ts';
 import {createLocalTransactions} from './create-local-transactions.ts';
+import {createNotEnteredAnswer} from './create-not-entered-answer.ts';
 import type {InstancePool} from './pools/instance-pool.ts';
+import type {InstanceAnswer} from './instance-answer.ts';
+import type {InstanceRequest} from './instance-request.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import {isClean} from './is-clean.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
 import {notSentAnswer} from './not-sent-answer.ts';
+import {createAcquireRequest} from './pace/create-acquire-request.ts';
+import {createEnterRequest} from './pace/create-enter-request.ts';
+import type {EnteringRequest} from './pace/entering-request.ts';
+import {findPaceObservation} from './pace/find-pace-observation.ts';
+import type {StatementGate} from './pace/statement-gate.ts';
 import {runQuery} from './run-query.ts';
+import type {PooledConnection} from './pools/pooled-connection.ts';
 import {takeConnection} from './pools/take-connection.ts';
 
 type Options = {
 	readonly pool: InstancePool;
+	readonly gate: StatementGate;
 	readonly send: InstanceRuntime['send'];
+	/** Admits statements while the instance is cold. */
+	readonly admission: InstanceAdmission;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 };
@@ -27,6 +41,22 @@
 	readonly runWithin: (job: JobOf<'within'>, maySend: () => boolean) => Promise<JobAnswer>;
 	readonly commit: (job: JobOf<'commit'>, maySend: () => boolean) => Promise<JobAnswer>;
 	readonly rollBack: (transaction: number) => Promise<JobAnswer>;
+	/** Ends the transactions that run no job: rolls them back, or closes their connections if nothing may be sent. */
+	readonly endIdle: (maySend: boolean) => void;
+};
+
+type EndOptions = {
+	readonly request: InstanceRequest;
+	/** Milliseconds to wait for the answer. */
+	readonly timeout: number;
+};
+
+type BeginOptions = {
+	readonly request: EnteringRequest;
+	readonly timer: ReturnType<typeof createJobTimer>;
+	readonly maySend: () => boolean;
+	/** Records that the transaction has ended. */
+	readonly endTransaction: () => void;
 };
 
 /** Time within which an instance must answer each request that sets up and begins a transaction. */
@@ -35,40 +65,129 @@
 /** Time within which an instance must answer a rollback before the connection is closed instead. */
 const rollbackTimeoutMs = 500;
 
+/**
+ * Longest wait of a statement of a transaction for a permit to a cold instance. It waits, since the transaction would be lost
+ * with it; a transaction that has not begun can begin elsewhere.
+ */
+const permitWaitMs = 1000;
+
 /** Answer to a job of a transaction that has ended. */
 const notOpenAnswer: JobAnswer = {kind: 'notSent', reason: 'the transaction is not open any more'};
 
 /** Creates what runs the jobs of transactions; one that is idle for too long is rolled back. */
-export function createTransactionRunner({pool, send, now}: Options): TransactionRunner {
+export function createTransactionRunner({
+	pool, gate, send, admission, now,
+}: Options): TransactionRunner {
 	const transactions = createLocalTransactions(transaction => {
 		void rollBack(transaction);
 	});
+	/** What to call when the transaction on a connection has ended. */
+	const endings = new WeakMap<PooledConnection, () => void>();
+
+	/** Ends the transactions whose connections were lost while they were idle; the instance has rolled them back. */
+	const endLost = () => {
+		for (const transaction of transactions.listLost()) {
+			const pooled = transactions.take(transaction);
+			if (pooled !== undefined) {
+				end(pooled, false);
+			}
+		}
+	};
 
 	const begin: TransactionRunner['begin'] = async (job, maySend) => {
-		const deadline = now() + job.timeout;
+		endLost();
 		const timer = createJobTimer(now);
-		const pooled = await takeConnection(pool, {request: job, timer});
+		const request = createEnterRequest(job, now());
+		const entered = await gate.enter(request);
+		if (entered.kind !== 'entered') {
+			return createNotEnteredAnswer(entered);
+		}
+
+		const {place, endTransaction} = entered;
+		let hasBegun = false;
+		try {
+			const answer = await beginOnConnection(job, {
+				request, timer, maySend, endTransaction,
+			});
+			hasBegun = answer.kind === 'answered' && answer.transaction !== undefined;
+			// A transaction that begins takes no execution slot, so its answer does not tell how fast the instance runs statements.
+			place.leave(hasBegun ? {kind: 'neutral'} : findPaceObservation(answer, undefined));
+			return answer;
+		} finally {
+			// Gives the place back after an exception as well.
+			place.leave({kind: 'neutral'});
+			if (!hasBegun) {
+				endTransaction();
+			}
+		}
+	};
+
+	const beginOnConnection = async (job: JobOf<'begin'>, options: BeginOptions): Promise<JobAnswer> => {
+		const {request, timer, endTransaction} = options;
+		const pooled = await takeConnection(pool, {request: createAcquireRequest(request, now()), timer});
 		if ('kind' in pooled) {
 			return pooled;
 		}
 
-		const {setup, isReadOnly, after, idleLimit} = job;
+		let hasBegun = false;
+		let isReusable = false;
+		try {
+			const answer = await sendBegin(pooled, job, options);
+			if (answer.kind !== 'answered' || answer.outcome.kind !== 'done' || answer.state !== 'open') {
+				isReusable = isClean(answer, pooled);
+				return answer;
+			}
+
+			hasBegun = true;
+			endings.set(pooled, endTransaction);
+			return {...answer, transaction: transactions.add(pooled, job.idleLimit), spans: timer.finish()};
+		} finally {
+			if (!hasBegun) {
+				pool.release(pooled, isReusable);
+			}
+		}
+	};
+
+	/** Sends the session's values and the beginning of a transaction. */
+	const sendBegin = async (pooled: PooledConnection, {setup, isReadOnly, after}: JobOf<'begin'>, {request: {deadline}, timer, maySend}: BeginOptions): Promise<JobAnswer> => {
+		const admitted = await admitJob(admission, {maxWaitMs: 0, maySend});
+		if (typeof admitted !== 'function') {
+			return admitted;
+		}
+
 		const isReady = await applySetup(pooled, {
 			setup, prepared: undefined, isInTransaction: false, send: async request => send(pooled, request, beginTimeoutMs),
 		});
-		if (!isReady || !maySend() || now() >= deadline) {
-			pool.release(pooled, isReady);
-			return isReady ? notSentAnswer : {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
+		if (!isReady) {
+			pooled.connection.close();
+			return {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
+		}
+
+		if (!maySend() || now() >= deadline || !admitted()) {
+			return notSentAnswer;
 		}
 
 		timer.recordSent();
-		const answer = await send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeoutMs, deadline - now())));
-		if (answer.kind !== 'answered' || answer.outcome.kind !== 'done' || answer.state !== 'open') {
-			pool.release(pooled, isClean(answer, pooled));
+		return send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeoutMs, deadline - now())));
+	};
+
+	/** Gives back the connection of a transaction that has ended. */
+	const end = (pooled: PooledConnection, isReusable: boolean) => {
+		pool.release(pooled, isReusable);
+		endings.get(pooled)?.();
+		endings.delete(pooled);
+	};
+
+	/** Sends the request that ends a transaction, and gives back its connection, also after an exception. */
+	const sendEnd = async (pooled: PooledConnection, {request, timeout}: EndOptions): Promise<InstanceAnswer> => {
+		let isReusable = false;
+		try {
+			const answer = await send(pooled, request, timeout);
+			isReusable = isClean(answer, pooled);
 			return answer;
+		} finally {
+			end(pooled, isReusable);
 		}
-
-		return {...answer, transaction: transactions.add(pooled, idleLimit), spans: timer.finish()};
 	};
 
 	const runWithin: TransactionRunner['runWithin'] = async ({transaction, setup, query, timeout}, maySend) => {
@@ -77,27 +196,48 @@
 			return notOpenAnswer;
 		}
 
+		const deadline = now() + timeout;
 		const timer = createJobTimer(now);
-		const answer = await runQuery(pooled, {
-			send,
-			setup,
-			query,
-			after: undefined,
-			isInTransaction: true,
-			timeout,
-			maySend() {
-				timer.recordSent();
-				return maySend() && transactions.isOpen(transaction);
-			},
-		});
-		transactions.release(transaction);
-		return addSpans(answer, timer);
+		const place = await gate.enterWithin();
+		if (!transactions.isOpen(transaction)) {
+			place.leave({kind: 'neutral'});
+			return notOpenAnswer;
+		}
+
+		timer.recordAcquired(0);
+		try {
+			const admitted = await admitJob(admission, {
+				maxWaitMs: Math.min(permitWaitMs, timeout), maySend: () => maySend() && transactions.isOpen(transaction),
+			});
+			if (typeof admitted !== 'function') {
+				return admitted;
+			}
+
+			const answer = await runQuery(pooled, {
+				send,
+				setup,
+				query,
+				after: undefined,
+				isInTransaction: true,
+				timeout: Math.max(1, deadline - now()),
+				maySend() {
+					timer.recordSent();
+					return maySend() && transactions.isOpen(transaction) && now() < deadline && admitted();
+				},
+			});
+			place.leave(findPaceObservation(answer, timer.finish().instance));
+			return addSpans(answer, timer);
+		} finally {
+			transactions.release(transaction);
+			place.leave({kind: 'neutral'});
+		}
 	};
 
 	const commit: TransactionRunner['commit'] = async ({transaction, id, text, timeout}, maySend) => {
-		if (!maySend()) {
+		const admitted = await admitJob(admission, {maxWaitMs: Math.min(permitWaitMs, timeout), maySend});
+		if (typeof admitted !== 'function' || !maySend() || !admitted()) {
 			await rollBack(transaction);
-			return notSentAnswer;
+			return typeof admitted === 'function' ? notSentAnswer : admitted;
 		}
 
 		const pooled = transactions.take(transaction);
@@ -107,9 +247,14 @@
 
 		const timer = createJobTimer(now);
 		timer.recordSent();
-		const answer = await send(pooled, {kind: 'forward', id, text}, timeout);
-		pool.release(pooled, isClean(answer, pooled));
-		return addSpans(answer, timer);
+		const place = gate.enterCommit();
+		try {
+			const answer = await sendEnd(pooled, {request: {kind: 'forward', id, text}, timeout});
+			place.leave(findPaceObservation(answer, undefined));
+			return addSpans(answer, timer);
+		} finally {
+			place.leave({kind: 'neutral'});
+		}
 	};
 
 	const rollBack: TransactionRunner['rollBack'] = async transaction => {
@@ -118,12 +263,23 @@
 			return notOpenAnswer;
 		}
 
-		const answer = await send(pooled, {kind: 'rollback'}, rollbackTimeoutMs);
-		pool.release(pooled, isClean(answer, pooled));
-		return answer;
+		return sendEnd(pooled, {request: {kind: 'rollback'}, timeout: rollbackTimeoutMs});
 	};
 
 	return {
-		begin, runWithin, commit, rollBack,
+		begin,
+		runWithin,
+		commit,
+		rollBack,
+		endIdle(maySend) {
+			for (const transaction of transactions.listIdle()) {
+				const pooled = maySend ? undefined : transactions.take(transaction);
+				if (pooled === undefined) {
+					void rollBack(transaction);
+				} else {
+					end(pooled, false);
+				}
+			}
+		},
 	};
 }
--- a/packages/sessions/gateways.ts
+++ b/packages/sessions/gateways.ts
@@ -1,11 +1,14 @@
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
 import type {ListedInstance} from './listed-instance.ts';
+import type {AllowedRegions} from './regions/allowed-regions.ts';
 
 /** The gateways of instances, as this host uses them. */
 export type Gateways = {
 	/** Lists the hosts through which work of a workspace may reach an instance, best first; see `rankGateways`. */
 	readonly list: (instance: ListedInstance, workspace: string | undefined) => readonly string[];
+	/** Returns the present number of gateways of each instance; see `findGatewayCount`. */
+	readonly count: () => number;
 	/** Name of this host. */
 	readonly self: string;
 	/**
@@ -18,6 +21,8 @@
 	 * retried elsewhere.
 	 */
 	readonly isAnswering: (host: string, work: {readonly isRetryable: boolean}) => Promise<boolean>;
+	/** Whether a host may receive the text of statements that are restricted to regions; see `isHostAllowed`. */
+	readonly mayReceive: (host: string, allowed: AllowedRegions) => boolean;
 	/** Pings the gateways in an instance's own zone that have not answered lately, all at once. */
 	readonly probe: (instance: ListedInstance) => void;
 	/**
--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -1,9 +1,17 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {OpenConnectionOutcome} from '../open-connection-outcome.ts';
+import {
+	createServiceTimer, createWaitingQueue, type EndedWait, type WaitingRequest,
+} from '../waiting/mod.ts';
 import type {AcquireOutcome} from './acquire-outcome.ts';
-import {createWaitingQueue} from './create-waiting-queue.ts';
+import type {AcquireRequest} from './acquire-request.ts';
+import {chooseEviction} from './choose-eviction.ts';
+import type {ConnectionRefusal} from './connection-refusal.ts';
+import {createWorkspaceDemand} from './create-workspace-demand.ts';
+import {findAllowedConnections} from './find-allowed-connections.ts';
 import type {InstancePool} from './instance-pool.ts';
 import type {PooledConnection} from './pooled-connection.ts';
-import type {WaitingRequest} from './waiting-request.ts';
+import {riseIntervalMs} from './rise-interval-ms.ts';
 
 type Options = {
 	/** Opens a connection for a workspace. */
@@ -12,25 +20,49 @@
 	readonly limit: number;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
+	/** Called when a request no longer waits for a connection. */
+	readonly onWaitEnded?: ((wait: EndedWait) => void) | undefined;
 };
 
+/** For whom a connection is taken. */
+type Taker = Pick<AcquireRequest, 'workspace' | 'priority'>;
+
+/** Milliseconds within which an attempt to connect that ends without an answer was reset, and not given up. */
+const resetLimitMs = 200;
+
+/** Milliseconds after a reset in which the other connections break as well if the instance is lost. */
+const lossDelayMs = 10;
+
 /** A request that waits for a connection. */
 type Waiter = WaitingRequest & {
-	readonly resolve: (outcome: AcquireOutcome) => void;
+	/** Ends the wait with a connection, or with the cause of a refusal. */
+	readonly end: (outcome: AcquireOutcome, cause?: 'expired' | 'overdue') => void;
 };
 
 /**
  * Creates the pool of connections to an instance.
  *
- * A connection belongs to one workspace. At the limit, the connection that has been idle for longest is closed to make
- * room for a new one. Requests wait in the order of `createWaitingQueue`.
+ * A connection belongs to one workspace. At the limit, an idle connection is closed to make room for a new one; see
+ * `chooseEviction`. The limit falls when the instance refuses a connection because it has too many; see
+ * `findAllowedConnections`. Requests wait in the order of `createWaitingQueue`.
  */
 export function createInstancePool(options: Options): InstancePool {
 	const connections = new Set<PooledConnection>();
-	const queue = createWaitingQueue<Waiter>();
+	const serviceTimer = createServiceTimer(options.now);
+	const demand = createWorkspaceDemand();
 	let {limit} = options;
+	let refusal: ConnectionRefusal | undefined;
+	const queue = createWaitingQueue<Waiter>({
+		// After the limit was lowered, the connections that are left over still serve requests.
+		findPace: () => ({...serviceTimer.findPace(), limit: Math.max(findAllowed(), connections.size)}),
+		onRefused(waiter, {cause, ...room}) {
+			waiter.end({kind: 'busy', ...room}, cause);
+		},
+		jitter: Math.random,
+	});
 	let opening = 0;
 	let isClosed = false;
+	let riseTimer: NodeJS.Timeout | undefined;
 
 	const closeConnection = (pooled: PooledConnection) => {
 		connections.delete(pooled);
@@ -48,18 +80,22 @@
 		return [...connections].filter(({isBusy}) => !isBusy).toSorted((a, b) => a.idleSince - b.idleSince);
 	};
 
+	const findAllowed = () => findAllowedConnections(refusal, {limit, now: options.now()});
+
+	const hasRoom = () => connections.size + opening < findAllowed();
+
 	/** Closes an idle connection if the limit is reached; returns whether another may be opened. */
 	const makeRoom = (): boolean => {
-		if (connections.size + opening < limit) {
+		if (hasRoom()) {
 			return true;
 		}
 
-		const [oldest] = listIdle();
-		if (oldest !== undefined) {
-			closeConnection(oldest);
+		const evicted = chooseEviction(listIdle(), workspace => demand.findRecent(workspace, options.now()));
+		if (evicted !== undefined) {
+			closeConnection(evicted);
 		}
 
-		return connections.size + opening < limit;
+		return hasRoom();
 	};
 
 	/** Opens a connection; an exception counts as an instance that did not answer, so that the waiter is answered. */
@@ -75,25 +111,62 @@
 		}
 	};
 
-	const open = async (workspace: string): Promise<AcquireOutcome> => {
+	const countOpen = () => [...connections].filter(({connection}) => !connection.isClosed()).length;
+
+	/** Whether an attempt was reset while other connections stayed open, so that the instance is there and has too many. */
+	const isResetAlone = async (startedAt: number): Promise<boolean> => {
+		if (countOpen() === 0 || options.now() - startedAt >= resetLimitMs) {
+			return false;
+		}
+
+		await sleep(lossDelayMs);
+		return countOpen() > 0;
+	};
+
+	/** Has requests that wait served when a further connection is allowed, as none may be given back until then. */
+	const watchAllowance = () => {
+		if (riseTimer === undefined && queue.count() > 0 && findAllowed() < limit) {
+			riseTimer = setTimeout(() => {
+				riseTimer = undefined;
+				serveNext();
+				watchAllowance();
+			}, riseIntervalMs);
+		}
+	};
+
+	const fail = async (outcome: Exclude<OpenConnectionOutcome, {readonly kind: 'opened'}>, startedAt: number): Promise<AcquireOutcome> => {
+		const isFull = outcome.kind === 'unanswered'
+			? await isResetAlone(startedAt)
+			: outcome.kind === 'refused' && outcome.code === 'tooManyConnections';
+		if (isFull) {
+			refusal = {held: countOpen(), at: options.now()};
+			watchAllowance();
+		}
+
+		serveNext();
+		return {kind: isFull || (outcome.kind === 'refused' && outcome.code !== 'moved') ? 'busy' : 'unreachable'};
+	};
+
+	const open = async ({workspace, priority}: Taker): Promise<AcquireOutcome> => {
 		const startedAt = options.now();
 		const outcome = await tryOpen(workspace);
 		if (outcome.kind !== 'opened') {
-			serveNext();
-			return {kind: outcome.kind === 'refused' && outcome.code !== 'moved' ? 'busy' : 'unreachable'};
+			return fail(outcome, startedAt);
 		}
 
 		const pooled: PooledConnection = {
 			connection: outcome.connection, workspace, variables: new Map(), prepared: new Map(), isBusy: true, idleSince: 0,
 		};
 		connections.add(pooled);
+		serviceTimer.begin(pooled, priority);
 		return {kind: 'acquired', connection: pooled, openMs: options.now() - startedAt};
 	};
 
-	const take = (workspace: string): PooledConnection | undefined => {
+	const take = ({workspace, priority}: Taker): PooledConnection | undefined => {
 		const pooled = listIdle().findLast(idle => idle.workspace === workspace);
 		if (pooled !== undefined) {
 			pooled.isBusy = true;
+			serviceTimer.begin(pooled, priority);
 		}
 
 		return pooled;
@@ -101,7 +174,7 @@
 
 	/** Serves waiters, next first, while the pool has an idle connection or room for a new one. */
 	const serveNext = () => {
-		while (connections.size + opening < limit || listIdle().length > 0) {
+		while (hasRoom() || listIdle().length > 0) {
 			const waiter = queue.take(options.now());
 			if (waiter === undefined) {
 				return;
@@ -112,51 +185,57 @@
 	};
 
 	const serve = async (waiter: Waiter) => {
-		const pooled = take(waiter.workspace);
+		const pooled = take(waiter);
 		if (pooled === undefined) {
 			makeRoom();
-			waiter.resolve(await open(waiter.workspace));
+			waiter.end(await open(waiter));
 		} else {
-			waiter.resolve({kind: 'acquired', connection: pooled, openMs: 0});
+			waiter.end({kind: 'acquired', connection: pooled, openMs: 0});
 		}
 	};
 
-	/** Waits for a connection; resolves to `busy` after `timeout` milliseconds. */
-	const wait = async (workspace: string, priority: number, timeout: number) => new Promise<AcquireOutcome>(resolve => {
-		const timer = setTimeout(() => {
-			if (queue.remove(waiter)) {
-				resolve({kind: 'busy'});
-			}
+	/** Waits for a connection; resolves to `busy` after `timeout` milliseconds, or earlier if it cannot be served in time. */
+	const wait = async ({workspace, priority, timeout, targetLatency}: AcquireRequest) => new Promise<AcquireOutcome>(resolve => {
+		const since = options.now();
+		const waitTimer = setTimeout(() => {
+			queue.expire(waiter, options.now());
 		}, timeout);
 		const waiter: Waiter = {
 			workspace,
 			priority,
-			deadline: options.now() + timeout,
-			resolve(outcome) {
-				clearTimeout(timer);
+			since,
+			deadline: since + timeout,
+			target: targetLatency === undefined ? undefined : since + targetLatency,
+			end(outcome, cause) {
+				clearTimeout(waitTimer);
+				options.onWaitEnded?.({outcome: cause ?? 'served', priority, waitedMs: options.now() - since});
 				resolve(outcome);
 			},
 		};
 		queue.add(waiter);
+		watchAllowance();
 	});
 
 	return {
-		async acquire({workspace, priority, timeout}) {
-			const idle = queue.count() === 0 ? take(workspace) : undefined;
+		async acquire(request) {
+			demand.record(request.workspace, options.now());
+			const idle = queue.count() === 0 ? take(request) : undefined;
 			if (idle !== undefined) {
 				return {kind: 'acquired', connection: idle, openMs: 0};
 			}
 
 			if (queue.count() === 0 && makeRoom()) {
-				return open(workspace);
+				return open(request);
 			}
 
-			return timeout > 0 ? wait(workspace, priority, timeout) : {kind: 'busy'};
+			// Without a connection that could become idle, waiting is of no use.
+			return request.timeout > 0 && connections.size + opening > 0 ? wait(request) : {kind: 'busy'};
 		},
 		release(pooled, isClean) {
 			pooled.isBusy = false;
 			pooled.idleSince = options.now();
-			if (!isClean || isClosed || connections.size > limit || pooled.connection.isClosed()) {
+			serviceTimer.end(pooled);
+			if (!isClean || isClosed || connections.size > findAllowed() || pooled.connection.isClosed()) {
 				closeConnection(pooled);
 			}
 
@@ -173,9 +252,10 @@
 		readLoad() {
 			const idle = listIdle().length;
 			return {
-				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit,
+				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit: findAllowed(),
 			};
 		},
+		listIdleWorkspaces: () => new Set(listIdle().map(({workspace}) => workspace)),
 		closeIdle(before) {
 			for (const pooled of listIdle()) {
 				if (pooled.idleSince < before) {
@@ -183,6 +263,7 @@
 				}
 			}
 		},
+		findLimit: findAllowed,
 		setLimit(newLimit) {
 			limit = newLimit;
 		},
--- a/packages/sessions/rank-readers.ts
+++ b/packages/sessions/rank-readers.ts
@@ -17,6 +17,9 @@
 /** Milliseconds added for the primary, to keep its capacity for writes. */
 const primaryPenaltyMs = 30;
 
+/** Milliseconds added for a cold instance, which is slow and gets few statements. */
+const coldPenaltyMs = 100;
+
 /** Milliseconds after a lag report during which the instance is assumed to lag still. */
 const lagRetentionMs = 150;
 
@@ -38,7 +41,7 @@
 /**
  * Ranks the instances that may serve a read by their cost, lowest first.
  *
- * The cost in milliseconds is the smoothed latency, scaled by the load of the connection pool, plus penalties. The platform may
+ * The cost in milliseconds is the smoothed latency, scaled by the load of the instance at this host, plus penalties. The platform may
  * list any number of instances that do not answer, so one that is not known to answer costs more than the others, except for
  * one when a trial is due: the first one that was never tried, whatever its cost, else the best one of those that have failed.
  *
@@ -68,10 +71,13 @@
 	return ranked.toSorted((a, b) => a.costMs - b.costMs);
 }
 
-function findCostMs({isSameZone, isPrimary, health, load}: ReadCandidate, {required, now}: Options): number {
+function findCostMs({
+	isSameZone, isPrimary, isCold = false, health, load,
+}: ReadCandidate, {required, now}: Options): number {
 	let costMs = health.latency * (1 + load);
 	costMs += isSameZone ? 0 : remoteZonePenaltyMs;
 	costMs += isPrimary ? primaryPenaltyMs : 0;
+	costMs += isCold ? coldPenaltyMs : 0;
 	costMs += health.avoidedUntil > now ? avoidedPenaltyMs : 0;
 	costMs += health.unansweredSince !== undefined && now - health.unansweredSince > silenceLimitMs ? silentPenaltyMs : 0;
 	costMs += isLikelyLagging(health, required, now) ? laggingPenaltyMs : 0;
--- /dev/null
+++ b/packages/sessions/regions/region-map.ts
@@ -0,0 +1,5 @@
+/** The regions of the deployment, from the settings of this host. */
+export type RegionMap = {
+	/** Regions by availability zone. */
+	readonly byZone: ReadonlyMap<string, string>;
+};
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -1,5 +1,9 @@
 import type {Caller} from './caller.ts';
+import type {ColdInstances} from './cold-instances/cold-instances.ts';
+import {createPermitKey} from './cold-instances/create-permit-key.ts';
+import {isPermitValid} from './cold-instances/is-permit-valid.ts';
 import {createByteBudget} from './create-byte-budget.ts';
+import {createEvacuations} from './evacuation/create-evacuations.ts';
 import {createFleetController} from './create-fleet-controller.ts';
 import {createGateway} from './create-gateway.ts';
 import {createGateways} from './create-gateways.ts';
@@ -14,6 +18,7 @@
 import {findAccess} from './find-access.ts';
 import {findConnectionLimit} from './pools/find-connection-limit.ts';
 import {findElapsed} from './find-elapsed.ts';
+import {findUnrestrictedWorkspace} from './regions/find-unrestricted-workspace.ts';
 import {findGatewayCount} from './find-gateway-count.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {HostProfile} from './host-profile.ts';
@@ -30,6 +35,7 @@
 import type {SessionLog} from './session-log.ts';
 import type {Store} from './store.ts';
 import type {StoreTable} from './store-table.ts';
+import type {EndedWait} from './waiting/ended-wait.ts';
 
 type Options = {
 	readonly profile: HostProfile;
@@ -40,12 +46,22 @@
 	readonly createPeer: (address: string) => FleetPeer;
 	readonly decodeConfiguration: (text: string) => SessionConfiguration;
 	readonly decodeInstance: (id: string, text: string) => ListedInstance | undefined;
+	/** Finds the zone that a row of the operators evacuates, by its key; undefined if it evacuates none. */
+	readonly decodeEvacuatedZone: (key: string) => string | undefined;
+	/** Called with the number of evacuated zones when it changes. */
+	readonly onEvacuatedZoneCount: (count: number) => void;
 	readonly now: () => Instant;
 	readonly memoryLimits: MemoryLimits;
 	/** When this process started, in milliseconds of the steady clock. */
 	readonly startedAt: number;
 	readonly log: SessionLog;
+	/** Log of the lines that callers cause, which has a limit of its own. */
+	readonly sessionLog: SessionLog;
 	readonly onAnswered: SessionContext['onAnswered'];
+	readonly onColdRefused: ColdInstances['onRefused'];
+	readonly onRegionRefused: SessionContext['onRegionRefused'];
+	/** Called when a request no longer waits for a connection of this host. */
+	readonly onWaitEnded: (wait: EndedWait) => void;
 	/** Called with the number of open sessions when it changes. */
 	readonly onSessionCount: (count: number) => void;
 	/** Ends the server of other hosts' calls within a time in milliseconds, without losing calls. */
@@ -68,9 +84,24 @@
 		name: profile.name, zone: profile.zone, address: `${profile.listen.hosts.host}:${profile.listen.hosts.port}`, incarnation: Math.trunc(now().wall), leaseMs: leaseDurationMs,
 	};
 
+	const evacuations = createEvacuations({
+		limitMs: profile.evacuationLimitMs,
+		listInstances: () => groups.listGroups().flatMap(group => group.listInstances()),
+		onReturned(instance) {
+			const {id, zone} = instance.listed();
+			log.debug({id, zone}, 'evacuation: The host may use the instance again.');
+			instance.pace.restart();
+		},
+		onCount: options.onEvacuatedZoneCount,
+		now,
+		log,
+	});
+
 	const storeCache = createStoreCache({
 		decodeConfiguration: options.decodeConfiguration,
 		decodeInstance: options.decodeInstance,
+		decodeEvacuatedZone: options.decodeEvacuatedZone,
+		onEvacuations: evacuations.update,
 		onFleet(fleet) {
 			fleetController.updateFleet(fleet);
 			rateLimiter.updateFleet(fleet);
@@ -78,7 +109,10 @@
 		log,
 	});
 	const {findConfiguration, findFleet, listInstances, findConfirmedAt} = storeCache;
-	const findWorkspace = () => findConfiguration()?.configuration.limits.keys().next().value;
+	const findWorkspace = () => {
+		const cached = findConfiguration();
+		return cached && findUnrestrictedWorkspace(cached.configuration);
+	};
 
 	const findPeer = createPeerFinder({findAddress: name => findFleet()?.hosts.get(name)?.address, createPeer: options.createPeer});
 
@@ -93,6 +127,7 @@
 			const configuration = findConfiguration()?.configuration;
 			return findConnectionLimit(configuration?.connectionLimits.get(group) ?? 0, countGateways()) >= (configuration?.limits.size ?? Number.POSITIVE_INFINITY);
 		},
+		regions: profile.regions,
 		now: () => now().steady,
 	});
 
@@ -102,6 +137,7 @@
 		gateways,
 		listGroups: () => groups.listGroups(),
 		listInstances,
+		isEvacuated: evacuations.isEvacuated,
 		isListFresh() {
 			const confirmedAt = findConfirmedAt('instances');
 			return confirmedAt !== undefined && findElapsed(confirmedAt, now()) < maxInstanceListAgeMs;
@@ -120,6 +156,7 @@
 		startedAt: options.startedAt,
 		bound: profile.rateBound,
 		findLimits: () => findConfiguration()?.configuration.limits ?? new Map(),
+		warmup: {findLimits: () => findConfiguration()?.configuration.warmupLimits ?? new Map(), bound: profile.warmupBound},
 		findPeer,
 		findFleetConfirmedAt: () => findConfirmedAt('fleet'),
 		store,
@@ -127,10 +164,25 @@
 		log,
 	});
 
+	const coldInstances: ColdInstances = {
+		findLimit: group => findConfiguration()?.configuration.warmupLimits.get(group),
+		takePermit: async (instance, maxWaitMs) => rateLimiter.takePermit(createPermitKey(instance), maxWaitMs),
+		isValid: permit => isPermitValid(permit, now()),
+		onCold({group, id, born}, span) {
+			log.info({
+				group, id, born, span: Math.round(span),
+			}, 'instances: The host takes the instance for cold.');
+		},
+		onRefused: options.onColdRefused,
+	};
+
 	const groups = createSessionGroups({
+		coldInstances,
 		zone: profile.zone,
 		openConnection: options.openConnection,
+		onWaitEnded: options.onWaitEnded,
 		gateways,
+		findZonePhase: evacuations.findPhase,
 		now,
 		log,
 		findWorkspace,
@@ -175,9 +227,13 @@
 		...caller, revocationLimitMs: profile.revocationLimitMs, configurationLimitMs: profile.configurationLimitMs, now: now(),
 	});
 
+	const statementBudget = createByteBudget(options.memoryLimits.statementBytes);
+
 	const gateway = createGateway({
 		findInstance: (group, id) => groups.findGroup(group)?.findInstance(id),
 		findAccess: findCallerAccess,
+		regions: profile.regions,
+		statementBudget,
 		now: () => now().steady,
 	});
 
@@ -186,11 +242,14 @@
 		findStopPhase: () => hostStop.findPhase(),
 		findAccess: findCallerAccess,
 		transactionIdleLimit: () => findConfiguration()?.configuration.transactionIdleLimit ?? 0,
+		regions: profile.regions,
+		onRegionRefused: options.onRegionRefused,
 		findGroup: groups.findGroup,
 		takeOperation: rateLimiter.takeOperation,
 		valueBudget: createByteBudget(options.memoryLimits.valueBytes),
+		statementBudget,
 		onAnswered: options.onAnswered,
-		log,
+		log: options.sessionLog,
 	};
 
 	const registry = createSessionRegistry({context, onSessionCount: options.onSessionCount});
@@ -213,6 +272,10 @@
 	return {
 		openSession: registry.openSession,
 		isReady: () => !hostStop.hasBegun() && findConfiguration() !== undefined && listInstances().length > 0 && fleetController.isRegistered(),
+		listPaces: () => groups.listGroups()
+			.flatMap(group => group.listInstances())
+			.map(({listed, pace}) => ({instance: listed().id, ...pace.readLoad()}))
+			.filter(({isUsed}) => isUsed),
 		peer: {
 			readTables: tableSync.readTables,
 			claimRates: rateLimiter.claimRates,
--- a/stand-ins/wire/wire-host-options.ts
+++ b/stand-ins/wire/wire-host-options.ts
@@ -12,6 +12,12 @@
 	readonly nodeArguments?: readonly string[];
 	/** Whether the hosts bootstrap a new fleet. */
 	readonly isFirstStart?: boolean;
+	/** Lines of the settings file beside the usual ones. */
+	readonly settings?: readonly string[];
 	/** Seconds from SIGTERM until the platform kills a host. Defaults to 4. */
 	readonly gracePeriodSeconds?: number;
+	/** Bundled program of the host; the sources of the checkout are run if it is not given. */
+	readonly program?: string;
+	/** Descriptors that the operating system lets the process open; as many as this process may by default. */
+	readonly descriptorLimit?: number;
 };
