Waiting: take the chosen priority as it is, and name what has nothing ahead of it

Cause: choosePriority returned the head without its request, so both callers searched the list for it again; {count: 0, serviceMs: 0} stood in three files; createPriorityHead did not say that it updates the class that it describes. Change: choosePriority returns the head that it was given, nothingAhead has a file, the doc comments name the update. No change of behaviour.

--- a/packages/sessions/waiting/choose-priority.ts
+++ b/packages/sessions/waiting/choose-priority.ts
@@ -20,7 +20,7 @@
  *
  * @param heads Priorities with waiting requests, the most urgent first.
  */
-export function choosePriority(heads: readonly PriorityHead[], {takesSinceOvertaking}: Options): PriorityHead | undefined {
+export function choosePriority<Head extends PriorityHead>(heads: readonly Head[], {takesSinceOvertaking}: Options): Head | undefined {
 	const [leading, ...others] = heads;
 	if (leading === undefined) {
 		return undefined;
--- a/packages/sessions/waiting/create-priority-head.ts
+++ b/packages/sessions/waiting/create-priority-head.ts
@@ -12,7 +12,11 @@
 	readonly now: number;
 };
 
-/** Creates the description of the request of a class that is served next; undefined if none waits. */
+/**
+ * Creates the description of the request of a class that is served next; undefined if none waits.
+ *
+ * Updates the class before: which of its requests miss their target by now decides which one is next.
+ */
 export function createPriorityHead<Request extends WaitingRequest>(waitingClass: WaitingClass<Request>, {
 	pace, passes, isPreferred, now,
 }: Options): PriorityHead & {readonly request: Request} | undefined {
--- a/packages/sessions/waiting/create-waiting-queue.ts
+++ b/packages/sessions/waiting/create-waiting-queue.ts
@@ -8,6 +8,7 @@
 import {findWorkAhead} from './find-work-ahead.ts';
 import {isOverdue} from './is-overdue.ts';
 import {listOverdue} from './list-overdue.ts';
+import {nothingAhead} from './nothing-ahead.ts';
 import type {ServicePace} from './service-pace.ts';
 import type {WaitingClass} from './waiting-class.ts';
 import type {WaitingQueue} from './waiting-queue.ts';
@@ -35,8 +36,6 @@
 
 const unknownPace: ServicePace = {serviceMs: undefined, limit: undefined};
 
-const nothingAhead: WorkAhead = {count: 0, serviceMs: 0};
-
 /**
  * Creates an empty queue.
  *
@@ -99,7 +98,7 @@
 		onRefused?.(request, {cause: 'overdue', ahead: ahead.count, retryAfterMs});
 	};
 
-	/** Describes the request of each priority that is served next, the most urgent first. */
+	/** Describes the request of each priority that is served next, the most urgent first; see `createPriorityHead`. */
 	const listHeads = (now: number, isPreferred: (workspace: string) => boolean) => {
 		const pace = findPace();
 		return listClasses()
@@ -109,11 +108,10 @@
 			.filter(head => head !== undefined);
 	};
 
-	/** Finds the request that is served next if it may overtake more urgent ones, and finds out which requests miss their target by now. */
+	/** Finds the request that is served next if it may overtake more urgent ones; `listHeads` first sorts out those that miss their target by now. */
 	const findOvertaker = (now: number): Request | undefined => {
 		const heads = listHeads(now, () => false);
-		const chosen = choosePriority(heads, {takesSinceOvertaking: Number.POSITIVE_INFINITY});
-		return heads.find(({priority}) => priority === chosen?.priority)?.request;
+		return choosePriority(heads, {takesSinceOvertaking: Number.POSITIVE_INFINITY})?.request;
 	};
 
 	/** Refuses the requests that cannot be served in time, as when they are served more slowly than they were when they came. */
@@ -168,8 +166,7 @@
 	/** Chooses the request that is served next; undefined if none waits. */
 	const choose = (now: number, isPreferred: (workspace: string) => boolean): Request | undefined => {
 		const heads = listHeads(now, isPreferred);
-		const chosen = choosePriority(heads, {takesSinceOvertaking});
-		return heads.find(({priority}) => priority === chosen?.priority)?.request;
+		return choosePriority(heads, {takesSinceOvertaking})?.request;
 	};
 
 	/** Counts that a request is served, for the priorities that are passed over. */
--- a/packages/sessions/waiting/find-work-ahead.ts
+++ b/packages/sessions/waiting/find-work-ahead.ts
@@ -6,6 +6,7 @@
 import {findServiceMs} from './find-service-ms.ts';
 import type {LaneTurn} from './lane-turn.ts';
 import {maxPasses} from './max-passes.ts';
+import {nothingAhead} from './nothing-ahead.ts';
 import type {ServicePace} from './service-pace.ts';
 import type {WaitingClass} from './waiting-class.ts';
 import type {WaitingLane} from './waiting-lane.ts';
@@ -31,7 +32,7 @@
 		return undefined;
 	}
 
-	let urgent: WorkAhead = {count: 0, serviceMs: 0};
+	let urgent = nothingAhead;
 	for (const {priority, count} of classes) {
 		urgent = priority < request.priority ? addWork(urgent, {count: count().all, serviceMs: findServiceMs(pace, priority)}) : urgent;
 	}
--- a/packages/sessions/waiting/list-overdue.ts
+++ b/packages/sessions/waiting/list-overdue.ts
@@ -6,6 +6,7 @@
 import {findServiceMs} from './find-service-ms.ts';
 import {isOverdue} from './is-overdue.ts';
 import type {LaneTurn} from './lane-turn.ts';
+import {nothingAhead} from './nothing-ahead.ts';
 import type {ServicePace} from './service-pace.ts';
 import type {WaitingClass} from './waiting-class.ts';
 import type {WorkAhead} from './work-ahead.ts';
@@ -29,7 +30,7 @@
  */
 export function listOverdue<Request extends WaitingRequest>(classes: ReadonlyArray<WaitingClass<Request>>, {pace, now}: Options): ReadonlyArray<Overdue<Request>> {
 	const overdue: Array<Overdue<Request>> = [];
-	let urgent: WorkAhead = {count: 0, serviceMs: 0};
+	let urgent = nothingAhead;
 	for (const waitingClass of classes) {
 		const {priority} = waitingClass;
 		const serviceMs = findServiceMs(pace, priority);
