Cold instances: call a permit's lifetime and the bound of a claim what they are

Cause: permitSpanMs is the lifetime that the comments and the design name, while 'span' is how long an instance is cold; maxPermits bounds one claim, not the permits of a host. Change: permitLifetimeMs and maxPermitsPerClaim, files after them. No change of behaviour.

--- a/packages/sessions/cold-instances/find-permit-bucket.test.ts
+++ b/packages/sessions/cold-instances/find-permit-bucket.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {findPermitBucket} from './find-permit-bucket.ts';
-import {permitSpanMs} from './permit-span-ms.ts';
+import {permitLifetimeMs} from './permit-lifetime-ms.ts';
 
 describe('findPermitBucket', () => {
 	const cases = [
@@ -29,7 +29,7 @@
 			for (const slack of [0, 1, 5, 40]) {
 				for (const rate of [0.2, 1, 3, 10, 77, 1000]) {
 					const bucket = findPermitBucket({rate}, {overage, slack});
-					const lent = Math.floor(bucket.burst + (bucket.rate * (1000 + permitSpanMs) / 1000));
+					const lent = Math.floor(bucket.burst + (bucket.rate * (1000 + permitLifetimeMs) / 1000));
 					expect(lent).to.be.at.most((rate * overage) + slack);
 				}
 			}
--- a/packages/sessions/cold-instances/find-permit-bucket.ts
+++ b/packages/sessions/cold-instances/find-permit-bucket.ts
@@ -1,4 +1,4 @@
-import {permitSpanMs} from './permit-span-ms.ts';
+import {permitLifetimeMs} from './permit-lifetime-ms.ts';
 import type {WarmupBound} from './warmup-bound.ts';
 import type {WarmupLimit} from './warmup-limit.ts';
 
@@ -32,6 +32,6 @@
 	}
 
 	const burst = Math.max(1, Math.floor(allowed * burstFraction));
-	const seconds = (windowMs + permitSpanMs) / 1000;
+	const seconds = (windowMs + permitLifetimeMs) / 1000;
 	return {rate: Math.min(rate, rateFraction * (allowed + 1 - burst) / seconds), burst};
 }
--- a/packages/sessions/cold-instances/lend-permits.ts
+++ b/packages/sessions/cold-instances/lend-permits.ts
@@ -3,7 +3,7 @@
 import type {RateGrant} from '../rate-grant.ts';
 import {findPermitBucket} from './find-permit-bucket.ts';
 import {findPermitGroup} from './find-permit-group.ts';
-import {maxPermits} from './max-permits.ts';
+import {maxPermitsPerClaim} from './max-permits-per-claim.ts';
 import type {PermitState} from './permit-state.ts';
 import type {WarmupBound} from './warmup-bound.ts';
 import type {WarmupLimit} from './warmup-limit.ts';
@@ -59,6 +59,6 @@
 	const {bucket: refilled} = takeUnits(bucket, {
 		cost: 0, rate, burst, now,
 	});
-	const units = Math.min(needed, maxPermits, Math.floor(refilled.units));
+	const units = Math.min(needed, maxPermitsPerClaim, Math.floor(refilled.units));
 	return {bucket: {...refilled, units: refilled.units - units}, units};
 }
--- a/packages/sessions/cold-instances/max-permits.ts
+++ b/packages/sessions/cold-instances/max-permits-per-claim.ts
@@ -1,2 +1,2 @@
 /** Largest number of permits that one claim gets, so that one host does not take all that is saved up. */
-export const maxPermits = 8;
+export const maxPermitsPerClaim = 8;
--- a/packages/sessions/cold-instances/permit-span-ms.ts
+++ b/packages/sessions/cold-instances/permit-lifetime-ms.ts
@@ -1,2 +1,2 @@
 /** Lifetime of a permit in milliseconds: long enough for the answer of the allocator and the setup of a connection. */
-export const permitSpanMs = 400;
+export const permitLifetimeMs = 400;
