Waiting: answer a job without a place or a connection in one way

Cause: createNotEnteredAnswer and takeConnection built the same answer with the same texts, and AcquireOutcome and EnterOutcome had the same two members. Change: UnservedOutcome and createUnservedAnswer beside the queue whose refusals they pass on. The texts stay.

--- a/packages/sessions/pace/enter-outcome.ts
+++ b/packages/sessions/pace/enter-outcome.ts
@@ -1,3 +1,4 @@
+import type {UnservedOutcome} from '../waiting/unserved-outcome.ts';
 import type {StatementPlace} from './statement-place.ts';
 
 /** The outcome of asking for a place. */
@@ -8,13 +9,4 @@
 		/** Records that the transaction has ended, or did not begin. Further calls have no effect. */
 		readonly endTransaction: () => void;
 	}
-	/** There was no place in time. */
-	| {
-		readonly kind: 'busy';
-		/** Number of requests before it, if it was refused because it could not be served in time. */
-		readonly ahead?: number;
-		/** Milliseconds after which there is room for the request, if that is known. */
-		readonly retryAfterMs?: number | undefined;
-	}
-	/** The instance cannot be reached; others that waited are told at once. */
-	| {readonly kind: 'unreachable'};
+	| UnservedOutcome;
