Pace: say what the gate's times and its short cut past the queue are

Cause: findWaitMs was also asked when a statement is overdue, which is no wait, and took its type from one of two constants; isFree said neither that a permit is needed nor that it asks about the queue; 'They' in a comment had nothing before it; waitWithin, recordEnd and answeredAt were without a comment, although a statement enters beyond the limit after its longest wait. Change: LatencyMultiple, findLatencyMultipleMs, overdueAfter, maxWithinWait, mayPassBy, and the comments. No change of behaviour.

--- a/packages/sessions/pace/create-entry-queue.ts
+++ b/packages/sessions/pace/create-entry-queue.ts
@@ -16,8 +16,8 @@
 	readonly expire: (request: Request, now: number) => void;
 	/** Removes and returns all requests. */
 	readonly takeAll: () => readonly Request[];
-	/** Whether a request of a kind would be the only one that can enter. */
-	readonly isFree: (kind: EnteringRequest['kind']) => boolean;
+	/** Whether a request of a kind that comes now has none before it and may have its permit, so that it needs not wait in the queue. */
+	readonly mayPassBy: (kind: EnteringRequest['kind']) => boolean;
 	readonly count: () => number;
 };
 
@@ -72,7 +72,7 @@
 			forPermit.expire(request, now);
 		},
 		takeAll: () => [...forPlace.takeAll(), ...forPermit.takeAll()],
-		isFree: kind => forPlace.count() === 0 && (kind === 'single' || (forPermit.count() === 0 && permits.hasFree())),
+		mayPassBy: kind => forPlace.count() === 0 && (kind === 'single' || (forPermit.count() === 0 && permits.hasFree())),
 		count: () => forPlace.count() + forPermit.count(),
 	};
 }
--- a/packages/sessions/pace/create-statement-gate.ts
+++ b/packages/sessions/pace/create-statement-gate.ts
@@ -33,17 +33,17 @@
 	readonly end: (outcome: EnterOutcome, ended: EndedWait['outcome']) => void;
 };
 
-/**
- * How long a statement of an open transaction waits at most: a multiple of the recent latency, and at least so many
- * milliseconds. Statements in progress may wait for a lock that its transaction holds.
- */
-const withinWait = {latencyFactor: 4, minMs: 50};
+/** A time that follows the pace of the instance: a multiple of the recent latency, and at least so many milliseconds. */
+type LatencyMultiple = {readonly latencyFactor: number; readonly minMs: number};
+
+/** How long a statement of an open transaction waits at most. Statements in progress may wait for a lock that its transaction holds. */
+const maxWithinWait: LatencyMultiple = {latencyFactor: 4, minMs: 50};
 
 /** Largest share of the connections that open transactions hold, so that some are left for single statements. */
 const transactionConnectionShare = 0.75;
 
-/** When a statement is overdue: a multiple of the recent latency, and at least so many milliseconds. */
-const overdue = {latencyFactor: 8, minMs: 80};
+/** After what time in progress a statement is overdue; see `createTakenPlaces`. */
+const overdueAfter: LatencyMultiple = {latencyFactor: 8, minMs: 80};
 
 /** Creates the gate of an instance that has just started. */
 export function createStatementGate({
@@ -51,6 +51,7 @@
 }: Options): StatementGate {
 	let state = createPaceState();
 	let isUsed = false;
+	/** When the instance last answered, in milliseconds of the steady clock. */
 	let answeredAt = Number.NEGATIVE_INFINITY;
 	const falls = {latency: 0, busy: 0, failed: 0};
 
@@ -58,7 +59,7 @@
 
 	const findTransactionLimit = () => Math.max(1, Math.floor(findConnectionLimit() * transactionConnectionShare));
 
-	const findWaitMs = ({latencyFactor, minMs}: typeof overdue) => Math.max(minMs, latencyFactor * (state.recentLatency ?? 0));
+	const findLatencyMultipleMs = ({latencyFactor, minMs}: LatencyMultiple) => Math.max(minMs, latencyFactor * (state.recentLatency ?? 0));
 
 	const permits = createTransactionPermits({findLimit: findTransactionLimit, now});
 	const serviceTimer = createServiceTimer(now);
@@ -71,16 +72,16 @@
 		},
 		jitter: Math.random,
 	});
-	/** Statements of open transactions that wait. */
+	/** What lets the waiting statements of open transactions enter, the first one in front. */
 	const within: Array<() => void> = [];
 
 	const countWaiting = () => queue.count() + within.length;
 
 	const places = createTakenPlaces({
 		findLimit,
-		// They hold connections, so some of these are kept for others.
+		// Overdue statements hold connections, so some of these are kept for others.
 		findOverdueLimit: () => Math.max(findLimit(), Math.floor(findConnectionLimit() / 2)),
-		findOverdueMs: () => findWaitMs(overdue),
+		findOverdueMs: () => findLatencyMultipleMs(overdueAfter),
 		onOverdue() {
 			serve();
 		},
@@ -119,6 +120,7 @@
 		};
 	};
 
+	/** Takes the end of a statement into account: for the pace, for predictions, and for whether the instance can be reached. */
 	const recordEnd = (observation: PaceObservation, taken: ReturnType<typeof places.take>) => {
 		apply(observation);
 		// The place of a statement that gets no answer is passed on before its time is over.
@@ -140,6 +142,7 @@
 		}
 	};
 
+	/** Takes a place for a request that need not wait, or no longer. */
 	const enterNow = ({priority}: Pick<EnteringRequest, 'priority'>, permit: TransactionPermit | undefined): EnterOutcome => ({
 		kind: 'entered',
 		place: takePlace(priority),
@@ -201,6 +204,7 @@
 		serve();
 	});
 
+	/** Waits for the place of a statement of an open transaction, and takes one beyond the limit when the longest wait is over. */
 	const waitWithin = async () => new Promise<StatementPlace>(resolve => {
 		const enter = () => {
 			clearTimeout(timer);
@@ -210,14 +214,14 @@
 		const timer = setTimeout(() => {
 			within.splice(within.indexOf(enter), 1);
 			enter();
-		}, findWaitMs(withinWait));
+		}, findLatencyMultipleMs(maxWithinWait));
 		within.push(enter);
 		serve();
 	});
 
 	return {
 		async enter(request) {
-			if (within.length === 0 && queue.isFree(request.kind) && places.hasFree()) {
+			if (within.length === 0 && queue.mayPassBy(request.kind) && places.hasFree()) {
 				return enterNow(request, request.kind === 'begin' ? permits.take(request.priority) : undefined);
 			}
 
