--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -6,12 +6,10 @@
 import type {AcquireOutcome} from './acquire-outcome.ts';
 import type {AcquireRequest} from './acquire-request.ts';
 import {chooseEviction} from './choose-eviction.ts';
-import type {ConnectionRefusal} from './connection-refusal.ts';
+import {createConnectionAllowance} from './create-connection-allowance.ts';
 import {createWorkspaceDemand} from './create-workspace-demand.ts';
-import {findAllowedConnections} from './find-allowed-connections.ts';
 import type {InstancePool} from './instance-pool.ts';
 import type {PooledConnection} from './pooled-connection.ts';
-import {riseIntervalMs} from './rise-interval-ms.ts';
 
 type Options = {
 	/** Opens a connection for a workspace. */
@@ -44,25 +42,30 @@
  *
  * A connection belongs to one workspace. At the limit, an idle connection is closed to make room for a new one; see
  * `chooseEviction`. The limit falls when the instance refuses a connection because it has too many; see
- * `findAllowedConnections`. Requests wait in the order of `createWaitingQueue`.
+ * `createConnectionAllowance`. Requests wait in the order of `createWaitingQueue`.
  */
 export function createInstancePool(options: Options): InstancePool {
 	const connections = new Set<PooledConnection>();
 	const serviceTimer = createServiceTimer(options.now);
 	const demand = createWorkspaceDemand();
-	let {limit} = options;
-	let refusal: ConnectionRefusal | undefined;
 	const queue = createWaitingQueue<Waiter>({
 		// After the limit was lowered, the connections that are left over still serve requests.
-		findPace: () => ({...serviceTimer.findPace(), limit: Math.max(findAllowed(), connections.size)}),
+		findPace: () => ({...serviceTimer.findPace(), limit: Math.max(allowance.find(), connections.size)}),
 		onRefused(waiter, {cause, ...room}) {
 			waiter.end({kind: 'busy', ...room}, cause);
 		},
 		jitter: Math.random,
 	});
+	const allowance = createConnectionAllowance({
+		limit: options.limit,
+		hasWaiting: () => queue.count() > 0,
+		onRise() {
+			serveNext();
+		},
+		now: options.now,
+	});
 	let opening = 0;
 	let isClosed = false;
-	let riseTimer: NodeJS.Timeout | undefined;
 
 	const closeConnection = (pooled: PooledConnection) => {
 		connections.delete(pooled);
@@ -80,9 +83,7 @@
 		return [...connections].filter(({isBusy}) => !isBusy).toSorted((a, b) => a.idleSince - b.idleSince);
 	};
 
-	const findAllowed = () => findAllowedConnections(refusal, {limit, now: options.now()});
-
-	const hasRoom = () => connections.size + opening < findAllowed();
+	const hasRoom = () => connections.size + opening < allowance.find();
 
 	/** Closes an idle connection if the limit is reached; returns whether another may be opened. */
 	const makeRoom = (): boolean => {
@@ -123,24 +124,12 @@
 		return countOpen() > 0;
 	};
 
-	/** Has requests that wait served when a further connection is allowed, as none may be given back until then. */
-	const watchAllowance = () => {
-		if (riseTimer === undefined && queue.count() > 0 && findAllowed() < limit) {
-			riseTimer = setTimeout(() => {
-				riseTimer = undefined;
-				serveNext();
-				watchAllowance();
-			}, riseIntervalMs);
-		}
-	};
-
 	const fail = async (outcome: Exclude<OpenConnectionOutcome, {readonly kind: 'opened'}>, startedAt: number): Promise<AcquireOutcome> => {
 		const isFull = outcome.kind === 'unanswered'
 			? await isResetAlone(startedAt)
 			: outcome.kind === 'refused' && outcome.code === 'tooManyConnections';
 		if (isFull) {
-			refusal = {held: countOpen(), at: options.now()};
-			watchAllowance();
+			allowance.recordRefusal(countOpen());
 		}
 
 		serveNext();
@@ -213,7 +202,7 @@
 			},
 		};
 		queue.add(waiter);
-		watchAllowance();
+		allowance.watch();
 	});
 
 	return {
@@ -235,7 +224,7 @@
 			pooled.isBusy = false;
 			pooled.idleSince = options.now();
 			serviceTimer.end(pooled);
-			if (!isClean || isClosed || connections.size > findAllowed() || pooled.connection.isClosed()) {
+			if (!isClean || isClosed || connections.size > allowance.find() || pooled.connection.isClosed()) {
 				closeConnection(pooled);
 			}
 
@@ -252,7 +241,7 @@
 		readLoad() {
 			const idle = listIdle().length;
 			return {
-				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit: findAllowed(),
+				busy: connections.size + opening - idle, idle, waiting: queue.count(), limit: allowance.find(),
 			};
 		},
 		listIdleWorkspaces: () => new Set(listIdle().map(({workspace}) => workspace)),
@@ -263,10 +252,8 @@
 				}
 			}
 		},
-		findLimit: findAllowed,
-		setLimit(newLimit) {
-			limit = newLimit;
-		},
+		findLimit: allowance.find,
+		setLimit: allowance.setLimit,
 		close() {
 			isClosed = true;
 			for (const pooled of listIdle()) {
--- a/packages/sessions/pools/mod.ts
+++ b/packages/sessions/pools/mod.ts
@@ -3,6 +3,7 @@
 export type * from './acquire-request.ts';
 export * from './choose-eviction.ts';
 export type * from './connection-refusal.ts';
+export * from './create-connection-allowance.ts';
 export * from './create-instance-pool.ts';
 export * from './create-workspace-demand.ts';
 export * from './find-allowed-connections.ts';
