--- a/packages/sessions/create-transaction-runner.ts
+++ b/packages/sessions/create-transaction-runner.ts
@@ -1,5 +1,4 @@
 import {addSpans} from './add-spans.ts';
-import {applySetup} from './apply-setup.ts';
 import {admitJob} from './cold-instances/admit-job.ts';
 import type {InstanceAdmission} from './cold-instances/instance-admission.ts';
 import {createJobTimer} from './create-job-timer.ts';
@@ -21,6 +20,7 @@
 import {runQuery} from './run-query.ts';
 import type {PooledConnection} from './pools/pooled-connection.ts';
 import {takeConnection} from './pools/take-connection.ts';
+import {sendBegin} from './send-begin.ts';
 
 type Options = {
 	readonly pool: InstancePool;
@@ -59,9 +59,6 @@
 	readonly endTransaction: () => void;
 };
 
-/** Time within which an instance must answer each request that sets up and begins a transaction. */
-const beginTimeoutMs = 600;
-
 /** Time within which an instance must answer a rollback before the connection is closed instead. */
 const rollbackTimeoutMs = 500;
 
@@ -122,8 +119,9 @@
 		}
 	};
 
-	const beginOnConnection = async (job: JobOf<'begin'>, options: BeginOptions): Promise<JobAnswer> => {
-		const {request, timer, endTransaction} = options;
+	const beginOnConnection = async (job: JobOf<'begin'>, {
+		request, timer, maySend, endTransaction,
+	}: BeginOptions): Promise<JobAnswer> => {
 		const pooled = await takeConnection(pool, {request: createAcquireRequest(request, now()), timer});
 		if ('kind' in pooled) {
 			return pooled;
@@ -132,7 +130,9 @@
 		let hasBegun = false;
 		let isReusable = false;
 		try {
-			const answer = await sendBegin(pooled, job, options);
+			const answer = await sendBegin(pooled, {
+				job, send, admission, deadline: request.deadline, timer, maySend, now,
+			});
 			if (answer.kind !== 'answered' || answer.outcome.kind !== 'done' || answer.state !== 'open') {
 				isReusable = isClean(answer, pooled);
 				return answer;
@@ -148,29 +148,6 @@
 		}
 	};
 
-	/** Sends the session's values and the beginning of a transaction. */
-	const sendBegin = async (pooled: PooledConnection, {setup, isReadOnly, after}: JobOf<'begin'>, {request: {deadline}, timer, maySend}: BeginOptions): Promise<JobAnswer> => {
-		const admitted = await admitJob(admission, {maxWaitMs: 0, maySend});
-		if (typeof admitted !== 'function') {
-			return admitted;
-		}
-
-		const isReady = await applySetup(pooled, {
-			setup, prepared: undefined, isInTransaction: false, send: async request => send(pooled, request, beginTimeoutMs),
-		});
-		if (!isReady) {
-			pooled.connection.close();
-			return {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
-		}
-
-		if (!maySend() || now() >= deadline || !admitted()) {
-			return notSentAnswer;
-		}
-
-		timer.recordSent();
-		return send(pooled, {kind: 'begin', isReadOnly, after}, Math.max(1, Math.min(beginTimeoutMs, deadline - now())));
-	};
-
 	/** Gives back the connection of a transaction that has ended. */
 	const end = (pooled: PooledConnection, isReusable: boolean) => {
 		pool.release(pooled, isReusable);
