--- a/packages/sessions/pools/create-instance-pool.ts
+++ b/packages/sessions/pools/create-instance-pool.ts
@@ -1,4 +1,3 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {OpenConnectionOutcome} from '../open-connection-outcome.ts';
 import {
 	createServiceTimer, createWaitingQueue, type EndedWait, type WaitingRequest,
@@ -9,6 +8,7 @@
 import {createConnectionAllowance} from './create-connection-allowance.ts';
 import {createWorkspaceDemand} from './create-workspace-demand.ts';
 import type {InstancePool} from './instance-pool.ts';
+import {isResetAlone} from './is-reset-alone.ts';
 import type {PooledConnection} from './pooled-connection.ts';
 
 type Options = {
@@ -25,12 +25,6 @@
 /** For whom a connection is taken. */
 type Taker = Pick<AcquireRequest, 'workspace' | 'priority'>;
 
-/** Milliseconds within which an attempt to connect that ends without an answer was reset, and not given up. */
-const resetLimitMs = 200;
-
-/** Milliseconds after a reset in which the other connections break as well if the instance is lost. */
-const lossDelayMs = 10;
-
 /** A request that waits for a connection. */
 type Waiter = WaitingRequest & {
 	/** Ends the wait with a connection, or with the cause of a refusal. */
@@ -114,19 +108,9 @@
 
 	const countOpen = () => [...connections].filter(({connection}) => !connection.isClosed()).length;
 
-	/** Whether an attempt was reset while other connections stayed open, so that the instance is there and has too many. */
-	const isResetAlone = async (startedAt: number): Promise<boolean> => {
-		if (countOpen() === 0 || options.now() - startedAt >= resetLimitMs) {
-			return false;
-		}
-
-		await sleep(lossDelayMs);
-		return countOpen() > 0;
-	};
-
 	const fail = async (outcome: Exclude<OpenConnectionOutcome, {readonly kind: 'opened'}>, startedAt: number): Promise<AcquireOutcome> => {
 		const isFull = outcome.kind === 'unanswered'
-			? await isResetAlone(startedAt)
+			? await isResetAlone({startedAt, countOpen, now: options.now})
 			: outcome.kind === 'refused' && outcome.code === 'tooManyConnections';
 		if (isFull) {
 			allowance.recordRefusal(countOpen());
--- a/packages/sessions/pools/mod.ts
+++ b/packages/sessions/pools/mod.ts
@@ -9,6 +9,7 @@
 export * from './find-allowed-connections.ts';
 export * from './find-connection-limit.ts';
 export type * from './instance-pool.ts';
+export * from './is-reset-alone.ts';
 export type * from './pooled-connection.ts';
 export * from './take-connection.ts';
 export type * from './workspace-demand.ts';
