Predict waits by statements that were answered only

A statement that could not be served in time waited to its deadline instead of being refused at once, beside jobs that ended unsent (cold or evacuated instances): these counted as statements of no duration. The new case of create-statement-gate.test fails before (no statement refused). The log line about evacuated zones says what holds.

--- a/packages/sessions/evacuation/create-evacuations.ts
+++ b/packages/sessions/evacuation/create-evacuations.ts
@@ -48,7 +48,7 @@
 			known = updateEvacuations(before, {zones, confirmedBefore});
 			const added = [...known.keys()].filter(zone => !before.has(zone));
 			const returned = [...before.keys()].filter(zone => !known.has(zone));
-			logChange(added, 'Operators evacuated zones; the host sends nothing more to their instances.');
+			logChange(added, 'Operators evacuated zones; the host begins nothing more at their instances.');
 			logChange(returned, 'Operators took zones back; the host uses their instances again.');
 			if (added.length > 0 || returned.length > 0) {
 				onCount(known.size);
--- a/packages/sessions/pace/create-statement-gate.test.ts
+++ b/packages/sessions/pace/create-statement-gate.test.ts
@@ -154,6 +154,31 @@
 		expect(waits).to.have.length(31);
 	});
 
+	// Guards against waits that are predicted too short since jobs which were not sent count as fast statements.
+	it('refuses early also beside jobs that end unsent, as at an instance that is cold or evacuated', async () => {
+		const tested = createCase();
+		const {gate, enter, places} = tested;
+		await measure(tested);
+		for (let index = 0; index < 100; index++) {
+			await enter('unsent'); // eslint-disable-line no-await-in-loop -- one after the other
+			places.get('unsent')?.leave({kind: 'neutral'});
+		}
+
+		const {limit} = gate.readLoad();
+		await Promise.all(Array.from({length: limit}, async (_, index) => enter(`holding ${index}`)));
+		const waiting = Array.from({length: 30}, async () => enter('waiting', {priority: 0, timeout: 1000, targetLatency: 60}));
+		const since = performance.now();
+		const refused = await gate.enter({
+			kind: 'single', workspace: 'refused', priority: 1, since, deadline: since + 20,
+		});
+		expect(refused).to.include({kind: 'busy', ahead: 30});
+		for (const place of places.values()) {
+			place.leave({kind: 'unreachable'});
+		}
+
+		await Promise.all(waiting);
+	});
+
 	it('gives a time to come back to a statement that waits to its deadline', async () => {
 		const tested = createCase();
 		const {gate, enter, waits} = tested;
--- a/packages/sessions/pace/create-statement-gate.ts
+++ b/packages/sessions/pace/create-statement-gate.ts
@@ -123,8 +123,8 @@
 	/** Takes the end of a statement into account: for the pace, for predictions, and for whether the instance can be reached. */
 	const recordEnd = (observation: PaceObservation, taken: ReturnType<typeof places.take>) => {
 		apply(observation);
-		// The place of a statement that gets no answer is passed on before its time is over.
-		if (observation.kind === 'answered' || observation.kind === 'neutral') {
+		// A statement without an answer tells nothing: it was not sent, or its place is passed on before its time is over.
+		if (observation.kind === 'answered') {
 			serviceTimer.end(taken);
 		}
 
