--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -11,7 +11,7 @@
 const linkDelayMs = 10;
 
 /** Milliseconds for which the up-to-date replica answers BUSY to STATUS, as an instance without a free slot does. */
-const busyMs = 2000;
+const busyMs = 3000;
 
 /** Milliseconds for which one replica receives nothing before the primary crashes. */
 const deafMs = 600;
