Set a session's new values before its COMMIT runs

Cause: a connection gets the values with the job that runs next on it, and the jobs of single statements, beginnings and statements of transactions carry them; a commit carried its id and text only. In the record of the case no SET reaches the instance between WRITE and COMMIT, at hosts with a connection of their own as well as through a gateway.

Change: a transaction remembers whether a value was set since its last job, and its commit then carries the values. The host that holds the connection sets them, and asks once more whether the commit may be sent. A gateway of an earlier version refuses such a commit, so that the transaction is rolled back. Three places that set up a connection share `sendSetup`.

--- a/packages/hosts/decode-job.ts
+++ b/packages/hosts/decode-job.ts
@@ -34,7 +34,7 @@
 
 		case JobKind.COMMIT: {
 			return {
-				...base, kind: 'commit', transaction, id: message.id, text: message.text,
+				...base, kind: 'commit', transaction, id: message.id, text: message.text, ...message.values.length > 0 && {setup: decodeSetup(message)},
 			};
 		}
 
--- a/packages/hosts/encode-job.test.ts
+++ b/packages/hosts/encode-job.test.ts
@@ -51,6 +51,9 @@
 	fc.record({
 		...base, kind: fc.constant('commit' as const), transaction, id: fc.string(), text: fc.string(),
 	}),
+	fc.record({
+		...base, kind: fc.constant('commit' as const), transaction, id: fc.string(), text: fc.string(), setup: plainSetup.filter(({variables: {size}}) => size > 0),
+	}),
 	fc.record({kind: fc.constant('rollback' as const), transaction}),
 	fc.record({kind: fc.constant('position' as const), workspace: name}),
 );
@@ -147,6 +150,19 @@
 		});
 	}
 
+	// A gateway of an earlier version would run the COMMIT without the values, and knows no instance with an empty name.
+	it('name the instance for earlier versions only if a commit carries no values', () => {
+		const {workspace, priority, caller, timeout, setup} = createBegin('c');
+		const commit: Job = {
+			kind: 'commit', workspace, priority, caller, timeout, transaction: 3, id: '1', text: 'COMMIT',
+		};
+		const names = [commit, {...commit, setup}].map(sent => {
+			const {instance, commitInstance} = create(RunJobRequestSchema, encodeJob({group: 'g', id: 'i'}, sent));
+			return [instance, commitInstance?.instance];
+		});
+		expect(names).to.deep.equal([['i', undefined], ['', 'i']]);
+	});
+
 	it('transfer only the prepared statement that the job executes, under its name in the session', () => {
 		const prepared = new Map([['s1', {access: 'write' as const, shape: 'q2c'}], ['s2', {access: 'read' as const, shape: 'q3'}]]);
 		const sent = roundTripJob({
--- a/packages/hosts/encode-job.ts
+++ b/packages/hosts/encode-job.ts
@@ -11,22 +11,26 @@
 /** Name of a variable that an earlier version, which keeps variables in a plain object, loses without an error. */
 const formerlyLostName = '__proto__';
 
-/**
- * Encodes a job for the gateway of an instance. Of the prepared statements, only the one that the job executes is sent.
- *
- * A gateway of an earlier version refuses a job with a variable that it would lose, since the job names its instance in a
- * field that this gateway does not know.
- */
-export function encodeJob(instance: {readonly group: string; readonly id: string}, job: Job): Message {
-	const isExact = 'setup' in job && job.setup.variables.has(formerlyLostName);
+/** Encodes a job for the gateway of an instance. Of the prepared statements, only the one that the job executes is sent. */
+export function encodeJob({group, id}: {readonly group: string; readonly id: string}, job: Job): Message {
 	return {
-		group: instance.group,
-		...isExact ? {exactInstance: {instance: instance.id}} : {instance: instance.id},
-		...encodeBase(job),
-		...encodeDetails(job),
+		group, ...encodeInstance(id, job), ...encodeBase(job), ...encodeDetails(job),
 	};
 }
 
+/**
+ * Encodes the name of the instance. A gateway of an earlier version refuses a job with variables that it would lose, since
+ * the job names its instance in a field that this gateway does not know.
+ */
+function encodeInstance(instance: string, job: Job): Message {
+	const setup = 'setup' in job ? job.setup : undefined;
+	if (job.kind === 'commit' && setup !== undefined) {
+		return {commitInstance: {instance}};
+	}
+
+	return setup?.variables.has(formerlyLostName) ? {exactInstance: {instance}} : {instance};
+}
+
 function encodeBase(job: Job): Message {
 	if (!('caller' in job)) {
 		return {};
@@ -61,7 +65,11 @@
 
 		case 'commit': {
 			return {
-				kind: JobKind.COMMIT, transaction: BigInt(job.transaction), id: job.id, text: job.text,
+				kind: JobKind.COMMIT,
+				transaction: BigInt(job.transaction),
+				id: job.id,
+				text: job.text,
+				...job.setup && {values: encodeVariables(job.setup.variables)},
 			};
 		}
 
--- a/packages/hosts/serve-fleet.ts
+++ b/packages/hosts/serve-fleet.ts
@@ -112,8 +112,8 @@
 		}
 
 		case 'runJob': {
-			const {group, instance, exactInstance} = call.value;
-			const answer = await own.runJob({group, id: exactInstance?.instance ?? instance}, decodeJob(call.value));
+			const {group, instance, exactInstance, commitInstance} = call.value;
+			const answer = await own.runJob({group, id: (exactInstance ?? commitInstance)?.instance ?? instance}, decodeJob(call.value));
 			return {case: call.case, value: encodeJobAnswer(answer)};
 		}
 
--- a/packages/sessions/admission/find-job-bytes.ts
+++ b/packages/sessions/admission/find-job-bytes.ts
@@ -1,4 +1,5 @@
 import type {Job} from '../job.ts';
+import type {SessionSetup} from '../session-setup.ts';
 
 /** Finds the bytes of what callers have sent that a job carries. */
 export function findJobBytes(job: Job): number {
@@ -6,9 +7,9 @@
 	return queryBytes + ('setup' in job ? countSetupBytes(job.setup) : 0);
 }
 
-function countSetupBytes({variables}: Extract<Job, {readonly kind: 'begin'}>['setup']): number {
+function countSetupBytes(setup: SessionSetup | undefined): number {
 	let bytes = 0;
-	for (const [name, value] of variables) {
+	for (const [name, value] of setup?.variables ?? []) {
 		bytes += name.length + value.length;
 	}
 
--- a/packages/sessions/create-gateway.ts
+++ b/packages/sessions/create-gateway.ts
@@ -117,8 +117,9 @@
 		recordStart(job);
 		try {
 			const maySend = () => 'caller' in job && hasAccess(job, instance.listed().zone) && (job.kind === 'single' || !areTransactionsEnded);
-			// A job with a setup sends the session's values before the statement, and so is not begun without access.
-			answer = 'setup' in job && !maySend() ? notSentAnswer : await instance.runLocally(job, maySend);
+			// A job with a setup sends the session's values before the statement, and so is not begun without access; a commit
+			// without access rolls its transaction back.
+			answer = 'setup' in job && job.kind !== 'commit' && !maySend() ? notSentAnswer : await instance.runLocally(job, maySend);
 			return answer;
 		} finally {
 			recordEnd(instance, job, answer);
--- a/packages/sessions/create-local-runner.test.ts
+++ b/packages/sessions/create-local-runner.test.ts
@@ -185,4 +185,36 @@
 		expect(answer.kind).to.equal('notSent');
 		expect(sent).to.deep.equal(['begin', 'forward']);
 	});
+
+	const values = {variables: new Map([['a', '1']]), prepared: new Map()};
+	const refuseSet = (request: InstanceRequest) => request.kind === 'set' ? fail('busy') : createAnswer(request.kind, request.kind === 'forward' ? 'idle' : 'open');
+	const commits = [
+		{name: 'sets values that the commit carries before it', sent: ['begin', 'set', 'forward'], kind: 'answered'},
+		{
+			name: 'sends no commit to an instance that does not take the values', answer: refuseSet, sent: ['begin', 'set'], kind: 'notSent',
+		},
+		{
+			name: 'rolls back if the commit may not be sent any more once the values are set', isRevoked: true, sent: ['begin', 'set', 'rollback'], kind: 'notSent',
+		},
+	] as const;
+	for (const {name, sent, kind, ...options} of commits) {
+		// Guards against a COMMIT that runs with earlier values than those acknowledged to its client.
+		it(name, async () => {
+			const requests: string[] = [];
+			const answer = 'answer' in options ? options.answer : (request: InstanceRequest) => createAnswer(request.kind, request.kind === 'forward' ? 'idle' : 'open');
+			const runtime = createRuntime({
+				answer(request) {
+					requests.push(request.kind);
+					return answer(request);
+				},
+			});
+			const transaction = await openTransaction(runtime);
+			const committed = await runtime.runLocally({
+				...base, kind: 'commit', transaction, id: 'c-1', text: 'COMMIT', setup: values,
+			}, () => !('isRevoked' in options) || !requests.includes('set'));
+			expect({sent: requests, kind: committed.kind}).to.deep.equal({sent, kind});
+			expect(runtime.pace.readLoad()).to.include({inProgress: 0, openTransactions: 0});
+			expect(runtime.pool.readLoad()).to.include({busy: 0});
+		});
+	}
 });
--- a/packages/sessions/create-session-memory.test.ts
+++ b/packages/sessions/create-session-memory.test.ts
@@ -47,6 +47,28 @@
 		expect(harness.sent).to.deep.equal(['done open', 'aborted failed', 'aborted idle']);
 	});
 
+	const placements = [
+		{kinds: ['begin', 'write', 'set', 'commit'], jobs: ['begin', 'within', 'commit a']},
+		{kinds: ['begin', 'set', 'write', 'commit'], jobs: ['begin a', 'within a', 'commit']},
+		{kinds: ['begin', 'write', 'set', 'write', 'set', 'commit'], jobs: ['begin', 'within', 'within a', 'commit a']},
+		{kinds: ['begin', 'set', 'commit'], jobs: ['begin a', 'commit']},
+		{kinds: ['set', 'begin', 'write', 'commit', 'begin', 'write', 'commit'], jobs: ['begin a', 'within a', 'commit', 'begin a', 'within a', 'commit']},
+	] as const;
+	for (const {kinds, jobs} of placements) {
+		// Guards against a COMMIT that runs with earlier values than those acknowledged to its client.
+		it(`sends the values with whatever job follows them: ${kinds.join(', ')}`, async () => {
+			const harness = createSessionHarness();
+			const sent: string[] = [];
+			for (const kind of kinds) {
+				await harness.run([kind]); // eslint-disable-line no-await-in-loop -- one after the other
+				sent.push(...harness.jobs.slice(sent.length).map(job => [job.kind, ...'setup' in job ? job.setup.variables.keys() : []].join(' ')));
+				await harness.answer(kind === 'commit' ? 'idle' : 'open'); // eslint-disable-line no-await-in-loop -- one after the other
+			}
+
+			expect(sent).to.deep.equal(jobs);
+		});
+	}
+
 	const ends = [
 		{
 			name: 'the caller disconnects', async end({session}: Harness) {
--- a/packages/sessions/create-statement-runner.ts
+++ b/packages/sessions/create-statement-runner.ts
@@ -114,6 +114,10 @@
 	/** Applies a statement that changes the session's values; a failure that promises that nothing is kept ends the open transaction. */
 	const changeSetup = (statement: Statement): StatementOutcome | undefined => {
 		const outcome = applySetupStatement(statement, {setup, share});
+		if (statement.kind === 'set' && outcome?.kind === 'done') {
+			transaction.find()?.recordSet();
+		}
+
 		if (transaction.state() !== 'open' || outcome?.kind !== 'failed' || outcome.code !== 'busy') {
 			return outcome;
 		}
--- a/packages/sessions/create-transaction-runner.ts
+++ b/packages/sessions/create-transaction-runner.ts
@@ -21,6 +21,7 @@
 import type {PooledConnection} from './pools/pooled-connection.ts';
 import {takeConnection} from './pools/take-connection.ts';
 import {sendBegin} from './send-begin.ts';
+import {sendSetup} from './send-setup.ts';
 
 type Options = {
 	readonly pool: InstancePool;
@@ -210,18 +211,55 @@
 		}
 	};
 
-	const commit: TransactionRunner['commit'] = async ({transaction, id, text, timeout}, maySend) => {
+	const commit: TransactionRunner['commit'] = async (job, maySend) => {
+		const {transaction, timeout} = job;
+		const deadline = now() + timeout;
 		const admitted = await admitJob(admission, {maxWaitMs: Math.min(permitWaitMs, timeout), maySend});
-		if (typeof admitted !== 'function' || !maySend() || !admitted()) {
+		if (typeof admitted !== 'function') {
+			await rollBack(transaction);
+			return admitted;
+		}
+
+		const mayCommit = () => maySend() && admitted();
+		const failure = await sendNewValues(job, mayCommit);
+		if (failure !== undefined) {
+			return failure;
+		}
+
+		if (!mayCommit()) {
 			await rollBack(transaction);
-			return typeof admitted === 'function' ? notSentAnswer : admitted;
+			return notSentAnswer;
 		}
 
 		const pooled = transactions.take(transaction);
-		if (pooled === undefined) {
-			return notOpenAnswer;
+		return pooled === undefined ? notOpenAnswer : sendCommit(pooled, job, Math.max(1, deadline - now()));
+	};
+
+	/**
+	 * Sets the values on the connection that the session has set since the last statement of the transaction. If that
+	 * fails, ends the transaction and returns the answer to its commit.
+	 */
+	const sendNewValues = async ({transaction, setup, timeout}: JobOf<'commit'>, maySend: () => boolean): Promise<JobAnswer | undefined> => {
+		const pooled = setup === undefined || !maySend() ? undefined : transactions.use(transaction);
+		if (pooled === undefined || setup === undefined) {
+			return undefined;
 		}
 
+		try {
+			const failure = await sendSetup(pooled, {
+				setup, prepared: undefined, isInTransaction: true, send, timeout,
+			});
+			if (failure !== undefined && transactions.take(transaction) !== undefined) {
+				end(pooled, false);
+			}
+
+			return failure;
+		} finally {
+			transactions.release(transaction);
+		}
+	};
+
+	const sendCommit = async (pooled: PooledConnection, {id, text}: JobOf<'commit'>, timeout: number): Promise<JobAnswer> => {
 		const timer = createJobTimer(now);
 		timer.recordSent();
 		const place = gate.enterCommit();
--- a/packages/sessions/create-transaction.ts
+++ b/packages/sessions/create-transaction.ts
@@ -33,6 +33,8 @@
 	let scope: TransactionScope = {workspace, opened: undefined};
 	let hasEnded = false;
 	let hasWritten = false;
+	/** Whether the session has set a value that the connection may lack. */
+	let hasUnsentValues = false;
 	let endReason: string | undefined;
 	let idleTimer: NodeJS.Timeout | undefined;
 
@@ -71,6 +73,7 @@
 		}
 
 		opened = result;
+		hasUnsentValues = false;
 		scope = {workspace, opened: {route: operation.route, group: operation.group}};
 		return undefined;
 	};
@@ -125,6 +128,7 @@
 
 			const outcome = evaluateAnswer(answer);
 			if (outcome.kind === 'done') {
+				hasUnsentValues = false;
 				startIdleTimer();
 			}
 
@@ -146,7 +150,7 @@
 			const {instance, runner, transaction, lease} = opened;
 			const requestedAt = operation.context.now();
 			const answer = await runner({
-				...createJobBase(operation), kind: 'commit', transaction, id, text,
+				...createJobBase(operation), kind: 'commit', transaction, id, text, ...hasUnsentValues && {setup: operation.setup},
 			}, mayCommit);
 			operation.trace.addStep(`${instance.listed().id}: commit ${describeAnswer(answer)}${describeLease(lease)}`);
 			if (answer.kind === 'notSent') {
@@ -178,6 +182,9 @@
 			operation.setLastWrite({epoch: lease.epoch, position: answer.position});
 			return answer.outcome;
 		},
+		recordSet() {
+			hasUnsentValues = true;
+		},
 		rollBack() {
 			void endWithRollback();
 		},
--- a/packages/sessions/job.ts
+++ b/packages/sessions/job.ts
@@ -35,7 +35,14 @@
 		readonly idleLimit: number;
 	}
 	| JobBase & {readonly kind: 'within'; readonly transaction: number; readonly setup: SessionSetup; readonly query: Query}
-	| JobBase & {readonly kind: 'commit'; readonly transaction: number; readonly id: string; readonly text: string}
+	| JobBase & {
+		readonly kind: 'commit';
+		readonly transaction: number;
+		readonly id: string;
+		readonly text: string;
+		/** Values that the session has set since the last statement of the transaction, and all others; absent if it has set none. */
+		readonly setup?: SessionSetup;
+	}
 	| {readonly kind: 'rollback'; readonly transaction: number}
 	/** Queries the end of the instance's log, without using an execution slot. */
 	| {readonly kind: 'position'; readonly workspace: string};
--- a/packages/sessions/run-query.ts
+++ b/packages/sessions/run-query.ts
@@ -1,10 +1,10 @@
 import type {LogPoint} from '@sapphirefall/decisions';
-import {applySetup} from './apply-setup.ts';
 import {encodeQuery} from './encode-query.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {JobAnswer} from './job-answer.ts';
 import {notSentAnswer} from './not-sent-answer.ts';
 import type {PooledConnection} from './pools/pooled-connection.ts';
+import {sendSetup} from './send-setup.ts';
 import type {SessionSetup} from './session-setup.ts';
 import type {Query} from './query.ts';
 
@@ -25,12 +25,11 @@
 	const {
 		send, setup, query, after, isInTransaction, timeout, maySend,
 	} = options;
-	const isReady = await applySetup(pooled, {
-		setup, prepared: query.execute?.name, isInTransaction, send: async request => send(pooled, request, timeout),
+	const failure = await sendSetup(pooled, {
+		setup, prepared: query.execute?.name, isInTransaction, send, timeout,
 	});
-	if (!isReady) {
-		pooled.connection.close();
-		return {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
+	if (failure !== undefined) {
+		return failure;
 	}
 
 	return maySend()
--- a/packages/sessions/send-begin.ts
+++ b/packages/sessions/send-begin.ts
@@ -1,4 +1,3 @@
-import {applySetup} from './apply-setup.ts';
 import {admitJob} from './cold-instances/admit-job.ts';
 import type {InstanceAdmission} from './cold-instances/instance-admission.ts';
 import type {createJobTimer} from './create-job-timer.ts';
@@ -7,6 +6,7 @@
 import type {Job} from './job.ts';
 import {notSentAnswer} from './not-sent-answer.ts';
 import type {PooledConnection} from './pools/pooled-connection.ts';
+import {sendSetup} from './send-setup.ts';
 
 type Options = {
 	readonly job: Extract<Job, {readonly kind: 'begin'}>;
@@ -33,12 +33,11 @@
 		return admitted;
 	}
 
-	const isReady = await applySetup(pooled, {
-		setup, prepared: undefined, isInTransaction: false, send: async request => send(pooled, request, beginTimeoutMs),
+	const failure = await sendSetup(pooled, {
+		setup, prepared: undefined, isInTransaction: false, send, timeout: beginTimeoutMs,
 	});
-	if (!isReady) {
-		pooled.connection.close();
-		return {kind: 'notSent', reason: 'the connection did not take the session\'s values'};
+	if (failure !== undefined) {
+		return failure;
 	}
 
 	if (!maySend() || now() >= deadline || !admitted()) {
--- a/packages/sessions/transaction.ts
+++ b/packages/sessions/transaction.ts
@@ -8,6 +8,8 @@
 	/** Runs a read or write; a failure ends the transaction. */
 	readonly run: (query: Query, operation: Operation) => Promise<StatementOutcome>;
 	readonly commit: (commit: {readonly id: string; readonly text: string}, operation: Operation) => Promise<StatementOutcome>;
+	/** Records that the session has set a value, which the connection of the transaction lacks until the next job. */
+	readonly recordSet: () => void;
 	/** Rolls back and releases the connection in the background. */
 	readonly rollBack: () => void;
 	/** Rolls back as `rollBack` does, because of the host, which tells the caller the reason with the next statement. */
