Promote only an instance that has all commits of synchronous replicas

Cause: an instance whose status is not known, for whatever reason, counted as if it had nothing, and sync_replicas was not read at all.

Change: a failover of such a group promotes an instance only if it has the whole log of the old primary, or each listed replica has told its status and none has more. Statuses stay known, a slow instance gets more time, a departing replica may be promoted, the wait is logged and ends with the platform's list or with the configuration. Groups without sync_replicas are replaced as before.

--- a/packages/sessions/choose-successor.test.ts
+++ b/packages/sessions/choose-successor.test.ts
@@ -18,11 +18,18 @@
 		{name: 'chooses an instance of an evacuated zone when no other is left', given: [candidate('a', 1, 9, {isEvacuated: true})], expected: 'a'},
 		// Guards against two departing instances that take turns as the primary while the zones of the others are evacuated.
 		{name: 'prefers an evacuated instance to a departing one', given: [candidate('a', 1, 9, {isDeparting: true}), candidate('b', 1, 5, {isEvacuated: true})], expected: 'b'},
+		// Guards against the loss of acknowledged commits that only the departing instance has received.
+		{
+			name: 'chooses a departing instance when no other may be promoted', given: [candidate('a', 1, 9, {isDeparting: true}), candidate('b', 1, 5)], allowed: 'a', expected: 'a',
+		},
+		{
+			name: 'chooses none when none may be promoted', given: [candidate('a', 1, 9)], allowed: '', expected: undefined,
+		},
 		{name: 'chooses none of no candidates', given: [], expected: undefined},
 	];
-	for (const {name, given, expected} of cases) {
+	for (const {name, given, allowed, expected} of cases) {
 		it(name, () => {
-			expect(chooseSuccessor(given)?.id).to.equal(expected);
+			expect(chooseSuccessor(given, ({id}) => allowed === undefined || id === allowed)?.id).to.equal(expected);
 		});
 	}
 });
--- a/packages/sessions/commit-fence.test.ts
+++ b/packages/sessions/commit-fence.test.ts
@@ -78,6 +78,8 @@
 		epoch: 4,
 		fencedAt: undefined,
 		mayHaveMissedPromotion: false,
+		isSynchronous: () => false,
+		isListFresh: () => true,
 		findEra: () => ({era: 1, since: Number.NEGATIVE_INFINITY}),
 		self: 'a1',
 		incarnation: 9,
--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -37,6 +37,8 @@
 	readonly isEvacuated?: (zone: string) => boolean;
 	/** Whether the platform's list of instances is recent enough to act on. */
 	readonly isListFresh: () => boolean;
+	/** Whether the commits of a group are acknowledged only once a replica has received them. */
+	readonly isSynchronous: (group: string) => boolean;
 	readonly findPeer: (host: string) => FleetPeer | undefined;
 	readonly orderPromotion: OrderPromotion;
 	/** Registered hosts that have been silent for long, of those that this host monitors. */
@@ -135,6 +137,8 @@
 			fencedAt: group.fencedAt(),
 			mayHaveMissedPromotion: isFromEarlierEra(row) && (group.known(confirmation.findEra().era)?.epoch ?? Number.POSITIVE_INFINITY) > epoch,
 			...options.isEvacuated && {isEvacuated: options.isEvacuated},
+			isSynchronous: () => options.isSynchronous(group.name),
+			isListFresh: options.isListFresh,
 			findEra: confirmation.findEra,
 			self: own.name,
 			incarnation: own.incarnation,
--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- rounds run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createKnownLogs} from './create-known-logs.ts';
 import {decodeStoreVersion} from './decode-store-version.ts';
 import {describeReport} from './describe-report.ts';
 import type {FailoverDuty} from './failover-duty.ts';
@@ -18,6 +19,7 @@
 import type {PromotionOrder} from './promotion-order.ts';
 import {readFleetRows} from './read-fleet-rows.ts';
 import {readStatuses} from './read-statuses.ts';
+import {statusTimeoutMs} from './status-timeout-ms.ts';
 import {takeoverLimitMs} from './takeover-limit-ms.ts';
 import type {Failover} from './failover.ts';
 import type {Versioned} from './versioned.ts';
@@ -33,6 +35,9 @@
  */
 const betterSuccessorLimitMs = 1500;
 
+/** Longest time in milliseconds within which an instance must report its status, when a slow one is waited for. */
+const maxStatusTimeoutMs = 1600;
+
 /** Milliseconds after which the store is read again before an order, to prove that this host still runs the failover. */
 const proofLifetimeMs = 500;
 
@@ -68,6 +73,9 @@
 	let settledAt = row.successor === '' ? undefined : now().steady + promotionLimitMs;
 	/** Instance whose promotion was last ordered and not refused, by this host or by one that ran the failover before. */
 	let promoting = row.successor;
+	const knownLogs = createKnownLogs(failover, fence.row.primary);
+	let awaited: readonly string[] = [];
+	let timeout = statusTimeoutMs;
 	while (findElapsed(duty.takenAt, now()) < takeoverLimitMs) {
 		if (failover.findEra().era > decodeStoreVersion(fence.row.version).era) {
 			logStep('The store came back from an older copy; the failover begins anew.', {});
@@ -78,7 +86,9 @@
 		const answers = await readStatuses(failover, {
 			excluded: row.successor === '' ? undefined : fence.row.primary,
 			silent: failover.reason === 'silent' ? fence.row.primary : undefined,
+			timeout,
 		});
+		knownLogs.record(answers);
 		const isSuccessorAwaited = now().steady < betterSuccessorUntil;
 		const leader = findLeader(answers, row, {
 			...failover,
@@ -96,9 +106,16 @@
 		}
 
 		const successor = findDueSuccessor(answers, {
-			row, primary: fence.row.primary, wantedLog, isSuccessorAwaited, ordered, promoting, settledAt, now: now().steady,
+			row, primary: fence.row.primary, wantedLog, isSuccessorAwaited, mayPromote: knownLogs.mayPromote, ordered, promoting, settledAt, now: now().steady,
 		});
 		if (successor === undefined) {
+			const stillAwaited = knownLogs.listAwaited();
+			if (stillAwaited.join(' ') !== awaited.join(' ')) {
+				logStep('The host waits for the status of replicas that may alone have received acknowledged commits.', {awaited: stillAwaited, answers: answers.map(answer => describeReport(answer))});
+			}
+
+			awaited = stillAwaited;
+			timeout = awaited.length === 0 ? statusTimeoutMs : Math.min(2 * timeout, maxStatusTimeoutMs);
 			await sleep(roundIntervalMs);
 			continue;
 		}
--- a/packages/sessions/failover.ts
+++ b/packages/sessions/failover.ts
@@ -27,6 +27,10 @@
 	readonly mayHaveMissedPromotion: boolean;
 	/** Whether a zone is evacuated now. Defaults to none. */
 	readonly isEvacuated?: (zone: string) => boolean;
+	/** Whether the configuration demands that a replica has received each commit before it is acknowledged. */
+	readonly isSynchronous: () => boolean;
+	/** Whether the platform's list of instances is recent enough to act on. */
+	readonly isListFresh: () => boolean;
 	readonly findEra: () => KnownEra;
 	readonly store: Store;
 	readonly orderPromotion: OrderPromotion;
--- a/packages/sessions/find-access.test.ts
+++ b/packages/sessions/find-access.test.ts
@@ -13,6 +13,7 @@
 		connectionLimits: new Map([['pondbook', 34]]),
 		workspaceByKeyDigest: new Map([[hashKey('good'), 'upper']]),
 		limits: new Map([['upper', {rate: 10, burst: 10}]]),
+		synchronousGroups: new Set<string>(),
 		warmupLimits: new Map(),
 		allowedRegions: new Map([['upper', new Set(['east'])]]),
 		transactionIdleLimit: 3000,
--- a/packages/sessions/find-due-successor.ts
+++ b/packages/sessions/find-due-successor.ts
@@ -15,6 +15,8 @@
 	 * wanted log, are still waited for.
 	 */
 	readonly isSuccessorAwaited: boolean;
+	/** Whether the promotion of an instance loses no commit that must not be lost. */
+	readonly mayPromote: (candidate: ReportedStatus) => boolean;
 	/** Last order of this host; undefined if it gave none, or it was refused. */
 	readonly ordered: PromotionOrder | undefined;
 	/** Instance whose promotion was last ordered and not refused, by any host; empty if there is none. */
@@ -30,10 +32,10 @@
 
 /** Finds the instance whose promotion a host orders now in a failover; undefined if it waits. */
 export function findDueSuccessor(answers: readonly ReportedStatus[], {
-	row, primary, wantedLog, isSuccessorAwaited, ordered, promoting, settledAt, now,
+	row, primary, wantedLog, isSuccessorAwaited, mayPromote, ordered, promoting, settledAt, now,
 }: Options): ReportedStatus | undefined {
 	const candidates = answers.filter(({id}) => id !== primary);
-	const successor = candidates.find(({id}) => id === row.successor) ?? chooseSuccessor(candidates);
+	const successor = candidates.find(({id}) => id === row.successor) ?? chooseSuccessor(candidates, mayPromote);
 	if (successor === undefined || (ordered?.instance === successor.id && now - ordered.at < orderIntervalMs)) {
 		return undefined;
 	}
--- a/packages/sessions/read-statuses.ts
+++ b/packages/sessions/read-statuses.ts
@@ -10,6 +10,8 @@
 	readonly excluded?: string | undefined;
 	/** Instance that was found silent. */
 	readonly silent?: string | undefined;
+	/** Milliseconds within which an instance must answer. Defaults to `statusTimeoutMs`. */
+	readonly timeout?: number;
 };
 
 /** Milliseconds for which a primary that was found silent may still answer after the other instances have. */
@@ -19,12 +21,12 @@
  * Reads the status of all instances of a group but one. Waits for one that was found silent only a little longer than for
  * the others, because it rarely answers again just now.
  */
-export async function readStatuses({group, workspace, isEvacuated}: Pick<Failover, 'group' | 'workspace' | 'isEvacuated'>, {excluded, silent}: Options): Promise<readonly ReportedStatus[]> {
+export async function readStatuses({group, workspace, isEvacuated}: Pick<Failover, 'group' | 'workspace' | 'isEvacuated'>, {excluded, silent, timeout = statusTimeoutMs}: Options): Promise<readonly ReportedStatus[]> {
 	const instances = group.listInstances().filter(instance => instance.listed().id !== excluded);
 	const answers: ReportedStatus[] = [];
 	const read = async (instance: InstanceRuntime) => {
 		const {id, zone, isDeparting} = instance.listed();
-		const status = await readStatus(instance, {workspace, timeout: statusTimeoutMs});
+		const status = await readStatus(instance, {workspace, timeout});
 		if (status !== undefined) {
 			answers.push({
 				id, status, isDeparting, isEvacuated: isEvacuated?.(zone) ?? false,
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -163,6 +163,10 @@
 	readonly answers?: ReadonlyArray<'accepted' | 'refused' | 'lost'>;
 	/** Term that the primary led when it was stored; unknown if left out. */
 	readonly term?: number;
+	/** Whether a commit is acknowledged only once a replica has received it. */
+	readonly isSynchronous?: boolean;
+	/** Instance that the platform does not list any more after `goneAfterMs`. */
+	readonly gone?: string;
 	/** What happens while the first order is on its way: another host takes the failover over, or this host is suspended. */
 	readonly duringOrder?: 'takeover' | 'suspension';
 };
@@ -173,12 +177,15 @@
 /** Milliseconds after which an instance answers that does not at first. */
 const firstMs = 700;
 
+/** Milliseconds after which the platform does not list an instance any more that is gone. */
+const goneAfterMs = 1800;
+
 /** Milliseconds for which a host is suspended. */
 const suspendedMs = 6000;
 
 async function runFailover({
 	statuses, statusesAfter, reason = 'silent', evacuated = [], isLosing = false, mayHaveMissedPromotion = false,
-	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term, lateAfterMs = lateEffectMs, era = 1, known,
+	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term, lateAfterMs = lateEffectMs, era = 1, known, isSynchronous = false, gone,
 }: Case) {
 	const ordered: string[] = [];
 	let suspended = 0;
@@ -200,7 +207,7 @@
 		name: 'pondbook',
 		fence: () => undefined,
 		known: () => known,
-		listInstances: () => instances,
+		listInstances: () => instances.filter(instance => instance.listed().id !== gone || performance.now() - startedAt < goneAfterMs),
 		findInstance: id => instances.find(instance => instance.listed().id === id),
 	};
 	const quiet = () => undefined;
@@ -213,6 +220,8 @@
 		fencedAt: undefined,
 		mayHaveMissedPromotion,
 		isEvacuated: zone => evacuated.includes(zone),
+		isSynchronous: () => isSynchronous,
+		isListFresh: () => true,
 		findEra: () => ({era, since: eraSince}),
 		store,
 		async orderPromotion({instance}) {
@@ -590,4 +599,66 @@
 			expect(row).to.include({state: 'serving', primary: expected, term: 3});
 		});
 	}
+
+	const behind = {'i-old': undefined, 'i-b': 'replica 1 1.9', 'i-c': 'replica 1 1.4'};
+	const synchronous: ReadonlyArray<{readonly name: string; readonly given: Case; readonly expected: readonly string[]}> = [
+		{
+			name: 'waits for a replica that is busy rather than lose what it alone has received',
+			given: {
+				statusesFirst: {...behind, 'i-b': busyStatus}, statuses: behind, statusesAfter: {...behind, 'i-b': 'primary 2 1.9'},
+			},
+			expected: ['i-b'],
+		},
+		{
+			name: 'waits for a replica that is silent rather than lose what it alone has received',
+			given: {
+				statusesFirst: {...behind, 'i-b': undefined}, statuses: behind, statusesAfter: {...behind, 'i-b': 'primary 2 1.9'},
+			},
+			expected: ['i-b'],
+		},
+		{
+			name: 'promotes no replica that is behind a silent one whose log is known, until the platform does not list that one any more',
+			given: {
+				statusesFirst: {...behind, 'i-c': undefined, 'i-d': undefined},
+				statuses: {...behind, 'i-b': undefined, 'i-d': 'replica 1 1.4'},
+				statusesAfter: {
+					...behind, 'i-b': undefined, 'i-c': 'primary 2 1.4', 'i-d': 'replica 2 1.4',
+				},
+				gone: 'i-b',
+			},
+			expected: ['i-c'],
+		},
+		{
+			name: 'promotes what is left once the platform does not list the replica any more',
+			given: {
+				statuses: {...behind, 'i-b': undefined}, statusesAfter: {...behind, 'i-b': undefined, 'i-c': 'primary 2 1.4'}, gone: 'i-b',
+			},
+			expected: ['i-c'],
+		},
+		{
+			name: 'does not wait for a replica if another one has the whole log of a departing primary',
+			given: {
+				statuses: {'i-old': 'primary 1 1.9', 'i-b': undefined, 'i-c': 'replica 1 1.9'},
+				statusesAfter: {'i-old': 'replica 2 1.9', 'i-b': undefined, 'i-c': 'primary 2 1.9'},
+				reason: 'departing',
+			},
+			expected: ['i-c'],
+		},
+		{
+			name: 'keeps a primary that answers again while it waits',
+			given: {
+				statusesFirst: {...behind, 'i-b': undefined}, statuses: {...behind, 'i-old': 'primary 1 1.9', 'i-b': undefined}, statusesAfter: {},
+			},
+			expected: [],
+		},
+	];
+	for (const {name, given, expected} of synchronous) {
+		// Guards against the loss of acknowledged commits where a replica must receive a commit before it is acknowledged.
+		it(`${name}, with synchronous replicas`, async () => {
+			const {row, ordered, orderedAfter} = await runFailover({...given, isSynchronous: true, term: 1});
+			expect(ordered).to.deep.equal(expected);
+			expect(orderedAfter).to.be.above(given.gone === undefined ? 0 : goneAfterMs);
+			expect(row).to.include({state: 'serving', primary: expected.at(-1) ?? 'i-old'});
+		});
+	}
 });
--- a/packages/sessions/session-configuration.ts
+++ b/packages/sessions/session-configuration.ts
@@ -9,6 +9,8 @@
 	readonly routes: ReadonlyMap<string, Route>;
 	/** Number of connections that each instance of a group accepts, by group. */
 	readonly connectionLimits: ReadonlyMap<string, number>;
+	/** Groups whose primaries acknowledge a commit only once a replica has received it. */
+	readonly synchronousGroups: ReadonlySet<string>;
 	/** How cold instances are spared, by group; groups without a limit are missing. */
 	readonly warmupLimits: ReadonlyMap<string, WarmupLimit>;
 	/** Workspaces by key digest; see `hashKey`. */
--- a/packages/sessions/start-session-host.ts
+++ b/packages/sessions/start-session-host.ts
@@ -138,6 +138,7 @@
 		listGroups: () => groups.listGroups(),
 		listInstances,
 		isEvacuated: evacuations.isEvacuated,
+		isSynchronous: group => findConfiguration()?.configuration.synchronousGroups.has(group) ?? false,
 		isListFresh() {
 			const confirmedAt = findConfirmedAt('instances');
 			return confirmedAt !== undefined && findElapsed(confirmedAt, now()) < maxInstanceListAgeMs;
