Let the soak of failovers play synchronous replicas and check session values

Change: every second seed lets commits wait for a replica, and a write that such a group acknowledged counts as lost also if a promotion rolled it back. A further kind of client sets values at any place of a transaction, and each statement that an instance ran has to have run with the values acknowledged before it.

--- a/stand-ins/wire/failover-kinds.ts
+++ b/stand-ins/wire/failover-kinds.ts
@@ -40,6 +40,18 @@
 	await talk.pause(0, 100);
 };
 
+/** Sets values at any place of a transaction, also behind its last statement. */
+const runTransactionWithValues = async (talk: SoakTalk) => {
+	let state = await talk.send('BEGIN');
+	for (let count = talk.pick(1, 6); count > 0 && state === 'T'; count--) {
+		state = await talk.send(talk.pick(0, 2) === 0 ? `SET colour ${talk.pick(0, 9)}` : talk.createWrite());
+	}
+
+	if (state === 'T' || state === 'E') {
+		await talk.send(talk.pick(0, 4) === 0 ? 'ROLLBACK' : 'COMMIT');
+	}
+};
+
 const kind = {key: 'good', isReadLate: false};
 
 /** Kinds of clients of a soak of failovers: those of all soaks, and others that keep COMMITs on their way and read what was written last. */
@@ -81,4 +93,7 @@
 			}
 		}),
 	},
+	{
+		...kind, name: 'transactions that set values', database: 'latest', runOperation: repeat(runTransactionWithValues),
+	},
 ];
--- a/stand-ins/wire/instance-group.ts
+++ b/stand-ins/wire/instance-group.ts
@@ -5,6 +5,8 @@
 /** The simulated instances of a group, which replicate the log of their primary. */
 export type InstanceGroup = {
 	readonly name: string;
+	/** Whether a commit is acknowledged only once another instance has received it. */
+	readonly isSynchronous: boolean;
 	readonly instances: readonly InstanceStandIn[];
 	/** Relays at which the instances are registered, by instance; none if they are registered at their own ports. */
 	readonly links: ReadonlyMap<InstanceStandIn, Link>;
--- a/stand-ins/wire/list-wrong-effects.test.ts
+++ b/stand-ins/wire/list-wrong-effects.test.ts
@@ -13,7 +13,7 @@
 const lost: Commit = {item: 'a', count: 0};
 
 describe('listWrongEffects', () => {
-	const cases: ReadonlyArray<{readonly name: string; readonly messages: Messages; readonly commits: readonly Commit[]; readonly rules: readonly string[]}> = [
+	const cases: ReadonlyArray<{readonly name: string; readonly messages: Messages; readonly commits: readonly Commit[]; readonly isSynchronous?: boolean; readonly rules: readonly string[]}> = [
 		{
 			name: 'a write that is kept', messages: write, commits: [kept], rules: [],
 		},
@@ -35,6 +35,9 @@
 		{
 			name: 'a transaction that a promotion rolled back', messages: transaction, commits: [{...lost, isRolledBack: true}], rules: [],
 		},
+		{
+			name: 'a write that a promotion rolled back though a replica had it', messages: write, commits: [{...lost, isRolledBack: true}], isSynchronous: true, rules: ['LOST (acknowledged)'],
+		},
 		{
 			name: 'a write that was committed behind a promotion', messages: write, commits: [{...lost, isBehindPromotion: true}],
 			rules: ['ONE (committed behind a promotion, acknowledged)'],
@@ -60,10 +63,10 @@
 			name: 'a write without an answer that is lost', messages: [{text: 'WRITE a of-a', result: '', state: ''}], commits: [lost], rules: [],
 		},
 	];
-	for (const {name, messages, commits, rules} of cases) {
+	for (const {name, messages, commits, isSynchronous, rules} of cases) {
 		it(`judges ${name}`, () => {
 			const writes = listSoakWrites(createSoakSession({messages}));
-			const findings = listWrongEffects({groups: [createSoakGroup(commits)]}, writes);
+			const findings = listWrongEffects({groups: [createSoakGroup(commits, isSynchronous)]}, writes);
 			expect(findings.map(({rule}) => rule)).to.deep.equal(rules);
 		});
 	}
--- a/stand-ins/wire/list-wrong-effects.ts
+++ b/stand-ins/wire/list-wrong-effects.ts
@@ -7,7 +7,7 @@
  * Lists the writes that took effect twice, although the client was told that they did not, not although they were
  * acknowledged, or behind the promotion of another instance although they were acknowledged.
  *
- * What a promotion rolled back may be lost, since nothing waits for replicas.
+ * What a promotion rolled back may be lost where commits are acknowledged before a replica has received them.
  */
 export function listWrongEffects({groups}: Pick<SoakRecord, 'groups'>, writes: readonly SoakWrite[]): readonly SoakFinding[] {
 	const counts = new Map<string, number>();
@@ -15,6 +15,7 @@
 		counts.set(item, (counts.get(item) ?? 0) + 1);
 	}
 
+	const synchronous = new Set(groups.filter(({isSynchronous}) => isSynchronous).map(({name}) => name));
 	const records = new Map(groups.flatMap(group => group.commits()).flatMap(record => record.entry.writes.map(([item]) => [item, record] as const)));
 	return writes.flatMap(({item, session, message, fate, told}) => {
 		const count = counts.get(item) ?? 0;
@@ -32,7 +33,8 @@
 			return [{...finding, rule: 'ONE (committed behind a promotion, acknowledged)'}];
 		}
 
-		return fate === 'kept' && count === 0 && record?.isRolledBack !== true ? [{...finding, rule: 'LOST (acknowledged)'}] : [];
+		const mayBeLost = record?.isRolledBack === true && !synchronous.has(record.group);
+		return fate === 'kept' && count === 0 && !mayBeLost ? [{...finding, rule: 'LOST (acknowledged)'}] : [];
 	});
 }
 
--- a/stand-ins/wire/primary-soak.test.ts
+++ b/stand-ins/wire/primary-soak.test.ts
@@ -14,6 +14,7 @@
 import {listStaleReads} from './list-stale-reads.ts';
 import {listWrongAnswers} from './list-wrong-answers.ts';
 import {listWrongEffects} from './list-wrong-effects.ts';
+import {listWrongValues} from './list-wrong-values.ts';
 import {runLinkFaults} from './run-link-faults.ts';
 import {runPrimaryFaults} from './run-primary-faults.ts';
 import {runSoakClient} from './run-soak-client.ts';
@@ -58,6 +59,9 @@
 /** One in so many seeds disturbs instances only, so that no host that runs a failover ends in the middle of it. */
 const calmHostsInterval = 3;
 
+/** One in so many seeds lets commits wait for a replica; none of their instances then starts without its log, which would lose them. */
+const synchronousInterval = 2;
+
 /** Milliseconds between two faults, at least and at most; undefined if there are none. */
 type GapMs = {readonly least: number; readonly most: number} | undefined;
 
@@ -102,7 +106,7 @@
 
 function listFindings(record: SoakRecord): readonly SoakFinding[] {
 	const writes = record.sessions.flatMap(session => listSoakWrites(session));
-	return [...listWrongEffects(record, writes), ...listWrongAnswers(record), ...listStaleReads(record, writes)];
+	return [...listWrongEffects(record, writes), ...listWrongAnswers(record), ...listWrongValues(record), ...listStaleReads(record, writes)];
 }
 
 describe('hosts over the wire protocol, whose groups change their primaries again and again', () => {
@@ -112,12 +116,14 @@
 			const random = createMixedRandom(seed);
 			const workMs = workChoicesMs[seed % workChoicesMs.length] ?? workChoicesMs[0];
 			const hasCalmHosts = seed % calmHostsInterval === 0;
+			const isSynchronous = seed % synchronousInterval === 0;
 			const deployment = await startWireDeployment({
 				hostCount,
 				groupCount,
 				lag: 60,
 				workMs,
 				hasLinks: true,
+				isSynchronous,
 				gracePeriodSeconds,
 				ratePerSecond: perHost.ratePerSecond * hostCount,
 				connectionLimit: perHost.connectionLimit * hostCount,
@@ -193,7 +199,7 @@
 				const findings = [...failures, ...listFindings(record)];
 				const longestLateMs = Math.round(lateness.findLongest(startedAt, performance.now()));
 				console.log([
-					`seed ${seed}: statements of ${workMs} ms, hosts are ${hasCalmHosts ? 'calm' : 'stopped too'}`,
+					`seed ${seed}: statements of ${workMs} ms, hosts are ${hasCalmHosts ? 'calm' : 'stopped too'}, replicas are ${isSynchronous ? 'synchronous' : 'asynchronous'}`,
 					...summarizeFailovers(record, deployment.promotions().length),
 					`this process was late by up to ${longestLateMs} ms`,
 				].join('\n'));
--- a/stand-ins/wire/soak-record.ts
+++ b/stand-ins/wire/soak-record.ts
@@ -6,7 +6,7 @@
 export type SoakRecord = {
 	readonly sessions: readonly SoakSession[];
 	readonly processes: readonly SoakProcess[];
-	readonly groups: ReadonlyArray<Pick<InstanceGroup, 'name' | 'instances' | 'leader' | 'commits'>>;
+	readonly groups: ReadonlyArray<Pick<InstanceGroup, 'name' | 'isSynchronous' | 'instances' | 'leader' | 'commits'>>;
 	readonly gracePeriodMs: number;
 	/** Returns the most milliseconds by which this process, which takes the times, was late between two moments. */
 	readonly findLateness: (from: number, to: number) => number;
--- a/stand-ins/wire/start-instance-group.ts
+++ b/stand-ins/wire/start-instance-group.ts
@@ -23,6 +23,8 @@
 	readonly workMs: number;
 	/** Milliseconds for which an instance that started again lists itself as cold. Defaults to 0. */
 	readonly warmupMs?: number;
+	/** Whether a commit is acknowledged only once another instance has received it. Defaults to false. */
+	readonly isSynchronous?: boolean;
 	/** Store in which the instances register. */
 	readonly store: Pick<StoreStandIn, 'put' | 'delete'>;
 	/** Whether the hosts reach each instance through a relay, which can be disturbed. Defaults to false. */
@@ -46,7 +48,7 @@
 
 /** Starts the simulated instances of a group: a primary, and replicas that receive its commits and apply them later. */
 export async function startInstanceGroup({
-	name, zones, idPrefix, lag, workMs, warmupMs = 0, store, hasLinks = false,
+	name, zones, idPrefix, lag, workMs, warmupMs = 0, isSynchronous = false, store, hasLinks = false,
 }: Options): Promise<InstanceGroup> {
 	const instances: InstanceStandIn[] = [];
 	const links = new Map<InstanceStandIn, Link>();
@@ -57,6 +59,8 @@
 	const commits: CommitRecord[] = [];
 	/** Since when an old primary can reach a newer one, in milliseconds of the steady clock. */
 	const reachesNewerSince = new Map<InstanceStandIn, number>();
+	/** Commits that no other instance has received yet, with what to call when one has. */
+	const unreplicated = new Map<LogEntry, () => void>();
 	let newestTerm = 1;
 	let seq = 0;
 	const startedAt = Date.now();
@@ -88,6 +92,21 @@
 
 	const findLeader = () => instances.findLast(instance => instance.role() === 'primary' && instance.term() === newestTerm) ?? instances.find(instance => instance.term() === newestTerm);
 
+	const waitForReplica = async (entry: LogEntry) => new Promise<void>(resolve => {
+		unreplicated.set(entry, resolve);
+	});
+
+	/** Lets the commits be acknowledged that an instance has received. */
+	const settleReplicated = (instance: InstanceStandIn) => {
+		const received = new Set(unreplicated.size === 0 ? [] : instance.log());
+		for (const [entry, resolve] of unreplicated) {
+			if (received.has(entry)) {
+				unreplicated.delete(entry);
+				resolve();
+			}
+		}
+	};
+
 	const sendLog = (from: InstanceStandIn) => {
 		const term = from.term();
 		const entries = [...from.log()];
@@ -95,6 +114,7 @@
 			setTimeout(() => {
 				if (isReachable(from, to) && from.role() === 'primary' && from.term() === term) {
 					to.receive(term, entries);
+					settleReplicated(to);
 				}
 			}, replicationDelayMs);
 		}
@@ -114,6 +134,7 @@
 			role: index === 0 ? 'primary' : 'replica',
 			lag,
 			workMs,
+			waitForReplica: isSynchronous ? waitForReplica : undefined,
 			onCommit(entry) {
 				const instance = instances[index];
 				if (instance !== undefined) {
@@ -180,6 +201,7 @@
 
 	return {
 		name,
+		isSynchronous,
 		instances,
 		links,
 		leader() {
--- a/stand-ins/wire/start-instance-stand-in.ts
+++ b/stand-ins/wire/start-instance-stand-in.ts
@@ -19,6 +19,8 @@
 	readonly onRole: () => void;
 	/** Milliseconds that a read, write or commit takes. */
 	readonly workMs: number;
+	/** Resolves once a replica has received a commit, which is acknowledged only then; commits are acknowledged at once if it is left out. */
+	readonly waitForReplica?: ((entry: LogEntry) => Promise<void>) | undefined;
 };
 
 /** Statements of clients that take time; the first word of the text, after `AFTER` and its position. */
@@ -26,7 +28,7 @@
 
 /** Starts a simulated instance on a free port of the loopback address. */
 export async function startInstanceStandIn({
-	id, group, role, lag, onCommit, onRole, workMs,
+	id, group, role, lag, onCommit, onRole, workMs, waitForReplica,
 }: Options): Promise<InstanceStandIn> {
 	const executedStatements: Array<ReturnType<InstanceStandIn['executedStatements']>[number]> = [];
 	const sessionWorkspaces: string[] = [];
@@ -45,16 +47,17 @@
 	});
 	let remainingLostAnswers = 0;
 
-	const answer = (socket: Socket, connection: InstanceConnectionState, line: string) => {
+	/** Answers a message; returns a promise if the answer has to wait for a replica. */
+	const answer = (socket: Socket, connection: InstanceConnectionState, line: string): Promise<void> | undefined => {
 		if (isCrashed) {
-			return;
+			return undefined;
 		}
 
 		if (isFrozen) {
 			delayed.push(() => {
-				answer(socket, connection, line);
+				void answer(socket, connection, line);
 			});
-			return;
+			return undefined;
 		}
 
 		const [command = '', first = '', ...rest] = line.split(' ');
@@ -62,7 +65,7 @@
 			sessionWorkspaces.push(rest[0] ?? '');
 			const isExpectedTarget = first === group && rest[1] === id;
 			socket.write(isExpectedTarget ? `READY I ${log.position()}\r\n` : 'ERROR MOVED another\r\n');
-			return;
+			return undefined;
 		}
 
 		if (first !== '-') {
@@ -71,14 +74,26 @@
 			});
 		}
 
+		const newestBefore = log.entries().at(-1);
 		const lines = execute(connection, rest.join(' '));
+		const newest = log.entries().at(-1);
+		const replicated = newest === undefined || newest === newestBefore ? undefined : waitForReplica?.(newest);
 		if (first !== '-' && remainingLostAnswers > 0) {
 			remainingLostAnswers--;
 			socket.destroy();
-			return;
+			return undefined;
+		}
+
+		const sendLines = () => {
+			socket.write([...lines, `READY ${connection.state} ${log.position()}`, ''].join('\r\n'));
+		};
+
+		if (replicated === undefined) {
+			sendLines();
+			return undefined;
 		}
 
-		socket.write([...lines, `READY ${connection.state} ${log.position()}`, ''].join('\r\n'));
+		return replicated.then(sendLines); // eslint-disable-line promise/prefer-await-to-then -- other statements are answered in the same turn
 	};
 
 	/** Answers a message after those before it and after its work, also if the connection is closed meanwhile. */
@@ -90,7 +105,7 @@
 			await sleep(workMs);
 		}
 
-		answer(socket, connection, line);
+		await answer(socket, connection, line);
 	};
 
 	const server = createServer(socket => {
@@ -110,8 +125,8 @@
 			const lines = (rest + chunk.toString('latin1')).split('\r\n');
 			rest = lines.pop() ?? '';
 			for (const line of isUnresponsive ? [] : lines) {
-				if (workMs === 0) {
-					answer(socket, connection, line);
+				if (workMs === 0 && waitForReplica === undefined) {
+					void answer(socket, connection, line);
 				} else {
 					connection.answered = answerInOrder(socket, connection, line);
 				}
--- a/stand-ins/wire/start-wire-deployment.ts
+++ b/stand-ins/wire/start-wire-deployment.ts
@@ -1,3 +1,4 @@
+/* eslint-disable @typescript-eslint/naming-convention -- names defined by the platform */
 /* eslint-disable no-await-in-loop -- steps run in sequence */
 import {createServer as createHttpServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -29,6 +30,8 @@
 	readonly connectionLimit?: number;
 	/** Operations a second of each workspace, and its burst. Defaults to 200. */
 	readonly ratePerSecond?: number;
+	/** Whether the groups' commits are acknowledged only once a replica has received them. Defaults to false. */
+	readonly isSynchronous?: boolean;
 	/** Further fields of each group's service in the configuration. */
 	readonly serviceFields?: object;
 	/** Further fields of the routes in the configuration, by database. */
@@ -44,14 +47,14 @@
 
 /** Starts host processes, with a simulated store, cloud API and groups of three instances. */
 export async function startWireDeployment({
-	hostCount, groupCount = 1, lag, workMs = 0, warmupMs = 0, connectionLimit = 34, ratePerSecond = 200, serviceFields = {}, routeFields = {}, hasLinks = false, ...hostOptions
+	hostCount, groupCount = 1, lag, workMs = 0, warmupMs = 0, connectionLimit = 34, ratePerSecond = 200, isSynchronous = false, serviceFields = {}, routeFields = {}, hasLinks = false, ...hostOptions
 }: Options): Promise<WireDeployment> {
 	const store = await startStoreStandIn();
 	const groups: InstanceGroup[] = [];
 	for (let index = 0; index < groupCount; index++) {
 		const number = index === 0 ? '' : String(index + 1);
 		groups.push(await startInstanceGroup({
-			name: `pondbook${number}`, zones, idPrefix: `i${number}-`, lag, workMs, warmupMs, store, hasLinks,
+			name: `pondbook${number}`, zones, idPrefix: `i${number}-`, lag, workMs, warmupMs, isSynchronous, store, hasLinks,
 		}));
 	}
 
@@ -80,7 +83,7 @@
 	const configure: WireDeployment['configure'] = ({keys, hasGuestRoute = false}) => {
 		version += 3;
 		store.put('op', 'config', createWireConfiguration({
-			version, keys, hasGuestRoute, connectionLimit, ratePerSecond, serviceFields, routeFields, groups: groups.map(({name}) => name),
+			version, keys, hasGuestRoute, connectionLimit, serviceFields: {...isSynchronous && {sync_replicas: 1}, ...serviceFields}, ratePerSecond, routeFields, groups: groups.map(({name}) => name),
 		}));
 	};
 
--- a/stand-ins/wire/synchronous-replication.test.ts
+++ b/stand-ins/wire/synchronous-replication.test.ts
@@ -1,4 +1,3 @@
-/* eslint-disable @typescript-eslint/naming-convention -- names defined by the platform */
 /* eslint-disable no-await-in-loop -- steps run in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
@@ -9,9 +8,6 @@
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
-/** One-way latency of each link; a commit reaches the replicas sooner than its answer leaves the primary's machine. */
-const linkDelayMs = 10;
-
 /** Milliseconds for which the replica with all commits does not tell its status. */
 const unknownMs = 2500;
 
@@ -50,7 +46,7 @@
 			group.links.get(replica)?.setFault({...usualLinkFault, isPartitioned: true});
 		},
 		end({group, replica}) {
-			group.links.get(replica)?.setFault({...usualLinkFault, delayMs: linkDelayMs});
+			group.links.get(replica)?.setFault(usualLinkFault);
 		},
 	},
 	{
@@ -81,7 +77,7 @@
 
 	beforeEach(async () => {
 		deployment = await startWireDeployment({
-			hostCount: 3, lag: 20, hasLinks: true, serviceFields: {sync_replicas: 1},
+			hostCount: 3, lag: 20, hasLinks: true, isSynchronous: true,
 		});
 		await deployment.waitUntilReady();
 		await sleep(1500);
@@ -131,10 +127,6 @@
 			throw new Error('The deployment has no group of three instances');
 		}
 
-		for (const link of group.links.values()) {
-			link.setFault({...usualLinkFault, delayMs: linkDelayMs});
-		}
-
 		group.setCut(deaf, true);
 		const acknowledged = await writeItems();
 		expect(acknowledged).to.have.length(writeCount);
