--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -3,33 +3,25 @@
 import {createKnownLogs} from './create-known-logs.ts';
 import {decodeStoreVersion} from './decode-store-version.ts';
 import {describeReport} from './describe-report.ts';
-import type {FailoverDuty} from './failover-duty.ts';
+import type {FailoverHold} from './failover-hold.ts';
 import type {Fence} from './fence.ts';
 import {findDueSuccessor} from './find-due-successor.ts';
 import {findDutyRemaining} from './find-duty-remaining.ts';
 import {findElapsed} from './find-elapsed.ts';
-import {findFenceRemaining} from './find-fence-remaining.ts';
 import {findLeader} from './find-leader.ts';
 import type {GroupRow} from './group-row.ts';
 import type {InstanceStatus} from './instance-status.ts';
-import {isFromEarlierEra} from './is-from-earlier-era.ts';
-import {commitGroupRow} from './commit-group-row.ts';
-import {isLockHeld} from './is-lock-held.ts';
-import {leaseDurationMs} from './lease-duration-ms.ts';
 import {promotionLimitMs} from './promotion-limit-ms.ts';
 import type {PromotionOrder} from './promotion-order.ts';
-import {readFleetRows} from './read-fleet-rows.ts';
 import {readStatuses} from './read-statuses.ts';
+import {roundIntervalMs} from './round-interval-ms.ts';
 import {statusTimeoutMs} from './status-timeout-ms.ts';
-import {takeFailoverLock} from './take-failover-lock.ts';
+import {takeOrderRight} from './take-order-right.ts';
 import {takeoverLimitMs} from './takeover-limit-ms.ts';
 import type {Failover} from './failover.ts';
 import type {Versioned} from './versioned.ts';
 import {waitForCatchUp} from './wait-for-catch-up.ts';
 
-/** Milliseconds between two rounds of status requests to the instances. */
-const roundIntervalMs = 100;
-
 /**
  * Milliseconds for which an instance is waited for that knows the term of the old primary, when only others answer: they have
  * nothing of that term in their logs, and a promotion would lose all of it. An instance outside of the evacuated zones
@@ -40,12 +32,6 @@
 /** Longest time in milliseconds within which an instance must report its status, when a slow one is waited for. */
 const maxStatusTimeoutMs = 1600;
 
-/** Milliseconds after which the store is read again before an order, to prove that this host still runs the failover. */
-const proofLifetimeMs = 500;
-
-/** Least milliseconds that an order needs to arrive and be answered. */
-const minOrderMs = 150;
-
 /** The new primary, and the group's row that names it as successor or as unchanged primary. */
 type Promoted = {
 	readonly row: Versioned<GroupRow>;
@@ -63,22 +49,22 @@
  */
 export async function executePromotion(fence: Fence, failover: Failover, logStep: (line: string, fields: Readonly<Record<string, unknown>>) => void): Promise<Promoted | undefined> {
 	const {group, now, orderPromotion, self} = failover;
-	let {row} = fence;
+	let held: FailoverHold = fence;
 	const isPlanned = failover.reason === 'departing' || failover.reason === 'evacuated' || failover.reason === 'missing';
 	const log = isPlanned ? await waitForCatchUp(fence, failover) : undefined;
 	/** A primary in an evacuated zone goes on where it is, rather than that acknowledged commits are lost. */
 	const wantedLog = failover.reason === 'evacuated' ? log : undefined;
-	let {duty, ordersFrom} = fence;
 	const betterSuccessorUntil = now().steady + betterSuccessorLimitMs;
 	let ordered: PromotionOrder | undefined;
 	/** When each promotion that may have been ordered has taken effect or never will, in milliseconds of the steady clock. */
-	let settledAt = row.successor === '' ? undefined : now().steady + promotionLimitMs;
+	let settledAt = fence.row.successor === '' ? undefined : now().steady + promotionLimitMs;
 	/** Instance whose promotion was last ordered and not refused, by this host or by one that ran the failover before. */
-	let promoting = row.successor;
+	let promoting = fence.row.successor;
 	const knownLogs = createKnownLogs(failover, fence.row.primary);
 	let awaited: readonly string[] = [];
 	let timeout = statusTimeoutMs;
-	while (findElapsed(duty.takenAt, now()) < takeoverLimitMs) {
+	while (findElapsed(held.duty.takenAt, now()) < takeoverLimitMs) {
+		const {row} = held;
 		if (failover.findEra().era > decodeStoreVersion(fence.row.version).era) {
 			logStep('The store came back from an older copy; the failover begins anew.', {});
 			return undefined;
@@ -122,66 +108,27 @@
 			continue;
 		}
 
-		if (row.token === 0) {
-			const taken = await takeFailoverLock(row, failover);
-			if (taken === 'replaced') {
-				logStep('Another host changed the row of the group.', {});
-				return undefined;
-			}
-
-			if (taken === 'inUse') {
-				await sleep(roundIntervalMs);
-				continue;
-			}
-
-			({row, ordersFrom} = taken);
-			duty = {...duty, provenAt: taken.provenAt};
-			logStep('The host took the failover lock.', {token: row.token});
-		}
-
-		const remaining = Math.max(findEarlierEraRemaining(failover), ordersFrom - now().steady);
-		if (remaining > 0) {
-			await sleep(remaining);
-			continue;
-		}
-
-		if (row.successor !== successor.id) {
-			const outcome = await commitGroupRow(row, {...row, successor: successor.id}, failover);
-			if (outcome === undefined) {
-				return undefined;
-			}
-
-			row = outcome;
-		}
-
-		const proven = await readProof(row, duty, failover);
-		if (proven === 'replaced') {
-			logStep('Another host changed the row of the group.', {});
+		const right = await takeOrderRight(held, successor.id, failover, logStep);
+		if (right.kind === 'replaced') {
 			return undefined;
 		}
 
-		if (proven === 'unlocked') {
-			logStep('Another host took the failover lock.', {});
-			row = {...row, token: 0};
-			continue;
-		}
-
-		duty = proven;
-		const findRemaining = () => findDutyRemaining(proven, now());
-		if (findRemaining() < minOrderMs) {
-			await sleep(roundIntervalMs);
+		held = right.held;
+		if (right.kind === 'later') {
+			await sleep(right.waitMs);
 			continue;
 		}
 
+		const {row: orderedRow, duty} = held;
 		const taken = await orderPromotion({
-			group: group.name, instance: successor.id, holder: self, token: row.token, findRemaining,
+			group: group.name, instance: successor.id, holder: self, token: orderedRow.token, findRemaining: () => findDutyRemaining(duty, now()),
 		});
 		logStep('The host ordered a promotion.', {
 			successor: successor.id, term: successor.status.term, position: String(successor.status.received.position), taken, answers: answers.map(answer => describeReport(answer)),
 		});
 		ordered = {instance: successor.id, at: now().steady, term: successor.status.term};
 		if (taken === 'refused') {
-			row = {...row, successor: ''};
+			held = {...held, row: {...held.row, successor: ''}};
 			ordered = undefined;
 			await sleep(roundIntervalMs);
 		} else {
@@ -192,37 +139,3 @@
 
 	return undefined;
 }
-
-/**
- * Reads whether the store still holds the row of this failover unchanged and the lock for it, unless that was proven just now.
- *
- * @returns The right to order promotions, with the newest proof; `replaced` if another host changed the row, `unlocked` if
- * another one took the lock.
- */
-async function readProof(row: Versioned<GroupRow>, duty: FailoverDuty, {group, store, now}: Failover): Promise<FailoverDuty | 'replaced' | 'unlocked'> {
-	const askedAt = now();
-	if (findElapsed(duty.provenAt, askedAt) <= proofLifetimeMs) {
-		return duty;
-	}
-
-	const rows = await readFleetRows(store);
-	if (rows === undefined) {
-		return duty;
-	}
-
-	const known = rows.groups.get(group.name);
-	if (known?.version !== row.version || isFromEarlierEra(known)) {
-		return 'replaced';
-	}
-
-	return isLockHeld(row, rows) ? {...duty, provenAt: askedAt} : 'unlocked';
-}
-
-/**
- * Finds the milliseconds until leases of the era before have expired that hosts may hold whose registration the store has
- * lost; 0 or less when they have.
- */
-function findEarlierEraRemaining({findEra, listRecentHosts, now}: Failover): number {
-	const pending = [{leaseMs: leaseDurationMs}, ...listRecentHosts()];
-	return findFenceRemaining({at: findEra().since, pending}, now().steady);
-}
--- /dev/null
+++ b/packages/sessions/round-interval-ms.ts
@@ -0,0 +1,2 @@
+/** Milliseconds between two rounds of status requests to the instances in a failover. */
+export const roundIntervalMs = 100;
