--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -1,5 +1,6 @@
 import {commitFirstPrimary} from './commit-first-primary.ts';
 import {createFailoverRanks} from './create-failover-ranks.ts';
+import {createLeavingPrimaries} from './create-leaving-primaries.ts';
 import {createPrimaryConfirmation} from './create-primary-confirmation.ts';
 import {createPromotionOrders} from './create-promotion-orders.ts';
 import {createRegistration} from './create-registration.ts';
@@ -56,9 +57,6 @@
 /** Milliseconds between two attempts to register, to remove silent hosts, or to store a first primary. */
 const retryIntervalMs = 500;
 
-/** Part of the time to drain a primary after which it is fenced also while another host uses the failover lock. */
-const maxDrainFraction = 0.5;
-
 /** Milliseconds for which hosts only try to confirm a primary after the store came back from an older copy. */
 const confirmFirstMs = 1000;
 
@@ -69,8 +67,7 @@
 	const reasonSince = new Map<string, {readonly reason: FailoverReason; readonly since: number}>();
 	/** Groups whose primary this host is replacing. */
 	const busyGroups = new Set<string>();
-	/** Primaries that the platform lists as departing or not any more, and since when, in milliseconds of the steady clock, by group. */
-	const leaving = new Map<string, {readonly primary: string; readonly since: number}>();
+	const leaving = createLeavingPrimaries(options.drainLimitMs);
 	let fleet: FleetRows | undefined;
 	/** When the fleet's rows first became known, in milliseconds of the steady clock. */
 	let knownSince = Number.POSITIVE_INFINITY;
@@ -131,18 +128,17 @@
 		return fleet !== undefined && row?.epoch === epoch && (hasHolderEnded(row, fleet) || (fencedAt !== undefined && now().steady - fencedAt > takeoverLimitMs));
 	};
 
-	/** Records whether the platform lists the primary of a group as departing or not any more. */
-	const recordLeaving = (group: SessionGroup, primary: string) => {
-		const missingSince = group.missingSince(primary);
-		const isLeaving = missingSince !== undefined || group.findInstance(primary)?.listed().isDeparting === true;
-		if (!isLeaving || !options.isListFresh()) {
-			leaving.delete(group.name);
-		} else if (leaving.get(group.name)?.primary !== primary) {
-			leaving.set(group.name, {primary, since: missingSince ?? now().steady});
+	const recordLeaving = (group: SessionGroup, primary: string, at: number) => {
+		if (!options.isListFresh()) {
+			leaving.forget(group.name);
+			return;
 		}
-	};
 
-	const isFenceDue = (group: SessionGroup) => now().steady - (leaving.get(group.name)?.since ?? Number.POSITIVE_INFINITY) > maxDrainFraction * options.drainLimitMs;
+		const isDeparting = group.findInstance(primary)?.listed().isDeparting ?? false;
+		leaving.record(group.name, {
+			primary, isDeparting, missingSince: group.missingSince(primary), now: at,
+		});
+	};
 
 	const isLockUserSilent = async (group: string, host: string) => {
 		const isSilent = await isHostSilent(options.findPeer(host), () => now().steady);
@@ -177,7 +173,7 @@
 			...options.isEvacuated && {isEvacuated: options.isEvacuated},
 			isSynchronous: () => options.isSynchronous(group.name),
 			isListFresh: options.isListFresh,
-			isFenceDue: isFenceDue(group),
+			isFenceDue: leaving.isFenceDue(group.name, now().steady),
 			isGivenUp,
 			isHostSilent: async host => ranks.isLockChecker(group.name) && isLockUserSilent(group.name, host),
 			findEra: confirmation.findEra,
@@ -205,8 +201,8 @@
 			options.gateways.probe(listed);
 		}
 
-		recordLeaving(group, row.primary);
 		const at = now().steady;
+		recordLeaving(group, row.primary, at);
 		const restoredSince = confirmation.findRestoredSince(group.name, row);
 		const stepRestored = () => {
 			if (restoredSince !== undefined && confirmation.isDue(group.name, restoredSince)) {
