stand-ins: read a group's row and wait for another primary in one place

Cause: five tests read the row of a group and four waited for another primary, each with a type and a loop of its own; two described session values.

Change: read-group-row.ts, wait-for-other-primary.ts and describe-values.ts.

--- a/stand-ins/wire/drain-during-failover.test.ts
+++ b/stand-ins/wire/drain-during-failover.test.ts
@@ -4,7 +4,9 @@
 import {usualLinkFault} from '../links/usual-link-fault.ts';
 import type {InstanceGroup} from './instance-group.ts';
 import {openWireClient} from './open-wire-client.ts';
+import {readGroupRow} from './read-group-row.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
+import {waitForOtherPrimary} from './wait-for-other-primary.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
 const hostCount = 6;
@@ -26,8 +28,6 @@
 
 const pollMs = 2;
 
-type Row = {readonly state: string; readonly holder: string; readonly primary: string};
-
 /** What becomes of a host that runs the failover of the other group. */
 const harms: ReadonlyArray<{readonly name: string; readonly harm: (deployment: WireDeployment, index: number) => void}> = [
 	{
@@ -77,17 +77,15 @@
 		deployment.stop();
 	});
 
-	const readRow = (group: InstanceGroup) => deployment.store.read('sapphirefall', `group/${group.name}`) as Row;
-
 	/** Harms each host that runs the failover of a group, some hosts at most, until the time is over. */
 	const harmHolders = async (group: InstanceGroup, harm: (typeof harms)[number]['harm'], {until, onFirst}: {readonly until: number; readonly onFirst: () => void}) => {
 		const harmed = new Set<string>();
 		while (performance.now() < until) {
-			const {state, holder} = readRow(group);
-			const index = deployment.hosts.findIndex(({name}) => name === holder);
-			if (state === 'fencing' && index !== -1 && !harmed.has(holder) && harmed.size < maxHarmedHosts) {
+			const row = readGroupRow(deployment.store, group.name);
+			const index = deployment.hosts.findIndex(({name}) => name === row?.holder);
+			if (row?.state === 'fencing' && index !== -1 && !harmed.has(row.holder) && harmed.size < maxHarmedHosts) {
 				harm(deployment, index);
-				harmed.add(holder);
+				harmed.add(row.holder);
 				if (harmed.size === 1) {
 					onFirst();
 				}
@@ -97,19 +95,11 @@
 		}
 	};
 
-	/** Waits until the store names another primary; returns after how many milliseconds it does. */
-	const waitForSuccessor = async (group: InstanceGroup, primary: string, until: number) => {
+	/** Returns after how many milliseconds the store names another primary. */
+	const findSuccessionTime = async (group: InstanceGroup, primary: string) => {
 		const startedAt = performance.now();
-		while (performance.now() < until) {
-			const row = readRow(group);
-			if (row.state === 'serving' && row.primary !== primary) {
-				return performance.now() - startedAt;
-			}
-
-			await sleep(pollMs);
-		}
-
-		return Number.POSITIVE_INFINITY;
+		const successor = await waitForOtherPrimary(deployment.store, {group: group.name, primary, limitMs: successionLimitMs});
+		return successor === undefined ? Number.POSITIVE_INFINITY : performance.now() - startedAt;
 	};
 
 	/** Drains the primary of the first group while the hosts come to harm that run the failover of the second one. */
@@ -130,7 +120,7 @@
 			onFirst() {
 				first.drain(primary);
 				listedAt = performance.now();
-				succeeded = waitForSuccessor(first, primary.id, listedAt + successionLimitMs);
+				succeeded = findSuccessionTime(first, primary.id);
 			},
 		});
 		await writing;
--- a/stand-ins/wire/earlier-primary.test.ts
+++ b/stand-ins/wire/earlier-primary.test.ts
@@ -2,13 +2,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import type {InstanceStandIn} from './instance-stand-in.ts';
+import {readGroupRow} from './read-group-row.ts';
 import {sendStatement} from './send-statement.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
+import {waitForOtherPrimary} from './wait-for-other-primary.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 import {repeatItemWrite} from './repeat-item-write.ts';
 
-type Row = {readonly state: string; readonly primary: string; readonly holder: string};
-
 /**
  * Milliseconds after the fence for which the third instance refuses to tell its status: until the leases of the lost host are
  * over, and a little longer.
@@ -49,22 +49,18 @@
 		return first;
 	};
 
-	const readRow = () => deployment.store.read('sapphirefall', 'group/pondbook') as Row;
+	const readRow = () => readGroupRow(deployment.store, group().name);
 
 	/** Kills the host that ran the failover, which would tell the earlier primary to step down; returns the port of another one. */
 	const loseHolder = () => {
-		const {holder} = readRow();
+		const holder = readRow()?.holder;
 		deployment.hosts.find(({name}) => name === holder)?.process.kill('SIGKILL');
 		return deployment.hosts.find(({name}) => name !== holder)?.port ?? 0;
 	};
 
 	const waitForPrimary = async (other: InstanceStandIn) => {
-		const until = performance.now() + recoveryLimitMs;
-		while (performance.now() < until && (readRow().state !== 'serving' || readRow().primary === other.id)) {
-			await sleep(20);
-		}
-
-		return deployment.instances.find(({id}) => id === readRow().primary);
+		const primary = await waitForOtherPrimary(deployment.store, {group: group().name, primary: other.id, limitMs: recoveryLimitMs});
+		return deployment.instances.find(({id}) => id === primary);
 	};
 
 	/** Lists the acknowledged items that are gone without a promotion that rolled them back, or that were committed behind one. */
@@ -75,7 +71,7 @@
 	};
 
 	const waitForFence = async () => {
-		while (readRow().state !== 'fencing') {
+		while (readRow()?.state !== 'fencing') {
 			await sleep(20);
 		}
 	};
--- a/stand-ins/wire/late-order.test.ts
+++ b/stand-ins/wire/late-order.test.ts
@@ -7,10 +7,9 @@
 import {openWireClient} from './open-wire-client.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import {waitForHolder} from './wait-for-holder.ts';
+import {waitForOtherPrimary} from './wait-for-other-primary.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
-type Row = {readonly state: string; readonly primary: string};
-
 /** Checkout whose hosts are run; this one if it is not given. */
 const checkout = process.env['SOAK_CHECKOUT'];
 
@@ -78,8 +77,6 @@
 		deployment.stop();
 	});
 
-	const readRow = () => deployment.store.read('sapphirefall', 'group/pondbook') as Row;
-
 	/** Drains the primary, and holds what the host sends to the cloud API that runs the failover if told so; returns that host. */
 	const drainPrimary = async (group: InstanceGroup, isOrderHeld: boolean) => {
 		const leader = group.leader();
@@ -92,13 +89,6 @@
 		return {leader, index};
 	};
 
-	const waitForOther = async (leader: {readonly id: string}) => {
-		const until = performance.now() + failoverLimitMs;
-		while (performance.now() < until && (readRow().state !== 'serving' || readRow().primary === leader.id)) {
-			await sleep(pollMs);
-		}
-	};
-
 	/** Counts the reads of items that miss them. */
 	const countMisses = async (port: number, database: string, items: readonly string[]) => {
 		const client = openWireClient(port, {database, key: 'good'});
@@ -123,9 +113,9 @@
 			deployment.hosts[index]?.process.kill(signal);
 		}
 
-		await waitForOther(first);
+		await waitForOtherPrimary(deployment.store, {group: group.name, primary: first.id, limitMs: failoverLimitMs});
 		const {leader: second} = await drainPrimary(group, false);
-		await waitForOther(second);
+		await waitForOtherPrimary(deployment.store, {group: group.name, primary: second.id, limitMs: failoverLimitMs});
 		const term = group.leader().term();
 		const heldMs = Math.round(performance.now() - orderedAt);
 		deployment.hostLinks[index]?.cloudApi.setFault(usualLinkFault);
--- a/stand-ins/wire/late-promotion.test.ts
+++ b/stand-ins/wire/late-promotion.test.ts
@@ -1,12 +1,11 @@
 /* eslint-disable no-await-in-loop -- steps run in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {readGroupRow} from './read-group-row.ts';
 import {sendStatement} from './send-statement.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
-type Row = {readonly state: string; readonly primary: string};
-
 /** Milliseconds after which the first promotion takes effect, and after which all further ones do. */
 const promotionDelaysMs = {first: 1300, further: 50};
 
@@ -32,8 +31,6 @@
 		deployment.stop();
 	});
 
-	const readRow = () => deployment.store.read('sapphirefall', 'group/pondbook') as Row;
-
 	/** Writes items, one after another, until a while after the first one was acknowledged; returns those that were. */
 	const writeItems = async () => {
 		const acknowledged: string[] = [];
@@ -76,6 +73,6 @@
 		expect(acknowledged.length).to.be.above(0);
 		const behind = new Set(group.commits().filter(({isBehindPromotion}) => isBehindPromotion).flatMap(({entry}) => entry.writes.map(([item]) => item)));
 		expect(acknowledged.filter(item => behind.has(item))).to.deep.equal([]);
-		expect(group.leader().id).to.equal(readRow().primary);
+		expect(group.leader().id).to.equal(readGroupRow(deployment.store, group.name)?.primary);
 	});
 });
--- a/stand-ins/wire/list-wrong-values.ts
+++ b/stand-ins/wire/list-wrong-values.ts
@@ -1,3 +1,4 @@
+import {describeValues} from './describe-values.ts';
 import type {SoakFinding} from './soak-finding.ts';
 import type {SoakRecord} from './soak-record.ts';
 
@@ -26,7 +27,3 @@
 			}];
 	});
 }
-
-function describeValues(values: ReadonlyMap<string, string>): string {
-	return [...values].map(([name, value]) => `${name}=${value}`).toSorted().join(' ');
-}
--- a/stand-ins/wire/session-values.test.ts
+++ b/stand-ins/wire/session-values.test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createMixedRandom} from './create-mixed-random.ts';
+import {describeValues} from './describe-values.ts';
 import {openWireClient} from './open-wire-client.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import type {WireClient} from './wire-client.ts';
@@ -23,10 +24,6 @@
 /** Values that were acknowledged to a session when it sent a statement, by the id of the statement. */
 type ExpectedValues = Map<string, ReadonlyMap<string, string>>;
 
-function describeValues(values: ReadonlyMap<string, string>): string {
-	return [...values].map(([name, value]) => `${name}=${value}`).toSorted().join(' ');
-}
-
 /** Draws the texts of a session's next operation: one statement, or a transaction with values set at any place. */
 function drawOperation(random: () => number, database: string): readonly string[] {
 	const draw = <Value>(values: readonly [Value, ...Value[]]): Value => values[Math.floor(random() * values.length)] ?? values[0];
--- a/stand-ins/wire/synchronous-replication.test.ts
+++ b/stand-ins/wire/synchronous-replication.test.ts
@@ -6,6 +6,7 @@
 import type {InstanceStandIn} from './instance-stand-in.ts';
 import {openWireClient} from './open-wire-client.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
+import {waitForOtherPrimary} from './wait-for-other-primary.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
 /** Milliseconds for which the replica with all commits does not tell its status. */
@@ -16,9 +17,6 @@
 /** Milliseconds within which a failover ends once the replica tells its status. */
 const failoverLimitMs = 12_000;
 
-/** Milliseconds between two looks. */
-const pollMs = 20;
-
 type Trouble = {readonly group: InstanceGroup; readonly replica: InstanceStandIn};
 
 const cases: ReadonlyArray<{readonly name: string; readonly begin: (trouble: Trouble) => void; readonly end: (trouble: Trouble) => void}> = [
@@ -102,23 +100,6 @@
 		return acknowledged;
 	};
 
-	/** Waits until the store names another primary. */
-	const waitForOther = async (primary: InstanceStandIn) => {
-		const until = performance.now() + failoverLimitMs;
-		for (;;) {
-			const row = deployment.store.read('sapphirefall', 'group/pondbook') as {readonly state: string; readonly primary: string};
-			if (row.state === 'serving' && row.primary !== primary.id) {
-				return deployment.instances.find(({id}) => id === row.primary);
-			}
-
-			if (performance.now() > until) {
-				throw new Error('No other instance became the primary');
-			}
-
-			await sleep(pollMs);
-		}
-	};
-
 	/** Lets the primary crash when only one replica, which is in trouble, has the commits; returns what was promoted. */
 	const replaceCrashedPrimary = async ({begin, end}: (typeof cases)[number]) => {
 		const [group] = deployment.groups;
@@ -133,7 +114,8 @@
 		begin({group, replica});
 		setTimeout(end, unknownMs, {group, replica});
 		void group.crash(primary, 2 * failoverLimitMs);
-		const promoted = await waitForOther(primary);
+		const successor = await waitForOtherPrimary(deployment.store, {group: group.name, primary: primary.id, limitMs: failoverLimitMs});
+		const promoted = deployment.instances.find(({id}) => id === successor);
 		const kept = new Set(promoted?.log().flatMap(({writes}) => writes.map(([item]) => item)));
 		return {isReplica: promoted === replica, lost: acknowledged.filter(item => !kept.has(item))};
 	};
--- a/stand-ins/wire/wait-for-holder.ts
+++ b/stand-ins/wire/wait-for-holder.ts
@@ -1,10 +1,8 @@
 /* eslint-disable no-await-in-loop -- looks run in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {readGroupRow} from './read-group-row.ts';
 import type {WireDeployment} from './wire-deployment.ts';
 
-/** Row of a group in the hosts' own table of the store. */
-type GroupRow = {readonly state?: string; readonly holder?: string} | undefined;
-
 /** Milliseconds for which it is waited for a failover, and between two looks. */
 const limits = {waitMs: 6000, pollMs: 3};
 
@@ -15,7 +13,7 @@
  */
 export async function waitForHolder({store, groups, hosts}: Pick<WireDeployment, 'store' | 'groups' | 'hosts'>, {isAfter}: {readonly isAfter: boolean}): Promise<number | undefined> {
 	const listHolders = () => groups.flatMap(({name}) => {
-		const row = store.read('sapphirefall', `group/${name}`) as GroupRow;
+		const row = readGroupRow(store, name);
 		return row?.state === 'fencing' ? [{name, holder: row.holder}] : [];
 	});
 	const until = performance.now() + limits.waitMs;
