stand-ins: acknowledge no commit because an earlier primary sends its log

The simulated group counted each delivery of a log as a receipt, also one of the earlier primary i3-a to the present primary i3-b, which takes nothing from it but has its own commits. The hosts were right: no listed replica had more.

Change: only a replica that has taken the log in the sender's term counts.

Measured: start-instance-group.test.ts, whose third case failed before, passes.

--- a/stand-ins/wire/start-instance-group.ts
+++ b/stand-ins/wire/start-instance-group.ts
@@ -112,8 +112,13 @@
 		const entries = [...from.log()];
 		for (const to of instances.filter(instance => isReachable(from, instance) && !(instance.role() === 'primary' && instance.term() < term))) {
 			setTimeout(() => {
-				if (isReachable(from, to) && from.role() === 'primary' && from.term() === term) {
-					to.receive(term, entries);
+				if (!isReachable(from, to) || from.role() !== 'primary' || from.term() !== term) {
+					return;
+				}
+
+				to.receive(term, entries);
+				// A newer primary, which has its own commits, takes nothing from an earlier one.
+				if (to.role() === 'replica' && to.term() === term) {
 					settleReplicated(to);
 				}
 			}, replicationDelayMs);
