--- a/review/14/case.mjs
+++ b/review/12/case.mjs
@@ -123,4 +123,4 @@
 	client.close();
 }
 
-process.exit(await runCase('14', play));
+process.exit(await runCase('12', play));
