Promote no replica while a silent one may alone have acknowledged commits

Cause: what may hold acknowledged commits was taken from the instances that a host uses now. One that the platform does not list counted as gone 2.5 s later, a host that had started again had never heard of it, and an instance that had started again counted with its empty log. The trace: the awaited replica leaves the list, the answers of the order name the deaf one alone.

Change: the row of the group names the logs that may hold acknowledged commits, by instance and start. One leaves it by proof only: the primary tells its end, another replica has as much, and the missing one does not answer. A failover waits for all of them, or for the proof that an instance has all that any host has acknowledged: with the answer to the fence each host tells the newest position that it knows of the primary, and since when it runs. Groups without sync_replicas take the same steps as before and write nothing more.

Why this works: a failover no longer depends on who is listed or remembered, only on logs that have been told and on what hosts have acknowledged.

--- a/packages/hosts/create-fleet-peer.ts
+++ b/packages/hosts/create-fleet-peer.ts
@@ -4,11 +4,12 @@
 } from '@bufbuild/protobuf';
 import type {FleetPeer, SessionLog, StoreTable} from '@sapphirefall/sessions';
 import {
-	decodePoint, FleetRequestSchema, FleetResponseSchema, type FleetResponse, type ReadTablesResponse,
+	FleetRequestSchema, FleetResponseSchema, type FleetResponse, type ReadTablesResponse,
 } from '@sapphirefall/wire';
 import {createCallChannel} from './create-call-channel.ts';
 import {decodeJobAnswer} from './decode-job-answer.ts';
 import {decodeMark} from './decode-mark.ts';
+import {decodePosition} from './decode-position.ts';
 import {encodeJob} from './encode-job.ts';
 import {encodeMark} from './encode-mark.ts';
 
@@ -73,7 +74,7 @@
 				value: {tables: [...requested].map(([table, {mark, age}]) => ({table, ageMs: age, ...mark && {mark: encodeMark(mark)}})), waitMs},
 			}, waitMs);
 			return answer?.case === 'readTables'
-				? {tables: decodeTables(answer.value), positions: decodePositions(answer.value), waitedMs: answer.value.waitedMs}
+				? {tables: decodeTables(answer.value), positions: answer.value.samples.map(sample => decodePosition(sample)), waitedMs: answer.value.waitedMs}
 				: undefined;
 		},
 		async claimRates({
@@ -100,7 +101,12 @@
 		},
 		async fenceGroup(group, epoch) {
 			const answer = await send({case: 'fenceGroup', value: {group, epoch: BigInt(epoch)}});
-			return answer?.case === 'fenceGroup' ? answer.value.fenced : undefined;
+			if (answer?.case !== 'fenceGroup') {
+				return undefined;
+			}
+
+			const {fenced, uptimeMs, newest} = answer.value;
+			return {isFenced: fenced, ...uptimeMs !== undefined && {uptimeMs}, ...newest && {newest: decodePosition(newest)}};
 		},
 		async confirmSilence(group, instance) {
 			const answer = await send({case: 'confirmSilence', value: {group, instance}});
@@ -127,12 +133,6 @@
 	};
 }
 
-function decodePositions({samples}: ReadTablesResponse): PeerTables['positions'] {
-	return samples.map(({group, epoch, position, ageMs}) => ({
-		group, epoch: Number(epoch), position: decodePoint(position), age: ageMs,
-	}));
-}
-
 function decodeTables({tables}: ReadTablesResponse): PeerTables['tables'] {
 	return tables.map(({
 		table, version, mark, ageMs, whole, rows, reader,
--- a/packages/hosts/serve-fleet.ts
+++ b/packages/hosts/serve-fleet.ts
@@ -9,6 +9,7 @@
 import {decodeMark} from './decode-mark.ts';
 import {encodeJobAnswer} from './encode-job-answer.ts';
 import {encodeMark} from './encode-mark.ts';
+import {encodePosition} from './encode-position.ts';
 import {serveCalls} from './serve-calls.ts';
 
 type Options = {
@@ -58,11 +59,7 @@
 				case: call.case,
 				value: {
 					waitedMs,
-					samples: positions.map(({
-						group, epoch, position, age,
-					}) => ({
-						group, epoch: BigInt(epoch), position, ageMs: age,
-					})),
+					samples: positions.map(position => encodePosition(position)),
 					tables: tables.map(({
 						table, version, mark, age, reader, isWhole, rows,
 					}) => ({
@@ -104,7 +101,8 @@
 		}
 
 		case 'fenceGroup': {
-			return {case: call.case, value: {fenced: await own.fenceGroup(call.value.group, Number(call.value.epoch)) ?? false}};
+			const {isFenced = false, uptimeMs, newest} = await own.fenceGroup(call.value.group, Number(call.value.epoch)) ?? {};
+			return {case: call.case, value: {fenced: isFenced, ...uptimeMs !== undefined && {uptimeMs}, ...newest && {newest: encodePosition(newest)}}};
 		}
 
 		case 'confirmSilence': {
--- a/packages/sessions/commit-fence.ts
+++ b/packages/sessions/commit-fence.ts
@@ -7,6 +7,7 @@
 import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import {isLockHeld} from './is-lock-held.ts';
 import type {Fence} from './fence.ts';
+import {mergeCopies} from './log-copies/merge-copies.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {GroupRow} from './group-row.ts';
 import {readFleetRows} from './read-fleet-rows.ts';
@@ -67,7 +68,7 @@
 async function tryCommit(rows: FleetRows, {row, lockUse}: {readonly row: Versioned<GroupRow>; readonly lockUse: LockUse}, failover: Failover): Promise<Fence | 'conflict' | undefined> {
 	const {group, self, incarnation, store, now} = failover;
 	const next: Versioned<GroupRow> = {
-		...row, ...findNewestTerm(row, failover), epoch: findNextEpoch(row.epoch, rows.era), state: 'fencing', holder: self, holderIncarnation: incarnation, token: 0,
+		...row, ...findNewestTerm(row, failover), ...findCopies(row, failover), epoch: findNextEpoch(row.epoch, rows.era), state: 'fencing', holder: self, holderIncarnation: incarnation, token: 0,
 	};
 	const takenAt = now();
 	const outcome = await store.commit(lockUse === 'inUse' ? createGroupChange(group.name, next) : createLockChange(group.name, next, rows));
@@ -102,6 +103,11 @@
 	return term === 0 ? {} : {term};
 }
 
+/** Finds the logs that may hold acknowledged commits, if these must not be lost, so that a host which resumes the failover knows them. */
+function findCopies({copies = []}: Versioned<GroupRow>, {group, isSynchronous}: Failover): Pick<GroupRow, 'copies'> {
+	return isSynchronous() ? {copies: mergeCopies(copies, group.listInstances().map(instance => instance.listed()))} : {};
+}
+
 /**
  * Finds since when no host has got a lease on the primary, in milliseconds of the steady clock. While an earlier failover
  * left the row fenced, that is since this host first saw that fence. A row of an earlier era of the store has granted none
--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -8,6 +8,7 @@
 import type {FleetController} from './fleet-controller.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
+import {findElapsed} from './find-elapsed.ts';
 import {findBootstrapDelay} from './find-bootstrap-delay.ts';
 import {findFailoverReason} from './find-failover-reason.ts';
 import type {GroupRow} from './group-row.ts';
@@ -18,6 +19,7 @@
 import {isHostSilent} from './is-host-silent.ts';
 import type {Gateways} from './gateways.ts';
 import type {ListedInstance} from './listed-instance.ts';
+import {createCopyUpkeep} from './log-copies/create-copy-upkeep.ts';
 import type {OrderPromotion} from './order-promotion.ts';
 import {readStatus} from './read-status.ts';
 import {replacePrimary} from './replace-primary.ts';
@@ -68,6 +70,8 @@
 	/** Groups whose primary this host is replacing. */
 	const busyGroups = new Set<string>();
 	const leaving = createLeavingPrimaries(options.drainLimitMs);
+	/** When this host may first have used a primary, in milliseconds of the steady clock. */
+	const startedAt = now().steady;
 	let fleet: FleetRows | undefined;
 	/** When the fleet's rows first became known, in milliseconds of the steady clock. */
 	let knownSince = Number.POSITIVE_INFINITY;
@@ -82,6 +86,7 @@
 	const registration = createRegistration(options);
 	const orders = createPromotionOrders(options.orderPromotion);
 	const confirmation = createPrimaryConfirmation({...options, findRank: group => ranks.findReachableRank(`confirm/${group}`)});
+	const copyUpkeep = createCopyUpkeep({...options, findRank: group => ranks.findReachableRank(`copies/${group}`), now: () => now().steady});
 	const silenceVote = createSilenceVote({
 		self: own.name, listHosts, findInstance, findPeer: options.findPeer, findWorkspace: options.findWorkspace, now: () => now().steady, log,
 	});
@@ -183,6 +188,7 @@
 			orderPromotion: orders.order,
 			findPeer: options.findPeer,
 			listRecentHosts: registration.listRecentHosts,
+			findHostsUnchangedSince: registration.findHostsUnchangedSince,
 			workspace,
 			now,
 			log,
@@ -234,6 +240,10 @@
 		if (reason === undefined) {
 			reasonSince.delete(group.name);
 			stepRestored();
+			if (restoredSince === undefined) {
+				copyUpkeep.step(group, row);
+			}
+
 			return;
 		}
 
@@ -281,7 +291,17 @@
 		async fenceGroup(group, epoch) {
 			const known = options.listGroups().find(({name}) => name === group);
 			known?.fence(epoch);
-			return known !== undefined;
+			const mark = known?.findLogMark();
+			const at = now();
+			return {
+				isFenced: known !== undefined,
+				uptimeMs: at.steady - startedAt,
+				...mark && {
+					newest: {
+						group, epoch: mark.epoch, position: mark.position, age: findElapsed(mark.requestedAt, at),
+					},
+				},
+			};
 		},
 		confirmSilence: silenceVote.isSilent,
 		async leave() {
--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -28,7 +28,7 @@
 	/** How cold instances are spared; undefined if they are not. */
 	readonly coldInstances?: ColdInstances | undefined;
 	/** Returns the store's row about the primary; undefined if it is not known. */
-	readonly findRow: () => Pick<GroupRow, 'primary' | 'successor'> | undefined;
+	readonly findRow: () => Pick<GroupRow, 'primary' | 'successor' | 'copies'> | undefined;
 	/** Returns the current time of the steady clock in milliseconds. */
 	readonly now: () => number;
 	readonly log: Pick<SessionLog, 'info' | 'warn'>;
@@ -46,6 +46,8 @@
 	readonly find: (id: string) => InstanceRuntime | undefined;
 	/** Lists the instances in use. */
 	readonly list: () => readonly InstanceRuntime[];
+	/** Lists dropped instances that the platform lists no more, but whose logs may hold acknowledged commits. */
+	readonly listUnlisted: () => readonly InstanceRuntime[];
 	/** Lists the instances that may serve a read, best first; `required` is the position that their logs must have reached. */
 	readonly listReaders: (required: LogPoint, mayUseZone?: (zone: string) => boolean) => readonly InstanceRuntime[];
 	/** Drops instances that stay unlisted, except the primary, and those that are too many, ends transactions in evacuated zones, and closes surplus connections. */
@@ -75,6 +77,8 @@
 	let listed: ReadonlyMap<string, ListedInstance> = new Map();
 	/** Instances in use, by id. */
 	const instances = new Map<string, InstanceRuntime>();
+	/** Dropped instances that the platform no longer lists and that may hold acknowledged commits, by id. */
+	const unlisted = new Map<string, InstanceRuntime>();
 	/** Instances in use that the platform no longer lists, and since when, in milliseconds of the steady clock. */
 	const missing = new Map<string, number>();
 	let connectionLimit = 0;
@@ -102,9 +106,15 @@
 			onWaitEnded,
 		});
 		instances.set(id, instance);
+		dropUnlisted(id);
 		return instance;
 	};
 
+	const dropUnlisted = (id: string) => {
+		unlisted.get(id)?.pool.close();
+		unlisted.delete(id);
+	};
+
 	const drop = (id: string) => {
 		instances.get(id)?.pool.close();
 		instances.delete(id);
@@ -147,19 +157,34 @@
 		}
 	};
 
-	/** Drops instances that stayed unlisted for the grace period; the primary is kept until it is replaced. */
+	const isCopy = (id: string) => findRow()?.copies?.some(copy => copy.id === id) ?? false;
+
+	/**
+	 * Drops instances that stayed unlisted for the grace period; the primary is kept until it is replaced. One whose log may
+	 * hold acknowledged commits can still be asked for its status.
+	 */
 	const dropMissing = () => {
 		for (const [id, since] of missing) {
 			if (now() - since > missingGracePeriodMs && findRow()?.primary !== id) {
+				const instance = instances.get(id);
 				missing.delete(id);
-				drop(id);
+				if (instance !== undefined && isCopy(id)) {
+					instances.delete(id);
+					unlisted.set(id, instance);
+				} else {
+					drop(id);
+				}
 			}
 		}
+
+		for (const id of [...unlisted.keys()].filter(candidate => !isCopy(candidate))) {
+			dropUnlisted(id);
+		}
 	};
 
 	/** Closes idle connections to instances of which this host is no gateway; they were opened to query a status. */
 	const closeNonGatewayConnections = () => {
-		for (const instance of instances.values()) {
+		for (const instance of [...instances.values(), ...unlisted.values()]) {
 			if (!gateways.list(instance.listed(), undefined).includes(gateways.self)) {
 				instance.pool.closeIdle(now() - nonGatewayIdleTimeoutMs);
 			}
@@ -208,6 +233,7 @@
 		missingSince: id => missing.get(id),
 		find,
 		list: () => [...instances.values()],
+		listUnlisted: () => [...unlisted.values()],
 		listReaders(required, mayUseZone = () => true) {
 			const candidates = [...instances.values()]
 				.filter(instance => {
--- a/packages/sessions/create-position-sampler.ts
+++ b/packages/sessions/create-position-sampler.ts
@@ -3,6 +3,8 @@
 import {findRequiredPosition} from './find-required-position.ts';
 import type {GroupRow} from './group-row.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
+import {addLogMark} from './log-copies/add-log-mark.ts';
+import type {LogMark} from './log-copies/log-mark.ts';
 import type {Instant} from './instant.ts';
 import {isFromEarlierEra} from './is-from-earlier-era.ts';
 import {isPositionSampleDue} from './is-position-sample-due.ts';
@@ -27,7 +29,7 @@
 };
 
 /** Samples of the position of a primary's log; see `SessionGroup` for all but `step`. */
-type PositionSampler = Pick<SessionGroup, 'findRequiredPosition' | 'recordAnswer' | 'findNewestPosition' | 'recordPosition'> & {
+type PositionSampler = Pick<SessionGroup, 'findRequiredPosition' | 'recordAnswer' | 'findNewestPosition' | 'recordPosition' | 'findLogMark'> & {
 	/** Queries the position of the primary if a sample is due and no query is in flight. */
 	readonly step: () => Promise<void>;
 };
@@ -40,6 +42,7 @@
 	group, findRow, findPrimary, findInstance, isStoreReader, findWorkspace, now,
 }: Options): PositionSampler {
 	let samples: readonly PositionSample[] = [];
+	let logMark: LogMark | undefined;
 	/** Whether a position query is in flight. */
 	let isSampling = false;
 	/** When a caller last requested a read that a replica may serve, in milliseconds of the steady clock. */
@@ -51,11 +54,16 @@
 		return row?.state === 'serving' && !isFromEarlierEra(row) ? row : undefined;
 	};
 
+	const addSample = (sample: PositionSample) => {
+		samples = addPositionSample(samples, sample);
+		logMark = addLogMark(logMark, sample);
+	};
+
 	const recordAnswer: PositionSampler['recordAnswer'] = (instance, answer, request) => {
 		const row = findServingRow();
 		const isSample = answer.kind === 'answered' && instance === row?.primary && request.epoch === row.epoch;
 		if (isSample && answer.position !== undefined) {
-			samples = addPositionSample(samples, {requestedAt: request.at, position: answer.position, epoch: request.epoch});
+			addSample({requestedAt: request.at, position: answer.position, epoch: request.epoch});
 		}
 	};
 
@@ -100,9 +108,10 @@
 		},
 		recordPosition({epoch, position, age}, from) {
 			if (epoch === findServingRow()?.epoch) {
-				samples = addPositionSample(samples, {requestedAt: {steady: from.steady - age, wall: from.wall - age}, position, epoch});
+				addSample({requestedAt: {steady: from.steady - age, wall: from.wall - age}, position, epoch});
 			}
 		},
+		findLogMark: () => logMark,
 		async step() {
 			if (isSampling || !isDue()) {
 				return;
--- a/packages/sessions/create-registration.ts
+++ b/packages/sessions/create-registration.ts
@@ -3,6 +3,7 @@
 import {fleetKeys} from './fleet-keys.ts';
 import type {FleetRows} from './fleet-rows.ts';
 import type {HostRow} from './host-row.ts';
+import {createHostChanges} from './log-copies/create-host-changes.ts';
 import type {Instant} from './instant.ts';
 import {readFleetRows} from './read-fleet-rows.ts';
 import type {SessionLog} from './session-log.ts';
@@ -29,6 +30,8 @@
 	readonly updateFleet: (fleet: FleetRows) => void;
 	/** Hosts that are or lately were registered; they may hold leases though their rows are deleted. */
 	readonly listRecentHosts: () => readonly HostRow[];
+	/** Since when no registered process of a host has ended, as far as this host can know, in milliseconds of the steady clock. */
+	readonly findHostsUnchangedSince: () => number;
 	/**
 	 * Removes silent hosts from the store in two steps: a host that is marked as gone gets no further leases, and its row
 	 * is deleted once the leases that it may still hold have expired.
@@ -47,6 +50,7 @@
 	const seenHosts = new Map<string, {readonly row: HostRow; readonly seenAt: number}>();
 	/** Hosts that are marked as gone, and since when, in milliseconds of the steady clock. */
 	const markedSince = new Map<string, number>();
+	const changes = createHostChanges();
 	let fleet: FleetRows | undefined;
 	let hasLeft = false;
 	/** Attempts to register whose outcome is open. */
@@ -124,11 +128,13 @@
 		isRegistered,
 		updateFleet(newer) {
 			fleet = newer;
+			changes.update(newer, now().steady);
 			for (const row of newer.hosts.values()) {
 				seenHosts.set(row.name, {row, seenAt: now().steady});
 			}
 		},
 		listRecentHosts,
+		findHostsUnchangedSince: changes.findUnchangedSince,
 		removeSilentHosts,
 		async leave() {
 			hasLeft = true;
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -181,10 +181,12 @@
 		},
 		findInstance: instances.find,
 		listInstances: instances.list,
+		listUnlisted: instances.listUnlisted,
 		listReaders: instances.listReaders,
 		findRequiredPosition: sampler.findRequiredPosition,
 		recordAnswer: sampler.recordAnswer,
 		findNewestPosition: sampler.findNewestPosition,
+		findLogMark: sampler.findLogMark,
 		recordPosition: sampler.recordPosition,
 		async step() {
 			instances.step();
--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -60,7 +60,7 @@
 	let settledAt = fence.row.successor === '' ? undefined : now().steady + promotionLimitMs;
 	/** Instance whose promotion was last ordered and not refused, by this host or by one that ran the failover before. */
 	let promoting = fence.row.successor;
-	const knownLogs = createKnownLogs(failover, fence.row.primary);
+	const knownLogs = createKnownLogs(failover, fence);
 	let awaited: readonly string[] = [];
 	let timeout = statusTimeoutMs;
 	while (findElapsed(held.duty.takenAt, now()) < takeoverLimitMs) {
@@ -77,12 +77,13 @@
 			timeout,
 		});
 		knownLogs.record(answers);
+		await knownLogs.askHosts();
 		const isSuccessorAwaited = now().steady < betterSuccessorUntil;
 		const leader = findLeader(answers, row, {
 			...failover,
 			now: now().steady,
 			isSuccessorAwaited,
-			isComplete: answers.length === group.listInstances().length,
+			isComplete: group.listInstances().every(instance => answers.some(({id}) => id === instance.listed().id)),
 			orderedTerm: ordered?.instance === row.successor ? ordered.term : undefined,
 			settledAt,
 		});
--- a/packages/sessions/failover.ts
+++ b/packages/sessions/failover.ts
@@ -46,6 +46,8 @@
 	readonly findPeer: (host: string) => FleetPeer | undefined;
 	/** Hosts that are or recently were registered; they may hold leases though their rows are deleted. */
 	readonly listRecentHosts: () => readonly HostRow[];
+	/** Since when no process of a host has ended, as far as this host can know, in milliseconds of the steady clock. */
+	readonly findHostsUnchangedSince: () => number;
 	/** Workspace whose connections are used to query instances. */
 	readonly workspace: string;
 	readonly now: () => Instant;
--- a/packages/sessions/fleet-peer.ts
+++ b/packages/sessions/fleet-peer.ts
@@ -1,3 +1,4 @@
+import type {FenceAnswer} from './fence-answer.ts';
 import type {RequestedTable} from './requested-table.ts';
 import type {JobAnswer} from './job-answer.ts';
 import type {Job} from './job.ts';
@@ -46,8 +47,8 @@
 	readonly readTables: (requested: ReadonlyMap<StoreTable, RequestedTable>, waitMs: number) => Promise<PeerTables | undefined>;
 	/** Claims shares of the workspaces' rates; `notAllocator` when the other host is not the rate allocator. */
 	readonly claimRates: (claims: Claims) => Promise<Shares | 'notAllocator' | undefined>;
-	/** Asks the host to release its lease on the primary of a group from before an epoch; resolves to true once it has. */
-	readonly fenceGroup: (group: string, epoch: number) => Promise<boolean | undefined>;
+	/** Asks the host to release its lease on the primary of a group from before an epoch; resolves once it has. */
+	readonly fenceGroup: (group: string, epoch: number) => Promise<FenceAnswer | undefined>;
 	/** Asks whether the host gets no answer from an instance either. */
 	readonly confirmSilence: (group: string, instance: string) => Promise<boolean | undefined>;
 	/**
--- a/packages/sessions/has-every-commit.ts
+++ b/packages/sessions/has-every-commit.ts
@@ -1,4 +1,6 @@
 import {comparePoints} from '@sapphirefall/decisions';
+import {isSameCopy} from './log-copies/is-same-copy.ts';
+import type {LogCopy} from './log-copies/log-copy.ts';
 import type {ReportedStatus} from './reported-status.ts';
 
 type Options = {
@@ -6,8 +8,8 @@
 	readonly statuses: readonly ReportedStatus[];
 	/** Instance that is replaced. */
 	readonly primary: string;
-	/** All other instances of the group. */
-	readonly replicas: readonly string[];
+	/** Logs of all other instances that may hold acknowledged commits. */
+	readonly replicas: readonly LogCopy[];
 };
 
 /**
@@ -17,14 +19,10 @@
  * last acknowledged commit is among them. An instance that does not tell its status may be that one.
  */
 export function hasEveryCommit(successor: ReportedStatus, {statuses, primary, replicas}: Options): boolean {
-	const known = new Map(statuses.map(({id, status}) => [id, status]));
-	const hasLogOf = (id: string) => {
-		const status = known.get(id);
-		return status !== undefined && comparePoints(successor.status.received, status.received) >= 0;
-	};
+	const hasLogOf = ({status}: ReportedStatus) => comparePoints(successor.status.received, status.received) >= 0;
 
-	// A primary that has started again without its log does not lead.
-	const isCaughtUp = known.get(primary)?.role === 'primary' && hasLogOf(primary);
-	const isNewest = statuses.every(({id}) => id === primary || hasLogOf(id));
-	return isNewest && (isCaughtUp || replicas.every(id => hasLogOf(id)));
+	// A primary that has started again without its log does not lead, or has an empty one.
+	const isCaughtUp = statuses.some(report => report.id === primary && report.status.role === 'primary' && report.status.received.position > 0n && hasLogOf(report));
+	const isNewest = statuses.every(report => report.id === primary || hasLogOf(report));
+	return isNewest && (isCaughtUp || replicas.every(copy => statuses.some(report => isSameCopy(report, copy))));
 }
--- /dev/null
+++ b/packages/sessions/log-copies/mod.ts
@@ -0,0 +1,14 @@
+/** Keeps track of the logs that may hold acknowledged commits, where a replica must have received a commit before it is acknowledged. */
+export * from './add-log-mark.ts';
+export * from './create-copy-upkeep.ts';
+export * from './create-host-changes.ts';
+export * from './decode-copies.ts';
+export * from './find-acknowledged-point.ts';
+export * from './find-copy-task.ts';
+export * from './is-same-copy.ts';
+export * from './list-missing-copies.ts';
+export type * from './log-copy.ts';
+export type * from './log-mark.ts';
+export * from './max-copies.ts';
+export * from './merge-copies.ts';
+export * from './read-acknowledged-point.ts';
--- a/packages/sessions/parse-fleet-rows.ts
+++ b/packages/sessions/parse-fleet-rows.ts
@@ -1,3 +1,4 @@
+import {decodeCopies} from './log-copies/decode-copies.ts';
 import {decodeStoreVersion} from './decode-store-version.ts';
 import type {FailoverLockRow} from './failover-lock-row.ts';
 import {fleetKeys} from './fleet-keys.ts';
@@ -85,7 +86,7 @@
 }
 
 function decodeGroup({
-	epoch, state, primary, term, successor, holder, holderIncarnation, token,
+	epoch, state, primary, term, successor, holder, holderIncarnation, copies, token,
 }: Fields): GroupRow | undefined {
 	const isKnownState = state === 'serving' || state === 'fencing';
 	if (!isCount(epoch) || !isKnownState || !isName(primary) || (successor !== '' && !isName(successor)) || !isName(holder) || !isCount(token)) {
@@ -93,9 +94,10 @@
 	}
 
 	const areOthersValid = [term, holderIncarnation].every(value => value === undefined || isCount(value));
-	return areOthersValid
+	const knownCopies = copies === undefined ? [] : decodeCopies(copies);
+	return areOthersValid && knownCopies !== undefined
 		? {
-			epoch, state, primary, successor, holder, token, ...isCount(term) && {term}, ...isCount(holderIncarnation) && {holderIncarnation},
+			epoch, state, primary, successor, holder, token, ...isCount(term) && {term}, ...isCount(holderIncarnation) && {holderIncarnation}, ...copies !== undefined && {copies: knownCopies},
 		}
 		: undefined;
 }
--- a/packages/sessions/read-statuses.ts
+++ b/packages/sessions/read-statuses.ts
@@ -18,18 +18,20 @@
 const silentGraceMs = 60;
 
 /**
- * Reads the status of all instances of a group but one. Waits for one that was found silent only a little longer than for
+ * Reads the status of all instances of a group but one, also of those that the platform no longer lists but whose logs may
+ * hold acknowledged commits. Waits for one that was found silent only a little longer than for
  * the others, because it rarely answers again just now.
  */
 export async function readStatuses({group, workspace, isEvacuated}: Pick<Failover, 'group' | 'workspace' | 'isEvacuated'>, {excluded, silent, timeout = statusTimeoutMs}: Options): Promise<readonly ReportedStatus[]> {
-	const instances = group.listInstances().filter(instance => instance.listed().id !== excluded);
+	const unlisted = new Set(group.listUnlisted());
+	const instances = [...group.listInstances(), ...unlisted].filter(instance => instance.listed().id !== excluded);
 	const answers: ReportedStatus[] = [];
 	const read = async (instance: InstanceRuntime) => {
-		const {id, zone, isDeparting} = instance.listed();
 		const status = await readStatus(instance, {workspace, timeout});
 		if (status !== undefined) {
+			const {id, zone, isDeparting, born} = instance.listed();
 			answers.push({
-				id, status, isDeparting, isEvacuated: isEvacuated?.(zone) ?? false,
+				id, status, isDeparting: isDeparting || unlisted.has(instance), isEvacuated: isEvacuated?.(zone) ?? false, born,
 			});
 		}
 	};
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -3,6 +3,7 @@
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {Instant} from './instant.ts';
+import type {LogMark} from './log-copies/log-mark.ts';
 import type {KnownGroup} from './known-group.ts';
 import type {ListedInstance} from './listed-instance.ts';
 import type {PrimaryPosition} from './primary-position.ts';
@@ -44,6 +45,11 @@
 	readonly findInstance: (id: string) => InstanceRuntime | undefined;
 	/** Lists the instances in use; the platform may list more than a host uses. */
 	readonly listInstances: () => readonly InstanceRuntime[];
+	/**
+	 * Lists the instances that the platform lists no more, but whose logs may hold acknowledged commits; they are asked for
+	 * their status only.
+	 */
+	readonly listUnlisted: () => readonly InstanceRuntime[];
 	/** Finds the position that a log must hold to serve a read; undefined when only the primary can serve the read. */
 	readonly findRequiredPosition: (read: {readonly maxStaleness: number; readonly lastWrite: LastWrite | undefined; readonly arrivedAt: Instant}) => LogPoint | undefined;
 	/** Lists the instances that may serve a read, best first; `mayUseZone` says whether those of an availability zone may. */
@@ -55,6 +61,8 @@
 	readonly recordAnswer: (instance: string, answer: InstanceAnswer, request: {readonly at: Instant; readonly epoch: number}) => void;
 	/** Finds the newest known position of the primary's log. */
 	readonly findNewestPosition: () => PrimaryPosition | undefined;
+	/** Finds how far the log of the latest primary had grown that this host knows of; undefined if it knows nothing of it. */
+	readonly findLogMark: () => LogMark | undefined;
 	/** Records a position that another host reported; its age counts from the time `from`. */
 	readonly recordPosition: (position: PrimaryPosition, from: Instant) => void;
 	/** Drops instances that stay unlisted or are too many, and surplus connections, and queries the primary's position if a sample is due. */
--- a/packages/sessions/wait-for-hosts.ts
+++ b/packages/sessions/wait-for-hosts.ts
@@ -20,8 +20,8 @@
 	const findRemaining = () => findFenceRemaining({at, pending: [...pending.values()]}, now().steady);
 	while (findRemaining() > 0) {
 		const round = Promise.all([...pending.keys()].map(async name => {
-			const isFenced = await findPeer(name)?.fenceGroup(group.name, row.epoch);
-			if (isFenced === true) {
+			const answer = await findPeer(name)?.fenceGroup(group.name, row.epoch);
+			if (answer?.isFenced === true) {
 				pending.delete(name);
 			}
 		}));
