Keep no connection to a dropped instance whose log may hold acknowledged commits

Found by reading.

Change: the instance is dropped as before, and asked over new connections. Hosts are asked for what they have acknowledged every two seconds instead of one, as a fleet of 940 answers each time.

Evidence: the new case of create-group-instances failed before, with 2 open connections where 1 is left.

--- a/packages/sessions/create-group-instances.test.ts
+++ b/packages/sessions/create-group-instances.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {createGroupInstances} from './create-group-instances.ts';
 import type {Gateways} from './gateways.ts';
+import type {GroupRow} from './group-row.ts';
 import type {ListedInstance} from './listed-instance.ts';
 
 const createListed = (id: string, listed: Partial<ListedInstance> = {}): ListedInstance => ({
@@ -12,7 +13,7 @@
 /** Creates the instances as host `a1` uses them, of which those named `x-…` do not answer, a clock, and counters of its connections. */
 function createInstances(gatewayNames: readonly string[], evacuatedZone = '') {
 	const time = {now: 0};
-	const known = {primary: 'i-a', successor: ''};
+	const known: {primary: string; successor: string; copies: NonNullable<GroupRow['copies']>} = {primary: 'i-a', successor: '', copies: []};
 	const warnings: unknown[] = [];
 	let opened = 0;
 	let closed = 0;
@@ -92,6 +93,38 @@
 		});
 	}
 
+	// Guards against a failover that cannot ask a replica for its log which may alone hold acknowledged commits (review/12), and against statements that run there still.
+	it('keeps no connection to a dropped instance whose log may hold acknowledged commits, and can ask it until it is not needed', async () => {
+		const {instances, time, known, countOpen} = createInstances(['a1']);
+		const listUnlisted = () => instances.listUnlisted().map(instance => instance.listed().id);
+		known.copies = [{id: 'i-a'}, {id: 'i-b'}];
+		instances.update(both, 5);
+		await connect(instances);
+		expect(countOpen()).to.equal(2);
+		instances.update(both.slice(0, 1), 5);
+		time.now = 2501;
+		instances.step();
+		expect(instances.list().map(instance => instance.listed().id)).to.deep.equal(['i-a']);
+		expect([listUnlisted(), countOpen()]).to.deep.equal([['i-b'], 1]);
+		const acquired = await instances.listUnlisted()[0]?.pool.acquire({workspace: 'upper', priority: 0, timeout: 50});
+		expect([acquired?.kind, countOpen()]).to.deep.equal(['acquired', 2]);
+		known.copies = [{id: 'i-a'}];
+		instances.step();
+		expect(listUnlisted()).to.deep.equal([]);
+	});
+
+	it('uses a dropped instance as before once the platform lists it again', () => {
+		const {instances, time, known} = createInstances(['a1']);
+		known.copies = [{id: 'i-b'}];
+		instances.update(both, 5);
+		instances.update(both.slice(0, 1), 5);
+		time.now = 2501;
+		instances.step();
+		instances.update(both, 5);
+		expect(instances.list()).to.have.length(2);
+		expect(instances.listUnlisted()).to.deep.equal([]);
+	});
+
 	it('counts the grace period anew after the platform has listed the instance again', () => {
 		const {instances, time} = createInstances(['a1']);
 		instances.update(both, 5);
--- a/packages/sessions/create-group-instances.ts
+++ b/packages/sessions/create-group-instances.ts
@@ -87,12 +87,8 @@
 	/** When a read last tried an instance that was not known to answer, in milliseconds of the steady clock. */
 	let triedAt = Number.NEGATIVE_INFINITY;
 
-	const find = (id: string): InstanceRuntime | undefined => {
-		const entry = listed.get(id);
-		if (instances.has(id) || entry === undefined) {
-			return instances.get(id);
-		}
-
+	const create = (entry: ListedInstance): InstanceRuntime => {
+		const {id} = entry;
 		const instance: InstanceRuntime = createInstanceRuntime(entry, {
 			openConnection,
 			gateways,
@@ -105,6 +101,16 @@
 			now,
 			onWaitEnded,
 		});
+		return instance;
+	};
+
+	const find = (id: string): InstanceRuntime | undefined => {
+		const entry = listed.get(id);
+		if (instances.has(id) || entry === undefined) {
+			return instances.get(id);
+		}
+
+		const instance = create(entry);
 		instances.set(id, instance);
 		dropUnlisted(id);
 		return instance;
@@ -161,18 +167,16 @@
 
 	/**
 	 * Drops instances that stayed unlisted for the grace period; the primary is kept until it is replaced. One whose log may
-	 * hold acknowledged commits can still be asked for its status.
+	 * hold acknowledged commits can still be asked for its status, over new connections.
 	 */
 	const dropMissing = () => {
 		for (const [id, since] of missing) {
 			if (now() - since > missingGracePeriodMs && findRow()?.primary !== id) {
-				const instance = instances.get(id);
+				const entry = instances.get(id)?.listed();
 				missing.delete(id);
-				if (instance !== undefined && isCopy(id)) {
-					instances.delete(id);
-					unlisted.set(id, instance);
-				} else {
-					drop(id);
+				drop(id);
+				if (entry !== undefined && isCopy(id)) {
+					unlisted.set(id, create(entry));
 				}
 			}
 		}
--- a/packages/sessions/create-known-logs.ts
+++ b/packages/sessions/create-known-logs.ts
@@ -30,7 +30,7 @@
 const confirmingEntries = 2;
 
 /** Milliseconds between two rounds of requests to the hosts. */
-const askIntervalMs = 1000;
+const askIntervalMs = 2000;
 
 /**
  * Creates the knowledge of a failover about the logs of the group's instances; at first it knows none.
