Let replicas start without their logs in the soak of synchronous groups too

Cause: such a start was left out for groups with sync_replicas, as a host could not know what it had cost.

--- a/stand-ins/wire/primary-soak.test.ts
+++ b/stand-ins/wire/primary-soak.test.ts
@@ -59,7 +59,7 @@
 /** One in so many seeds disturbs instances only, so that no host that runs a failover ends in the middle of it. */
 const calmHostsInterval = 3;
 
-/** One in so many seeds lets commits wait for a replica; none of their instances then starts without its log, which would lose them. */
+/** One in so many seeds lets commits wait for a replica; also a replica that has received them may start without its log then. */
 const synchronousInterval = 2;
 
 /** Milliseconds between two faults, at least and at most; undefined if there are none. */
--- a/stand-ins/wire/run-primary-faults.ts
+++ b/stand-ins/wire/run-primary-faults.ts
@@ -113,7 +113,7 @@
 		{weight: 2, run: delayReplica},
 		{weight: 2, run: freezeHost},
 		{weight: 1, run: delayPromotions},
-		{weight: groups.some(({isSynchronous}) => isSynchronous) ? 0 : 2, run: startAgain},
+		{weight: 2, run: startAgain},
 	];
 	const drawn = faults.flatMap(fault => Array.from({length: fault.weight}, () => fault));
 	const running: Array<Promise<void>> = [];
