Move the logs that a failover knows to the other ones, and write items in one place

Cause: create-known-logs and has-every-commit stood in the flat folder beside their folder log-copies, whose mod.ts nothing exported; the fleet controller had grown by the answer to a fence; two tests wrote their items with the same lines.

Change: the two modules are in log-copies, the answer is a function of its own, and the tests share send-item-writes. No behaviour changes.

Evidence: types, linter, the tests of log-copies and synchronous-replication (65 passed).

--- a/packages/sessions/create-fleet-controller.ts
+++ b/packages/sessions/create-fleet-controller.ts
@@ -1,4 +1,5 @@
 import {commitFirstPrimary} from './commit-first-primary.ts';
+import {createFenceAnswer} from './create-fence-answer.ts';
 import {createFailoverRanks} from './create-failover-ranks.ts';
 import {createLeavingPrimaries} from './create-leaving-primaries.ts';
 import {createPrimaryConfirmation} from './create-primary-confirmation.ts';
@@ -8,7 +9,6 @@
 import type {FleetController} from './fleet-controller.ts';
 import type {FleetPeer} from './fleet-peer.ts';
 import type {FleetRows} from './fleet-rows.ts';
-import {findElapsed} from './find-elapsed.ts';
 import {findBootstrapDelay} from './find-bootstrap-delay.ts';
 import {findFailoverReason} from './find-failover-reason.ts';
 import type {GroupRow} from './group-row.ts';
@@ -291,17 +291,7 @@
 		async fenceGroup(group, epoch) {
 			const known = options.listGroups().find(({name}) => name === group);
 			known?.fence(epoch);
-			const mark = known?.findLogMark();
-			const at = now();
-			return {
-				isFenced: known !== undefined,
-				uptimeMs: at.steady - startedAt,
-				...mark && {
-					newest: {
-						group, epoch: mark.epoch, position: mark.position, age: findElapsed(mark.requestedAt, at),
-					},
-				},
-			};
+			return createFenceAnswer(known, {startedAt, now: now()});
 		},
 		confirmSilence: silenceVote.isSilent,
 		async leave() {
--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -1,6 +1,6 @@
 /* eslint-disable no-await-in-loop -- rounds run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createKnownLogs} from './create-known-logs.ts';
+import {createKnownLogs} from './log-copies/create-known-logs.ts';
 import {decodeStoreVersion} from './decode-store-version.ts';
 import {describeReport} from './describe-report.ts';
 import type {FailoverHold} from './failover-hold.ts';
--- a/packages/sessions/create-known-logs.ts
+++ b/packages/sessions/log-copies/create-known-logs.ts
@@ -1,12 +1,12 @@
 import {comparePoints, type LogPoint} from '@sapphirefall/decisions';
-import type {Failover} from './failover.ts';
-import type {Fence} from './fence.ts';
+import type {Failover} from '../failover.ts';
+import type {Fence} from '../fence.ts';
+import type {ReportedStatus} from '../reported-status.ts';
 import {hasEveryCommit} from './has-every-commit.ts';
-import {isSameCopy} from './log-copies/is-same-copy.ts';
-import type {LogCopy} from './log-copies/log-copy.ts';
-import {mergeCopies} from './log-copies/merge-copies.ts';
-import {readAcknowledgedPoint} from './log-copies/read-acknowledged-point.ts';
-import type {ReportedStatus} from './reported-status.ts';
+import {isSameCopy} from './is-same-copy.ts';
+import type {LogCopy} from './log-copy.ts';
+import {mergeCopies} from './merge-copies.ts';
+import {readAcknowledgedPoint} from './read-acknowledged-point.ts';
 
 /** What a failover knows of the logs of a group's instances, since no host uses the replaced primary any more. */
 type KnownLogs = {
--- a/packages/sessions/has-every-commit.ts
+++ b/packages/sessions/log-copies/has-every-commit.ts
@@ -1,7 +1,7 @@
 import {comparePoints} from '@sapphirefall/decisions';
-import {isSameCopy} from './log-copies/is-same-copy.ts';
-import type {LogCopy} from './log-copies/log-copy.ts';
-import type {ReportedStatus} from './reported-status.ts';
+import type {ReportedStatus} from '../reported-status.ts';
+import {isSameCopy} from './is-same-copy.ts';
+import type {LogCopy} from './log-copy.ts';
 
 type Options = {
 	/** Newest status that each instance has told since no host uses the replaced primary any more. */
--- a/packages/sessions/log-copies/mod.ts
+++ b/packages/sessions/log-copies/mod.ts
@@ -2,9 +2,11 @@
 export * from './add-log-mark.ts';
 export * from './create-copy-upkeep.ts';
 export * from './create-host-changes.ts';
+export * from './create-known-logs.ts';
 export * from './decode-copies.ts';
 export * from './find-acknowledged-point.ts';
 export * from './find-copy-task.ts';
+export * from './has-every-commit.ts';
 export * from './is-same-copy.ts';
 export * from './list-missing-copies.ts';
 export type * from './log-copy.ts';
--- a/stand-ins/wire/silent-replica.test.ts
+++ b/stand-ins/wire/silent-replica.test.ts
@@ -1,10 +1,9 @@
-/* eslint-disable no-await-in-loop -- steps run in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import type {InstanceGroup} from './instance-group.ts';
 import type {InstanceStandIn} from './instance-stand-in.ts';
 import {isServing} from './is-serving.ts';
-import {openWireClient} from './open-wire-client.ts';
+import {sendItemWrites} from './send-item-writes.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import {waitForOtherPrimary} from './wait-for-other-primary.ts';
 import type {WireDeployment} from './wire-deployment.ts';
@@ -167,20 +166,7 @@
 		};
 	};
 
-	const writeItems = async () => {
-		const client = openWireClient(deployment.hosts[0]?.port ?? 0, {database: 'latest', key: 'good'});
-		await client.started;
-		const acknowledged: string[] = [];
-		for (let number = 0; number < writeCount; number++) {
-			const {result} = await client.query(`WRITE item${number} value`);
-			if (result.startsWith('COMPLETE')) {
-				acknowledged.push(`item${number}`);
-			}
-		}
-
-		client.close();
-		return acknowledged;
-	};
+	const writeItems = async () => sendItemWrites({port: deployment.hosts[0]?.port ?? 0, count: writeCount});
 
 	/** Lists the items whose commits a promotion has rolled back. */
 	const listRolledBack = ({group}: Trouble) => group.commits().filter(({isRolledBack}) => isRolledBack).flatMap(({entry}) => entry.writes.map(([item]) => item));
--- a/stand-ins/wire/synchronous-replication.test.ts
+++ b/stand-ins/wire/synchronous-replication.test.ts
@@ -1,10 +1,9 @@
-/* eslint-disable no-await-in-loop -- steps run in sequence */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {usualLinkFault} from '../links/usual-link-fault.ts';
 import type {InstanceGroup} from './instance-group.ts';
 import type {InstanceStandIn} from './instance-stand-in.ts';
-import {openWireClient} from './open-wire-client.ts';
+import {sendItemWrites} from './send-item-writes.ts';
 import {startWireDeployment} from './start-wire-deployment.ts';
 import {waitForOtherPrimary} from './wait-for-other-primary.ts';
 import type {WireDeployment} from './wire-deployment.ts';
@@ -85,20 +84,7 @@
 		deployment.stop();
 	});
 
-	const writeItems = async () => {
-		const client = openWireClient(deployment.hosts[0]?.port ?? 0, {database: 'latest', key: 'good'});
-		await client.started;
-		const acknowledged: string[] = [];
-		for (let number = 0; number < writeCount; number++) {
-			const {result} = await client.query(`WRITE item${number} value`);
-			if (result.startsWith('COMPLETE')) {
-				acknowledged.push(`item${number}`);
-			}
-		}
-
-		client.close();
-		return acknowledged;
-	};
+	const writeItems = async () => sendItemWrites({port: deployment.hosts[0]?.port ?? 0, count: writeCount});
 
 	/** Lets the primary crash when only one replica, which is in trouble, has the commits; returns what was promoted. */
 	const replaceCrashedPrimary = async ({begin, end}: (typeof cases)[number]) => {
