Promote no replica without a commit that a host knows to be acknowledged

Callers saw: with sync_replicas 1, a replica that hosts and the platform could not reach, but its primary could, was dropped from the row of the group once the other one had kept up. Then the other one received nothing, 20 writes were acknowledged, the primary crashed, and the other one was promoted: 20 of 20 writes lost.

Cause (trace): the proof that drops a replica holds for the moment at which it is taken. What is acknowledged later is not asked for: the line "ordered a promotion" lists the answer of the other replica, 1.1, while all hosts had acknowledged up to 1.21.

Change: a commit that is sent when the log of the primary is known to reach a position lies beyond it, as commits are numbered one after another. Each host keeps that position for the newest commit that it has acknowledged, and tells it with the answer to the fence. A replica whose log does not reach beyond the newest of these is not promoted, whatever the others have: it certainly lacks an acknowledged commit. Nothing is held back that may be complete, so a replica that is gone for good stops no failover.

Groups without sync_replicas only note a position with each write.

--- a/packages/hosts/create-fleet-peer.ts
+++ b/packages/hosts/create-fleet-peer.ts
@@ -7,6 +7,7 @@
 	FleetRequestSchema, FleetResponseSchema, type FleetResponse, type ReadTablesResponse,
 } from '@sapphirefall/wire';
 import {createCallChannel} from './create-call-channel.ts';
+import {decodeFenceAnswer} from './decode-fence-answer.ts';
 import {decodeJobAnswer} from './decode-job-answer.ts';
 import {decodeMark} from './decode-mark.ts';
 import {decodePosition} from './decode-position.ts';
@@ -101,12 +102,7 @@
 		},
 		async fenceGroup(group, epoch) {
 			const answer = await send({case: 'fenceGroup', value: {group, epoch: BigInt(epoch)}});
-			if (answer?.case !== 'fenceGroup') {
-				return undefined;
-			}
-
-			const {fenced, uptimeMs, newest} = answer.value;
-			return {isFenced: fenced, ...uptimeMs !== undefined && {uptimeMs}, ...newest && {newest: decodePosition(newest)}};
+			return answer?.case === 'fenceGroup' ? decodeFenceAnswer(answer.value) : undefined;
 		},
 		async confirmSilence(group, instance) {
 			const answer = await send({case: 'confirmSilence', value: {group, instance}});
--- a/packages/hosts/serve-fleet.test.ts
+++ b/packages/hosts/serve-fleet.test.ts
@@ -67,6 +67,7 @@
 	newest: fc.record({
 		group: name, epoch: number, position, age: amount,
 	}, plain),
+	commit: fc.record({epoch: number, after: position}, plain),
 }, {requiredKeys: ['isFenced'], ...plain});
 const requested = fc.uniqueArray(fc.tuple(table, fc.record({mark: fc.option(mark, {nil: undefined}), age: amount}, plain)), {selector: ([key]) => key})
 	.map(entries => new Map(entries));
--- a/packages/hosts/serve-fleet.ts
+++ b/packages/hosts/serve-fleet.ts
@@ -7,6 +7,7 @@
 import type {CallServer} from './call-server.ts';
 import {decodeJob} from './decode-job.ts';
 import {decodeMark} from './decode-mark.ts';
+import {encodeFenceAnswer} from './encode-fence-answer.ts';
 import {encodeJobAnswer} from './encode-job-answer.ts';
 import {encodeMark} from './encode-mark.ts';
 import {encodePosition} from './encode-position.ts';
@@ -101,8 +102,7 @@
 		}
 
 		case 'fenceGroup': {
-			const {isFenced = false, uptimeMs, newest} = await own.fenceGroup(call.value.group, Number(call.value.epoch)) ?? {};
-			return {case: call.case, value: {fenced: isFenced, ...uptimeMs !== undefined && {uptimeMs}, ...newest && {newest: encodePosition(newest)}}};
+			return {case: call.case, value: encodeFenceAnswer(await own.fenceGroup(call.value.group, Number(call.value.epoch)))};
 		}
 
 		case 'confirmSilence': {
--- a/packages/sessions/_create-session-harness.ts
+++ b/packages/sessions/_create-session-harness.ts
@@ -74,7 +74,12 @@
 		}),
 		transactionIdleLimit: () => 60_000,
 		findGroup: () => ({
-			primary: () => ({kind: 'leased', instance: 'i-a', epoch: 1}), findInstance: () => instance, recordAnswer: () => undefined, findNewestPosition: () => undefined,
+			primary: () => ({kind: 'leased', instance: 'i-a', epoch: 1}),
+			findInstance: () => instance,
+			recordAnswer: () => undefined,
+			recordCommit: () => undefined,
+			findLogMark: () => undefined,
+			findNewestPosition: () => undefined,
 		}),
 		async takeOperation() {
 			await rate;
--- a/packages/sessions/create-fence-answer.ts
+++ b/packages/sessions/create-fence-answer.ts
@@ -10,8 +10,9 @@
 };
 
 /** Creates the answer of a host that has released its lease on the primary of a group; `group` is undefined if it does not know the group. */
-export function createFenceAnswer(group: Pick<SessionGroup, 'name' | 'findLogMark'> | undefined, {startedAt, now}: Options): FenceAnswer {
+export function createFenceAnswer(group: Pick<SessionGroup, 'name' | 'findLogMark' | 'findCommitMark'> | undefined, {startedAt, now}: Options): FenceAnswer {
 	const mark = group?.findLogMark();
+	const commit = group?.findCommitMark();
 	return {
 		isFenced: group !== undefined,
 		uptimeMs: now.steady - startedAt,
@@ -20,5 +21,6 @@
 				group: group.name, epoch: mark.epoch, position: mark.position, age: findElapsed(mark.requestedAt, now),
 			},
 		},
+		...commit && {commit},
 	};
 }
--- a/packages/sessions/create-position-sampler.test.ts
+++ b/packages/sessions/create-position-sampler.test.ts
@@ -110,6 +110,23 @@
 		expect(sampler.findRequiredPosition({maxStaleness: 5000, lastWrite: undefined, arrivedAt: time})).to.deep.equal(position);
 	});
 
+	const commits = [
+		{
+			name: 'knows a commit as one beyond the position that was known when it was sent', known: 4, epoch: 4, expected: {epoch: 4, after: point},
+		},
+		{
+			name: 'knows no place of a commit of a primary whose log was not known', known: 4, epoch: 5, expected: undefined,
+		},
+	];
+	for (const {name, known, epoch, expected} of commits) {
+		// Guards against a failover that does not know what this host has acknowledged.
+		it(name, () => {
+			const {sampler, time} = createSampler();
+			sampler.recordCommit(epoch, {epoch: known, position: point, requestedAt: {...time}});
+			expect(sampler.findCommitMark()).to.deep.equal(expected);
+		});
+	}
+
 	it('counts the age of a position from when the primary was asked', async () => {
 		const {sampler} = createSampler();
 		await sampler.step();
--- a/packages/sessions/create-position-sampler.ts
+++ b/packages/sessions/create-position-sampler.ts
@@ -3,7 +3,9 @@
 import {findRequiredPosition} from './find-required-position.ts';
 import type {GroupRow} from './group-row.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
+import {addCommitMark} from './log-copies/add-commit-mark.ts';
 import {addLogMark} from './log-copies/add-log-mark.ts';
+import type {CommitMark} from './log-copies/commit-mark.ts';
 import type {LogMark} from './log-copies/log-mark.ts';
 import type {Instant} from './instant.ts';
 import {isFromEarlierEra} from './is-from-earlier-era.ts';
@@ -29,7 +31,7 @@
 };
 
 /** Samples of the position of a primary's log; see `SessionGroup` for all but `step`. */
-type PositionSampler = Pick<SessionGroup, 'findRequiredPosition' | 'recordAnswer' | 'findNewestPosition' | 'recordPosition' | 'findLogMark'> & {
+type PositionSampler = Pick<SessionGroup, 'findRequiredPosition' | 'recordAnswer' | 'findNewestPosition' | 'recordPosition' | 'recordCommit' | 'findLogMark' | 'findCommitMark'> & {
 	/** Queries the position of the primary if a sample is due and no query is in flight. */
 	readonly step: () => Promise<void>;
 };
@@ -43,6 +45,7 @@
 }: Options): PositionSampler {
 	let samples: readonly PositionSample[] = [];
 	let logMark: LogMark | undefined;
+	let commitMark: CommitMark | undefined;
 	/** Whether a position query is in flight. */
 	let isSampling = false;
 	/** When a caller last requested a read that a replica may serve, in milliseconds of the steady clock. */
@@ -111,7 +114,13 @@
 				addSample({requestedAt: {steady: from.steady - age, wall: from.wall - age}, position, epoch});
 			}
 		},
+		recordCommit(epoch, known) {
+			if (known?.epoch === epoch) {
+				commitMark = addCommitMark(commitMark, {epoch, after: known.position});
+			}
+		},
 		findLogMark: () => logMark,
+		findCommitMark: () => commitMark,
 		async step() {
 			if (isSampling || !isDue()) {
 				return;
--- a/packages/sessions/create-session-group.ts
+++ b/packages/sessions/create-session-group.ts
@@ -186,7 +186,9 @@
 		findRequiredPosition: sampler.findRequiredPosition,
 		recordAnswer: sampler.recordAnswer,
 		findNewestPosition: sampler.findNewestPosition,
+		recordCommit: sampler.recordCommit,
 		findLogMark: sampler.findLogMark,
+		findCommitMark: sampler.findCommitMark,
 		recordPosition: sampler.recordPosition,
 		async step() {
 			instances.step();
--- a/packages/sessions/create-statement-runner.test.ts
+++ b/packages/sessions/create-statement-runner.test.ts
@@ -73,6 +73,8 @@
 		recordAnswer(from: string) {
 			recorded.push(from);
 		},
+		recordCommit: () => undefined,
+		findLogMark: () => undefined,
 		findNewestPosition: () => undefined,
 	};
 }
--- a/packages/sessions/create-transaction.ts
+++ b/packages/sessions/create-transaction.ts
@@ -149,6 +149,7 @@
 
 			const {instance, runner, transaction, lease} = opened;
 			const requestedAt = operation.context.now();
+			const knownLog = lease?.group.findLogMark();
 			const answer = await runner({
 				...createJobBase(operation), kind: 'commit', transaction, id, text, ...hasUnsentValues && {setup: operation.setup},
 			}, mayCommit);
@@ -179,6 +180,7 @@
 			}
 
 			lease.group.recordAnswer(lease.instance, answer, {at: requestedAt, epoch: lease.epoch});
+			lease.group.recordCommit(lease.epoch, knownLog);
 			operation.setLastWrite({epoch: lease.epoch, position: answer.position});
 			return answer.outcome;
 		},
--- a/packages/sessions/execute-promotion.ts
+++ b/packages/sessions/execute-promotion.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- rounds run one after another */
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {LogPoint} from '@sapphirefall/decisions';
 import {createKnownLogs} from './log-copies/create-known-logs.ts';
 import {decodeStoreVersion} from './decode-store-version.ts';
 import {describeReport} from './describe-report.ts';
@@ -32,6 +33,12 @@
 /** Longest time in milliseconds within which an instance must report its status, when a slow one is waited for. */
 const maxStatusTimeoutMs = 1600;
 
+type Context = {
+	/** Position beyond which a commit of the old primary was acknowledged; undefined if none is known of. */
+	readonly newestCommit: LogPoint | undefined;
+	readonly logStep: (line: string, fields: Readonly<Record<string, unknown>>) => void;
+};
+
 /** The new primary, and the group's row that names it as successor or as unchanged primary. */
 type Promoted = {
 	readonly row: Versioned<GroupRow>;
@@ -47,7 +54,7 @@
  *
  * @returns The new primary; undefined when another host changed the group's row or may take the failover over.
  */
-export async function executePromotion(fence: Fence, failover: Failover, logStep: (line: string, fields: Readonly<Record<string, unknown>>) => void): Promise<Promoted | undefined> {
+export async function executePromotion(fence: Fence, failover: Failover, {newestCommit, logStep}: Context): Promise<Promoted | undefined> {
 	const {group, now, orderPromotion, self} = failover;
 	let held: FailoverHold = fence;
 	const isPlanned = failover.reason === 'departing' || failover.reason === 'evacuated' || failover.reason === 'missing';
@@ -60,7 +67,7 @@
 	let settledAt = fence.row.successor === '' ? undefined : now().steady + promotionLimitMs;
 	/** Instance whose promotion was last ordered and not refused, by this host or by one that ran the failover before. */
 	let promoting = fence.row.successor;
-	const knownLogs = createKnownLogs(failover, fence);
+	const knownLogs = createKnownLogs(failover, fence, newestCommit);
 	let awaited: readonly string[] = [];
 	let timeout = statusTimeoutMs;
 	while (findElapsed(held.duty.takenAt, now()) < takeoverLimitMs) {
@@ -100,7 +107,9 @@
 		if (successor === undefined) {
 			const stillAwaited = knownLogs.listAwaited();
 			if (stillAwaited.join(' ') !== awaited.join(' ')) {
-				logStep('The host waits for the status of replicas that may alone have received acknowledged commits.', {awaited: stillAwaited, answers: answers.map(answer => describeReport(answer))});
+				logStep('The host waits for the status of replicas that may alone have received acknowledged commits.', {
+					awaited: stillAwaited, beyond: newestCommit && String(newestCommit.position), answers: answers.map(answer => describeReport(answer)),
+				});
 			}
 
 			awaited = stillAwaited;
--- a/packages/sessions/log-copies/create-known-logs.ts
+++ b/packages/sessions/log-copies/create-known-logs.ts
@@ -38,9 +38,10 @@
  * An instance that is silent, or that the platform lists no more, keeps what it may alone have received. One that has started
  * again without its log tells nothing of what it had before; as the platform's list may be behind, an empty log counts only
  * once the same process has renewed its entry. If all hosts are there to tell what they have acknowledged, an instance that
- * has as much is enough, whatever the others have.
+ * has as much is enough, whatever the others have. One that lacks a commit that a host is known to have acknowledged is never
+ * enough, whatever the others have: `newestCommit` is a position beyond which there is such a commit, if one is known.
  */
-export function createKnownLogs(failover: Failover, fence: Fence): KnownLogs {
+export function createKnownLogs(failover: Failover, fence: Fence, newestCommit?: LogPoint): KnownLogs {
 	const {group, isSynchronous, isListFresh, now} = failover;
 	const {primary, copies = []} = fence.row;
 	let known: readonly LogCopy[] = copies;
@@ -87,6 +88,8 @@
 		return hasAcknowledged || (isListFresh() && hasEveryCommit(successor, {statuses: listConfirmed(), primary, replicas: listReplicas()}));
 	};
 
+	const lacksCommit = ({status}: ReportedStatus) => newestCommit !== undefined && comparePoints(status.received, newestCommit) <= 0;
+
 	return {
 		record(answers) {
 			for (const answer of answers) {
@@ -101,6 +104,6 @@
 				acknowledged = await readAcknowledgedPoint(fence, failover);
 			}
 		},
-		mayPromote: successor => !isSynchronous() || hasEachCommit(successor),
+		mayPromote: successor => !isSynchronous() || (!lacksCommit(successor) && hasEachCommit(successor)),
 	};
 }
--- a/packages/sessions/replace-primary.test.ts
+++ b/packages/sessions/replace-primary.test.ts
@@ -196,6 +196,8 @@
 	readonly copies?: readonly LogCopy[];
 	/** What this host knows of the primary's log, `age` milliseconds before the failover; nothing if left out. */
 	readonly ownMark?: {readonly position: LogPoint; readonly age: number};
+	/** Position beyond which this host has acknowledged a commit; none if left out. */
+	readonly ownCommit?: LogPoint;
 	/** What other hosts answer that are asked to release the primary. */
 	readonly hostAnswers?: Readonly<Record<string, FenceAnswer | undefined>>;
 	/** Milliseconds before the failover since which no process of a host has ended. */
@@ -222,7 +224,7 @@
 
 async function runFailover({
 	statuses, statusesAfter, reason = 'silent', evacuated = [], isLosing = false, mayHaveMissedPromotion = false,
-	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term, lateAfterMs = lateEffectMs, era = 1, known, isSynchronous = false, gone, isLockUsed = false, born = {}, entries = {first: 0, later: 0}, copies, ownMark, hostAnswers = {}, hostsUnchangedMs = 60_000,
+	eraSince = Number.NEGATIVE_INFINITY, recentHosts = [], answers = [], duringOrder, statusesLate = statusesAfter, statusesFirst = statuses, term, lateAfterMs = lateEffectMs, era = 1, known, isSynchronous = false, gone, isLockUsed = false, born = {}, entries = {first: 0, later: 0}, copies, ownMark, ownCommit, hostAnswers = {}, hostsUnchangedMs = 60_000,
 }: Case) {
 	const ordered: string[] = [];
 	let suspended = 0;
@@ -248,6 +250,7 @@
 		known: () => known,
 		listUnlisted: () => [],
 		findLogMark: () => ownMark && {epoch: 1, position: ownMark.position, requestedAt: {steady: startedAt - ownMark.age, wall: startedAtWall - ownMark.age}},
+		findCommitMark: () => ownCommit && {epoch: 1, after: ownCommit},
 		listInstances: () => instances.filter(instance => instance.listed().id !== gone || performance.now() - startedAt < goneAfterMs),
 		findInstance: id => instances.find(instance => instance.listed().id === id),
 	};
@@ -713,6 +716,25 @@
 			isPromoted: false,
 		},
 		{name: 'one that only the row names', given: {statuses: {'i-old': undefined, 'i-c': 'replica 1 1.4'}, copies: [{id: 'i-old'}, {id: 'i-b'}, {id: 'i-c'}]}, isPromoted: false},
+		{
+			name: 'none, as the row names no other, while this host has acknowledged more',
+			given: {statuses: {'i-old': undefined, 'i-c': 'replica 1 1.4'}, copies: [{id: 'i-old'}, {id: 'i-c'}], ownCommit: {term: 1, position: 4n}},
+			isPromoted: false,
+		},
+		{
+			name: 'none, as the row names no other, while another host has acknowledged more',
+			given: {
+				statuses: {'i-old': undefined, 'i-c': 'replica 1 1.4'}, copies: [{id: 'i-old'}, {id: 'i-c'}], recentHosts, hostAnswers: {c1: {isFenced: true, commit: {epoch: 1, after: {term: 1, position: 4n}}}},
+			},
+			isPromoted: false,
+		},
+		{
+			name: 'none, as the row names no other, while the hosts have acknowledged no more',
+			given: {
+				statuses: {'i-old': undefined, 'i-c': 'replica 1 1.4'}, copies: [{id: 'i-old'}, {id: 'i-c'}], ownCommit: {term: 1, position: 3n}, recentHosts, hostAnswers: {c1: {isFenced: true, commit: {epoch: 1, after: {term: 1, position: 2n}}}},
+			},
+			isPromoted: true,
+		},
 		{name: 'none, as the row names no other', given: {statuses: {'i-old': undefined, 'i-c': 'replica 1 1.4'}, copies: [{id: 'i-old'}, {id: 'i-c'}]}, isPromoted: true},
 		{
 			name: 'one that has started again without its log',
--- a/packages/sessions/replace-primary.ts
+++ b/packages/sessions/replace-primary.ts
@@ -2,6 +2,7 @@
 import {commitGroupRow} from './commit-group-row.ts';
 import {commitFence} from './commit-fence.ts';
 import type {Failover} from './failover.ts';
+import {findNewestCommit} from './log-copies/find-newest-commit.ts';
 import {sendStepDown} from './send-step-down.ts';
 import {waitForHosts} from './wait-for-hosts.ts';
 
@@ -28,9 +29,10 @@
 	}
 
 	logStep('The host set the fence.', {epoch: fence.row.epoch, token: fence.row.token, hosts: fence.hosts.length});
-	const silent = await waitForHosts(fence, failover);
+	const {answers, silent} = await waitForHosts(fence, failover);
 	logStep('All leases on the old primary are released or expired.', {silent});
-	const promoted = await executePromotion(fence, failover, logStep);
+	const reports = [{mark: group.findLogMark(), commit: group.findCommitMark()}, ...answers.map(({newest, commit}) => ({mark: newest, commit}))];
+	const promoted = await executePromotion(fence, failover, {newestCommit: findNewestCommit(reports), logStep});
 	if (promoted === undefined) {
 		logStep('The host promoted no successor in time; another host resumes the failover.');
 		return;
--- a/packages/sessions/run-write.ts
+++ b/packages/sessions/run-write.ts
@@ -67,6 +67,7 @@
 
 	const lease: PrimaryLease = {group, instance: id, epoch};
 	const requestedAt = context.now();
+	const knownLog = group.findLogMark();
 	const {answer} = await instance.run({
 		...createJobBase(operation), kind: 'single', setup: operation.setup, query, after: undefined,
 	}, () => {
@@ -103,6 +104,7 @@
 		return {outcome: createFailure('unknown', 'The primary was replaced while the write ran'), isFinal: true};
 	}
 
+	group.recordCommit(epoch, knownLog);
 	operation.setLastWrite({epoch, position: answer.position});
 	return {outcome: answer.outcome, isFinal: true};
 }
--- a/packages/sessions/session-group.ts
+++ b/packages/sessions/session-group.ts
@@ -3,6 +3,7 @@
 import type {InstanceAnswer} from './instance-answer.ts';
 import type {InstanceRuntime} from './instance-runtime.ts';
 import type {Instant} from './instant.ts';
+import type {CommitMark} from './log-copies/commit-mark.ts';
 import type {LogMark} from './log-copies/log-mark.ts';
 import type {KnownGroup} from './known-group.ts';
 import type {ListedInstance} from './listed-instance.ts';
@@ -63,6 +64,10 @@
 	readonly findNewestPosition: () => PrimaryPosition | undefined;
 	/** Finds how far the log of the latest primary had grown that this host knows of; undefined if it knows nothing of it. */
 	readonly findLogMark: () => LogMark | undefined;
+	/** Records that this host acknowledges a commit; `known` is what it knew of the primary's log when it sent the commit. */
+	readonly recordCommit: (epoch: number, known: LogMark | undefined) => void;
+	/** Finds the newest commit that this host has acknowledged; undefined if it knows of none. */
+	readonly findCommitMark: () => CommitMark | undefined;
 	/** Records a position that another host reported; its age counts from the time `from`. */
 	readonly recordPosition: (position: PrimaryPosition, from: Instant) => void;
 	/** Drops instances that stay unlisted or are too many, and surplus connections, and queries the primary's position if a sample is due. */
--- a/packages/sessions/waiting/create-retry-hint.test.ts
+++ b/packages/sessions/waiting/create-retry-hint.test.ts
@@ -67,6 +67,7 @@
 					findInstance: (wanted: string) => instances.find(({listed}) => listed().id === wanted),
 					findRequiredPosition: () => ({term: 1, position: 1n}),
 					listReaders: () => instances.filter(({listed}) => listed().id !== 'p'),
+					findLogMark: () => undefined,
 					findNewestPosition: () => undefined,
 				},
 				route: {
--- a/stand-ins/wire/instance-group.ts
+++ b/stand-ins/wire/instance-group.ts
@@ -23,6 +23,8 @@
 	readonly listAsReady: (instance: InstanceStandIn) => void;
 	/** Cuts an instance off from the others of the group, or ends that. */
 	readonly setCut: (instance: InstanceStandIn, isCut: boolean) => void;
+	/** Cuts an instance off from hosts and the platform, whose entry of it expires, but not from the other instances; resolves once it is back. */
+	readonly cutOff: (instance: InstanceStandIn, milliseconds: number) => Promise<void>;
 	/** Crashes an instance for some milliseconds; it comes back with its log, as a replica if another one was promoted. */
 	readonly crash: (instance: InstanceStandIn, milliseconds: number) => Promise<void>;
 	/** Crashes an instance for some milliseconds; it starts again under its id, with another time of its start and without a log. */
--- a/stand-ins/wire/silent-replica.test.ts
+++ b/stand-ins/wire/silent-replica.test.ts
@@ -24,6 +24,12 @@
 /** Milliseconds within which a replica receives what the primary has. */
 const settleMs = 100;
 
+/** Milliseconds for which hosts and the platform cannot reach an instance that the others reach. */
+const cutOffMs = 30_000;
+
+/** Milliseconds after which hosts have found that an instance out of reach is not needed, as another one has kept up. */
+const droppedAfterMs = 10_000;
+
 /** The instances by what they have: the acknowledged commits, or nothing. */
 type Trouble = {
 	readonly deployment: WireDeployment;
@@ -141,14 +147,37 @@
 	},
 ];
 
+/** What happens to a primary whose commits only a replica receives that hosts and the platform cannot reach. */
+const cutOffs: ReadonlyArray<{readonly name: string; readonly play: (trouble: Trouble) => Promise<void>}> = [
+	{
+		name: 'crashes',
+		async play({group, primary, deaf}) {
+			const primaryBack = group.crash(primary, 6500);
+			group.setCut(deaf, false);
+			await primaryBack;
+		},
+	},
+	{
+		name: 'crashes after all hosts have started again',
+		async play({deployment, group, primary, deaf}) {
+			await restartAll(deployment);
+			const primaryBack = group.crash(primary, 6500);
+			group.setCut(deaf, false);
+			await primaryBack;
+		},
+	},
+];
+
 describe('a primary with synchronous replicas', () => {
 	let deployment: WireDeployment;
 
-	beforeEach(async () => {
-		deployment = await startWireDeployment({hostCount, lag: 20, isSynchronous: true});
+	const start = async (hasLinks: boolean) => {
+		deployment = await startWireDeployment({
+			hostCount, lag: 20, isSynchronous: true, hasLinks,
+		});
 		await deployment.waitUntilReady();
 		await sleep(2000);
-	});
+	};
 
 	afterEach(() => {
 		deployment.stop();
@@ -173,18 +202,39 @@
 
 	/** Lets the primary and the only replica with the commits go through a loss; returns what has become of the commits. */
 	const playLoss = async (play: (typeof losses)[number]['play']) => {
+		await start(false);
 		const trouble = findTrouble();
 		trouble.group.setCut(trouble.deaf, true);
 		const acknowledged = await writeItems();
 		await play(trouble);
+		return {count: acknowledged.length, ...await findResult(trouble)};
+	};
+
+	/** Lets the primary commit what only a replica receives that is cut off and was dropped while the other one had kept up; returns what has become of the commits. */
+	const playCutOff = async (play: (typeof cutOffs)[number]['play']) => {
+		await start(true);
+		const trouble = findTrouble();
+		const {group, upToDate, deaf} = trouble;
+		await sendItemWrites({port: deployment.hosts[0]?.port ?? 0, count: 1});
+		const isBack = group.cutOff(upToDate, cutOffMs);
+		await sleep(droppedAfterMs);
+		group.setCut(deaf, true);
+		const acknowledged = await writeItems();
+		await play(trouble);
+		await isBack;
+		return {count: acknowledged.length, ...await findResult(trouble)};
+	};
+
+	const findResult = async (trouble: Trouble) => {
 		const isBack = await isServing({
 			port: deployment.hosts[0]?.port ?? 0, database: 'latest', text: 'WRITE last value', limitMs: 2 * failoverLimitMs,
 		});
-		return {count: acknowledged.length, lost: listRolledBack(trouble), isBack};
+		return {lost: listRolledBack(trouble), isBack};
 	};
 
 	/** Lets the primary crash for good once one replica is gone; returns what replaces it. */
 	const playDeparture = async (play: (typeof departures)[number]['play']) => {
+		await start(false);
 		const trouble = findTrouble();
 		const {group, primary, deaf} = trouble;
 		await play(trouble);
@@ -202,6 +252,13 @@
 		});
 	}
 
+	for (const {name, play} of cutOffs) {
+		// Guards against the promotion of a replica that had kept up once and lacks commits, because one that is out of reach but receives them counts as gone.
+		it(`loses no acknowledged commit when it ${name} and only a replica out of reach has received them`, async () => {
+			expect(await playCutOff(play)).to.deep.equal({count: writeCount, lost: [], isBack: true});
+		});
+	}
+
 	for (const {name, play} of departures) {
 		// Guards against a group without a primary because hosts wait for the log of a replica that nobody needs any more.
 		it(`is replaced in time by a replica that has kept up when the other one ${name}`, async () => {
--- a/stand-ins/wire/start-instance-group.ts
+++ b/stand-ins/wire/start-instance-group.ts
@@ -57,6 +57,8 @@
 	const departing = new Set<InstanceStandIn>();
 	const cut = new Set<InstanceStandIn>();
 	const commits: CommitRecord[] = [];
+	/** Instances that neither hosts nor the platform can reach. */
+	const unreachable = new Set<InstanceStandIn>();
 	/** Since when an old primary can reach a newer one, in milliseconds of the steady clock. */
 	const reachesNewerSince = new Map<InstanceStandIn, number>();
 	/** Commits that no other instance has received yet, with what to call when one has. */
@@ -73,7 +75,7 @@
 	const findWarmup = (instance: InstanceStandIn) => Math.max(0, (born.get(instance) ?? Number.NEGATIVE_INFINITY) + warmupMs - Date.now());
 
 	const list = (instance: InstanceStandIn) => {
-		if (instance.isDown() || isClosed) {
+		if (instance.isDown() || unreachable.has(instance) || isClosed) {
 			return;
 		}
 
@@ -192,12 +194,15 @@
 		}
 	};
 
+	/** Lets the entry of an instance expire that writes it no more. */
+	const startExpiry = (instance: InstanceStandIn) => setTimeout(() => {
+		store.delete('servers', instance.id);
+	}, expiryMs);
+
 	/** Crashes an instance, whose entry expires after a while. */
 	const stayAway = async (instance: InstanceStandIn, milliseconds: number) => {
 		instance.crash();
-		const expiry = setTimeout(() => {
-			store.delete('servers', instance.id);
-		}, expiryMs);
+		const expiry = startExpiry(instance);
 		await sleep(milliseconds);
 		clearTimeout(expiry);
 	};
@@ -251,6 +256,21 @@
 				cut.delete(instance);
 			}
 		},
+		async cutOff(instance, milliseconds) {
+			const link = links.get(instance);
+			if (link === undefined) {
+				throw new Error('The instances of the group have no links');
+			}
+
+			unreachable.add(instance);
+			link.setFault({isPartitioned: true});
+			const expiry = startExpiry(instance);
+			await sleep(milliseconds);
+			clearTimeout(expiry);
+			unreachable.delete(instance);
+			link.setFault({isPartitioned: false});
+			list(instance);
+		},
 		async crash(instance, milliseconds) {
 			await stayAway(instance, milliseconds);
 			instance.comeBack(newestTerm);
