Use each term for one attempt to replace a primary only

Callers of the own interface could get two primaries in one term, and lose what the second one had not received.

Change: the state of a watcher keeps the newest term in which it has asked for a grant.

Measured: the regression test failed before.

--- a/packages/decisions/failover-state.ts
+++ b/packages/decisions/failover-state.ts
@@ -1,7 +1,7 @@
 import type {InstanceReport} from './instance-report.ts';
 
-/** Progress of a watcher in replacing a group's primary. Times are monotonic milliseconds. */
-export type FailoverState =
+/** What a watcher does about the primary of a group. */
+type FailoverProgress =
 	| {readonly kind: 'watching'}
 	| {
 		readonly kind: 'confirming';
@@ -26,3 +26,9 @@
 	}
 	/** The last attempt was abandoned; the watcher may try again from `until` on. */
 	| {readonly kind: 'backingOff'; readonly until: number};
+
+/** Progress of a watcher in replacing a group's primary. Times are monotonic milliseconds. */
+export type FailoverState = FailoverProgress & {
+	/** Newest term in which this watcher has asked for a grant; undefined if it never has. */
+	readonly lastTerm?: number | undefined;
+};
--- a/packages/decisions/step-failover.test.ts
+++ b/packages/decisions/step-failover.test.ts
@@ -233,6 +233,36 @@
 }
 
 describe('stepFailover', () => {
+	// Guards against two primaries in one term: an attempt after the watcher's own promotion, of which no report has come yet.
+	it('uses a term for one attempt only', () => {
+		const view = createGroupView(group);
+		let state: FailoverState = {kind: 'watching'};
+		const step = (event: FailoverEvent) => {
+			const next = stepFailover(state, {
+				event, view, settings, watchedSince: 0, rank: 0, needsConfirmation: false, now: 1000,
+			});
+			state = next.state;
+			return next.effects;
+		};
+
+		const startAttempt = () => {
+			step({kind: 'tick'});
+			return step({kind: 'tick'}).map(effect => effect.kind === 'fence' ? effect.term : undefined);
+		};
+
+		const [term = 0] = startAttempt();
+		for (const name of ['b', 'c']) {
+			step({
+				kind: 'fenceAnswered', term, isGranted: true, report: {
+					instance: name, term, role: 'fenced', point: {term: 1, position: 1n},
+				},
+			});
+		}
+
+		step({kind: 'promoteAnswered', term, isGranted: true});
+		expect(startAttempt()).to.deep.equal([term + 1, term + 1, term + 1]);
+	});
+
 	it('has at most one primary in a term, and keeps every acknowledged write exactly once', () => {
 		let replaced = 0;
 		let kept = 0;
--- a/packages/decisions/step-failover.ts
+++ b/packages/decisions/step-failover.ts
@@ -34,8 +34,8 @@
  *
  * A failover has four steps: suspect a silent primary, get the confirmation of another zone, fence a majority of the
  * instances in a new term, and promote the instance of that majority with the most up-to-date log. Acknowledged
- * writes survive without reliance on clocks or leases: any two fenced majorities intersect, and an instance grants a
- * term to one owner only.
+ * writes survive without reliance on clocks or leases: any two fenced majorities intersect, an instance grants a
+ * term to one owner only, and a watcher uses each term for one attempt only.
  *
  * @param state The progress of the failover.
  * @param input The event, the group, the failover settings, this watcher's rank, and monotonic milliseconds.
@@ -44,6 +44,12 @@
 	state: FailoverState,
 	input: Input,
 ): Step {
+	const {state: next, effects} = stepProgress(state, input);
+	const lastTerm = 'term' in next ? next.term : state.lastTerm;
+	return {state: next.lastTerm === lastTerm ? next : {...next, lastTerm}, effects};
+}
+
+function stepProgress(state: FailoverState, input: Input): Step {
 	switch (state.kind) {
 		case 'watching': {
 			return stepWatching(input);
@@ -106,7 +112,7 @@
 
 	const confirmedAt = state.confirmedAt ?? (event.kind === 'confirmed' ? now : undefined);
 	if (confirmedAt !== undefined && now >= confirmedAt + (input.rank * settings.stagger)) {
-		return startFencing(input);
+		return startFencing(state, input);
 	}
 
 	if (confirmedAt === undefined && now - state.since > settings.stepTimeout) {
@@ -120,10 +126,11 @@
 	return {state: {...state, confirmedAt}, effects: isNew ? [{kind: 'publishStep', step: 'agreed'}] : []};
 }
 
-function startFencing(input: Input): Step {
+function startFencing({lastTerm = 0}: FailoverState, input: Input): Step {
 	const {view, now} = input;
 	const knownTerms = [...view.instances.values()].map(({report}) => report.term);
-	const term = Math.max(view.term, ...knownTerms) + 1;
+	// The view may not know yet what an earlier attempt has made of the instances.
+	const term = Math.max(view.term, lastTerm, ...knownTerms) + 1;
 	return {
 		state: {
 			kind: 'fencing', since: now, term, granted: new Map(),
