--- a/packages/sessions/_create-contested-store.ts
+++ b/packages/sessions/_create-contested-store.ts
@@ -21,7 +21,7 @@
 	readonly takeLock: () => Promise<void>;
 };
 
-const at = () => ({steady: performance.now(), wall: Date.now()});
+const now = () => ({steady: performance.now(), wall: Date.now()});
 
 /** Failover lock of another host, and the group for which it uses the lock. */
 const lockOfOther = {holder: 'b1', token: 7};
@@ -43,7 +43,7 @@
 			const list = [...rows].map(([key, held]) => ({key, ...held}));
 			return {
 				kind: 'done', value: {
-					rows: list, version, storeNow: 0, sentAt: at(), answeredAt: at(),
+					rows: list, version, storeNow: 0, sentAt: now(), answeredAt: now(),
 				},
 			};
 		},
--- a/stand-ins/wire/open-wire-client.ts
+++ b/stand-ins/wire/open-wire-client.ts
@@ -4,6 +4,10 @@
 import type {WireAnswer} from './wire-answer.ts';
 import type {WireClient} from './wire-client.ts';
 
+const unanswered: WireAnswer = {
+	rows: [], result: '', reason: '', state: '',
+};
+
 /** Opens a session with a host over the wire protocol. */
 export function openWireClient(port: number, {database, key}: {readonly database: string; readonly key: string}): WireClient {
 	const socket = connect({host: '127.0.0.1', port, noDelay: true});
@@ -11,24 +15,29 @@
 	let partialLine = '';
 	let rows: string[] = [];
 	let result = '';
+	let reason = '';
 	let isClosed = false;
 
 	const handleLine = (line: string) => {
-		const [command = '', argument = ''] = line.split(' ');
+		const [command = '', argument = '', ...words] = line.split(' ');
 		if (command === 'DATAROW') {
 			rows.push(argument);
 		} else if (command === 'READY') {
-			pending.shift()?.({rows, result, state: argument});
+			pending.shift()?.({
+				rows, result, reason, state: argument,
+			});
 			rows = [];
 			result = '';
+			reason = '';
 		} else {
 			result = `${command} ${argument}`;
+			reason = words.join(' ');
 		}
 	};
 
 	const waitForAnswer = async () => new Promise<WireAnswer>(resolve => {
 		if (isClosed) {
-			resolve({rows: [], result: '', state: ''});
+			resolve(unanswered);
 		} else {
 			pending.push(resolve);
 		}
@@ -45,7 +54,7 @@
 
 	const send = async (bytes: string) => {
 		const [answer] = await Promise.all(sendTogether([bytes]));
-		return answer ?? {rows: [], result: '', state: ''};
+		return answer ?? unanswered;
 	};
 
 	socket.on('data', (chunk: Buffer) => {
@@ -59,7 +68,9 @@
 	socket.on('close', () => {
 		isClosed = true;
 		for (const resolve of pending.splice(0)) {
-			resolve({rows, result, state: ''});
+			resolve({
+				rows, result, reason, state: '',
+			});
 		}
 	});
 	return {
